--- /dev/null
+++ b/hawthornspoke/agent/_engine_actor.py
@@ -0,0 +1,127 @@
+"""The actor that gives orders to the engine, and the tasks that run requests."""
+
+from dataclasses import dataclass
+
+import pykka
+from loguru import logger
+
+from hawthornspoke.agent._engines import FENCED, CutAnswer
+from hawthornspoke.base import Failure, is_failure, monotonic
+from hawthornspoke.deployment import EngineSeen, OrderEnded, OrderLoad
+from hawthornspoke.protocol import Event, EventKind
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class LookAtEngine:
+    """Read the engine's state."""
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class RunEnded:
+    """A started request came to its end."""
+
+    request_id: str
+
+
+class EngineActor(pykka.ThreadingActor):
+    """Reads the engine's state and gives it orders, one at a time.
+
+    Parameters
+    ----------
+    engine : object
+        From the registry of engines.
+    store : ChunkStore
+    control : pykka.ActorRef
+
+    Notes
+    -----
+    Orders have one writer: this actor, in the one process that holds the host's
+    port. The fencing number is taken over from the engine and raised by one, so
+    that an engine that checks it refuses what an earlier agent still sends.
+    """
+
+    use_daemon_thread = True
+
+    def __init__(self, *, engine, store, control):
+        super().__init__()
+        self.engine = engine
+        self.store = store
+        self.control = control
+        self.fence = 0
+        self.instance = ""
+
+    def on_receive(self, message):
+        """Look at the engine or give an order."""
+        if isinstance(message, LookAtEngine):
+            self._tell(self._look())
+            return
+        outcome = self._order(message)
+        if is_failure(outcome):
+            logger.warning("order {}: {}", type(message).__name__, outcome)
+        self._tell(OrderEnded(digest=message.digest, ok=not is_failure(outcome)))
+
+    def _look(self):
+        state = self.engine.state()
+        if state is None:
+            return EngineSeen(instance="")
+        if state.get("instance") != self.instance:
+            self.instance = state.get("instance", "")
+            self.fence = int(state.get("fence", 0)) + 1
+        return EngineSeen(
+            instance=self.instance,
+            loaded=frozenset(state.get("loaded", ())),
+            memory=int(state.get("memory", 0)),
+            used=int(state.get("used", 0)),
+        )
+
+    def _order(self, message):
+        if isinstance(message, OrderLoad):
+            manifest = self.store.manifest(message.digest)
+            if manifest is None:
+                return Failure(code="not_held")
+            outcome = self.engine.load(
+                self.store, manifest, base=message.base, fence=self.fence
+            )
+        else:
+            outcome = self.engine.unload(message.digest, fence=self.fence)
+        if outcome == FENCED:
+            # Another writer has raised the number: take the engine over again
+            # only after a fresh look at what it holds.
+            self.instance = ""
+        return outcome
+
+    def _tell(self, message):
+        if self.control.is_alive():
+            self.control.tell(message)
+
+
+def run_request(*, run, engine, control):
+    """Run one started request and push its events.
+
+    Parameters
+    ----------
+    run : Run
+    engine : object
+    control : pykka.ActorRef
+    """
+    request_id = run.submit.request_id
+    try:
+        run.push(Event(kind=EventKind.STARTED))
+        remaining = max(0.05, run.deadline - monotonic())
+        for item in engine.answer(run, timeout=remaining):
+            if is_failure(item):
+                run.refuse(item)
+                return
+            if not run.push(item):
+                run.fail("cancelled")
+                return
+        run.push(Event(kind=EventKind.DONE))
+    except CutAnswer as error:
+        run.fail(str(error))
+    except Exception as error:
+        # The caller must get an end whatever the engine's answer did here.
+        logger.exception("request {} failed in the agent", request_id)
+        run.fail(repr(error))
+    finally:
+        if control.is_alive():
+            control.tell(RunEnded(request_id=request_id))
--- /dev/null
+++ b/hawthornspoke/agent/_fetch_actor.py
@@ -0,0 +1,250 @@
+"""Actors that move chunks and manifests to this host."""
+
+import time
+from dataclasses import dataclass
+
+import pykka
+
+from hawthornspoke.base import Failure, is_failure, monotonic
+from hawthornspoke.config import parse_manifest
+from hawthornspoke.protocol import (
+    NOT_SENT,
+    PROTOCOL_VERSION,
+    ChunkAsk,
+    Connection,
+)
+from hawthornspoke.swarm import (
+    Announced,
+    AskHoldings,
+    ChunkFailed,
+    ChunkVerified,
+    FetchFromOrigin,
+    PeerUnreachable,
+)
+
+NO_MANIFEST = Failure(code="no_manifest")
+
+#: Seconds that a peer may take for one chunk.
+PEER_SECONDS = 10.0
+
+#: Seconds without a byte from the origin: on its narrow link many hosts queue.
+ORIGIN_SECONDS = 20.0
+
+ASK_SECONDS = 1.0
+MANIFEST_INDEX = -1
+MANIFEST_PREFIX = "manifests/"
+
+#: Peers asked for a manifest when the platform has no answer.
+MANIFEST_PEERS = 3
+
+#: Connections kept open by one actor.
+MAX_CONNECTIONS = 32
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class GetManifest:
+    """Find the manifest of some weights.
+
+    Parameters
+    ----------
+    digest : str
+    peers : tuple of (str, int)
+    """
+
+    digest: str
+    peers: tuple
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class ManifestFound:
+    """A manifest, or a failure."""
+
+    digest: str
+    manifest: object
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class WorkerFree:
+    """A fetch actor is free again."""
+
+    worker: object
+
+
+class FetchActor(pykka.ThreadingActor):
+    """Does one fetch at a time and owns its connections.
+
+    Parameters
+    ----------
+    node : str
+    store : ChunkStore
+    link : Link
+        Inward.
+    clients : PlatformClients
+    source_by_digest : dict of str to str
+        Where the origin has each digest; written by the control actor.
+    metrics : Metrics
+    control : pykka.ActorRef
+    """
+
+    use_daemon_thread = True
+
+    def __init__(
+        self, *, node, store, link, clients, source_by_digest, metrics, control
+    ):
+        super().__init__()
+        self.metrics = metrics
+        self.node = node
+        self.store = store
+        self.link = link
+        self.clients = clients
+        self.source_by_digest = source_by_digest
+        self.control = control
+        self.connection_by_address = {}
+
+    def on_receive(self, message):
+        """Do one piece of work."""
+        try:
+            answer = self._work(message)
+            if self.control.is_alive():
+                self.control.tell(answer)
+        finally:
+            if self.control.is_alive():
+                self.control.tell(WorkerFree(worker=self.actor_ref))
+
+    def _work(self, message):
+        if isinstance(message, GetManifest):
+            return self._manifest(message)
+        if isinstance(message, AskHoldings):
+            return self._holdings(message)
+        if isinstance(message, FetchFromOrigin):
+            return self._from_origin(message)
+        return self._from_peer(message)
+
+    def _from_origin(self, message):
+        manifest = self.store.manifest(message.digest)
+        source = self.source_by_digest.get(message.digest)
+        if manifest is None or source is None:
+            return _failed(message, "missing")
+        start, stop = manifest.span(message.index)
+        data = self.clients.origin.chunk(
+            source, start=start, stop=stop, timeout=ORIGIN_SECONDS
+        )
+        if is_failure(data):
+            return _failed(message, "failed")
+        self.metrics.count("origin_bytes_total", len(data))
+        return self._keep(message, data)
+
+    def _from_peer(self, message):
+        ask = ChunkAsk(
+            version=PROTOCOL_VERSION,
+            digest=message.digest,
+            index=message.index,
+            node=self.node,
+        )
+        deadline = monotonic() + PEER_SECONDS
+        reply = self._connection(message).call("chunk", ask, deadline=deadline)
+        if is_failure(reply):
+            unreachable = reply == NOT_SENT
+            return _failed(message, "unreachable" if unreachable else "failed")
+        if reply.data is None:
+            return _failed(message, reply.reason or "missing")
+        self.metrics.count("peer_bytes_total", len(reply.data))
+        return self._keep(message, reply.data)
+
+    def _keep(self, message, data):
+        time.sleep(self.link.reserve(len(data)))
+        if is_failure(self.store.add(message.digest, message.index, data)):
+            return _failed(message, "corrupt")
+        return ChunkVerified(digest=message.digest, index=message.index)
+
+    def _holdings(self, message):
+        reply = self._connection(message).call(
+            "holdings", message.digest, deadline=monotonic() + ASK_SECONDS
+        )
+        if is_failure(reply):
+            return PeerUnreachable(digest=message.digest, node=message.node)
+        return Announced(
+            digest=message.digest,
+            node=message.node,
+            indices=unpack_bitmap(reply.bitmap or b""),
+            held=reply.held or 0,
+        )
+
+    def _manifest(self, message):
+        data = self.clients.objects.get(MANIFEST_PREFIX + message.digest)
+        manifest = _checked(data, message.digest)
+        for address, port in message.peers[:MANIFEST_PEERS]:
+            if manifest is not None:
+                break
+            manifest = self._manifest_from(address, port, message.digest)
+        if manifest is None:
+            manifest = NO_MANIFEST.because(message.digest[:12])
+        return ManifestFound(digest=message.digest, manifest=manifest)
+
+    def _manifest_from(self, address, port, digest):
+        connection = Connection(address=address, port=port)
+        ask = ChunkAsk(version=PROTOCOL_VERSION, digest=digest, index=MANIFEST_INDEX)
+        reply = connection.call("chunk", ask, deadline=monotonic() + ASK_SECONDS)
+        connection.close()
+        return None if is_failure(reply) else _checked(reply.data, digest)
+
+    def _connection(self, message):
+        key = (message.address, message.port)
+        connection = self.connection_by_address.pop(key, None)
+        if connection is None:
+            connection = Connection(address=message.address, port=message.port)
+        self.connection_by_address[key] = connection
+        while len(self.connection_by_address) > MAX_CONNECTIONS:
+            oldest = next(iter(self.connection_by_address))
+            self.connection_by_address.pop(oldest).close()
+        return connection
+
+
+def pack_bitmap(indices):
+    """Return chunk indices as a bitmap.
+
+    Parameters
+    ----------
+    indices : iterable of int
+
+    Returns
+    -------
+    bytes
+    """
+    number = 0
+    for index in indices:
+        number |= 1 << index
+    return number.to_bytes((number.bit_length() + 7) // 8, "little")
+
+
+def unpack_bitmap(data):
+    """Return the chunk indices of a bitmap.
+
+    Parameters
+    ----------
+    data : bytes
+
+    Returns
+    -------
+    tuple of int
+    """
+    return tuple(
+        place * 8 + bit
+        for place, byte in enumerate(data)
+        if byte
+        for bit in range(8)
+        if byte >> bit & 1
+    )
+
+
+def _checked(data, digest):
+    if not isinstance(data, bytes):
+        return None
+    manifest = parse_manifest(data)
+    if is_failure(manifest) or manifest.digest != digest:
+        return None
+    return manifest
+
+
+def _failed(message, cause):
+    return ChunkFailed(digest=message.digest, index=message.index, cause=cause)
--- /dev/null
+++ b/hawthornspoke/agent/_wanted.py
@@ -0,0 +1,60 @@
+"""From the document in force to what one host has to hold."""
+
+from hawthornspoke.deployment import Declared
+
+DEFAULT_PRIORITY = 3
+
+
+def declared_items(services):
+    """Return the weights that a host's services need, bases first.
+
+    Parameters
+    ----------
+    services : list of ServiceView
+
+    Returns
+    -------
+    list of Declared
+    """
+    items = []
+    for view in services:
+        if view.kind != "model":
+            continue
+        priority = view.table.get("burst_priority", DEFAULT_PRIORITY)
+        base = Declared(
+            key=view.live_key(),
+            digest=view.digest,
+            source=view.sources.get(view.digest, ""),
+            priority=priority,
+        )
+        items.append(base)
+        for name, digest in sorted(view.adapters.items()):
+            adapter = Declared(
+                key=view.live_key(name),
+                digest=digest,
+                base=view.digest,
+                source=view.sources.get(digest, ""),
+                priority=priority,
+            )
+            items.append(adapter)
+    return items
+
+
+def transfer_options(document):
+    """Return the declared ways of a transfer.
+
+    Parameters
+    ----------
+    document : dict
+
+    Returns
+    -------
+    dict
+        Arguments of :class:`hawthornspoke.swarm.Want`.
+    """
+    rollout = document["rollout"]
+    return {
+        "strategy": rollout["strategy"],
+        "origin_copies": rollout["origin_copies"],
+        "origin_scope": rollout["origin_scope"],
+    }
--- /dev/null
+++ b/hawthornspoke/base/_digest.py
@@ -0,0 +1,51 @@
+"""Content digests, and the order of hosts for a key."""
+
+import hashlib
+
+import xxhash
+
+DIGEST_HEX_LENGTH = 64
+
+
+def digest_of(data):
+    """Return the SHA-256 of some bytes.
+
+    Parameters
+    ----------
+    data : bytes
+        What is to be named by its content.
+
+    Returns
+    -------
+    str
+        64 hexadecimal digits.
+    """
+    return hashlib.sha256(data).hexdigest()
+
+
+def rendezvous_order(*, key, nodes):
+    """Order nodes for a key, the same on every host that knows the same nodes.
+
+    Parameters
+    ----------
+    key : str
+        What the nodes compete for, for example a chunk of weights.
+    nodes : iterable of str
+        Names of the candidates.
+
+    Returns
+    -------
+    list of str
+        The nodes, the owner first. Taking one node away moves only its own keys.
+
+    References
+    ----------
+    .. [1] D. G. Thaler and C. V. Ravishankar, "Using name-based mappings to
+           increase hit rates", IEEE/ACM Transactions on Networking 6 (1), 1998.
+    """
+    seed = xxhash.xxh3_64_intdigest(key.encode())
+
+    def score(node):
+        return xxhash.xxh3_64_intdigest(node.encode(), seed=seed), node
+
+    return sorted(nodes, key=score, reverse=True)
--- /dev/null
+++ b/hawthornspoke/base/_registry.py
@@ -0,0 +1,81 @@
+"""Registries that decorators fill."""
+
+
+class Registry:
+    """Named implementations of one behaviour.
+
+    Parameters
+    ----------
+    kind : str
+        What is registered, used in error messages.
+
+    Examples
+    --------
+    >>> shapes = Registry(kind="shape")
+    >>> @shapes.register("square")
+    ... class Square: ...
+    >>> shapes.names()
+    ['square']
+    """
+
+    __slots__ = ("kind", "_by_name")
+
+    def __init__(self, *, kind):
+        self.kind = kind
+        self._by_name = {}
+
+    def register(self, name):
+        """Return a decorator that registers a class or function under a name.
+
+        Parameters
+        ----------
+        name : str
+            The name by which settings and declarations choose it.
+
+        Returns
+        -------
+        callable
+
+        Raises
+        ------
+        ValueError
+            If the name is taken: two plugins with one name are a broken invariant.
+        """
+
+        def decorate(item):
+            if name in self._by_name:
+                raise ValueError(f"{self.kind} {name!r} is registered twice")
+            self._by_name[name] = item
+            return item
+
+        return decorate
+
+    def names(self):
+        """Return the registered names, sorted.
+
+        Returns
+        -------
+        list of str
+        """
+        return sorted(self._by_name)
+
+    def get(self, name):
+        """Return the item registered under a name.
+
+        Parameters
+        ----------
+        name : str
+
+        Returns
+        -------
+        object
+
+        Raises
+        ------
+        KeyError
+            If nothing has that name; names come from checked settings.
+        """
+        return self._by_name[name]
+
+    def __contains__(self, name):
+        return name in self._by_name
--- /dev/null
+++ b/hawthornspoke/base/_validation.py
@@ -0,0 +1,95 @@
+"""The one helper that checks constructor parameters."""
+
+
+class Bounds:
+    """Type and range of one parameter.
+
+    Parameters
+    ----------
+    kind : type or tuple of type
+        Accepted types.
+    low, high : number or None, default=None
+        Inclusive limits; None leaves that side open.
+    choices : collection or None, default=None
+        The accepted values, if they are few.
+    optional : bool, default=False
+        Whether None is accepted.
+    """
+
+    __slots__ = ("kind", "low", "high", "choices", "optional")
+
+    def __init__(self, *, kind, low=None, high=None, choices=None, optional=False):
+        self.kind = kind
+        self.low = low
+        self.high = high
+        self.choices = choices
+        self.optional = optional
+
+    def complaint(self, value):
+        """Say what is wrong with a value.
+
+        Parameters
+        ----------
+        value : object
+
+        Returns
+        -------
+        str or None
+            None if the value is accepted.
+        """
+        if value is None and self.optional:
+            return None
+        if not self._has_kind(value):
+            return f"expected {self.describe()}, got {value!r}"
+        if self.choices is not None and value not in self.choices:
+            return f"expected {self.describe()}, got {value!r}"
+        if self.low is not None and value < self.low:
+            return f"expected {self.describe()}, got {value!r}"
+        if self.high is not None and value > self.high:
+            return f"expected {self.describe()}, got {value!r}"
+        return None
+
+    def describe(self):
+        """Return the accepted values in words.
+
+        Returns
+        -------
+        str
+        """
+        if self.choices is not None:
+            return "one of " + ", ".join(repr(choice) for choice in self.choices)
+        kinds = self.kind if isinstance(self.kind, tuple) else (self.kind,)
+        text = " or ".join(kind.__name__ for kind in kinds)
+        if self.low is not None:
+            text += f" >= {self.low}"
+        if self.high is not None:
+            text += f" <= {self.high}"
+        return text
+
+    def _has_kind(self, value):
+        kinds = self.kind if isinstance(self.kind, tuple) else (self.kind,)
+        # bool is an int to Python, but "true" where a count belongs is a slip
+        # of the operator that would otherwise pass silently as 1.
+        if isinstance(value, bool):
+            return bool in kinds
+        return isinstance(value, kinds)
+
+
+def check_params(owner, bounds_by_name):
+    """Check an object's stored parameters.
+
+    Parameters
+    ----------
+    owner : object
+        An object whose constructor has stored its parameters as attributes.
+    bounds_by_name : dict of str to Bounds
+
+    Raises
+    ------
+    ValueError
+        Naming the class, the parameter, what is accepted and what was given.
+    """
+    for name, bounds in bounds_by_name.items():
+        complaint = bounds.complaint(getattr(owner, name))
+        if complaint:
+            raise ValueError(f"{type(owner).__name__}.{name}: {complaint}")
--- /dev/null
+++ b/hawthornspoke/cli/_apply.py
@@ -0,0 +1,83 @@
+"""``hawthornspoke apply``: outcomes to words and exit codes."""
+
+import sys
+
+from hawthornspoke.base import is_failure, monotonic
+from hawthornspoke.cli import _exit_codes as codes
+from hawthornspoke.operator import (
+    Accepted,
+    ApplyLost,
+    ApplyRaced,
+    apply_folder,
+    wait_in_force,
+)
+
+
+def run_apply(folder, clients, author, base, wait):
+    """Apply a folder and say what became of it.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+    clients : PlatformClients
+    author : str
+    base : int or None
+    wait : float
+
+    Returns
+    -------
+    int
+        Exit code.
+    """
+    outcome = apply_folder(folder, clients=clients, author=author, base=base)
+    if isinstance(outcome, list):
+        for failure in outcome:
+            print(failure.reason, file=sys.stderr)
+        return codes.FAILED
+    if isinstance(outcome, ApplyRaced):
+        return _print_race(outcome)
+    if isinstance(outcome, ApplyLost):
+        print(
+            "the table's answer was lost and can't be read back; look for token "
+            f"{outcome.token} in `hawthornspoke history` before applying again",
+            file=sys.stderr,
+        )
+        return codes.OUTCOME_UNKNOWN
+    if is_failure(outcome):
+        print(f"hawthornspoke: platform: {outcome.reason}", file=sys.stderr)
+        return codes.PLATFORM_DOWN
+    return _print_accepted(outcome, clients, wait)
+
+
+def _print_race(outcome):
+    row = outcome.row
+    print(
+        f"not accepted: revision {row.get('revision', 0)} by "
+        f"{row.get('author', 'nobody')} was first; it differs from this folder in:",
+        file=sys.stderr,
+    )
+    for line in outcome.lines:
+        print(line, file=sys.stderr)
+    return codes.RACED
+
+
+def _print_accepted(outcome, clients, wait):
+    assert isinstance(outcome, Accepted)
+    word = "accepted" if outcome.changed else "in force already"
+    print(f"revision {outcome.revision} {word}, document {outcome.digest[:12]}")
+    if not wait:
+        return codes.OK
+    behind = wait_in_force(
+        clients=clients,
+        revision=outcome.revision,
+        deadline=monotonic() + wait,
+        report=print,
+    )
+    if is_failure(behind):
+        print(f"hawthornspoke: platform: {behind.reason}", file=sys.stderr)
+        return codes.PLATFORM_DOWN
+    if behind:
+        print("not there yet: " + ", ".join(behind), file=sys.stderr)
+        return codes.NOT_IN_FORCE
+    print("in force on every listed host")
+    return codes.OK
--- /dev/null
+++ b/hawthornspoke/config/_manifest.py
@@ -0,0 +1,90 @@
+"""Manifests: a version *is* the digest of its ordered chunk digests."""
+
+import json
+
+from hawthornspoke.base import Failure, digest_of
+
+BAD_MANIFEST = Failure(code="bad_manifest")
+
+MAX_CHUNKS = 1_000_000
+
+
+class Manifest:
+    """The chunks of one version of some weights.
+
+    Parameters
+    ----------
+    chunks : tuple of str
+        SHA-256 of each chunk, in order.
+    chunk_size : int
+        Bytes of each chunk but the last.
+    size : int
+        Bytes in all.
+    """
+
+    __slots__ = ("chunks", "chunk_size", "size", "digest")
+
+    def __init__(self, *, chunks, chunk_size, size):
+        self.chunks = tuple(chunks)
+        self.chunk_size = chunk_size
+        self.size = size
+        self.digest = digest_of(self.to_bytes())
+
+    def to_bytes(self):
+        """Return the canonical JSON form, whose SHA-256 is the digest.
+
+        Returns
+        -------
+        bytes
+        """
+        tree = {
+            "chunk_size": self.chunk_size,
+            "chunks": list(self.chunks),
+            "size": self.size,
+        }
+        return json.dumps(tree, sort_keys=True, separators=(",", ":")).encode()
+
+    def span(self, index):
+        """Return where a chunk lies.
+
+        Parameters
+        ----------
+        index : int
+
+        Returns
+        -------
+        tuple of int
+            First byte, and the byte after the last.
+        """
+        start = index * self.chunk_size
+        return start, min(start + self.chunk_size, self.size)
+
+
+def parse_manifest(data):
+    """Read a manifest.
+
+    Parameters
+    ----------
+    data : bytes
+        JSON with ``chunks``, ``chunk_size`` and ``size``.
+
+    Returns
+    -------
+    Manifest or Failure
+    """
+    try:
+        tree = json.loads(data)
+        manifest = Manifest(
+            chunks=[str(chunk) for chunk in tree["chunks"]],
+            chunk_size=int(tree["chunk_size"]),
+            size=int(tree["size"]),
+        )
+    except (ValueError, KeyError, TypeError) as error:
+        return BAD_MANIFEST.because(f"not a manifest: {error!r}")
+    if manifest.chunk_size <= 0 or len(manifest.chunks) > MAX_CHUNKS:
+        return BAD_MANIFEST.because("chunk size or number of chunks out of range")
+    expected = -(-manifest.size // manifest.chunk_size)
+    if expected != len(manifest.chunks):
+        reason = f"{len(manifest.chunks)} chunks for {manifest.size} bytes"
+        return BAD_MANIFEST.because(reason)
+    return manifest
--- /dev/null
+++ b/hawthornspoke/entry/_context.py
@@ -0,0 +1,174 @@
+"""One request on its way through the filters."""
+
+import uuid
+
+from hawthornspoke.base import Failure, digest_of, monotonic
+
+BAD_REQUEST = Failure(code="bad_request")
+
+IDEMPOTENT_METHODS = frozenset(["GET", "HEAD", "PUT", "DELETE", "OPTIONS"])
+MODEL_PATHS = frozenset(["/v1/completions", "/v1/chat/completions"])
+SERVICE_PREFIX = "/services/"
+DEFAULT_URGENCY = 3
+LEAST_URGENT = 7
+MAX_TIMEOUT = 3600.0
+MAX_KEY_LENGTH = 256
+PREFIX_CHARACTERS = 256
+
+HEADER_TIMEOUT = "x-request-timeout"
+HEADER_KEY = "idempotency-key"
+HEADER_IDEMPOTENT = "x-idempotent"
+HEADER_PRIORITY = "priority"
+
+
+class RequestContext:
+    """What the filters have found out about a request.
+
+    Parameters
+    ----------
+    request : hawthornspoke.web.Request
+    default_timeout : float
+        Seconds, if the caller does not say.
+    """
+
+    __slots__ = (
+        "request",
+        "request_id",
+        "arrived_at",
+        "deadline",
+        "urgency",
+        "key",
+        "repeatable",
+        "is_model",
+        "service_name",
+        "adapter",
+        "path",
+        "body_tree",
+        "streaming",
+        "prefix",
+        "organisation",
+        "service",
+        "claim",
+        "attempts",
+    )
+
+    def __init__(self, *, request, default_timeout):
+        self.request = request
+        self.request_id = uuid.uuid4().hex
+        self.arrived_at = monotonic()
+        self.deadline = self.arrived_at + default_timeout
+        self.urgency = DEFAULT_URGENCY
+        self.key = ""
+        self.repeatable = True
+        self.is_model = False
+        self.service_name = ""
+        self.adapter = ""
+        self.path = ""
+        self.body_tree = None
+        self.streaming = False
+        self.prefix = ""
+        self.organisation = ""
+        self.service = None
+        self.claim = None
+        self.attempts = 0
+
+    def fingerprint(self):
+        """Return a digest of what the request asks for.
+
+        Returns
+        -------
+        str
+        """
+        head = f"{self.request.method} {self.path} {self.service_name} "
+        return digest_of(head.encode() + self.request.body)
+
+
+def read_context(context):
+    """Fill a context from the request's path, headers and body.
+
+    Parameters
+    ----------
+    context : RequestContext
+
+    Returns
+    -------
+    None or Failure
+    """
+    failure = _read_headers(context)
+    if failure is not None:
+        return failure
+    path = context.request.path
+    if path in MODEL_PATHS:
+        return _read_model_request(context)
+    if path.startswith(SERVICE_PREFIX):
+        return _read_service_request(context)
+    return BAD_REQUEST.because(f"no such path: {path}")
+
+
+def _read_headers(context):
+    headers = context.request.headers
+    context.key = headers.get(HEADER_KEY, "").strip('"')
+    if len(context.key) > MAX_KEY_LENGTH:
+        return BAD_REQUEST.because(f"Idempotency-Key over {MAX_KEY_LENGTH} characters")
+    timeout = _number(headers.get(HEADER_TIMEOUT))
+    if timeout is not None:
+        if not 0 < timeout <= MAX_TIMEOUT:
+            reason = f"X-Request-Timeout: seconds, 0 to {MAX_TIMEOUT:g}"
+            return BAD_REQUEST.because(reason)
+        context.deadline = context.arrived_at + timeout
+    elif HEADER_TIMEOUT in headers:
+        return BAD_REQUEST.because("X-Request-Timeout: not a number of seconds")
+    return _read_priority(context, headers.get(HEADER_PRIORITY, ""))
+
+
+def _read_priority(context, text):
+    for item in text.split(","):
+        name, equals, value = item.strip().partition("=")
+        if name != "u" or not equals:
+            continue
+        if not value.isdigit() or int(value) > LEAST_URGENT:
+            return BAD_REQUEST.because("Priority: u=0 to u=7")
+        context.urgency = int(value)
+    return None
+
+
+def _read_model_request(context):
+    if context.request.method != "POST":
+        return BAD_REQUEST.because("completions are asked for by POST")
+    tree = context.request.json()
+    if not isinstance(tree, dict) or not isinstance(tree.get("model"), str):
+        return BAD_REQUEST.because('the body has to be JSON with a "model"')
+    context.is_model = True
+    context.body_tree = tree
+    context.path = context.request.path
+    context.streaming = tree.get("stream") is True
+    name, _, context.adapter = tree["model"].partition(":")
+    context.service_name = name
+    context.repeatable = not _is_marked(context)
+    prompt = str(tree.get("messages") or tree.get("prompt") or "")
+    context.prefix = digest_of(prompt[:PREFIX_CHARACTERS].encode())[:16]
+    return None
+
+
+def _read_service_request(context):
+    rest = context.request.path[len(SERVICE_PREFIX) :]
+    context.service_name, slash, path = rest.partition("/")
+    context.path = slash + path or "/"
+    if context.request.query:
+        context.path += "?" + context.request.query
+    safe = context.request.method in IDEMPOTENT_METHODS
+    context.repeatable = safe and not _is_marked(context)
+    return None
+
+
+def _is_marked(context):
+    """Tell whether the caller has marked the request as not to be repeated."""
+    word = context.request.headers.get(HEADER_IDEMPOTENT, "").lower()
+    return bool(context.key) or word in ("false", "no", "0", "?0")
+
+
+def _number(text):
+    try:
+        return None if text is None else float(text)
+    except ValueError:
+        return None
--- /dev/null
+++ b/hawthornspoke/membership/__init__.py
@@ -0,0 +1,22 @@
+"""Which nodes are there: a failure detector over gossip and the host list."""
+
+from hawthornspoke.membership._detector import (
+    HostListed,
+    MemberChanged,
+    MemberHeard,
+    Membership,
+    MemberView,
+    Tick,
+)
+from hawthornspoke.membership._relay import relay_targets, summary_targets
+
+__all__ = [
+    "HostListed",
+    "MemberChanged",
+    "MemberHeard",
+    "MemberView",
+    "Membership",
+    "Tick",
+    "relay_targets",
+    "summary_targets",
+]
--- /dev/null
+++ b/hawthornspoke/node/_core.py
@@ -0,0 +1,314 @@
+"""State and decisions that entry and agent have in common."""
+
+import random
+
+from hawthornspoke.base import is_failure, rendezvous_order
+from hawthornspoke.membership import HostListed, MemberHeard, Membership, Tick
+from hawthornspoke.platform import NOT_FOUND
+from hawthornspoke.protocol import PROTOCOL_VERSION, Datagram, Gossip
+from hawthornspoke.revision import (
+    DocumentRead,
+    Heard,
+    InForce,
+    RevisionHolder,
+    TableRead,
+)
+
+#: Entry hosts of a failure domain that read the table at the short interval.
+POLLERS = 2
+
+#: Seconds between two tries to get a document that is known of.
+FETCH_EVERY = 0.5
+
+DEAD = "dead"
+SUSPECT = "suspect"
+
+
+class NodeCore:
+    """Membership, revision and the times at which things are due.
+
+    Parameters
+    ----------
+    settings : Settings
+    role : str
+        ``"entry"`` or ``"agent"``.
+    """
+
+    __slots__ = (
+        "settings",
+        "role",
+        "membership",
+        "holder",
+        "document_data",
+        "rng",
+        "heartbeat_deadline",
+        "table_deadline",
+        "hosts_deadline",
+        "fetch_deadline",
+        "table_read_at",
+        "table_failures",
+        "host_entries",
+    )
+
+    def __init__(self, *, settings, role):
+        self.settings = settings
+        self.role = role
+        self.membership = Membership(
+            node=settings["node"],
+            suspect_after=settings["suspect_after"],
+            dead_after=settings["dead_after"],
+        )
+        self.holder = RevisionHolder()
+        self.document_data = None
+        self.rng = random.Random(settings["node"])
+        self.heartbeat_deadline = 0.0
+        self.table_deadline = 0.0
+        self.hosts_deadline = 0.0
+        self.fetch_deadline = 0.0
+        self.table_read_at = None
+        self.table_failures = 0
+        self.host_entries = []
+
+    def hear(self, gossip, *, now):
+        """Take a gossip datagram.
+
+        Parameters
+        ----------
+        gossip : hawthornspoke.protocol.Gossip
+        now : float
+
+        Returns
+        -------
+        list
+            Outcomes of membership and of the revision holder.
+        """
+        outcomes = []
+        sender = gossip.sender
+        if sender is not None:
+            heard = MemberHeard(member=sender)
+            outcomes += self.membership.step(heard, now=now)
+        for member in gossip.members or ():
+            age = (member.age_ms or 0) / 1000
+            heard = MemberHeard(member=member, age=age)
+            outcomes += self.membership.step(heard, now=now)
+        if gossip.revision:
+            source = sender.node if sender is not None else ""
+            outcomes += self.hear_revision(
+                gossip.revision, gossip.document or "", source, now=now
+            )
+        return outcomes
+
+    def hear_revision(self, revision, digest, source, *, now):
+        """Take a revision named in any message.
+
+        Parameters
+        ----------
+        revision : int
+        digest : str
+        source : str
+        now : float
+
+        Returns
+        -------
+        list of FetchDocument
+        """
+        if revision > self.holder.heard_revision and not digest:
+            # The message had no room for the document's digest: look it up.
+            self.table_deadline = min(self.table_deadline, now)
+        heard = Heard(revision=revision, digest=digest, source=source)
+        return self.holder.step(heard, now=now)
+
+    def take_table_row(self, row, *, now):
+        """Take the configuration's row, or a failure to read it.
+
+        Parameters
+        ----------
+        row : dict or Failure
+        now : float
+
+        Returns
+        -------
+        list of FetchDocument
+        """
+        if row == NOT_FOUND:
+            self.table_read_at = now
+            return self.holder.step(TableRead(revision=0, digest=""), now=now)
+        if is_failure(row):
+            self.table_failures += 1
+            return []
+        self.table_read_at = now
+        read = TableRead(revision=row["revision"], digest=row["digest"])
+        return self.holder.step(read, now=now)
+
+    def take_hosts(self, entries, *, now):
+        """Take the host list, or a failure to read it.
+
+        Parameters
+        ----------
+        entries : list of HostEntry or Failure
+        now : float
+
+        Returns
+        -------
+        list of MemberChanged
+        """
+        if is_failure(entries):
+            return []
+        self.host_entries = entries
+        return self.membership.step(HostListed(entries=entries), now=now)
+
+    def take_document(self, message, *, now):
+        """Take a document that arrived.
+
+        Parameters
+        ----------
+        message : DocumentArrived
+        now : float
+
+        Returns
+        -------
+        list of InForce
+        """
+        read = DocumentRead(digest=message.digest, document=message.document)
+        outcomes = self.holder.step(read, now=now)
+        if any(isinstance(outcome, InForce) for outcome in outcomes):
+            self.document_data = message.data
+        return outcomes
+
+    def tick(self, *, now):
+        """Compare membership's deadlines with the time.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        list of MemberChanged
+        """
+        return self.membership.step(Tick(), now=now)
+
+    def due_document(self, *, now):
+        """Return a document that is known of and due to be tried again.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        FetchDocument or None
+        """
+        if now < self.fetch_deadline:
+            return None
+        return self.holder.wanted()
+
+    def document_source(self, fetch, *, now):
+        """Return the address of the peer that may have a document.
+
+        Parameters
+        ----------
+        fetch : FetchDocument
+        now : float
+
+        Returns
+        -------
+        tuple of (str, int)
+            An empty address to read the object store.
+        """
+        self.fetch_deadline = now + FETCH_EVERY
+        view = self.membership.by_id.get(fetch.source)
+        if view is None:
+            entries = self.membership.nodes(role="entry")
+            known = [
+                item
+                for item in entries
+                if item.member is not None
+                and (item.member.revision or 0) >= fetch.revision
+            ]
+            view = self.rng.choice(known) if known else None
+        return ("", 0) if view is None else (view.address, view.port)
+
+    def poll_interval(self):
+        """Return the seconds between this node's reads of the table.
+
+        Returns
+        -------
+        float
+            Short for the few entry hosts of the failure domain that read for
+            all others, and for a node that hears no entry host at all.
+        """
+        platform = self.settings.platform
+        names = [
+            view.node
+            for view in self.membership.nodes(role="entry")
+            if view.failure_domain == self.settings["failure_domain"]
+        ]
+        if self.role == "entry":
+            names.append(self.settings["node"])
+        elif names:
+            return platform["idle_poll_every"]
+        order = rendezvous_order(key="poll", nodes=names)[:POLLERS]
+        if self.role == "agent" or self.settings["node"] in order:
+            return platform["poll_every"]
+        return platform["idle_poll_every"]
+
+    def reachable_entries(self):
+        """Return the entry hosts that are not known to be silent or leaving.
+
+        Returns
+        -------
+        list of MemberView
+        """
+        return [
+            view
+            for view in self.membership.by_id.values()
+            if view.role == "entry" and view.status in ("listed", "alive")
+        ]
+
+    def gossip(self, sender, members=(), *, reply_wanted=False):
+        """Return a gossip datagram of this node.
+
+        Parameters
+        ----------
+        sender : Member
+        members : sequence of Member, default=()
+        reply_wanted : bool, default=False
+
+        Returns
+        -------
+        Datagram
+        """
+        gossip = Gossip(
+            version=PROTOCOL_VERSION,
+            revision=self.holder.heard_revision,
+            document=self.holder.heard_digest,
+            sender=sender,
+            members=list(members) or None,
+            reply_wanted=reply_wanted or None,
+        )
+        return Datagram(gossip=gossip)
+
+    def dump(self, *, now):
+        """Return the state as plain data.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        dict
+        """
+        table_age = None
+        if self.table_read_at is not None:
+            table_age = round(now - self.table_read_at, 3)
+        return {
+            "node": self.settings["node"],
+            "role": self.role,
+            "failure_domain": self.settings["failure_domain"],
+            "revision": self.holder.dump(now=now),
+            "table_age": table_age,
+            "table_failures": self.table_failures,
+            "membership": self.membership.dump(now=now),
+        }
--- /dev/null
+++ b/hawthornspoke/node/_platform_actor.py
@@ -0,0 +1,133 @@
+"""The actor that waits for the platform so that nobody else has to."""
+
+import pykka
+
+from hawthornspoke.base import is_failure, monotonic
+from hawthornspoke.config import unpack_document
+from hawthornspoke.node._messages import (
+    DocumentArrived,
+    FetchDocumentNow,
+    HostsRead,
+    ReadHosts,
+    ReadTable,
+    TableRowRead,
+)
+from hawthornspoke.platform import (
+    HostListClient,
+    HttpClient,
+    ObjectClient,
+    OriginClient,
+    TableClient,
+)
+from hawthornspoke.protocol import Connection
+
+CONFIG_KEY = "config"
+DOCUMENT_PREFIX = "documents/"
+MANIFEST_PREFIX = "manifests/"
+PEER_TIMEOUT = 1.0
+
+
+class PlatformClients:
+    """Clients of the platform's parts, for one task.
+
+    Parameters
+    ----------
+    table : TableClient
+    objects : ObjectClient
+    hosts : HostListClient
+    origin : OriginClient
+    """
+
+    __slots__ = ("table", "objects", "hosts", "origin")
+
+    def __init__(self, *, table, objects, hosts, origin):
+        self.table = table
+        self.objects = objects
+        self.hosts = hosts
+        self.origin = origin
+
+
+def connect_platform(platform):
+    """Return clients by the settings of the platform.
+
+    Parameters
+    ----------
+    platform : dict of str to object
+
+    Returns
+    -------
+    PlatformClients
+    """
+    timeout = float(platform["timeout"])
+
+    def http(key):
+        return HttpClient(url=platform[key], timeout=timeout, connections=16)
+
+    return PlatformClients(
+        table=TableClient(http=http("table_url")),
+        objects=ObjectClient(http=http("objects_url")),
+        hosts=HostListClient(http=http("hosts_url")),
+        origin=OriginClient(http=http("origin_url")),
+    )
+
+
+class PlatformActor(pykka.ThreadingActor):
+    """Reads row, host list and documents, and tells the control actor.
+
+    Parameters
+    ----------
+    clients : PlatformClients
+    control : pykka.ActorRef
+
+    Notes
+    -----
+    The platform can be slow for long; these reads block this actor only. There
+    is one for the table and host list and one for documents, so that a slow
+    table doesn't hold up a document that a peer has.
+    """
+
+    use_daemon_thread = True
+
+    def __init__(self, *, clients, control):
+        super().__init__()
+        self.clients = clients
+        self.control = control
+
+    def on_receive(self, message):
+        """Do one read."""
+        if isinstance(message, ReadTable):
+            row = self.clients.table.get(CONFIG_KEY)
+            self._tell(TableRowRead(row=row))
+        elif isinstance(message, ReadHosts):
+            self._tell(HostsRead(entries=self.clients.hosts.read()))
+        elif isinstance(message, FetchDocumentNow):
+            self._tell(self._fetch(message))
+
+    def _fetch(self, message):
+        data = self._from_peer(message) if message.address else None
+        document = _unpacked(data, message.digest)
+        if document is None:
+            data = self.clients.objects.get(DOCUMENT_PREFIX + message.digest)
+            document = _unpacked(data, message.digest)
+        if document is None:
+            data = None
+        return DocumentArrived(digest=message.digest, data=data, document=document)
+
+    def _from_peer(self, message):
+        connection = Connection(address=message.address, port=message.port)
+        reply = connection.call(
+            "document", message.digest, deadline=monotonic() + PEER_TIMEOUT
+        )
+        connection.close()
+        return None if is_failure(reply) else reply.data
+
+    def _tell(self, message):
+        if self.control.is_alive():
+            self.control.tell(message)
+
+
+def _unpacked(data, digest):
+    if not isinstance(data, bytes):
+        return None
+    document = unpack_document(data, digest=digest)
+    return None if is_failure(document) else document
--- /dev/null
+++ b/hawthornspoke/operator/_pin.py
@@ -0,0 +1,55 @@
+"""Pin each declared source to the manifest it has now."""
+
+from hawthornspoke.base import Failure, is_failure
+from hawthornspoke.config import parse_manifest
+from hawthornspoke.platform import NOT_FOUND
+
+BAD_SOURCE = Failure(code="bad_source")
+
+MANIFEST_PREFIX = "manifests/"
+
+
+def pin_sources(tree, clients):
+    """Read the manifest of each declared source and keep it in the object store.
+
+    Parameters
+    ----------
+    tree : dict
+    clients : PlatformClients
+
+    Returns
+    -------
+    dict of str to str, list of Failure, or Failure
+        Digest by source. What the origin has under that name later changes
+        nothing: hosts accept only chunks of this manifest.
+    """
+    digests, failures = {}, []
+    for source in sorted(_sources(tree)):
+        data = clients.origin.manifest(source)
+        if data == NOT_FOUND:
+            failures.append(BAD_SOURCE.because(f"the origin has no {source!r}"))
+            continue
+        if is_failure(data):
+            return data
+        manifest = parse_manifest(data)
+        if is_failure(manifest):
+            failures.append(BAD_SOURCE.because(f"{source!r}: {manifest.reason}"))
+            continue
+        key = MANIFEST_PREFIX + manifest.digest
+        stored = clients.objects.put(key, manifest.to_bytes())
+        if is_failure(stored):
+            return stored
+        digests[source] = manifest.digest
+    return failures or digests
+
+
+def _sources(tree):
+    names = set()
+    for service in tree.get("services", {}).values():
+        if service.get("kind") != "model":
+            continue
+        model = tree["models"][service["model"]]
+        names.add(model["versions"][service["version"]]["source"])
+        for adapter in service.get("adapters", ()):
+            names.add(model["adapters"][adapter]["source"])
+    return names
--- /dev/null
+++ b/hawthornspoke/protocol/__init__.py
@@ -0,0 +1,60 @@
+"""Messages between hawthornspoke processes: Thrift over TCP and UDP."""
+
+from hawthornspoke.protocol._codec import decode, encode
+from hawthornspoke.protocol._connection import Connection, ConnectionPool
+from hawthornspoke.protocol._datagrams import DatagramSocket
+from hawthornspoke.protocol._failures import (
+    NOT_SENT,
+    REPLY_LOST,
+    TOO_LATE,
+)
+from hawthornspoke.protocol._gen.ttypes import (
+    Announce,
+    Chunk,
+    ChunkAsk,
+    Datagram,
+    Document,
+    DrainReply,
+    Event,
+    EventKind,
+    Events,
+    Gossip,
+    Holdings,
+    Live,
+    Member,
+    Role,
+    Status,
+    Submit,
+)
+from hawthornspoke.protocol._server import RpcServer
+
+PROTOCOL_VERSION = 1
+
+__all__ = [
+    "NOT_SENT",
+    "PROTOCOL_VERSION",
+    "REPLY_LOST",
+    "TOO_LATE",
+    "Announce",
+    "Chunk",
+    "ChunkAsk",
+    "Connection",
+    "ConnectionPool",
+    "Datagram",
+    "DatagramSocket",
+    "Document",
+    "DrainReply",
+    "Event",
+    "EventKind",
+    "Events",
+    "Gossip",
+    "Holdings",
+    "Live",
+    "Member",
+    "Role",
+    "RpcServer",
+    "Status",
+    "Submit",
+    "decode",
+    "encode",
+]
--- /dev/null
+++ b/hawthornspoke/protocol/_codec.py
@@ -0,0 +1,58 @@
+"""Thrift structs to bytes and back."""
+
+from thrift.protocol.TCompactProtocol import (
+    TCompactProtocolAcceleratedFactory,
+    TCompactProtocolFactory,
+)
+from thrift.transport.TTransport import TMemoryBuffer
+
+
+def _factory():
+    try:
+        import thrift.protocol.fastbinary  # noqa: F401
+    except ImportError:
+        return TCompactProtocolFactory()
+    return TCompactProtocolAcceleratedFactory(fallback=True)
+
+
+PROTOCOL_FACTORY = _factory()
+
+
+def encode(message):
+    """Return a Thrift struct as bytes.
+
+    Parameters
+    ----------
+    message : Thrift struct
+
+    Returns
+    -------
+    bytes
+    """
+    transport = TMemoryBuffer()
+    message.write(PROTOCOL_FACTORY.getProtocol(transport))
+    return transport.getvalue()
+
+
+def decode(kind, data):
+    """Read a Thrift struct from bytes.
+
+    Parameters
+    ----------
+    kind : type
+        The struct's class.
+    data : bytes
+
+    Returns
+    -------
+    Thrift struct or None
+        None if the bytes are not such a struct. Unknown fields are skipped.
+    """
+    message = kind()
+    try:
+        message.read(PROTOCOL_FACTORY.getProtocol(TMemoryBuffer(data)))
+    except Exception:
+        # A datagram may come from anyone and the decoder raises whatever its
+        # state machine meets; a bad one is dropped, never trusted half-read.
+        return None
+    return message
--- /dev/null
+++ b/hawthornspoke/protocol/_datagrams.py
@@ -0,0 +1,89 @@
+"""UDP datagrams between nodes: gossip and chunk announcements."""
+
+import socket
+
+from hawthornspoke.protocol._codec import decode, encode
+from hawthornspoke.protocol._gen.ttypes import Datagram
+
+MAX_DATAGRAM_BYTES = 60_000
+
+
+class DatagramSocket:
+    """A bound UDP socket that speaks :class:`Datagram`.
+
+    Parameters
+    ----------
+    address : str
+    port : int
+    """
+
+    __slots__ = ("address", "port", "sent", "sent_bytes", "received_bytes", "_socket")
+
+    def __init__(self, *, address, port):
+        self.address = address
+        self.port = port
+        self.sent = 0
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self._socket = None
+
+    def open(self):
+        """Bind the socket.
+
+        Raises
+        ------
+        OSError
+            If another process holds the port. The kernel keeps the bind for a
+            paused process too, so a second agent on the host can't start.
+        """
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4 * 1024 * 1024)
+        self._socket.bind((self.address, self.port))
+
+    def send(self, datagram, targets):
+        """Send one datagram to several nodes.
+
+        Parameters
+        ----------
+        datagram : Datagram
+        targets : iterable of (str, int)
+            Addresses and ports. A lost or refused datagram is not reported: the
+            next one carries the state again.
+        """
+        data = encode(datagram)
+        if len(data) > MAX_DATAGRAM_BYTES:
+            return
+        for target in targets:
+            try:
+                self._socket.sendto(data, target)
+            except OSError:
+                continue
+            self.sent += 1
+            self.sent_bytes += len(data)
+
+    def receive(self):
+        """Wait for one datagram.
+
+        Returns
+        -------
+        tuple of (Datagram or None, (str, int)) or None
+            None after :meth:`close`; a datagram that can't be read is None.
+        """
+        try:
+            data, source = self._socket.recvfrom(MAX_DATAGRAM_BYTES + 1024)
+        except OSError:
+            return None
+        if not data:
+            return None
+        self.received_bytes += len(data)
+        return decode(Datagram, data), source
+
+    def close(self):
+        """Close the socket and wake a waiting :meth:`receive`."""
+        try:
+            # Closing alone leaves a blocked recvfrom asleep for ever; an empty
+            # datagram to ourselves wakes it.
+            self._socket.sendto(b"", (self.address, self.port))
+        except OSError:
+            pass
+        self._socket.close()
--- /dev/null
+++ b/hawthornspoke/protocol/_gen/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants', 'Node']
--- /dev/null
+++ b/hawthornspoke/rollout/__init__.py
@@ -0,0 +1,12 @@
+"""In which order hosts change over to new weights."""
+
+from hawthornspoke.rollout._changeover import (
+    CHANGING,
+    NEW,
+    OLD,
+    WAITING,
+    HostState,
+    may_change_over,
+)
+
+__all__ = ["CHANGING", "NEW", "OLD", "WAITING", "HostState", "may_change_over"]
--- /dev/null
+++ b/hawthornspoke/swarm/__init__.py
@@ -0,0 +1,41 @@
+"""Spreading weights between hosts: the planner, its strategies, the store."""
+
+from hawthornspoke.swarm._link import Link
+from hawthornspoke.swarm._planner import (
+    AnnounceChunks,
+    Announced,
+    AskHoldings,
+    ChunkFailed,
+    ChunkVerified,
+    Complete,
+    Drop,
+    FetchFromOrigin,
+    FetchFromPeer,
+    Participants,
+    PeerUnreachable,
+    Swarm,
+    Tick,
+    Want,
+)
+from hawthornspoke.swarm._store import ChunkStore
+from hawthornspoke.swarm._strategies import STRATEGIES
+
+__all__ = [
+    "STRATEGIES",
+    "AnnounceChunks",
+    "Announced",
+    "AskHoldings",
+    "ChunkFailed",
+    "ChunkStore",
+    "ChunkVerified",
+    "Complete",
+    "Drop",
+    "FetchFromOrigin",
+    "FetchFromPeer",
+    "Link",
+    "Participants",
+    "PeerUnreachable",
+    "Swarm",
+    "Tick",
+    "Want",
+]
--- /dev/null
+++ b/hawthornspoke/swarm/_strategies.py
@@ -0,0 +1,125 @@
+"""Strategies for spreading weights, by name.
+
+Each answers three questions about a missing chunk: may this host read it from the
+origin now, from which peers may it be had, and whose silence matters for it.
+"""
+
+from hawthornspoke.base import Registry, rendezvous_order
+
+STRATEGIES = Registry(kind="burst strategy")
+
+#: Hosts in rendezvous order that are remembered for each chunk. The next one
+#: takes over when an owner stalls, and more than this many at once means that
+#: the origin itself is out of reach.
+OWNERS_KEPT = 8
+
+#: Hosts in that order that look after the one before them.
+PROBED_OWNERS = 2
+
+
+@STRATEGIES.register("origin")
+class OriginOnly:
+    """Every host reads everything from the origin: the baseline."""
+
+    __slots__ = ()
+
+    def may_read_origin(self, transfer, index, *, now):
+        """Tell whether this host may read a chunk from the origin."""
+        return True
+
+    def holders(self, transfer, index):
+        """Return the peers from which a chunk may be had."""
+        return ()
+
+    def owners_before(self, transfer, index):
+        """Return the hosts whose silence makes a chunk this host's to read."""
+        return ()
+
+
+@STRATEGIES.register("chain")
+class Chain:
+    """Each host reads from the one before it, the first from the origin."""
+
+    __slots__ = ("_order",)
+
+    def __init__(self):
+        self._order = None
+
+    def may_read_origin(self, transfer, index, *, now):
+        """Tell whether this host may read a chunk from the origin."""
+        return self._predecessor(transfer) is None
+
+    def holders(self, transfer, index):
+        """Return the peers from which a chunk may be had."""
+        predecessor = self._predecessor(transfer)
+        if predecessor in transfer.holders_by_index[index]:
+            return (predecessor,)
+        return ()
+
+    def owners_before(self, transfer, index):
+        """Return the hosts whose silence makes a chunk this host's to read."""
+        return ()
+
+    def _predecessor(self, transfer):
+        order = sorted(
+            transfer.participants,
+            key=lambda node: (transfer.participants[node].failure_domain, node),
+        )
+        place = order.index(transfer.node)
+        for node in reversed(order[:place]):
+            if not transfer.is_stalled(node):
+                return node
+        return None
+
+
+@STRATEGIES.register("scatter")
+class Scatter:
+    """Each chunk has one owner that reads it from the origin; all exchange.
+
+    Notes
+    -----
+    The owner is the first of the chunk's rendezvous order among the hosts of a
+    group. The number of groups is the number of copies that the origin is to
+    send: one for the fleet, one for each region or failure domain. When an
+    owner brings no news for a while, the next in order is the owner, so that a
+    dead owner's chunks are read by one other host and not by all.
+    """
+
+    __slots__ = ("_owners_by_index", "_group")
+
+    def __init__(self):
+        self._owners_by_index = {}
+        self._group = None
+
+    def may_read_origin(self, transfer, index, *, now):
+        """Tell whether this host may read a chunk from the origin."""
+        if transfer.holders_by_index[index]:
+            return False
+        for node in self._owners(transfer, index):
+            if node == transfer.node:
+                return True
+            if not transfer.is_stalled(node):
+                return False
+        return False
+
+    def holders(self, transfer, index):
+        """Return the peers from which a chunk may be had."""
+        return transfer.holders_by_index[index]
+
+    def owners_before(self, transfer, index):
+        """Return the hosts whose silence makes a chunk this host's to read."""
+        owners = self._owners(transfer, index)[:PROBED_OWNERS]
+        if transfer.node not in owners:
+            return ()
+        return owners[: owners.index(transfer.node)]
+
+    def _owners(self, transfer, index):
+        if self._group != transfer.group_nodes():
+            self._group = transfer.group_nodes()
+            self._owners_by_index = {}
+        owners = self._owners_by_index.get(index)
+        if owners is None:
+            key = f"{transfer.digest}/{index}"
+            order = rendezvous_order(key=key, nodes=self._group)
+            owners = self._owners_by_index[index] = order[:OWNERS_KEPT]
+        return owners
--- /dev/null
+++ b/idl/hawthornspoke.thrift
@@ -0,0 +1,172 @@
+// Messages between hawthornspoke processes.
+//
+// Every struct that crosses the network carries `revision`, the highest accepted
+// configuration revision its sender has seen. Fields are optional so that a newer
+// program may add some and an older one skip them during an upgrade.
+
+namespace py hawthornspoke.protocol._gen
+
+const i32 PROTOCOL_VERSION = 1
+
+enum Role { ENTRY = 1, AGENT = 2 }
+
+enum EventKind { STARTED = 1, TOKENS = 2, DONE = 3, REFUSED = 4, FAILED = 5, HEAD = 6 }
+
+// One live version on an endpoint: what a service is answered with there.
+struct Live {
+  1: optional string service_name,
+  2: optional string digest,
+}
+
+// State of one node as it was when the node itself sent it (seq orders them).
+struct Member {
+  1: optional string node,
+  2: optional Role role,
+  3: optional string failure_domain,
+  4: optional string address,
+  5: optional i32 port,
+  6: optional i64 incarnation,
+  7: optional i64 seq,
+  8: optional bool leaving,
+  9: optional list<Live> live,
+  10: optional i32 running,
+  11: optional i32 queued,
+  12: optional i32 slots,
+  13: optional i64 revision,
+  14: optional map<string, double> demand,
+  15: optional i32 weight,
+  16: optional i32 age_ms,
+  17: optional map<string, i32> progress,
+  18: optional i32 warming,
+}
+
+// One datagram: the sender's own state, and what it relays of others.
+struct Gossip {
+  1: optional i32 version,
+  2: optional i64 revision,
+  3: optional string document,
+  4: optional Member sender,
+  5: optional list<Member> members,
+  6: optional bool reply_wanted,
+}
+
+// Chunks that the sender has newly verified; `held` is its total, so that a
+// receiver notices a lost datagram.
+struct Announce {
+  1: optional i32 version,
+  2: optional i64 revision,
+  3: optional string node,
+  4: optional string digest,
+  5: optional binary indices,
+  6: optional i32 held,
+}
+
+// A datagram holds exactly one of these.
+struct Datagram {
+  1: optional Gossip gossip,
+  2: optional Announce announce,
+}
+
+struct Submit {
+  1: optional i32 version,
+  2: optional i64 revision,
+  3: optional string request_id,
+  4: optional string service_name,
+  5: optional string digest,
+  6: optional i32 priority,
+  7: optional i32 remaining_ms,
+  8: optional string method,
+  9: optional string path,
+  10: optional map<string, string> headers,
+  11: optional binary body,
+  12: optional i32 resume_from,
+  13: optional string adapter,
+}
+
+struct Event {
+  1: optional EventKind kind,
+  2: optional binary data,
+  3: optional string reason,
+  4: optional i32 retry_after_ms,
+  5: optional i32 status,
+  6: optional map<string, string> headers,
+  7: optional string digest,
+  8: optional i32 count,
+}
+
+struct Events {
+  1: optional i32 version,
+  2: optional i64 revision,
+  3: optional string request_id,
+  4: optional list<Event> events,
+  5: optional i32 running,
+  6: optional i32 queued,
+}
+
+struct ChunkAsk {
+  1: optional i32 version,
+  2: optional i64 revision,
+  3: optional string digest,
+  4: optional i32 index,
+  5: optional string node,
+}
+
+struct Chunk {
+  1: optional i32 version,
+  2: optional i64 revision,
+  3: optional binary data,
+  4: optional string reason,
+}
+
+struct Holdings {
+  1: optional i32 version,
+  2: optional i64 revision,
+  3: optional binary bitmap,
+  4: optional i32 held,
+}
+
+struct Document {
+  1: optional i32 version,
+  2: optional i64 revision,
+  3: optional string digest,
+  4: optional binary data,
+}
+
+struct DrainReply {
+  1: optional i32 version,
+  2: optional i64 revision,
+  3: optional i32 running,
+}
+
+// What a node tells an operator.
+struct Status {
+  1: optional i32 version,
+  2: optional i64 revision,
+  3: optional Member member,
+  4: optional i64 in_force,
+  5: optional i64 origin_bytes,
+  6: optional i64 peer_bytes,
+  7: optional map<string, string> problem_by_key,
+}
+
+service Node {
+  Status status(),
+  // The whole state as JSON.
+  string dump(),
+
+  // Accepted configuration document by digest, if this node holds it.
+  Document document(1: string digest),
+  // Refuse new work from now on; answers what still runs.
+  DrainReply drain(1: string reason),
+
+  // Agent only. Queue or start a request; the first events of it.
+  Events submit(1: Submit request),
+  // Agent only. Further events; waits up to max_wait_ms for the first.
+  Events read(1: string request_id, 2: i32 max_wait_ms),
+  // Agent only. The caller is gone.
+  void cancel(1: string request_id),
+  // Agent only. One verified chunk of weights.
+  Chunk chunk(1: ChunkAsk ask),
+  // Agent only. Which chunks of a digest are held.
+  Holdings holdings(1: string digest),
+}
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the whole system, as separate processes."""
--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,35 @@
+"""The whole path as separate processes: declare, apply, spread, answer."""
+
+import json
+import random
+
+from tests.fleet import Fleet, declarations
+
+WEIGHTS = random.Random(7).randbytes(40 * 16384 + 5)
+
+
+def test_a_declared_model_answers_and_a_plain_service_is_called():
+    with Fleet() as fleet:
+        fleet.publish("redac-v1", WEIGHTS)
+        fleet.declare("10-all.toml", declarations())
+        printed = fleet.apply("--wait", "20")
+        assert "in force on every listed host" in printed
+        fleet.wait_ready()
+
+        answer = fleet.ask("entry-1", max_tokens=5)
+        assert answer.status == 200, answer.data
+        digest = answer.headers["X-Weights-Digest"]
+        assert answer.headers["X-Served-Version"] == "v1"
+        text = json.loads(answer.data)["choices"][0]["text"]
+        assert text.count(digest[:12]) == 5
+
+        stream = fleet.ask("entry-2", max_tokens=5, stream=True)
+        assert stream.data.endswith(b"data: [DONE]\n\n")
+        assert stream.data.count(digest[:12].encode()) == 5
+
+        call = fleet.call("entry-0", "/services/billing/invoices")
+        assert call.status == 201, call.data
+        assert len(fleet.runs("billing-0")["runs"]) == 1
+
+        # One copy was read from the origin for five hosts.
+        assert fleet.counts()["origin_bytes"] <= 1.2 * len(WEIGHTS)
