--- a/hawthornspoke/config/_loader.py
+++ b/hawthornspoke/config/_loader.py
@@ -58,7 +58,7 @@
 
     Parameters
     ----------
-    folder : pathlib.Path
+    folder : pathlib.Path or importlib.resources.abc.Traversable
 
     Returns
     -------
@@ -69,7 +69,8 @@
     if not folder.is_dir():
         merged.failures.append(UNREADABLE.because(f"{folder}: not a folder"))
         return merged
-    files = sorted(folder.glob("*" + SUFFIX), key=lambda file: file.name)
+    files = [file for file in folder.iterdir() if file.name.endswith(SUFFIX)]
+    files.sort(key=lambda file: file.name)
     if not files:
         merged.failures.append(UNREADABLE.because(f"{folder}: no {SUFFIX} files"))
     for file in files:
--- a/hawthornspoke/demo/__init__.py
+++ b/hawthornspoke/demo/__init__.py
@@ -1,4 +1,5 @@
-"""x"""
+"""The whole system in one process, over the real sockets, with stand-ins."""
 
+from hawthornspoke.demo._demo import run_demo
 
-def run_demo(**k): ...
+__all__ = ["run_demo"]
