Replay of traces; an agent that restarts leaves its engine alone

Cause: a fresh Deployment took 'no configuration heard yet' for 'nothing declared' and ordered the engine to unload its live weights; the trace restarted_agent_leaves_the_engine_alone failed first. A finished transfer was also dropped as if it were still running (rollback_is_immediate failed).

--- a/hawthornspoke/deployment/_deployment.py
+++ b/hawthornspoke/deployment/_deployment.py
@@ -189,6 +189,7 @@
         "engine",
         "order",
         "phase",
+        "_is_declared",
         "_begin_deadline",
         "_retry_deadline",
         "_allowed",
@@ -207,6 +208,7 @@
         self.engine = EngineSeen(instance="")
         self.order = None
         self.phase = NO_SWAP
+        self._is_declared = False
         self._begin_deadline = 0.0
         self._retry_deadline = 0.0
         self._allowed = False
@@ -219,6 +221,7 @@
             if item.base:
                 self.base_by_digest[item.digest] = item.base
         self.refused_by_digest = {}
+        self._is_declared = True
         outcomes = []
         for key in list(self.live_by_key):
             if key not in self.declared_by_key:
@@ -232,6 +235,7 @@
 
     def on_transfer_complete(self, message, *, now):
         """Take that some weights are whole here."""
+        self.transfers.discard(message.digest)
         self.size_by_digest[message.digest] = message.size
         return self._advance(now=now)
 
@@ -249,7 +253,12 @@
             if restarted or digest not in message.loaded:
                 del self.live_by_key[key]
                 outcomes.append(SwitchLive(key=key, digest=None))
-        self.engine = message
+        self.engine = EngineSeen(
+            instance=message.instance,
+            loaded=frozenset(message.loaded),
+            memory=message.memory,
+            used=message.used,
+        )
         return outcomes + self._advance(now=now)
 
     def on_order_ended(self, message, *, now):
@@ -347,7 +356,9 @@
 
     def _advance(self, *, now):
         outcomes = self._start_transfers()
-        if not self.engine.instance:
+        if not self.engine.instance or not self._is_declared:
+            # Nothing heard yet is not the same as nothing declared: a restarted
+            # agent must not order away what its engine answers with.
             return outcomes
         outcomes += self._switch_loaded()
         outcomes += self._next_order(now=now)
--- /dev/null
+++ b/hawthornspoke/replay/__init__.py
@@ -0,0 +1,5 @@
+"""Replay of traces: messages with times, and the outcomes that were stated."""
+
+from hawthornspoke.replay._trace import Step, Trace, load_trace, replay
+
+__all__ = ["Step", "Trace", "load_trace", "replay"]
