Promise tests: weights, with real processes

Found: a fresh entry host was ready before it had heard of any endpoint and refused callers for nothing. Ruled out by times: refusals came at 0.00 s only, none during the swaps.

--- a/hawthornspoke/entry/_control.py
+++ b/hawthornspoke/entry/_control.py
@@ -2,7 +2,7 @@
 
 import hashlib
 
-from hawthornspoke.base import Failure, is_failure
+from hawthornspoke.base import Failure, is_failure, monotonic
 from hawthornspoke.config import ServiceView
 from hawthornspoke.limits import (
     Admitted,
@@ -36,6 +36,9 @@
 #: Heartbeats after which the summary goes to the other failure domains again.
 SUMMARY_EVERY = 2
 
+#: Heartbeats that a fresh entry host waits for before it is ready.
+FIRST_HEARTBEATS = 3
+
 DOMAIN_CLAIMANT = "domain:"
 BEARER = "bearer "
 
@@ -101,6 +104,10 @@
         self.organisation_by_key = {}
         self.organisations = {}
         self.domain = settings["failure_domain"]
+        # A fresh entry host knows of no endpoint until their next heartbeats:
+        # callers sent here before that would be refused for nothing.
+        first = FIRST_HEARTBEATS * settings["heartbeat_every"]
+        self.ready_deadline = monotonic() + first
 
     # Calls of the request tasks.
 
@@ -200,7 +207,9 @@
 
     def is_ready(self, *, now):
         """Tell whether a balancer may send callers here."""
-        return self.core.holder.confirmed(now=now) and not self.leaving
+        if self.leaving or now < self.ready_deadline:
+            return False
+        return self.core.holder.confirmed(now=now)
 
     # What the base calls.
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -328,6 +328,30 @@
         names = names or [host["host"] for host in self.hosts]
         for name in names:
             self.wait_for(lambda name=name: self.ready(name), seconds)
+        self.wait_for(self.all_known, seconds)
+
+    def all_known(self):
+        """Tell whether every running entry host has heard of every live service."""
+        return all(
+            self._knows_all(host["host"])
+            for host in self.hosts
+            if host["role"] == "entry" and self.is_running(host["host"])
+        )
+
+    def _knows_all(self, entry):
+        state = self.dump(entry)
+        if state is None:
+            return False
+        by_id = state["membership"]["by_id"]
+        return all(
+            by_id.get(host["host"], {}).get("live")
+            for host in self.hosts
+            if host["role"] == "agent" and self.is_running(host["host"])
+        )
+
+    def is_running(self, name):
+        process = self.process_by_name.get(name)
+        return process is not None and process.poll() is None
 
 
 def wait_for(condition, seconds=30.0):
--- /dev/null
+++ b/tests/test_promise_weights.py
@@ -0,0 +1,178 @@
+"""Promise: no answer by partial weights or by a mixture of two versions."""
+
+import json
+
+from tests.callers import Callers
+from tests.conftest import weights
+from tests.fleet import Fleet, declarations
+
+
+def live_digests(fleet):
+    digests = {}
+    for name in fleet.names("runner"):
+        state = fleet.dump(name)
+        if state is not None:
+            digests[name] = state["gate"]["live_by_service"].get("redacteur")
+    return digests
+
+
+def all_live(fleet, digest):
+    found = live_digests(fleet)
+    return len(found) == len(fleet.names("runner")) and set(found.values()) == {digest}
+
+
+def declared_digest(fleet, name="runner-0"):
+    return fleet.dump(name)["deployment"]["declared_by_key"]["redacteur"]
+
+
+def switch_to(fleet, version, source):
+    fleet.declare("20-version.toml", _version(version, source))
+    fleet.apply("--wait", "20")
+    return declared_digest(fleet)
+
+
+def _version(version, source):
+    return (
+        f'[models.redac.versions.{version}]\nsource = "{source}"\n'
+        f'[services.redacteur]\nversion = "{version}"\n'
+    )
+
+
+def test_switch_under_load_with_corrupt_chunks_and_a_killed_agent(fresh_fleet):
+    """Every answer is wholly of the one digest that its header names.
+
+    Symptom: a technician gets an answer by half-loaded or mixed weights.
+    Events: a new version spreads under load; every tenth chunk from the origin
+    arrives corrupted; one agent is killed in mid-load and started again.
+    Cause: loading unverified chunks, or switching before all are there.
+    """
+    fleet = fresh_fleet
+    with Callers(fleet, fleet.names("entry"), tasks=8) as callers:
+        callers.wait_answers(50)
+        fleet.faults(origin_corrupt_share=0.1)
+        fleet.declare("20-version.toml", _version("v2", "redac-v2"))
+        fleet.apply()
+        fleet.kill("runner-1")
+        callers.wait_answers(50)
+        fleet.start_node("runner-1")
+        fleet.wait_for(
+            lambda: declared_digest(fleet) != live_digests(fleet).get("x", "")
+        )
+        fleet.wait_for(lambda: all_live(fleet, declared_digest(fleet)))
+        callers.wait_answers(100)
+    assert callers.complaints() == []
+    assert callers.not_run_but_ran() == []
+    failed = sum(
+        fleet.dump(name)["swarm"]["failed_by_cause"].get("corrupt", 0)
+        for name in fleet.names("runner")
+    )
+    assert failed > 0
+
+
+def test_engine_that_comes_back_empty_is_made_whole_again(fresh_fleet):
+    """Symptom: requests fail for ever on a host whose engine was restarted.
+
+    Events: the engine is killed behind a live agent and starts empty.
+    Cause: an agent that believes its own past orders.
+    """
+    fleet = fresh_fleet
+    with Callers(fleet, fleet.names("entry")) as callers:
+        callers.wait_answers(20)
+        fleet.kill("runner-0.engine")
+        callers.wait_answers(50)
+        fleet.start_engine("runner-0")
+        fleet.wait_for(lambda: fleet.runs("runner-0") is not None)
+        fleet.wait_for(lambda: fleet.runs("runner-0")["runs"])
+        callers.wait_answers(50)
+    assert callers.complaints() == []
+    state = fleet.get(fleet.engine_url("runner-0") + "/state")
+    assert state["loaded"] == [declared_digest(fleet)]
+
+
+def test_origin_bytes_that_change_during_the_spread_are_never_loaded():
+    """Symptom: a version made of bytes from before and after a change.
+
+    Events: the origin's bytes under a declared name change in mid-spread.
+    Cause: trusting names in place of digests pinned at acceptance.
+    """
+    options = ["--origin-rate", "400000"]
+    with Fleet(agents=3, plain=0, platform_options=options) as fleet:
+        fleet.publish("redac-v1", weights(1, chunks=10))
+        fleet.publish("redac-v2", weights(2, chunks=80))
+        fleet.declare("10-all.toml", declarations())
+        fleet.apply("--wait", "20")
+        fleet.wait_ready()
+        before = declared_digest(fleet)
+        fleet.declare("20-version.toml", _version("v2", "redac-v2"))
+        fleet.apply()
+        fleet.wait_for(lambda: fleet.counts()["origin_bytes"] > 20 * 16384)
+        fleet.publish("redac-v2", weights(3, chunks=80))
+        with Callers(fleet, fleet.names("entry"), tasks=3) as callers:
+            callers.wait_answers(60)
+        assert callers.complaints() == []
+        assert callers.count("done") == len(callers.answers)
+        # The pinned bytes are gone from the origin: the old version stays live.
+        assert all_live(fleet, before)
+        # Declared anew (here under another version's name), the new bytes go live.
+        wanted = switch_to(fleet, "v3", "redac-v2")
+        fleet.wait_for(lambda: all_live(fleet, wanted))
+
+
+def test_engine_with_room_for_one_version_changes_over_without_a_failed_request():
+    """Symptom: capacity drops to nothing, or answers are mixed, during a swap.
+
+    Events: engines hold one version only; a new one is declared under load.
+    Cause: all hosts swap at once, or a swap under running requests.
+    """
+    size = len(weights(1))
+    with Fleet(
+        agents=3,
+        plain=0,
+        domains=("anderlecht",),
+        engine_options=["--memory", str(int(size * 1.5))],
+        agent_settings={"settle": 1.0},
+    ) as fleet:
+        fleet.publish("redac-v1", weights(1))
+        fleet.publish("redac-v2", weights(2))
+        fleet.declare("10-all.toml", declarations())
+        fleet.apply("--wait", "20")
+        fleet.wait_ready()
+        lowest = 3
+        with Callers(fleet, fleet.names("entry"), tasks=4) as callers:
+            fleet.declare("20-version.toml", _version("v2", "redac-v2"))
+            fleet.apply("--wait", "20")
+            wanted = declared_digest(fleet)
+            while not all_live(fleet, wanted):
+                live = [item for item in live_digests(fleet).values() if item]
+                lowest = min(lowest, len(live))
+            callers.wait_answers(20)
+        assert callers.complaints() == []
+        assert callers.refused() == []
+        assert lowest >= 2
+
+
+def test_adapter_answers_only_on_its_own_base(fleet):
+    """Symptom: fluent nonsense from an adapter on weights it was not made for.
+
+    Events: an adapter is declared on a base that the service does not run.
+    Cause: accepting a folder without checking across its keys.
+    """
+    fleet.publish("grades", weights(5, chunks=2))
+    adapter = (
+        '[models.redac.adapters.grades]\nbase = "v1"\nsource = "grades"\n'
+        '[services.redacteur]\nadapters = ["grades"]\n'
+    )
+    fleet.declare("30-adapter.toml", adapter)
+    fleet.apply("--wait", "20")
+    fleet.wait_ready()
+    answer = fleet.ask(model="redacteur:grades", max_tokens=3)
+    assert answer.status == 200, answer.data
+    digest = answer.headers["X-Weights-Digest"]
+    assert json.loads(answer.data)["choices"][0]["text"].count(digest[:12]) == 3
+
+    fleet.declare("40-wrong.toml", _version("v2", "redac-v2"))
+    done = fleet.command("check", str(fleet.folder / "declarations"))
+    refused = fleet.command("apply", str(fleet.folder / "declarations"))
+    assert "is for base 'v1', not 'v2'" in refused.stderr
+    assert refused.returncode == 1
+    assert done.returncode != 0
