--- /dev/null
+++ b/tests/test_promise_answers.py
@@ -0,0 +1,152 @@
+"""Promise: each caller gets the whole answer to its own request."""
+
+import json
+import socket
+import time
+
+from tests.callers import Callers, _stream_text, check_text
+from tests.fleet import caller_headers
+
+
+def open_stream(fleet, entry, *, tokens, prompt="p"):
+    """Send a streaming request on a raw connection and return it."""
+    host = fleet.host(entry)
+    body = json.dumps(
+        {"model": "redacteur", "prompt": prompt, "max_tokens": tokens, "stream": True}
+    )
+    connection = socket.create_connection((host["address"], fleet.base_port + 3))
+    headers = "".join(f"{key}: {item}\r\n" for key, item in caller_headers().items())
+    head = f"POST /v1/completions HTTP/1.1\r\nHost: x\r\n{headers}"
+    head += f"Content-Length: {len(body)}\r\n\r\n"
+    connection.sendall(head.encode() + body.encode())
+    return connection
+
+
+def test_many_callers_at_once_get_their_own_answers(fleet):
+    """Symptom: a caller gets the end of another's answer.
+
+    Events: many requests on few reused connections end out of order.
+    Cause: a late answer left on a connection that goes back to the pool.
+    """
+    with (
+        Callers(fleet, fleet.names("entry"), tasks=10) as whole,
+        Callers(fleet, fleet.names("entry"), tasks=10, stream=True) as streams,
+    ):
+        whole.wait_answers(150)
+        streams.wait_answers(150)
+    for callers in (whole, streams):
+        assert callers.complaints() == []
+        assert callers.not_run_but_ran() == []
+
+
+def test_late_answer_on_a_reused_connection_reaches_nobody_else(fleet):
+    """Symptom: after a timeout the next caller gets the answer of the first.
+
+    Events: requests run out of time while the engine still works on them; others
+    follow at once through the same entry host.
+    Cause: keeping a connection whose last answer was not read.
+    """
+    for name in fleet.names("runner"):
+        fleet.engine_faults(name, slow_factor=30.0)
+    for _ in range(6):
+        late = fleet.ask("entry-0", headers={"X-Request-Timeout": "0.3"})
+        assert late.status in (408, 504, 503), late.data
+    for name in fleet.names("runner"):
+        fleet.engine_faults(name, slow_factor=1.0)
+    with Callers(fleet, ["entry-0"], tasks=4) as callers:
+        callers.wait_answers(40)
+    assert callers.complaints() == []
+
+
+def test_stream_that_breaks_off_is_resumed_by_the_same_weights(fleet):
+    """Symptom: a cut stream looks like a short, finished answer.
+
+    Events: one engine cuts every stream after three tokens.
+    Cause: taking the end of the bytes for the end of the answer.
+    """
+    fleet.engine_faults("runner-0", die_after_tokens=3)
+    with Callers(fleet, fleet.names("entry"), tasks=6, stream=True) as callers:
+        callers.wait_answers(120)
+    fleet.engine_faults("runner-0", die_after_tokens=0)
+    assert callers.complaints() == []
+    resumed = sum(
+        fleet.dump(name)["counters"].get("retries_total", 0)
+        for name in fleet.names("entry")
+    )
+    assert resumed > 0
+
+
+def test_marked_stream_that_breaks_off_is_not_run_again_and_not_finished(fleet):
+    """Symptom: an invoice's text is generated twice, or half of one is believed.
+
+    Events: every engine cuts streams after three tokens; requests are marked.
+    Cause: resuming what may not be repeated, or ending it like a whole one.
+    """
+    for name in fleet.names("runner"):
+        fleet.engine_faults(name, die_after_tokens=3)
+    before = sum(len(fleet.runs(name)["runs"]) for name in fleet.names("runner"))
+    connection = open_stream(fleet, "entry-0", tokens=6)
+    connection.sendall(b"")
+    connection.close()
+    answer = fleet.ask("entry-1", headers={"X-Idempotent": "false"}, max_tokens=6)
+    tree = json.loads(answer.data)
+    assert answer.status == 502
+    assert tree["error"]["outcome"] == "unknown"
+    with Callers(fleet, ["entry-2"], tasks=1, marked=True, stream=True) as callers:
+        callers.wait_answers(3)
+    assert callers.count("done") == 0
+    for name in fleet.names("runner"):
+        fleet.engine_faults(name, die_after_tokens=0)
+    after = sum(len(fleet.runs(name)["runs"]) for name in fleet.names("runner"))
+    assert after - before <= 1 + 1 + len(callers.answers) + 2
+
+
+def test_caller_that_leaves_frees_the_engine(fleet):
+    """Symptom: engines work for callers who are long gone.
+
+    Events: a caller closes its connection in mid-stream.
+    Cause: nobody tells the engine.
+    """
+    connection = open_stream(fleet, "entry-0", tokens=2000)
+    connection.recv(4096)
+    connection.close()
+
+    def cancelled():
+        return any(fleet.runs(name)["cancelled"] for name in fleet.names("runner"))
+
+    fleet.wait_for(cancelled, seconds=10)
+
+    def idle():
+        states = [fleet.dump(name)["gate"] for name in fleet.names("runner")]
+        return not any(state["running_by_id"] for state in states)
+
+    fleet.wait_for(idle, seconds=10)
+
+
+def test_slow_caller_gets_all_and_holds_up_nobody(fleet):
+    """Symptom: one slow reader stops answers to others, or loses its middle.
+
+    Events: a caller reads a long stream in small sips; others ask meanwhile.
+    Cause: shared buffers without a bound, or dropping what does not fit.
+    """
+    connection = open_stream(fleet, "entry-0", tokens=300, prompt="slow")
+    with Callers(fleet, ["entry-0"], tasks=2) as callers:
+        callers.wait_answers(20)
+    data = b""
+    while b"0\r\n\r\n" not in data[-7:]:
+        piece = connection.recv(2048)
+        assert piece, data[-200:]
+        data += piece
+        time.sleep(0.002)
+    connection.close()
+    assert callers.complaints() == []
+    assert data.count(b"data: {") == 300
+    assert b"data: [DONE]" in data
+
+
+def test_check_sees_wrong_answers():
+    """The checker itself must not be blind."""
+    digest = "a" * 64
+    assert check_text("", "p", digest)
+    assert check_text("aaaaaaaaaaaa:000000:0 ", "p", digest)
+    assert _stream_text(b'data: {"choices": [{"text": "x"}]}\n\n') is None
--- /dev/null
+++ b/tests/test_promise_once.py
@@ -0,0 +1,169 @@
+"""Promise: a request marked as not to be repeated runs at most once."""
+
+import json
+import threading
+import time
+import uuid
+
+import pytest
+
+
+def invoice(fleet, entry, key, **options):
+    headers = {"Idempotency-Key": key, **options.pop("headers", {})}
+    body = json.dumps({"invoice": options.pop("number", 1)}).encode()
+    return fleet.call(entry, "/services/billing/inv", headers=headers, body=body)
+
+
+def runs_of(fleet, key):
+    return sum(
+        1
+        for name in fleet.names("billing")
+        for run in fleet.runs(name)["runs"]
+        if run["key"] == key
+    )
+
+
+@pytest.fixture
+def key():
+    return uuid.uuid4().hex
+
+
+def test_stored_answer_is_given_again_at_any_entry_host(fleet, key):
+    """Symptom: a second warranty is issued when the caller asks again."""
+    first = invoice(fleet, "entry-0", key)
+    second = invoice(fleet, "entry-1", key)
+    assert first.status == second.status == 201, second.data
+    assert first.data == second.data
+    assert second.headers["X-Stored-Answer"] == "true"
+    assert runs_of(fleet, key) == 1
+
+
+def test_key_with_another_body_is_refused(fleet, key):
+    """Symptom: a caller gets the answer to another request."""
+    assert invoice(fleet, "entry-0", key).status == 201
+    other = invoice(fleet, "entry-0", key, number=2)
+    assert other.status == 422, other.data
+    assert runs_of(fleet, key) == 1
+
+
+def test_same_key_at_all_entry_hosts_at_once(fleet):
+    """Symptom: a factory is billed twice.
+
+    Events: the same key arrives at three entry hosts in the same moment.
+    Cause: looking before writing, without a condition.
+    """
+    for _ in range(8):
+        key = uuid.uuid4().hex
+        answers = []
+
+        def ask(entry, key=key, answers=answers):
+            answers.append(invoice(fleet, entry, key))
+
+        threads = [
+            threading.Thread(target=ask, args=(name,)) for name in fleet.names("entry")
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        assert runs_of(fleet, key) == 1
+        statuses = sorted(answer.status for answer in answers)
+        assert statuses[0] == 201
+        assert set(statuses) <= {201, 409}
+
+
+def test_lost_answer_of_the_claim_is_read_back(fleet, key):
+    """Symptom: a request blocks itself, or runs twice.
+
+    Events: the claim is written and the table's answer is lost.
+    Cause: guessing in place of reading back by the writer's token.
+    """
+    fleet.faults(table_lost_answers=1)
+    answer = invoice(fleet, "entry-0", key)
+    fleet.faults(table_lost_answers=0)
+    assert answer.status == 201, answer.data
+    assert runs_of(fleet, key) == 1
+    assert invoice(fleet, "entry-1", key).headers["X-Stored-Answer"] == "true"
+
+
+def test_platform_down_refuses_marked_requests_at_once_and_serves_the_rest(fleet, key):
+    """Symptom: everything stops, or invoices run unclaimed, while the table is down."""
+    fleet.faults(table_down=True)
+    started = time.monotonic()
+    refused = invoice(fleet, "entry-0", key)
+    seconds = time.monotonic() - started
+    unmarked = fleet.ask("entry-0")
+    fleet.faults(table_down=False)
+    assert refused.status == 503, refused.data
+    assert json.loads(refused.data)["error"]["outcome"] == "not_run"
+    assert int(refused.headers["Retry-After"]) >= 1
+    assert seconds < 1.0
+    assert unmarked.status == 200
+    assert runs_of(fleet, key) == 0
+    # The key was given back: the caller may ask again with it.
+    fleet.wait_for(lambda: invoice(fleet, "entry-0", key).status == 201, seconds=10)
+    assert runs_of(fleet, key) == 1
+
+
+def test_slow_table_does_not_outlast_the_deadline(fleet, key):
+    """Symptom: a refusal comes long after its caller stopped waiting."""
+    fleet.faults(table_delay=5)
+    started = time.monotonic()
+    answer = invoice(fleet, "entry-0", key, headers={"X-Request-Timeout": "0.5"})
+    seconds = time.monotonic() - started
+    fleet.faults(table_delay=0)
+    assert answer.status in (408, 503), answer.data
+    assert seconds < 2.0
+    time.sleep(5.5)
+    assert runs_of(fleet, key) == 0
+
+
+def test_entry_host_frozen_between_claim_and_send(fresh_fleet):
+    """Symptom: a request runs long after its caller gave it up and asked again.
+
+    Events: requests with keys are under way when their entry host is frozen past
+    their deadline; their callers ask another host with the same keys; the first
+    host wakes.
+    Cause: claims that expire into a second run, or a send after the deadline.
+    """
+    fleet = fresh_fleet
+    fleet.faults(table_delay=0.4)
+    keys = [uuid.uuid4().hex for _ in range(6)]
+
+    def ask(key):
+        try:
+            invoice(fleet, "entry-0", key, headers={"X-Request-Timeout": "1"})
+        except Exception:
+            return
+
+    threads = [threading.Thread(target=ask, args=(key,)) for key in keys]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.3)
+    fleet.freeze("entry-0")
+    time.sleep(1.5)
+    fleet.faults(table_delay=0)
+    again = [invoice(fleet, "entry-1", key) for key in keys]
+    fleet.wake("entry-0")
+    for thread in threads:
+        thread.join(timeout=30)
+    time.sleep(1.0)
+    assert all(runs_of(fleet, key) <= 1 for key in keys)
+    for key, answer in zip(keys, again, strict=True):
+        if answer.status != 201:
+            error = json.loads(answer.data)["error"]
+            # "Not run" may be said only of what did not and will not run.
+            assert error["outcome"] == "unknown" or runs_of(fleet, key) == 0
+
+
+def test_post_to_a_plain_service_is_not_repeated_without_a_mark(fleet):
+    """Symptom: a POST runs again on another host after a lost answer."""
+    for name in fleet.names("billing"):
+        fleet.post(fleet.engine_url(name) + "/_faults", {"drop_answers": 5})
+    before = sum(len(fleet.runs(name)["runs"]) for name in fleet.names("billing"))
+    for _ in range(4):
+        assert fleet.call("entry-0", "/services/billing/x").status == 502
+    after = sum(len(fleet.runs(name)["runs"]) for name in fleet.names("billing"))
+    for name in fleet.names("billing"):
+        fleet.post(fleet.engine_url(name) + "/_faults", {"drop_answers": 0})
+    assert after - before == 4
