Promise tests: leaving, shutdown, configuration; limits of a fresh host

Found by test_platform_down_for_long_and_back: a bucket that starts with one token refused the second caller of an organisation far below its limit. Ruled out: the platform's outage itself (the refusal came at 0.01 s). Change: a fresh bucket holds a quarter second of the host's part.

--- a/hawthornspoke/agent/_process.py
+++ b/hawthornspoke/agent/_process.py
@@ -223,6 +223,7 @@
             control=self._actor,
             metrics=self.metrics,
             is_ready=self._is_ready,
+            allow_faults=settings["allow_faults"],
         )
         self._operator.open()
 
--- a/hawthornspoke/base/__init__.py
+++ b/hawthornspoke/base/__init__.py
@@ -4,12 +4,14 @@
 from hawthornspoke.base._digest import digest_of, rendezvous_order
 from hawthornspoke.base._failure import Failure, is_failure
 from hawthornspoke.base._machine import MACHINES, Machine
+from hawthornspoke.base._partition import PARTITION
 from hawthornspoke.base._registry import Registry
 from hawthornspoke.base._sockets import has_hung_up
 from hawthornspoke.base._validation import Bounds, check_params
 
 __all__ = [
     "MACHINES",
+    "PARTITION",
     "Bounds",
     "Failure",
     "Machine",
--- a/hawthornspoke/entry/_process.py
+++ b/hawthornspoke/entry/_process.py
@@ -127,6 +127,7 @@
             control=self._actor,
             metrics=self.metrics,
             is_ready=control.is_ready,
+            allow_faults=settings["allow_faults"],
         )
         self._operator.open()
 
--- a/hawthornspoke/limits/_shares.py
+++ b/hawthornspoke/limits/_shares.py
@@ -10,6 +10,9 @@
 #: host whose demand starts from nothing can admit before the others hear of it.
 EQUAL_PART = 0.2
 
+#: Seconds of its part that a host may admit at once when it starts.
+START_SECONDS = 0.25
+
 #: Seconds over which demand is averaged.
 DEMAND_WINDOW = 1.0
 
@@ -275,8 +278,9 @@
         burst = self.burst_by_organisation.get(organisation, rate)
         capacity = max(1.0, burst * part)
         if bucket.tokens is None:
-            # A host that joins or restarts must not bring a whole new burst.
-            bucket.tokens = min(1.0, capacity)
+            # A host that joins or restarts must not bring a whole new burst,
+            # nor refuse the second caller of its life.
+            bucket.tokens = min(capacity, max(1.0, START_SECONDS * rate * part))
         earned = (now - bucket.filled_at) * rate * part
         bucket.tokens = min(capacity, bucket.tokens + earned)
         bucket.filled_at = now
--- a/hawthornspoke/node/_operator.py
+++ b/hawthornspoke/node/_operator.py
@@ -4,6 +4,7 @@
 
 import pykka
 
+from hawthornspoke.base import PARTITION
 from hawthornspoke.node._messages import DrainOrdered, DumpAsked
 from hawthornspoke.web import HttpServer, Response, json_response
 
@@ -21,16 +22,29 @@
     metrics : Metrics
     is_ready : callable
         Takes nothing, returns a bool.
+    allow_faults : bool, default=False
+        Whether a test may cut this process off from addresses.
     """
 
-    __slots__ = ("address", "port", "control", "metrics", "is_ready", "_server")
+    __slots__ = (
+        "address",
+        "port",
+        "control",
+        "metrics",
+        "is_ready",
+        "allow_faults",
+        "_server",
+    )
 
-    def __init__(self, *, address, port, control, metrics, is_ready):
+    def __init__(
+        self, *, address, port, control, metrics, is_ready, allow_faults=False
+    ):
         self.address = address
         self.port = port
         self.control = control
         self.metrics = metrics
         self.is_ready = is_ready
+        self.allow_faults = allow_faults
         self._server = HttpServer(
             address=address, port=port, handler=self._handle, threads=4
         )
@@ -57,6 +71,9 @@
         if request.path == "/drain" and request.method == "POST":
             self.control.tell(DrainOrdered(reason="ordered by an operator"))
             return json_response({"leaving": True}, status=202)
+        if request.path == "/_partition" and self.allow_faults:
+            PARTITION.set(request.json())
+            return json_response({"cut_off": list(PARTITION.prefixes)})
         return json_response({"error": {"code": "not_found"}}, status=404)
 
     def _dump(self):
--- a/hawthornspoke/platform/_http.py
+++ b/hawthornspoke/platform/_http.py
@@ -2,6 +2,7 @@
 
 import urllib3
 
+from hawthornspoke.base import PARTITION
 from hawthornspoke.platform._failures import UNAVAILABLE, UNSURE
 
 DEFAULT_TIMEOUT = 2.0
@@ -20,12 +21,13 @@
     connections : int, default=4
     """
 
-    __slots__ = ("url", "timeout", "connections", "_pool")
+    __slots__ = ("url", "timeout", "connections", "_host", "_pool")
 
     def __init__(self, *, url, timeout=DEFAULT_TIMEOUT, connections=4):
         self.url = url.rstrip("/")
         self.timeout = timeout
         self.connections = connections
+        self._host = urllib3.util.parse_url(url).host or ""
         self._pool = urllib3.PoolManager(num_pools=4, maxsize=connections)
 
     def request(self, method, path, *, body=None, headers=None, timeout=None):
@@ -44,6 +46,8 @@
         urllib3.BaseHTTPResponse or Failure
             ``UNAVAILABLE`` if nothing was sent, ``UNSURE`` if the answer is lost.
         """
+        if PARTITION.blocks(self._host):
+            return UNAVAILABLE.because(f"{self.url} is cut off", retry_after=1.0)
         read = self.timeout if timeout is None else timeout
         try:
             return self._pool.request(
--- a/hawthornspoke/protocol/_connection.py
+++ b/hawthornspoke/protocol/_connection.py
@@ -6,7 +6,7 @@
 from thrift.transport.TSocket import TSocket
 from thrift.transport.TTransport import TFramedTransport, TTransportException
 
-from hawthornspoke.base import is_failure, monotonic
+from hawthornspoke.base import PARTITION, is_failure, monotonic
 from hawthornspoke.protocol._codec import PROTOCOL_FACTORY
 from hawthornspoke.protocol._failures import NOT_SENT, REPLY_LOST, TOO_LATE
 from hawthornspoke.protocol._gen.Node import Client
@@ -25,16 +25,13 @@
     ----------
     address : str
     port : int
-    local_address : str or None, default=None
-        Address to call from; None lets the system choose.
     """
 
-    __slots__ = ("address", "port", "local_address", "_socket", "_client")
+    __slots__ = ("address", "port", "_socket", "_client")
 
-    def __init__(self, *, address, port, local_address=None):
+    def __init__(self, *, address, port):
         self.address = address
         self.port = port
-        self.local_address = local_address
         self._socket = None
         self._client = None
 
@@ -58,6 +55,9 @@
         remaining = deadline - monotonic()
         if remaining <= 0:
             return TOO_LATE.because(f"no time left to call {method}")
+        if PARTITION.blocks(self.address):
+            self.close()
+            return NOT_SENT.because(f"{self.address} is cut off")
         opened = self._open(remaining)
         if is_failure(opened):
             return opened
--- a/hawthornspoke/protocol/_datagrams.py
+++ b/hawthornspoke/protocol/_datagrams.py
@@ -2,6 +2,7 @@
 
 import socket
 
+from hawthornspoke.base import PARTITION
 from hawthornspoke.protocol._codec import decode, encode
 from hawthornspoke.protocol._gen.ttypes import Datagram
 
@@ -54,6 +55,8 @@
         if len(data) > MAX_DATAGRAM_BYTES:
             return
         for target in targets:
+            if PARTITION.blocks(target[0]):
+                continue
             try:
                 self._socket.sendto(data, target)
             except OSError:
--- a/hawthornspoke/settings/_schema.py
+++ b/hawthornspoke/settings/_schema.py
@@ -65,6 +65,9 @@
     "grace": _key(
         SECONDS, 60.0, "Seconds that a shutdown waits for requests in progress."
     ),
+    "allow_faults": _key(
+        Bounds(kind=bool), False, "For tests: POST /_partition cuts addresses off."
+    ),
     "log_level": _key(
         Bounds(kind=str, choices=("DEBUG", "INFO", "WARNING", "ERROR")),
         "INFO",
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -142,6 +142,7 @@
             "address": host["address"],
             "port": host["port"],
             "operator_port": self.base_port + 2,
+            "allow_faults": True,
         }
         if host["role"] == "entry":
             settings = {**common, "http_port": self.base_port + 3, "threads": 64}
@@ -214,6 +215,29 @@
     def __exit__(self, *_):
         self.stop()
 
+    # Cuts.
+
+    def cut_off(self, domain, *, from_platform=True, from_domains=True):
+        """Cut a failure domain off from the others and from the platform."""
+        inside = [host for host in self.hosts if host["failure_domain"] == domain]
+        outside = [host for host in self.hosts if host["failure_domain"] != domain]
+        platform = [f"{self.net}.0.1"] if from_platform else []
+        others = outside if from_domains else []
+        for host in inside:
+            self._partition(host, platform + [item["address"] for item in others])
+        for host in others:
+            self._partition(host, [item["address"] for item in inside])
+
+    def heal(self):
+        """End every cut."""
+        for host in self.hosts:
+            self._partition(host, [])
+
+    def _partition(self, host, addresses):
+        url = f"http://{host['address']}:{self.base_port + 2}/_partition"
+        if self.is_running(host["host"]):
+            self.post(url, addresses)
+
     # The platform.
 
     def list_hosts(self, leaving=(), missing=()):
--- /dev/null
+++ b/tests/mutations.py
@@ -0,0 +1,225 @@
+"""Take one mechanism away at a time and see that its test fails.
+
+A test that passes with and without its mechanism proves nothing. Run by hand::
+
+    python -m tests.mutations            # all, on scratch copies
+    python -m tests.mutations fencing    # those whose name has this word
+"""
+
+import shutil
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+PARALLEL = 2
+
+
+class Mutation:
+    """One mechanism taken away.
+
+    Parameters
+    ----------
+    name : str
+    file : str
+        Below ``hawthornspoke/``.
+    old, new : str
+        The text that holds the mechanism, and what stands there without it.
+    test : str
+        pytest arguments of the test that has to fail.
+    """
+
+    __slots__ = ("name", "file", "old", "new", "test")
+
+    def __init__(self, *, name, file, old, new, test):
+        self.name = name
+        self.file = file
+        self.old = old
+        self.new = new
+        self.test = test
+
+
+MUTATIONS = [
+    Mutation(
+        name="chunks are not verified",
+        file="swarm/_store.py",
+        old="if digest_of(data) != held.manifest.chunks[index]:",
+        new="if False:",
+        test="tests/test_promise_weights.py -k corrupt",
+    ),
+    Mutation(
+        name="origin bytes are trusted by name",
+        file="swarm/_store.py",
+        old="if digest_of(data) != held.manifest.chunks[index]:",
+        new="if False:",
+        test="tests/test_promise_weights.py -k origin_bytes",
+    ),
+    Mutation(
+        name="a restarted engine is believed whole",
+        file="deployment/_deployment.py",
+        old="if restarted or digest not in message.loaded:",
+        new="if False:",
+        test="tests/test_traces.py -k engine_restarted_empty",
+    ),
+    Mutation(
+        name="swap under running requests",
+        file="deployment/_deployment.py",
+        old="if self._running_by_digest.get(digest, 0) == 0:",
+        new="if True:",
+        test="tests/test_traces.py -k swap_in_place",
+    ),
+    Mutation(
+        name="no permit for a swap in place",
+        file="rollout/_changeover.py",
+        old="    changing = [item.node",
+        new="    return True\n    changing = [item.node",
+        test="tests/test_promise_weights.py -k one_version",
+    ),
+    Mutation(
+        name="weights are checked on arrival only",
+        file="gate/_gate.py",
+        old="            if self._mismatch(waiting.admit):",
+        new="            if False:",
+        test="tests/test_traces.py -k switch_while_queued",
+    ),
+    Mutation(
+        name="an unread answer goes back to the pool",
+        file="protocol/_connection.py",
+        old="            self.close()\n            return REPLY_LOST",
+        new="            return REPLY_LOST",
+        test="tests/test_connection.py -k late",
+    ),
+    Mutation(
+        name="a stream may end without its end mark",
+        file="agent/_engines.py",
+        old="        if rest or not ended:",
+        new="        if False:",
+        test="tests/test_engines.py -k cut",
+    ),
+    Mutation(
+        name="a broken connection counts as not run",
+        file="entry/_attempt.py",
+        old="if failure in (NOT_SENT, TOO_LATE):",
+        new="if True:",
+        test="tests/test_promise_not_run.py -k killed_and_frozen",
+    ),
+    Mutation(
+        name="marked requests are retried",
+        file="retries/_budget.py",
+        old="if message.was_run and not message.repeatable:",
+        new="if False:",
+        test="tests/test_promise_once.py -k without_a_mark",
+    ),
+    Mutation(
+        name="claims without a condition",
+        file="entry/_claims_runner.py",
+        old="        condition = Condition(absent=True)\n        if outcome.over",
+        new="        condition = None\n        if outcome.over",
+        test="tests/test_promise_once.py -k all_entry_hosts_at_once",
+    ),
+    Mutation(
+        name="a lost claim is not read back",
+        file="claims/_claim.py",
+        old='if message.outcome in ("conflict", "unsure"):',
+        new='if message.outcome == "conflict":',
+        test="tests/test_promise_once.py -k lost_answer",
+    ),
+    Mutation(
+        name="a drained gate starts what waits",
+        file="gate/_gate.py",
+        old="        self.draining = True\n",
+        new="",
+        test="tests/test_promise_leaving.py -k drain",
+    ),
+    Mutation(
+        name="the platform's list is not heard",
+        file="membership/_detector.py",
+        old="if view.listed_leaving or view.member.leaving:",
+        new="if view.member.leaving:",
+        test="tests/test_promise_leaving.py -k list_alone",
+    ),
+    Mutation(
+        name="stale submits are run",
+        file="protocol/_server.py",
+        old="return connection is not None and has_hung_up(connection)",
+        new="return False",
+        test="tests/test_promise_leaving.py -k frozen",
+    ),
+    Mutation(
+        name="SIGTERM ends at once",
+        file="entry/_process.py",
+        old="            self.pipeline.running and monotonic() < deadline",
+        new="            False",
+        test="tests/test_promise_shutdown.py -k entry_host",
+    ),
+    Mutation(
+        name="agents do not wait for their streams",
+        file="agent/_process.py",
+        old="while monotonic() < deadline and not self._is_idle():",
+        new="while False:",
+        test="tests/test_promise_shutdown.py -k agent",
+    ),
+    Mutation(
+        name="the base is not compared",
+        file="operator/_apply.py",
+        old='            equals={"revision": row["revision"], "token": row["token"]}',
+        new='            equals={"pk": "config"}',
+        test="tests/test_promise_config.py -k two_operators",
+    ),
+    Mutation(
+        name="a lower revision is taken",
+        file="revision/_holder.py",
+        old="        if revision <= self.heard_revision or not digest:",
+        new="        if not digest:",
+        test="tests/test_traces.py -k stale_peer",
+    ),
+    Mutation(
+        name="an own pause counts as the others' silence",
+        file="membership/_detector.py",
+        old="        if gap <= self.pause_gap:",
+        new="        if True:",
+        test="tests/test_traces.py -k paused_observer",
+    ),
+]
+
+
+def run_mutation(mutation):
+    """Return whether the mutation's test failed without the mechanism."""
+    with tempfile.TemporaryDirectory(prefix="mutation-") as folder:
+        copy = Path(folder) / "copy"
+        ignored = shutil.ignore_patterns(".git", ".venv", "__pycache__")
+        shutil.copytree(ROOT, copy, ignore=ignored)
+        file = copy / "hawthornspoke" / mutation.file
+        text = file.read_text()
+        if text.count(mutation.old) != 1:
+            return "not applied"
+        file.write_text(text.replace(mutation.old, mutation.new))
+        done = subprocess.run(
+            [sys.executable, "-m", "pytest", "-x", "-q", *mutation.test.split(" ", 2)],
+            cwd=copy,
+            capture_output=True,
+            text=True,
+            timeout=300,
+        )
+        return {0: "PASSED", 1: "failed, as it should"}.get(
+            done.returncode, f"pytest ended with {done.returncode}"
+        )
+
+
+def main():
+    """Run the mutations and print a table; exit 1 if a test saw nothing."""
+    words = sys.argv[1:]
+    chosen = [
+        item for item in MUTATIONS if not words or any(w in item.name for w in words)
+    ]
+    with ThreadPoolExecutor(max_workers=PARALLEL) as pool:
+        results = list(pool.map(run_mutation, chosen))
+    for mutation, result in zip(chosen, results, strict=True):
+        print(f"{result:<22} | {mutation.name:<42} | {mutation.test}")
+    return 0 if all(result.startswith("failed") for result in results) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_engines.py
@@ -0,0 +1,70 @@
+"""Drivers of engines: proofs, and answers that break off."""
+
+import json
+import random
+
+import pytest
+
+from hawthornspoke.agent._engines import ENGINES, CutAnswer
+from hawthornspoke.agent._runs import Run
+from hawthornspoke.base import is_failure, monotonic
+from hawthornspoke.protocol import EventKind, Submit
+from hawthornspoke.web import HttpServer, Response
+
+ADDRESS = "127.0.0.1"
+PART = b'data: {"choices": [{"text": "x"}]}\n\n'
+
+
+def answers_of(response):
+    """Run one request against an engine that gives this response."""
+    port = random.randrange(32000, 34000)
+    server = HttpServer(address=ADDRESS, port=port, handler=lambda request: response)
+    server.open()
+    body = json.dumps({"model": "m", "prompt": "p", "stream": True}).encode()
+    submit = Submit(request_id="r", digest="d", body=body, path="/v1/completions")
+    run = Run(submit=submit, deadline=monotonic() + 5)
+    try:
+        engine = ENGINES.get("model")(url=f"http://{ADDRESS}:{port}")
+        return list(engine.answer(run, timeout=5))
+    finally:
+        server.close()
+
+
+def stream(*pieces):
+    headers = {"Content-Type": "text/event-stream"}
+    return Response(headers=headers, body=iter(pieces))
+
+
+def test_whole_stream_is_passed_on():
+    events = answers_of(stream(PART, PART, b"data: [DONE]\n\n"))
+    assert events[0].kind == EventKind.HEAD
+    assert sum(event.count or 0 for event in events) == 2
+
+
+def test_stream_cut_at_an_events_edge_is_not_finished():
+    """Symptom: half an answer is taken for a short, whole one.
+
+    Events: an engine closes its stream between two events, without the end mark.
+    Cause: trusting the end of the body.
+    """
+    with pytest.raises(CutAnswer):
+        answers_of(stream(PART, PART))
+
+
+def test_stream_cut_inside_an_event_is_not_finished():
+    """Symptom: a caller gets half an event."""
+    with pytest.raises(CutAnswer):
+        answers_of(stream(PART, PART[:10]))
+
+
+@pytest.mark.parametrize("status", [404, 429])
+def test_refusals_of_an_engine_are_proof(status):
+    """Symptom: a request that the engine refused is told as unknown."""
+    (failure,) = answers_of(Response(status=status))
+    assert is_failure(failure)
+
+
+def test_server_error_is_no_proof():
+    """Symptom: "not run" is said of a request that failed half-way."""
+    with pytest.raises(CutAnswer):
+        answers_of(Response(status=500))
--- /dev/null
+++ b/tests/test_promise_config.py
@@ -0,0 +1,170 @@
+"""Promise: an accepted configuration is in force in seconds and never reverts."""
+
+import random
+import threading
+import time
+
+from tests.callers import Callers
+from tests.fleet import declarations
+
+LIMIT = 5.0
+
+
+def declare_rate(fleet, rate):
+    fleet.declare(
+        "50-rate.toml", f"[organisations.federation]\nrequests_per_second = {rate}\n"
+    )
+
+
+def revisions(fleet, names=None):
+    names = names or [host["host"] for host in fleet.hosts]
+    found = {}
+    for name in names:
+        state = fleet.dump(name) if fleet.is_running(name) else None
+        if state is not None:
+            found[name] = state["revision"]["revision"]
+    return found
+
+
+def accepted(fleet):
+    rows = fleet.get(f"{fleet.platform_url}/_rows")
+    return int(rows["config"]["revision"]["N"])
+
+
+def test_changes_are_in_force_within_five_seconds(fleet):
+    """Symptom: some host goes on by an old limit for a minute."""
+    for rate in (1000, 2000, 3000):
+        declare_rate(fleet, rate)
+        fleet.apply()
+        wanted = accepted(fleet)
+        seconds = fleet.wait_for(
+            lambda wanted=wanted: set(revisions(fleet).values()) == {wanted}, LIMIT
+        )
+        assert seconds < LIMIT
+
+
+def test_of_two_operators_one_wins_and_the_other_is_told(fleet):
+    """Symptom: an operator's change vanishes although it was accepted.
+
+    Events: two operators apply different folders on the same base at once.
+    Cause: writing without comparing the base.
+    """
+    base = accepted(fleet)
+    results = []
+
+    def apply(number):
+        folder = fleet.folder / f"race-{number}"
+        folder.mkdir(exist_ok=True)
+        extra = f"requests_per_second = {5000 + number}\n"
+        (folder / "10.toml").write_text(declarations(extra=extra))
+        results.append(
+            fleet.command(
+                "apply", str(folder), "--base", str(base), "--author", f"op{number}"
+            )
+        )
+
+    threads = [threading.Thread(target=apply, args=(number,)) for number in range(3)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    codes = sorted(done.returncode for done in results)
+    assert codes == [0, 3, 3], [done.stderr for done in results]
+    assert accepted(fleet) == base + 1
+    loser = next(done for done in results if done.returncode == 3)
+    assert "was first" in loser.stderr
+    assert "organisations.federation.requests_per_second" in loser.stderr
+
+
+def test_lost_answer_of_an_apply_is_read_back(fleet):
+    """Symptom: an operator is told of a failure and the change is in force."""
+    before = accepted(fleet)
+    declare_rate(fleet, random.randrange(10_000, 20_000))
+    fleet.faults(table_lost_answers=1)
+    printed = fleet.apply()
+    fleet.faults(table_lost_answers=0)
+    assert f"revision {before + 1} accepted" in printed
+    assert accepted(fleet) == before + 1
+
+
+def test_platform_down_for_long_and_back(fleet):
+    """Symptom: nodes lose their configuration or stop when the platform is down."""
+    before = accepted(fleet)
+    fleet.faults(table_down=True, hosts_down=True)
+    with Callers(fleet, fleet.names("entry"), tasks=4) as callers:
+        time.sleep(6)
+    done = fleet.command("apply", str(fleet.folder / "declarations"))
+    assert done.returncode == 4, done.stderr
+    assert callers.refused() == []
+    assert callers.complaints() == []
+    assert set(revisions(fleet).values()) == {before}
+    fleet.faults(table_down=False, hosts_down=False)
+    declare_rate(fleet, 777)
+    fleet.apply()
+    wanted = accepted(fleet)
+    fleet.wait_for(lambda: set(revisions(fleet).values()) == {wanted}, LIMIT)
+
+
+def test_cut_off_domain_serves_on_and_catches_up(fresh_fleet):
+    """Symptom: a failure domain that is cut off stops, or goes back when it heals.
+
+    Events: one domain is cut off from the others and the platform; a revision is
+    accepted; a node in the cut domain restarts, so that its only source is a
+    stale neighbour; the cut heals.
+    Cause: needing the platform to serve, or taking the last heard revision.
+    """
+    fleet = fresh_fleet
+    domain = "anderlecht"
+    inside = [h["host"] for h in fleet.hosts if h["failure_domain"] == domain]
+    before = accepted(fleet)
+    fleet.cut_off(domain)
+    declare_rate(fleet, 4321)
+    fleet.apply()
+    wanted = accepted(fleet)
+    outside = [h["host"] for h in fleet.hosts if h["host"] not in inside]
+    fleet.wait_for(lambda: set(revisions(fleet, outside).values()) == {wanted}, LIMIT)
+    time.sleep(3)
+    with Callers(fleet, ["entry-0"], tasks=3) as callers:
+        callers.wait_answers(60)
+    assert callers.refused() == []
+    assert callers.complaints() == []
+    assert set(revisions(fleet, inside).values()) == {before}
+
+    highest = {}
+    stopped = threading.Event()
+    lowered = []
+
+    def watch():
+        while not stopped.is_set():
+            for name, revision in revisions(fleet, outside + ["runner-0"]).items():
+                if revision < highest.get(name, 0):
+                    lowered.append((name, revision))
+                highest[name] = max(revision, highest.get(name, 0))
+
+    watcher = threading.Thread(target=watch)
+    watcher.start()
+    fleet.heal()
+    names = [host["host"] for host in fleet.hosts]
+    fleet.wait_for(lambda: set(revisions(fleet, names).values()) == {wanted}, LIMIT + 5)
+    stopped.set()
+    watcher.join()
+    assert lowered == []
+
+
+def test_restarted_node_takes_no_traffic_by_a_stale_neighbours_word(fresh_fleet):
+    """Symptom: after a restart an entry host admits by limits replaced long ago.
+
+    Events: an entry host restarts while its neighbours can't reach the platform
+    and are behind; it can.
+    Cause: being ready by the first configuration that comes along.
+    """
+    fleet = fresh_fleet
+    fleet.cut_off("gent-noord")
+    declare_rate(fleet, 1234)
+    fleet.apply()
+    wanted = accepted(fleet)
+    fleet.kill("entry-0")
+    fleet.heal()
+    fleet.start_node("entry-0")
+    fleet.wait_for(lambda: fleet.ready("entry-0"))
+    assert revisions(fleet, ["entry-0"]) == {"entry-0": wanted}
--- /dev/null
+++ b/tests/test_promise_leaving.py
@@ -0,0 +1,78 @@
+"""Promise: a leaving endpoint gets no new work after a few seconds."""
+
+import signal
+import time
+
+from tests.callers import Callers
+
+#: Seconds after the first sign of leaving in which new work may still start.
+GRACE = 3.0
+
+
+def started_after(fleet, name, seconds, leave):
+    """Return how many runs start on a host later than some time after leaving."""
+    with Callers(fleet, fleet.names("entry"), tasks=6) as callers:
+        callers.wait_answers(60)
+        leave()
+        time.sleep(seconds)
+        before = len(fleet.runs(name)["runs"])
+        callers.wait_answers(100)
+        after = len(fleet.runs(name)["runs"])
+    assert callers.complaints() == []
+    assert callers.not_run_but_ran() == []
+    return after - before, callers
+
+
+def test_by_an_operators_drain(fresh_fleet):
+    """Symptom: a drained host still gets requests, or drops those it has."""
+
+    def leave():
+        assert fresh_fleet.command("drain", "runner-0").returncode == 0
+
+    late, callers = started_after(fresh_fleet, "runner-0", 0.5, leave)
+    assert late == 0
+    assert callers.refused() == []
+
+
+def test_by_the_platforms_list_alone(fresh_fleet):
+    """Symptom: a host that the platform takes away fails its last callers."""
+
+    def leave():
+        fresh_fleet.list_hosts(leaving=("runner-0",))
+
+    late, callers = started_after(fresh_fleet, "runner-0", GRACE, leave)
+    assert late == 0
+    assert callers.refused() == []
+
+
+def test_by_sigterm(fresh_fleet):
+    """Symptom: requests are cut off when an agent is stopped."""
+
+    def leave():
+        fresh_fleet.signal("runner-0", signal.SIGTERM)
+
+    late, callers = started_after(fresh_fleet, "runner-0", 0.5, leave)
+    assert late == 0
+    assert callers.refused() == []
+    fresh_fleet.wait_for(lambda: not fresh_fleet.is_running("runner-0"))
+
+
+def test_frozen_agent_that_wakes_runs_nothing_old(fresh_fleet):
+    """Symptom: a host that was frozen starts minutes-old requests when it wakes.
+
+    Events: an agent is frozen under load, is listed as leaving, and is woken.
+    Cause: acting on what waited in its sockets without asking whose it still is.
+    """
+    fleet = fresh_fleet
+    with Callers(fleet, fleet.names("entry"), tasks=6) as callers:
+        callers.wait_answers(60)
+        fleet.freeze("runner-0")
+        fleet.list_hosts(leaving=("runner-0",))
+        time.sleep(GRACE + 2.5)
+        before = len(fleet.runs("runner-0")["runs"])
+        fleet.wake("runner-0")
+        callers.wait_answers(100)
+        after = len(fleet.runs("runner-0")["runs"])
+    assert after == before
+    assert callers.complaints() == []
+    assert callers.not_run_but_ran() == []
--- /dev/null
+++ b/tests/test_promise_shutdown.py
@@ -0,0 +1,72 @@
+"""Promise: a graceful shutdown of a host cuts off no request in progress."""
+
+import signal
+
+from tests.callers import Callers
+from tests.test_promise_answers import open_stream
+
+TOKENS = 150
+
+
+def read_all(connection):
+    data = b""
+    while True:
+        piece = connection.recv(65536)
+        data += piece
+        if not piece or data.endswith(b"0\r\n\r\n"):
+            return data
+
+
+def whole(data):
+    return data.count(b"data: {") == TOKENS and b"data: [DONE]" in data
+
+
+def test_entry_host_finishes_its_streams(fresh_fleet):
+    """Symptom: a deployment of the entry hosts cuts off callers.
+
+    Events: streams are in progress; SIGTERM, and a second one a moment later.
+    Cause: exiting on the signal, or on the second.
+    """
+    fleet = fresh_fleet
+    streams = [open_stream(fleet, "entry-0", tokens=TOKENS) for _ in range(5)]
+    for stream in streams:
+        assert stream.recv(1024, 2)
+    fleet.signal("entry-0", signal.SIGTERM)
+    fleet.wait_for(lambda: not fleet.ready("entry-0"), seconds=2)
+    fleet.signal("entry-0", signal.SIGTERM)
+    assert all(whole(read_all(stream)) for stream in streams)
+    fleet.wait_for(lambda: not fleet.is_running("entry-0"))
+    assert fleet.process_by_name["entry-0"].returncode == 0
+
+
+def test_agent_finishes_its_streams_also_during_a_load(fresh_fleet):
+    """Symptom: stopping an agent cuts off answers, or a half-made load is used.
+
+    Events: streams run on every host; a new version is on its way in; SIGTERM
+    twice to one agent.
+    Cause: not waiting, or waiting for the load.
+    """
+    fleet = fresh_fleet
+    streams = [
+        open_stream(fleet, entry, tokens=TOKENS, prompt=f"{entry}{number}")
+        for entry in fleet.names("entry")
+        for number in range(3)
+    ]
+    for stream in streams:
+        assert stream.recv(1024, 2)
+    for name in fleet.names("runner"):
+        fleet.engine_faults(name, load_seconds=3.0)
+    fleet.declare(
+        "20-version.toml",
+        '[models.redac.versions.v2]\nsource = "redac-v2"\n'
+        '[services.redacteur]\nversion = "v2"\n',
+    )
+    fleet.apply()
+    fleet.signal("runner-1", signal.SIGTERM)
+    fleet.signal("runner-1", signal.SIGTERM)
+    with Callers(fleet, fleet.names("entry"), tasks=3) as callers:
+        assert all(whole(read_all(stream)) for stream in streams)
+    assert callers.complaints() == []
+    assert callers.refused() == []
+    fleet.wait_for(lambda: not fleet.is_running("runner-1"))
+    assert fleet.process_by_name["runner-1"].returncode == 0
