--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks as commands: each prints a table and checks ratios against bounds."""
--- /dev/null
+++ b/benchmarks/burst.py
@@ -0,0 +1,320 @@
+"""Time until new weights are live on N hosts, and copies read from the origin.
+
+Separate agent processes on loopback. Every host's link and the origin's are held by
+token buckets at the brief's ratios: in one window the origin's link carries four
+copies, a host's two each way. The bound on time is M / L, on origin bytes M.
+
+    python -m benchmarks.burst --hosts 8 24 --strategies origin chain scatter
+    python -m benchmarks.burst --hosts 24 --faults
+"""
+
+import argparse
+import random
+import signal
+import sys
+import threading
+import time
+
+from benchmarks.report import (
+    bounds,
+    check,
+    commit,
+    cpu_seconds,
+    memory_bytes,
+    print_table,
+    quantile,
+)
+from tests.fleet import Fleet, declarations
+
+CHUNK = 16 * 1024
+HEADING = [
+    "strategy",
+    "hosts",
+    "faults",
+    "live / (M/L)",
+    "whole / (M/L)",
+    "origin copies",
+    "most sent, copies",
+    "control B/s a node",
+    "cpu s a node",
+    "memory MB",
+    "first token p95 ms: alone",
+    "with burst",
+]
+
+
+class BurstRun:
+    """One burst on a fresh fleet.
+
+    Parameters
+    ----------
+    strategy : str
+    hosts : int
+    chunks : int
+    window : float
+        Seconds of M / L.
+    faults : tuple of str
+        Of ``kill``, ``stall``, ``corrupt``, ``late``, ``cut``.
+    copies : int
+    scope : str
+    """
+
+    def __init__(self, *, strategy, hosts, chunks, window, faults, copies, scope):
+        self.strategy = strategy
+        self.hosts = hosts
+        self.chunks = chunks
+        self.window = window
+        self.faults = faults
+        self.copies = copies
+        self.scope = scope
+        self.size = chunks * CHUNK
+        self.link = self.size / window
+        self.fleet = None
+        self.first_tokens = []
+        self._asking = threading.Event()
+
+    def run(self):
+        """Return a row of the table, and its figures by name."""
+        self.fleet = Fleet(
+            entries=3,
+            agents=self.hosts,
+            plain=0,
+            engines_together=8,
+            platform_options=["--origin-rate", str(2 * self.link)],
+            agent_settings={
+                "link_rate": self.link,
+                "announce_every": max(0.1, self.window / 100),
+                "origin_slots": 1,
+                "stall_after": max(2.0, self.window / 10),
+                "memory": 3 * self.size,
+            },
+        )
+        with self.fleet as fleet:
+            self._prepare(fleet)
+            alone = self._first_token(self.window / 3)
+            figures = self._burst(fleet)
+            figures["first_token_alone"] = alone
+        return self._row(figures), figures
+
+    def _prepare(self, fleet):
+        fleet.publish("redac-v1", random.Random(1).randbytes(2 * CHUNK))
+        fleet.publish("redac-v2", random.Random(2).randbytes(self.size))
+        rollout = (
+            f'[rollout]\nstrategy = "{self.strategy}"\n'
+            f'origin_copies = {self.copies}\norigin_scope = "{self.scope}"\n'
+        )
+        fleet.declare("10-all.toml", declarations())
+        fleet.declare("15-rollout.toml", rollout)
+        fleet.apply("--wait", "60")
+        fleet.wait_ready(seconds=120)
+
+    def _burst(self, fleet):
+        names = fleet.names("runner")
+        late = names[-1] if "late" in self.faults else None
+        if late:
+            fleet.kill(late)
+        cpu = {name: self._cpu(name) for name in names if name != late}
+        sent = {name: fleet.dump(name)["datagram_bytes_sent"] for name in cpu}
+        origin = fleet.counts()["origin_bytes"]
+        if "corrupt" in self.faults:
+            fleet.faults(origin_corrupt_share=0.01)
+        fleet.declare(
+            "20-version.toml",
+            '[models.redac.versions.v2]\nsource = "redac-v2"\n'
+            '[services.redacteur]\nversion = "v2"\n',
+        )
+        fleet.apply()
+        started = time.monotonic()
+        self._start_asking()
+        lost = self._hurt(fleet, names, late)
+        wanted = [name for name in names if name not in lost]
+        limit = 10 * self.window * (self.hosts if self.strategy == "origin" else 2)
+        fleet.wait_for(lambda: self._all_live(fleet, wanted), min(limit, 900))
+        self._asking.clear()
+        states = {name: fleet.dump(name) for name in wanted}
+        return self._figures(fleet, states, started, origin, cpu, sent)
+
+    def _hurt(self, fleet, names, late):
+        """Inject the faults; return the hosts that are not waited for."""
+        lost = []
+        time.sleep(self.window * 0.3)
+        if "cut" in self.faults:
+            fleet.cut_off("herstal")
+            time.sleep(self.window * 0.3)
+            fleet.heal()
+        if "kill" in self.faults:
+            fleet.kill(names[0])
+            lost.append(names[0])
+        if "stall" in self.faults:
+            fleet.freeze(names[1])
+            time.sleep(self.window * 0.3)
+            fleet.wake(names[1])
+        if late:
+            fleet.start_node(late)
+        return lost
+
+    def _all_live(self, fleet, names):
+        time.sleep(0.5)
+        for name in names:
+            state = fleet.dump(name)
+            if state is None or not state["progress"]:
+                return False
+            if min(state["progress"].values()) < 1000:
+                return False
+        return True
+
+    def _figures(self, fleet, states, started, origin, cpu, sent):
+        live = max(state["live_since_by_key"]["redacteur"] for state in states.values())
+        whole = max(
+            transfer["completed_at"]
+            for state in states.values()
+            for transfer in state["swarm"]["by_digest"].values()
+        )
+        elapsed = time.monotonic() - started
+        control = [
+            (state["datagram_bytes_sent"] - sent[name]) / elapsed
+            for name, state in states.items()
+            if name in sent
+        ]
+        out = [
+            state["counters"].get("chunk_bytes_sent_total", 0)
+            for state in states.values()
+        ]
+        used = [self._cpu(name) - cpu[name] for name in states if name in cpu]
+        memory = [memory_bytes(fleet.process_by_name[name].pid) for name in states]
+        read = fleet.counts()["origin_bytes"] - origin
+        return {
+            "time": (live - started) / self.window,
+            "whole": (whole - started) / self.window,
+            "copies": read / self.size,
+            "most_sent": max(out) / self.size,
+            "control": sum(control) / len(control),
+            "cpu": sum(used) / len(used),
+            "memory": max(memory) / 1e6,
+            "first_token_burst": quantile(self.first_tokens, 0.95),
+        }
+
+    def _row(self, figures):
+        return [
+            self.strategy if self.copies == 1 else f"{self.strategy} x{self.copies}",
+            self.hosts,
+            "+".join(self.faults) or "none",
+            f"{figures['time']:.3f}",
+            f"{figures['whole']:.3f}",
+            f"{figures['copies']:.3f}",
+            f"{figures['most_sent']:.2f}",
+            f"{figures['control']:.0f}",
+            f"{figures['cpu']:.2f}",
+            f"{figures['memory']:.0f}",
+            f"{figures['first_token_alone'] * 1000:.0f}",
+            f"{figures['first_token_burst'] * 1000:.0f}",
+        ]
+
+    def _cpu(self, name):
+        return cpu_seconds(self.fleet.process_by_name[name].pid)
+
+    def _first_token(self, seconds):
+        self._start_asking()
+        time.sleep(seconds)
+        self._asking.clear()
+        alone = quantile(self.first_tokens, 0.95)
+        self.first_tokens = []
+        return alone
+
+    def _start_asking(self):
+        """Let live callers stream answers at a steady, light rate."""
+        self._asking.set()
+        for entry in self.fleet.names("entry"):
+            threading.Thread(target=self._ask, args=(entry,), daemon=True).start()
+
+    def _ask(self, entry):
+        while self._asking.is_set():
+            sent = time.monotonic()
+            try:
+                first = first_token(self.fleet, entry)
+            except Exception:
+                continue
+            if first is not None:
+                self.first_tokens.append(first)
+            time.sleep(max(0.0, 0.2 - (time.monotonic() - sent)))
+
+
+def first_token(fleet, entry):
+    """Return the seconds to the first event of a streamed answer, or None."""
+    import json
+
+    from tests.fleet import caller_headers
+
+    sent = time.monotonic()
+    body = {"model": "redacteur", "prompt": f"{sent}", "max_tokens": 4, "stream": True}
+    answer = fleet.http.request(
+        "POST",
+        fleet.entry_url(entry) + "/v1/completions",
+        body=json.dumps(body).encode(),
+        headers=caller_headers(),
+        preload_content=False,
+        timeout=10,
+    )
+    if answer.status != 200:
+        answer.drain_conn()
+        return None
+    answer.read1(1)
+    first = time.monotonic() - sent
+    answer.read()
+    answer.release_conn()
+    return first
+
+
+def main():
+    """Run the asked bursts and check the bounds; return the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--hosts", type=int, nargs="+", default=[8])
+    parser.add_argument("--strategies", nargs="+", default=["scatter"])
+    parser.add_argument("--chunks", type=int, default=400)
+    parser.add_argument("--window", type=float, default=20.0)
+    parser.add_argument("--copies", type=int, default=1)
+    parser.add_argument("--scope", default="fleet")
+    parser.add_argument("--faults", nargs="*", default=[])
+    options = parser.parse_args()
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    rows, results = [HEADING], []
+    for hosts in options.hosts:
+        for strategy in options.strategies:
+            run = BurstRun(
+                strategy=strategy,
+                hosts=hosts,
+                chunks=options.chunks,
+                window=options.window,
+                faults=tuple(options.faults),
+                copies=options.copies,
+                scope=options.scope,
+            )
+            row, figures = run.run()
+            print(" | ".join(str(cell) for cell in row), flush=True)
+            rows.append(row)
+            results.append((strategy, hosts, figures))
+    print(f"\ncommit {commit()}, {options.chunks} chunks, M/L = {options.window} s")
+    print_table(rows)
+    return check_results(results, faulty=bool(options.faults), copies=options.copies)
+
+
+def check_results(results, *, faulty, copies):
+    """Check the scatter runs against the bounds; return the exit code."""
+    limits = bounds("burst")
+    prefix = "faulty" if faulty else "scatter"
+    holds = True
+    for strategy, hosts, figures in results:
+        if strategy != "scatter":
+            continue
+        name = f"N = {hosts}:"
+        holds &= check(f"{name} time", figures["time"], limits[f"{prefix}_time"])
+        allowed = copies * limits[f"{prefix}_copies"]
+        holds &= check(f"{name} copies", figures["copies"], allowed)
+        if figures["first_token_alone"]:
+            ratio = figures["first_token_burst"] / figures["first_token_alone"]
+            holds &= check(f"{name} first token", ratio, limits["first_token"])
+    return 0 if holds else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/hawthornspoke/agent/_control.py
+++ b/hawthornspoke/agent/_control.py
@@ -128,6 +128,7 @@
         self.look_deadline = 0.0
         self.looking = False
         self.manifest_deadline_by_digest = {}
+        self.live_since_by_key = {}
 
     def on_start(self):
         """Start the actors that wait for engine, peers and platform."""
@@ -310,6 +311,7 @@
             "deployment": self.deployment.dump(now=now),
             "store": self.store.dump(),
             "progress": self._progress(),
+            "live_since_by_key": dict(self.live_since_by_key),
             "link_bytes_in": self.link.sent,
         }
 
@@ -349,6 +351,7 @@
         shown = "nothing" if outcome.digest is None else outcome.digest[:12]
         logger.info("{} is answered by {}", outcome.key, shown)
         self.metrics.count("live_switches_total")
+        self.live_since_by_key[outcome.key] = now
         message = SetLive(service=outcome.key, digest=outcome.digest)
         self._step_gate(message, now)
         # The entry hosts should know now, not at the next heartbeat.
--- a/hawthornspoke/cli/_app.py
+++ b/hawthornspoke/cli/_app.py
@@ -273,6 +273,17 @@
     )
 
 
+@standin.command(name="engines")
+def standin_engines(addresses: list[str], *, port: int, slots: int = 8):
+    """Play several model engines in one process, one at each address."""
+    from hawthornspoke.standins import Engine
+
+    engines = [Engine(address=item, port=port, slots=slots) for item in addresses]
+    for engine in engines[1:]:
+        engine.open()
+    return _serve(engines[0])
+
+
 @standin.command(name="plain")
 def standin_plain(address: str, port: int, seconds: float = 0.01):
     """Play a plain service."""
--- a/hawthornspoke/swarm/_planner.py
+++ b/hawthornspoke/swarm/_planner.py
@@ -425,6 +425,8 @@
             },
             "participants": len(transfer.participants),
             "avoided": avoided,
+            "started_at": transfer.started_at,
+            "completed_at": transfer.completed_at,
             "age": round(now - transfer.started_at, 3),
             "news_age": round(now - transfer.news_at, 3),
         }
--- a/hawthornspoke/swarm/_transfer.py
+++ b/hawthornspoke/swarm/_transfer.py
@@ -94,6 +94,7 @@
         "announce_deadline",
         "ask_deadline",
         "started_at",
+        "completed_at",
         "news_at",
         "now",
         "complete",
@@ -135,6 +136,7 @@
         self.announce_deadline = now
         self.ask_deadline = now
         self.started_at = now
+        self.completed_at = None
         self.news_at = now
         self.now = now
         self.complete = False
@@ -261,6 +263,8 @@
         self.fresh.append(index)
         self.news_at = now
         self.complete = len(self.held) == self.chunks
+        if self.complete:
+            self.completed_at = now
 
     def holder_for(self, index, *, now, limit=PER_PEER):
         """Choose a peer for a chunk.
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -42,6 +42,9 @@
         Further options of the stand-ins.
     entry_settings, agent_settings : dict
         Further settings.
+    start_agents : bool, default=True
+    engines_together : int, default=0
+        Engines in one process; 0 gives each its own.
     log : bool, default=False
         Whether to keep the processes' standard error in files.
     """
@@ -58,6 +61,7 @@
         entry_settings=None,
         agent_settings=None,
         start_agents=True,
+        engines_together=0,
         log=False,
     ):
         self.domains = domains
@@ -66,6 +70,7 @@
         self.entry_settings = entry_settings or {}
         self.agent_settings = agent_settings or {}
         self.start_agents = start_agents
+        self.engines_together = engines_together
         self.log = log
         self.folder = Path(tempfile.mkdtemp(prefix="hawthornspoke-"))
         self.process_by_name = {}
@@ -107,9 +112,12 @@
     def start(self):
         self.start_platform()
         self.list_hosts()
-        for host in self.hosts:
-            if host["role"] == "agent":
-                self.start_engine(host["host"])
+        if self.engines_together:
+            self._start_engines_together()
+        else:
+            for host in self.hosts:
+                if host["role"] == "agent":
+                    self.start_engine(host["host"])
         for host in self.hosts:
             if host["role"] == "entry" or self.start_agents:
                 self.start_node(host["host"])
@@ -126,6 +134,18 @@
         )
         self.wait_for(lambda: self.get(f"{self.platform_url}/_counts") is not None)
 
+    def _start_engines_together(self):
+        """Let some engines share a process: a benchmark's machine is finite."""
+        names = self.names("runner")
+        size = self.engines_together
+        for first in range(0, len(names), size):
+            group = names[first : first + size]
+            addresses = [self.host(name)["address"] for name in group]
+            port = ["--port", str(self.base_port + 4)]
+            self._start(f"engines-{first}", "standin", "engines", *addresses, *port)
+        for name in self.names("billing"):
+            self.start_engine(name)
+
     def start_engine(self, name):
         host = self.host(name)
         kind = "plain" if name.startswith("billing") else "engine"
