Chunks are staged at the engine as they are verified

Cause: live lagged whole by 1.35 s at N = 8 because all 400 chunks were sent to the engine after the last had arrived. Change: each verified chunk is streamed on at once, the load order only names them.

--- a/hawthornspoke/agent/_control.py
+++ b/hawthornspoke/agent/_control.py
@@ -7,9 +7,11 @@
 from loguru import logger
 
 from hawthornspoke.agent._engine_actor import (
+    DropStaged,
     EngineActor,
     LookAtEngine,
     RunEnded,
+    StageChunk,
     run_request,
 )
 from hawthornspoke.agent._fetch_actor import (
@@ -153,6 +155,10 @@
     def on_role_message(self, message, *, now):
         """Take what engine, transfers and requests report."""
         if isinstance(message, SWARM_EVENTS):
+            if isinstance(message, ChunkVerified):
+                # The engine has it long before the last chunk is here.
+                staged = StageChunk(digest=message.digest, index=message.index)
+                self.engine_actor.tell(staged)
             self._step_swarm(message, now)
         elif isinstance(message, WorkerFree):
             self.idle_workers.append(message.worker)
@@ -471,6 +477,7 @@
         )
         if not self.store.is_complete(digest):
             self.store.drop(digest)
+        self.engine_actor.tell(DropStaged(digest=digest))
 
     def _drop_unneeded(self):
         """Keep only the weights that a rollback may name."""
--- a/hawthornspoke/agent/_engine_actor.py
+++ b/hawthornspoke/agent/_engine_actor.py
@@ -16,6 +16,21 @@
     """Read the engine's state."""
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class StageChunk:
+    """Stream one verified chunk to the engine ahead of the load order."""
+
+    digest: str
+    index: int
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class DropStaged:
+    """Let the engine throw away chunks of weights that are not wanted now."""
+
+    digest: str
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class RunEnded:
     """A started request came to its end."""
@@ -49,12 +64,20 @@
         self.control = control
         self.fence = 0
         self.instance = ""
+        self.staged_by_digest = {}
 
     def on_receive(self, message):
         """Look at the engine or give an order."""
         if isinstance(message, LookAtEngine):
             self._tell(self._look())
             return
+        if isinstance(message, StageChunk):
+            self._stage(message.digest, message.index)
+            return
+        if isinstance(message, DropStaged):
+            self.staged_by_digest.pop(message.digest, None)
+            self.engine.drop_staged(message.digest)
+            return
         outcome = self._order(message)
         if is_failure(outcome):
             logger.warning("order {}: {}", type(message).__name__, outcome)
@@ -67,6 +90,7 @@
         if state.get("instance") != self.instance:
             self.instance = state.get("instance", "")
             self.fence = int(state.get("fence", 0)) + 1
+            self.staged_by_digest = {}
         return EngineSeen(
             instance=self.instance,
             loaded=frozenset(state.get("loaded", ())),
@@ -79,9 +103,13 @@
             manifest = self.store.manifest(message.digest)
             if manifest is None:
                 return Failure(code="not_held")
-            outcome = self.engine.load(
-                self.store, manifest, base=message.base, fence=self.fence
-            )
+            for index in range(len(manifest.chunks)):
+                failure = self._stage(message.digest, index)
+                if failure is not None:
+                    return failure
+            # The engine keeps nothing staged after a load, good or bad.
+            self.staged_by_digest.pop(message.digest, None)
+            outcome = self.engine.load(manifest, base=message.base, fence=self.fence)
         else:
             outcome = self.engine.unload(message.digest, fence=self.fence)
         if outcome == FENCED:
@@ -90,6 +118,19 @@
             self.instance = ""
         return outcome
 
+    def _stage(self, digest, index):
+        """Send a chunk that the engine does not have yet; return a failure."""
+        staged = self.staged_by_digest.setdefault(digest, set())
+        if index in staged:
+            return None
+        data = self.store.get(digest, index)
+        if data is None:
+            return Failure(code="not_held", reason=f"chunk {index} is not held")
+        failure = self.engine.stage(digest, index, data)
+        if failure is None:
+            staged.add(index)
+        return failure
+
     def _tell(self, message):
         if self.control.is_alive():
             self.control.tell(message)
--- a/hawthornspoke/agent/_engines.py
+++ b/hawthornspoke/agent/_engines.py
@@ -186,12 +186,47 @@
                 yield Event(kind=EventKind.TOKENS, data=piece, count=0)
         answer.release_conn()
 
-    def load(self, store, manifest, *, base, fence):
-        """Stream held chunks to the engine and order it to load them.
+    def stage(self, digest, index, data):
+        """Stream one chunk to the engine, which keeps it until the load order.
+
+        Parameters
+        ----------
+        digest : str
+        index : int
+        data : bytes
+
+        Returns
+        -------
+        None or Failure
+        """
+        return self._put(f"/weights/{digest}/{index}", data)
+
+    def drop_staged(self, digest):
+        """Let the engine throw away staged chunks.
+
+        Parameters
+        ----------
+        digest : str
+        """
+        try:
+            answer = self._http.open(
+                "DELETE",
+                f"/weights/{digest}",
+                body=None,
+                headers=None,
+                timeout=STATE_TIMEOUT,
+            )
+        except CutAnswer:
+            # Staged chunks that stay are thrown away by the next load order.
+            return
+        if not isinstance(answer, Failure):
+            answer.read()
+
+    def load(self, manifest, *, base, fence):
+        """Order the engine to load weights whose chunks are all staged.
 
         Parameters
         ----------
-        store : ChunkStore
         manifest : Manifest
         base : str
         fence : int
@@ -200,13 +235,6 @@
         -------
         None or Failure
         """
-        for index in range(len(manifest.chunks)):
-            data = store.get(manifest.digest, index)
-            if data is None:
-                return ORDER_FAILED.because(f"chunk {index} is not held any more")
-            failure = self._put(f"/weights/{manifest.digest}/{index}", data)
-            if failure is not None:
-                return failure
         order = {
             "kind": "load",
             "digest": manifest.digest,
@@ -333,7 +361,14 @@
             yield Event(kind=EventKind.TOKENS, data=piece, count=0)
         answer.release_conn()
 
-    def load(self, store, manifest, *, base, fence):
+    def stage(self, digest, index, data):
+        """Refuse: a plain service has no weights."""
+        return ORDER_FAILED.because("a plain service takes no weights")
+
+    def drop_staged(self, digest):
+        """Do nothing: a plain service has no weights."""
+
+    def load(self, manifest, *, base, fence):
         """Refuse: a plain service has no weights."""
         return ORDER_FAILED.because("a plain service takes no weights")
 
--- a/hawthornspoke/standins/_engine.py
+++ b/hawthornspoke/standins/_engine.py
@@ -163,6 +163,10 @@
         return sum(item.size for item in self.loaded_by_digest.values())
 
     def _stage(self, request):
+        if request.method == "DELETE":
+            with self._lock:
+                self._staged_by_digest.pop(request.path.split("/")[2], None)
+            return Response()
         _, _, digest, index = request.path.split("/")
         with self._lock:
             staged = self._staged_by_digest.setdefault(digest, {})
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -20,7 +20,7 @@
 VERBS = {
     "policy": (POLICIES, ["choose"]),
     "strategy": (STRATEGIES, ["may_read_origin", "holders", "owners_before"]),
-    "engine": (ENGINES, ["state", "answer", "load", "unload"]),
+    "engine": (ENGINES, ["state", "answer", "stage", "drop_staged", "load", "unload"]),
 }
 
 
