--- a/benchmarks/burst.py
+++ b/benchmarks/burst.py
@@ -128,29 +128,37 @@
         self._start_asking()
         lost = self._hurt(fleet, names, late)
         wanted = [name for name in names if name not in lost]
-        limit = 10 * self.window * (self.hosts if self.strategy == "origin" else 2)
-        fleet.wait_for(lambda: self._all_live(fleet, wanted), min(limit, 900))
+        limit = self.window * (self.hosts if self.strategy == "origin" else 3)
+        fleet.wait_for(lambda: self._all_live(fleet, wanted), limit)
         self._asking.clear()
         states = {name: fleet.dump(name) for name in wanted}
         return self._figures(fleet, states, started, origin, cpu, sent)
 
     def _hurt(self, fleet, names, late):
-        """Inject the faults; return the hosts that are not waited for."""
+        """Inject the faults, all in the same third of the window.
+
+        Returns
+        -------
+        list of str
+            Hosts that are not waited for.
+        """
         lost = []
-        time.sleep(self.window * 0.3)
+        time.sleep(self.window * 0.2)
+        if late:
+            fleet.start_node(late)
+        time.sleep(self.window * 0.1)
         if "cut" in self.faults:
             fleet.cut_off("herstal")
-            time.sleep(self.window * 0.3)
-            fleet.heal()
         if "kill" in self.faults:
             fleet.kill(names[0])
             lost.append(names[0])
         if "stall" in self.faults:
             fleet.freeze(names[1])
-            time.sleep(self.window * 0.3)
+        time.sleep(self.window * 0.3)
+        if "stall" in self.faults:
             fleet.wake(names[1])
-        if late:
-            fleet.start_node(late)
+        if "cut" in self.faults:
+            fleet.heal()
         return lost
 
     def _all_live(self, fleet, names):
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -360,7 +360,8 @@
     def post(self, url, tree):
         for _ in range(100):
             try:
-                answer = self.http.request("POST", url, body=json.dumps(tree).encode())
+                body = json.dumps(tree).encode()
+                answer = self.http.request("POST", url, body=body, timeout=5)
             except urllib3.exceptions.HTTPError:
                 time.sleep(0.05)
                 continue
