A chunk whose only known holder is lost is read from the origin again

Cause, from the hosts' dumps: all held 399 of 400, and the one holder known to all was the killed host; a chunk with any known holder was never read from the origin. Ruled out: stalled owners (patience had long passed), corrupt chunks (1 in all), a busy origin (no fetch in flight). Change: holders that can't be reached, or failed twice in a row, don't count.

--- a/hawthornspoke/swarm/_planner.py
+++ b/hawthornspoke/swarm/_planner.py
@@ -335,6 +335,8 @@
             return []
         source = self._end_fetch(transfer, message.index)
         transfer.take(message.index, now=now)
+        if source in transfer.participants:
+            transfer.participants[source].failures = 0
         if transfer.complete:
             elapsed = now - transfer.started_at
             outcomes = [Complete(digest=message.digest, elapsed=elapsed)]
@@ -512,6 +514,7 @@
             transfer.unlearn(source, message.index)
             return
         peer.avoid_deadline = now + self.avoid_for
+        peer.failures += 1
         if message.cause == "unreachable":
             peer.unreachable = True
         if message.cause == "corrupt":
--- a/hawthornspoke/swarm/_strategies.py
+++ b/hawthornspoke/swarm/_strategies.py
@@ -93,12 +93,13 @@
 
     def may_read_origin(self, transfer, index, *, now):
         """Tell whether this host may read a chunk from the origin."""
-        if transfer.holders_by_index[index]:
+        holders = transfer.holders_by_index[index]
+        if not all(transfer.is_lost(node) for node in holders):
             return False
         for node in self._owners(transfer, index):
             if node == transfer.node:
                 return True
-            if not transfer.is_stalled(node):
+            if not transfer.is_stalled(node) and not transfer.is_lost(node):
                 return False
         return False
 
--- a/hawthornspoke/swarm/_transfer.py
+++ b/hawthornspoke/swarm/_transfer.py
@@ -12,6 +12,9 @@
 #: Times the mean interval of an owner's news that it may be silent.
 PATIENCE = 3.0
 
+#: Fetches in a row that fail at a host before it counts as lost.
+LOST_AFTER = 2
+
 
 class Participant:
     """One host that has to load the weights.
@@ -33,6 +36,7 @@
         "known",
         "heard_at",
         "unreachable",
+        "failures",
         "probe_deadline",
         "avoid_deadline",
         "outstanding",
@@ -48,6 +52,7 @@
         self.known = 0
         self.heard_at = 0.0
         self.unreachable = False
+        self.failures = 0
         self.probe_deadline = 0.0
         self.avoid_deadline = 0.0
         self.outstanding = 0
@@ -187,6 +192,24 @@
             return True
         return self.now >= participant.heard_at + self.patience()
 
+    def is_lost(self, node):
+        """Tell whether a host can't be asked for what it is known to hold.
+
+        Parameters
+        ----------
+        node : str
+
+        Returns
+        -------
+        bool
+            A chunk whose holders are all lost is read from the origin again:
+            a host may die between its announcement and the first fetch.
+        """
+        participant = self.participants.get(node)
+        if participant is None or participant.unreachable:
+            return True
+        return participant.failures >= LOST_AFTER
+
     def patience(self):
         """Return the seconds without news after which an owner is replaced.
 
@@ -228,6 +251,7 @@
                 participant.known += 1
                 fresh = True
         participant.unreachable = False
+        participant.failures = 0
         if held > participant.held or fresh:
             participant.heard_at = now
             self.news_at = now
