--- /dev/null
+++ b/hawthornspoke/settings/_reference.py
@@ -0,0 +1,38 @@
+"""The settings reference page, made from the schema."""
+
+from hawthornspoke.settings._schema import AGENT, ENTRY, PLATFORM, REQUIRED
+
+INTRODUCTION = """# Settings
+
+Made from the schema by `python -m hawthornspoke.settings`; a test compares.
+
+A process reads its TOML file, then the environment (`HAWTHORNSPOKE_PORT=7700`,
+`HAWTHORNSPOKE_PLATFORM_TIMEOUT=1.5`), then flags (`--set port=7700`); the later
+wins. Every key is checked at start; all errors are shown at once, and the process
+ends with code 2. Operators' commands need the `[platform]` table only.
+"""
+
+
+def render_reference():
+    """Return the reference page.
+
+    Returns
+    -------
+    str
+        Markdown.
+    """
+    lines = [INTRODUCTION]
+    sections = (
+        ("`hawthornspoke entry`", ENTRY),
+        ("`hawthornspoke agent`", AGENT),
+        ("Table `[platform]`, all commands", PLATFORM),
+    )
+    for title, schema in sections:
+        lines += [f"## {title}\n", "| key | accepted | default | meaning |"]
+        lines.append("|---|---|---|---|")
+        for name, key in schema.items():
+            default = "required" if key.default is REQUIRED else f"`{key.default!r}`"
+            accepted = key.bounds.describe()
+            lines.append(f"| `{name}` | {accepted} | {default} | {key.meaning} |")
+        lines.append("")
+    return "\n".join(lines)
