--- /dev/null
+++ b/packaging/build_binary.py
@@ -0,0 +1,38 @@
+"""Build ``dist/hawthornspoke``: one file with every library, run by the host's Python.
+
+python packaging/build_binary.py
+"""
+
+import re
+import shutil
+import subprocess
+import sys
+import zipapp
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+STAGE = ROOT / "build" / "binary"
+TARGET = ROOT / "dist" / "hawthornspoke"
+UNUSED = re.compile(r"(/|^)(tests?|__pycache__|bin)(/|$)")
+
+
+def build():
+    """Gather package and libraries and write the archive; return its path."""
+    shutil.rmtree(STAGE, ignore_errors=True)
+    pip = [sys.executable, "-m", "pip", "install", "--quiet", "--no-compile"]
+    subprocess.run([*pip, "--target", str(STAGE), str(ROOT)], check=True)
+    shutil.copy(ROOT / "packaging" / "binary_main.py", STAGE / "__main__.py")
+    TARGET.parent.mkdir(exist_ok=True)
+    zipapp.create_archive(
+        STAGE,
+        TARGET,
+        interpreter="/usr/bin/env python3",
+        compressed=True,
+        filter=lambda path: not UNUSED.search(str(path)),
+    )
+    return TARGET
+
+
+if __name__ == "__main__":
+    target = build()
+    print(f"{target}: {target.stat().st_size / 1e6:.1f} MB")
--- /dev/null
+++ b/tests/test_binary.py
@@ -0,0 +1,50 @@
+"""The one-file program: it runs the demo, and starts no other process."""
+
+import random
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+BINARY = ROOT / "dist" / "hawthornspoke"
+
+
+@pytest.fixture(scope="module")
+def binary():
+    """Build the binary from the working tree."""
+    build = [sys.executable, str(ROOT / "packaging" / "build_binary.py")]
+    subprocess.run(build, check=True, capture_output=True)
+    return BINARY
+
+
+def children(pid):
+    """Return the processes that a process has started."""
+    found = set()
+    for task in Path(f"/proc/{pid}/task").glob("*/children"):
+        found |= set(task.read_text().split())
+    return found
+
+
+def test_demo_runs_from_the_binary_as_one_process(binary, tmp_path):
+    port = str(random.randrange(40000, 45000))
+    process = subprocess.Popen(
+        [sys.executable, str(binary), "demo", "--once", "--port", port],
+        cwd=tmp_path,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    seen = set()
+    while process.poll() is None:
+        try:
+            seen |= children(process.pid)
+        except OSError:
+            break
+        time.sleep(0.02)
+    printed = process.stdout.read()
+    assert process.returncode == 0, printed
+    assert "1.00 copies read from the origin" in printed
+    assert seen == set()
+    assert list(tmp_path.iterdir()) == []
