--- a/hawthornspoke/agent/_control.py
+++ b/hawthornspoke/agent/_control.py
@@ -49,7 +49,7 @@
     Start,
     Tick as GateTick,
 )
-from hawthornspoke.membership import relay_targets
+from hawthornspoke.membership import STATIC_FIELDS, relay_targets
 from hawthornspoke.node import ControlActor, connect_platform
 from hawthornspoke.platform import HostEntry
 from hawthornspoke.protocol import (
@@ -80,7 +80,7 @@
 
 #: Seconds between two looks at the engine. A restarted engine refuses requests
 #: for weights it has not loaded by itself; the look makes it whole again.
-LOOK_EVERY = 0.5
+LOOK_EVERY = 1.0
 
 #: Seconds after which a manifest that could not be had is tried again.
 MANIFEST_RETRY = 1.0
@@ -131,6 +131,8 @@
         self.looking = False
         self.manifest_deadline_by_digest = {}
         self.live_since_by_key = {}
+        self.static_fields = None
+        self.static_seq = 0
 
     def on_start(self):
         """Start the actors that wait for engine, peers and platform."""
@@ -560,7 +562,7 @@
             Live(service_name=name, digest=digest)
             for name, digest in sorted(self.gate.live_by_service.items())
         ]
-        return Member(
+        member = Member(
             node=settings["node"],
             role=Role.AGENT,
             failure_domain=settings["failure_domain"],
@@ -577,3 +579,9 @@
             progress=self._progress() or None,
             warming=self.deployment.phase or None,
         )
+        static = [getattr(member, name) for name in STATIC_FIELDS]
+        if static != self.static_fields:
+            self.static_fields = static
+            self.static_seq = self.seq
+        member.static_seq = self.static_seq
+        return member
--- a/hawthornspoke/entry/_control.py
+++ b/hawthornspoke/entry/_control.py
@@ -36,6 +36,10 @@
 #: Heartbeats after which the summary goes to the other failure domains again.
 SUMMARY_EVERY = 2
 
+#: Seconds after which an endpoint's unchanged state is relayed whole again, for
+#: entry hosts that are new or have lost a datagram.
+WHOLE_EVERY = 5.0
+
 #: Heartbeats that a fresh entry host waits for before it is ready.
 FIRST_HEARTBEATS = 3
 
@@ -103,6 +107,8 @@
         self.service_by_name = {}
         self.organisation_by_key = {}
         self.organisations = {}
+        # Node to (what was told whole, when to tell it whole again).
+        self.relayed_by_node = {}
         self.domain = settings["failure_domain"]
         # A fresh entry host knows of no endpoint until their next heartbeats:
         # callers sent here before that would be refused for nothing.
@@ -241,9 +247,14 @@
         self.limits.step(limits, now=now)
 
     def member_changed(self, change, *, now):
-        """Forget the load of endpoints that are gone."""
+        """Forget endpoints that are gone; tell new entry hosts everything."""
+        view = self.core.membership.by_id.get(change.node)
+        if change.after == "alive" and view is not None and view.role == "entry":
+            # A fresh neighbour can't complete light records.
+            self.relayed_by_node.clear()
         if change.after == "dead":
             self.router.forget(change.node)
+            self.relayed_by_node.pop(change.node, None)
 
     def hosts_changed(self, *, now):
         """Count the entry hosts that limits are shared with."""
@@ -291,9 +302,10 @@
             return
         if gossip.sender.role == Role.ENTRY:
             self._hear_demand(gossip.sender, now)
-        for member in [gossip.sender, *(gossip.members or ())]:
-            if member.role == Role.AGENT:
-                self._hear_load(member, now)
+        if gossip.sender.role == Role.AGENT:
+            self._hear_load(gossip.sender, now)
+        for member in gossip.members or ():
+            self._hear_load(member, now)
 
     def _hear_demand(self, sender, now):
         claimant = self._claimant(sender.node, sender.failure_domain)
@@ -370,9 +382,27 @@
                 continue
             age = now - view.heard_at
             if view.member.age_ms is None and age <= limit:
-                members.append(_aged(view.member, age))
+                members.append(self._relayed(view.member, age, now))
         return members
 
+    def _relayed(self, member, age, now):
+        """Return the whole state if it changed or is due, else a light record."""
+        told = self.relayed_by_node.get(member.node)
+        stamp = (member.incarnation, member.static_seq)
+        if told is None or told[0] != stamp or now >= told[1]:
+            self.relayed_by_node[member.node] = (stamp, now + WHOLE_EVERY)
+            return _aged(member, age)
+        return Member(
+            node=member.node,
+            incarnation=member.incarnation,
+            seq=member.seq,
+            running=member.running,
+            queued=member.queued,
+            static_seq=member.static_seq,
+            light=True,
+            age_ms=max(1, int(age * 1000)),
+        )
+
     def _send_summary(self, entries, own, now):
         targets = summary_targets(
             failure_domain=self.domain,
@@ -449,5 +479,6 @@
         revision=member.revision,
         progress=member.progress,
         warming=member.warming,
+        static_seq=member.static_seq,
         age_ms=max(1, int(age * 1000)),
     )
--- a/hawthornspoke/membership/__init__.py
+++ b/hawthornspoke/membership/__init__.py
@@ -1,6 +1,7 @@
 """Which nodes are there: a failure detector over gossip and the host list."""
 
 from hawthornspoke.membership._detector import (
+    STATIC_FIELDS,
     HostListed,
     MemberChanged,
     MemberHeard,
@@ -11,6 +12,7 @@
 from hawthornspoke.membership._relay import relay_targets, summary_targets
 
 __all__ = [
+    "STATIC_FIELDS",
     "HostListed",
     "MemberChanged",
     "MemberHeard",
--- a/hawthornspoke/membership/_detector.py
+++ b/hawthornspoke/membership/_detector.py
@@ -10,6 +10,20 @@
 DEAD = "dead"
 LEAVING = "leaving"
 
+#: Fields of a member's state that a light record leaves out.
+STATIC_FIELDS = (
+    "role",
+    "failure_domain",
+    "address",
+    "port",
+    "leaving",
+    "live",
+    "slots",
+    "revision",
+    "progress",
+    "warming",
+)
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class MemberHeard:
@@ -183,6 +197,10 @@
         if not member.node or member.node == self.node:
             return []
         view = self.by_id.get(member.node)
+        if view is None or view.member is None:
+            if member.light:
+                # Nothing to complete it with: wait for the whole record.
+                return []
         if view is None:
             view = self._add(member.node, _role_name(member.role), member)
         stamp = (member.incarnation or 0, member.seq or 0)
@@ -191,6 +209,8 @@
             # would bring a dead node back to life for a whole timeout.
             return []
         view.incarnation, view.seq = stamp
+        if member.light:
+            complete(member, view.member)
         view.failure_domain = member.failure_domain or view.failure_domain
         view.address = member.address or view.address
         view.port = member.port or view.port
@@ -334,6 +354,23 @@
         return now >= view.dead_deadline + self.forget_after
 
 
+def complete(member, known):
+    """Fill a light record with the rarely changing fields that are known.
+
+    Parameters
+    ----------
+    member : hawthornspoke.protocol.Member
+        Light; changed in place.
+    known : hawthornspoke.protocol.Member
+        The state held so far. If its ``static_seq`` is older, a whole record was
+        lost on the way: its fields are kept until the next one, and what they
+        get wrong is put right by the endpoint's refusal.
+    """
+    for name in STATIC_FIELDS:
+        setattr(member, name, getattr(known, name))
+    member.static_seq = known.static_seq
+
+
 def _role_name(role):
     return "entry" if role == 1 else "agent"
 
--- a/hawthornspoke/protocol/_gen/ttypes.py
+++ b/hawthornspoke/protocol/_gen/ttypes.py
@@ -159,6 +159,8 @@
      - age_ms
      - progress
      - warming
+     - static_seq
+     - light
 
     """
 
@@ -181,10 +183,12 @@
         'age_ms',
         'progress',
         'warming',
+        'static_seq',
+        'light',
     )
 
 
-    def __init__(self, node=None, role=None, failure_domain=None, address=None, port=None, incarnation=None, seq=None, leaving=None, live=None, running=None, queued=None, slots=None, revision=None, demand=None, weight=None, age_ms=None, progress=None, warming=None,):
+    def __init__(self, node=None, role=None, failure_domain=None, address=None, port=None, incarnation=None, seq=None, leaving=None, live=None, running=None, queued=None, slots=None, revision=None, demand=None, weight=None, age_ms=None, progress=None, warming=None, static_seq=None, light=None,):
         self.node = node
         self.role = role
         self.failure_domain = failure_domain
@@ -203,6 +207,8 @@
         self.age_ms = age_ms
         self.progress = progress
         self.warming = warming
+        self.static_seq = static_seq
+        self.light = light
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -321,6 +327,16 @@
                     self.warming = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.I64:
+                    self.static_seq = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.BOOL:
+                    self.light = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -414,6 +430,14 @@
             oprot.writeFieldBegin('warming', TType.I32, 18)
             oprot.writeI32(self.warming)
             oprot.writeFieldEnd()
+        if self.static_seq is not None:
+            oprot.writeFieldBegin('static_seq', TType.I64, 19)
+            oprot.writeI64(self.static_seq)
+            oprot.writeFieldEnd()
+        if self.light is not None:
+            oprot.writeFieldBegin('light', TType.BOOL, 20)
+            oprot.writeBool(self.light)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2004,6 +2028,8 @@
     (16, TType.I32, 'age_ms', None, None, ),  # 16
     (17, TType.MAP, 'progress', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 17
     (18, TType.I32, 'warming', None, None, ),  # 18
+    (19, TType.I64, 'static_seq', None, None, ),  # 19
+    (20, TType.BOOL, 'light', None, None, ),  # 20
 )
 all_structs.append(Gossip)
 Gossip.thrift_spec = (
--- a/hawthornspoke/web/_server.py
+++ b/hawthornspoke/web/_server.py
@@ -12,6 +12,13 @@
 SOCKET_KEY = "hawthornspoke.connection"
 STOP_SECONDS = 1.0
 
+#: Seconds between two looks at how many workers are idle.
+GROW_SECONDS = 0.2
+
+#: Idle workers below which more are started, and how many.
+IDLE_LOW = 8
+GROW_BY = 16
+
 
 class _Gateway(Gateway_10):
     """Adds the connection to the environ, to see whether the caller is there."""
@@ -83,9 +90,9 @@
         pool = self._server.requests
         stop = threading.Event()
         while self._server.ready:
-            if pool.idle < 4 and len(pool._threads) < self.threads:
-                pool.grow(8)
-            stop.wait(0.05)
+            if pool.idle < IDLE_LOW and len(pool._threads) < self.threads:
+                pool.grow(GROW_BY)
+            stop.wait(GROW_SECONDS)
 
     def _application(self, environ, start_response):
         request, refusal = self._read(environ)
--- a/idl/hawthornspoke.thrift
+++ b/idl/hawthornspoke.thrift
@@ -38,6 +38,10 @@
   16: optional i32 age_ms,
   17: optional map<string, i32> progress,
   18: optional i32 warming,
+  // seq at which the fields that rarely change (live, leaving, address ...) last did.
+  19: optional i64 static_seq,
+  // Without those fields: the receiver keeps the ones it has of the same static_seq.
+  20: optional bool light,
 }
 
 // One datagram: the sender's own state, and what it relays of others.
