--- a/hawthornspoke/entry/_control.py
+++ b/hawthornspoke/entry/_control.py
@@ -12,7 +12,7 @@
     Request,
     SetLimits,
 )
-from hawthornspoke.membership import summary_targets
+from hawthornspoke.membership import may_relay, summary_targets
 from hawthornspoke.node import ControlActor
 from hawthornspoke.protocol import Live, Member, Role
 from hawthornspoke.retries import AskRetry, RetryBudget, Succeeded
@@ -40,6 +40,9 @@
 #: entry hosts that are new or have lost a datagram.
 WHOLE_EVERY = 5.0
 
+#: Heartbeats for which a record counts as fresh.
+FRESH_HEARTBEATS = 2.5
+
 #: Heartbeats that a fresh entry host waits for before it is ready.
 FIRST_HEARTBEATS = 3
 
@@ -109,6 +112,10 @@
         self.organisations = {}
         # Node to (what was told whole, when to tell it whole again).
         self.relayed_by_node = {}
+        # Agents that report here: their last own record, and when it came.
+        self.direct_by_node = {}
+        # Until when another relay's copy of an agent's record is fresh.
+        self.copy_deadline_by_node = {}
         self.domain = settings["failure_domain"]
         # A fresh entry host knows of no endpoint until their next heartbeats:
         # callers sent here before that would be refused for nothing.
@@ -255,6 +262,7 @@
         if change.after == "dead":
             self.router.forget(change.node)
             self.relayed_by_node.pop(change.node, None)
+            self.copy_deadline_by_node.pop(change.node, None)
 
     def hosts_changed(self, *, now):
         """Count the entry hosts that limits are shared with."""
@@ -303,8 +311,12 @@
         if gossip.sender.role == Role.ENTRY:
             self._hear_demand(gossip.sender, now)
         if gossip.sender.role == Role.AGENT:
+            self.direct_by_node[gossip.sender.node] = (gossip.sender, now)
             self._hear_load(gossip.sender, now)
+        fresh = FRESH_HEARTBEATS * self.settings["heartbeat_every"]
         for member in gossip.members or ():
+            if gossip.sender.failure_domain == self.domain:
+                self.copy_deadline_by_node[member.node] = now + fresh
             self._hear_load(member, now)
 
     def _hear_demand(self, sender, now):
@@ -375,14 +387,23 @@
 
     def _direct_agents(self, now):
         """Return the agents that report to this host, with their age."""
-        limit = 2.5 * self.settings["heartbeat_every"]
+        entries = self.core.reachable_entries()
         members = []
-        for view in self.core.membership.by_id.values():
-            if view.role != "agent" or view.member is None:
+        for node, (member, heard_at) in list(self.direct_by_node.items()):
+            age = now - heard_at
+            if age > FRESH_HEARTBEATS * self.settings["heartbeat_every"]:
+                del self.direct_by_node[node]
                 continue
-            age = now - view.heard_at
-            if view.member.age_ms is None and age <= limit:
-                members.append(self._relayed(view.member, age, now))
+            relays = may_relay(
+                relay=self.settings["node"],
+                node=node,
+                failure_domain=member.failure_domain,
+                entries=entries,
+                copy_deadline=self.copy_deadline_by_node.get(node, 0.0),
+                now=now,
+            )
+            if relays:
+                members.append(self._relayed(member, age, now))
         return members
 
     def _relayed(self, member, age, now):
--- a/hawthornspoke/membership/__init__.py
+++ b/hawthornspoke/membership/__init__.py
@@ -9,7 +9,7 @@
     MemberView,
     Tick,
 )
-from hawthornspoke.membership._relay import relay_targets, summary_targets
+from hawthornspoke.membership._relay import may_relay, relay_targets, summary_targets
 
 __all__ = [
     "STATIC_FIELDS",
@@ -19,6 +19,7 @@
     "MemberView",
     "Membership",
     "Tick",
+    "may_relay",
     "relay_targets",
     "summary_targets",
 ]
--- a/hawthornspoke/membership/_relay.py
+++ b/hawthornspoke/membership/_relay.py
@@ -31,6 +31,36 @@
     return [by_name[name] for name in order[:RELAYS]]
 
 
+def may_relay(*, relay, node, failure_domain, entries, copy_deadline, now):
+    """Tell whether an entry host is to relay an agent that reports to it.
+
+    Parameters
+    ----------
+    relay : str
+        The entry host that asks.
+    node : str
+        The agent.
+    failure_domain : str
+        The agent's.
+    entries : list of MemberView
+        The other entry hosts that are not known to be dead.
+    copy_deadline : float
+        Until when a copy that another entry host relayed counts as fresh.
+    now : float
+
+    Returns
+    -------
+    bool
+        True for the first relay in the agent's order, and for the second while
+        it hears no copy: two copies of every record are half of an entry host's
+        inward bytes, and a dead first relay must not hide its endpoints.
+    """
+    if now >= copy_deadline:
+        return True
+    own = [view.node for view in entries if view.failure_domain == failure_domain]
+    return rendezvous_order(key=node, nodes=[relay, *own])[0] == relay
+
+
 def summary_targets(*, failure_domain, entries, place, turn):
     """Return one entry host in each other failure domain.
 
--- a/hawthornspoke/node/_control.py
+++ b/hawthornspoke/node/_control.py
@@ -29,6 +29,10 @@
 #: don't read the table together for ever.
 JITTER = 0.1
 
+#: Seconds between two looks at all members' deadlines. Each looks at every node
+#: of the failure domain, and a timeout of seconds needs no finer clock.
+MEMBERSHIP_EVERY = 0.3
+
 #: Exit code of a process whose state broke an invariant (EX_SOFTWARE).
 EXIT_BROKEN = 70
 
@@ -56,6 +60,7 @@
         self.incarnation = int(monotonic() * 1000)
         self.seq = 0
         self.leaving = False
+        self.membership_deadline = 0.0
         self.platform = None
         self.documents = None
         # One read of each kind at a time: while the platform is slow, asking
@@ -209,7 +214,9 @@
 
     def _on_time(self, now):
         core = self.core
-        self._act(core.tick(now=now), now)
+        if now >= self.membership_deadline:
+            self.membership_deadline = now + MEMBERSHIP_EVERY
+            self._act(core.tick(now=now), now)
         if now >= core.table_deadline and not self.reading_table:
             self.reading_table = True
             self.platform.tell(ReadTable())
