One process class for both roles; a missing key's error names its table's file

Twins: entry and agent process each put the same sockets, servers, signals and shutdown together; node/_process.py now holds them, the roles add their own.

--- a/hawthornspoke/agent/_process.py
+++ b/hawthornspoke/agent/_process.py
@@ -1,30 +1,17 @@
 """The parts of an agent process, put together."""
 
-import signal
 import threading
 import time
 
-import pykka
-from loguru import logger
-
 from hawthornspoke.agent._control import AgentControl
 from hawthornspoke.agent._engines import ENGINES
 from hawthornspoke.agent._fetch_actor import MANIFEST_INDEX, pack_bitmap
 from hawthornspoke.agent._runs import Run
 from hawthornspoke.base import monotonic
-from hawthornspoke.metrics import Metrics
-from hawthornspoke.node import (
-    Call,
-    DatagramPump,
-    DrainOrdered,
-    NodeHandler,
-    OperatorServer,
-    Ticker,
-)
+from hawthornspoke.node import NodeHandler, NodeProcess
 from hawthornspoke.protocol import (
     PROTOCOL_VERSION,
     Chunk,
-    DatagramSocket,
     Event,
     EventKind,
     Events,
@@ -33,10 +20,7 @@
 )
 from hawthornspoke.swarm import ChunkStore, Link
 
-POLL_SECONDS = 0.05
-ASK_SECONDS = 5.0
-
-#: Seconds after a refused request until its last event may be dropped.
+#: Seconds that a submit waits for the first event, which is most often there.
 FIRST_WAIT = 0.02
 
 
@@ -143,7 +127,7 @@
             self.tell("hear_revision", revision=revision)
 
 
-class AgentProcess:
+class AgentProcess(NodeProcess):
     """An endpoint host's process.
 
     Parameters
@@ -151,117 +135,35 @@
     settings : Settings
     """
 
-    __slots__ = (
-        "settings",
-        "metrics",
-        "store",
-        "_actor",
-        "_socket",
-        "_rpc",
-        "_operator",
-        "_ticker",
-        "_stop",
-    )
+    __slots__ = ("store",)
 
     def __init__(self, *, settings):
-        self.settings = settings
-        self.metrics = Metrics()
+        super().__init__(settings=settings)
         self.store = ChunkStore(capacity=settings["memory"])
-        self._actor = None
-        self._socket = None
-        self._rpc = None
-        self._operator = None
-        self._ticker = None
-        self._stop = threading.Event()
-
-    def start(self):
-        """Open all sockets and start to serve.
 
-        Raises
-        ------
-        OSError
-            If an address is taken: another agent is on this host, and orders to
-            its engine have one writer.
-        """
+    def start_control(self):
+        """Start the control actor."""
         settings = self.settings
-        self._socket = DatagramSocket(
-            address=settings["address"], port=settings["port"]
-        )
-        self._socket.open()
-        rate = float(settings["link_rate"])
         engine = ENGINES.get(settings["engine_kind"])(url=settings["engine_url"])
-        self._actor = AgentControl.start(
+        return AgentControl.start(
             settings=settings,
-            socket=self._socket,
+            socket=self.socket,
             metrics=self.metrics,
             store=self.store,
             engine=engine,
-            link=Link(rate=rate),
-        )
-        handler = _Handler(
-            actor=self._actor,
-            store=self.store,
-            link_out=Link(rate=rate),
-            metrics=self.metrics,
-            serve_slots=settings["serve_slots"],
-        )
-        self._rpc = RpcServer(
-            address=settings["address"], port=settings["port"], handler=handler
+            link=Link(rate=float(settings["link_rate"])),
         )
-        self._rpc.open()
-        self._open_operator()
-        DatagramPump(socket=self._socket, actor=self._actor).start()
-        self._ticker = Ticker(actor=self._actor)
-        self._ticker.start()
-        logger.info("agent {} serves on {}", settings["node"], settings["port"])
 
-    def _open_operator(self):
-        settings = self.settings
-        self._operator = OperatorServer(
-            address=settings["address"],
-            port=settings["operator_port"],
-            control=self._actor,
+    def make_handler(self):
+        """Return the Thrift handler."""
+        return _Handler(
+            actor=self.actor,
+            store=self.store,
+            link_out=Link(rate=float(self.settings["link_rate"])),
             metrics=self.metrics,
-            is_ready=self._is_ready,
-            allow_faults=settings["allow_faults"],
+            serve_slots=self.settings["serve_slots"],
         )
-        self._operator.open()
 
-    def _is_ready(self):
-        call = Call(method="is_ready", arguments={})
-        try:
-            return self._actor.ask(call, timeout=ASK_SECONDS)
-        except (pykka.Timeout, pykka.ActorDeadError):
-            return False
-
-    def stop(self):
-        """Refuse new work, finish what runs, then end."""
-        if self._stop.is_set():
-            return
-        self._stop.set()
-        self._actor.tell(DrainOrdered(reason="shutdown"))
-        deadline = monotonic() + self.settings["grace"]
-        while monotonic() < deadline and not self._is_idle():
-            threading.Event().wait(POLL_SECONDS)
-        self._rpc.close()
-        self._operator.close()
-        self._ticker.stop()
-        self._socket.close()
-        self._actor.stop()
-
-    def _is_idle(self):
+    def is_idle(self):
         """Tell whether nothing runs and every last event was handed over."""
-        call = Call(method="is_idle", arguments={})
-        try:
-            return self._actor.ask(call, timeout=ASK_SECONDS)
-        except pykka.Timeout:
-            return False
-
-    def run(self):
-        """Serve until SIGTERM or SIGINT, then leave gracefully."""
-        woken = threading.Event()
-        signal.signal(signal.SIGTERM, lambda *_: woken.set())
-        signal.signal(signal.SIGINT, lambda *_: woken.set())
-        self.start()
-        woken.wait()
-        self.stop()
+        return self.ask("is_idle") is True
--- a/hawthornspoke/config/_loader.py
+++ b/hawthornspoke/config/_loader.py
@@ -33,7 +33,7 @@
         self.failures = failures
 
     def file_of(self, path):
-        """Return the file that decides a key, or one of the keys below it.
+        """Return the file that decides a key, a key below it, or its table.
 
         Parameters
         ----------
@@ -43,14 +43,15 @@
         -------
         str
         """
-        if path in self.file_by_key:
-            return self.file_by_key[path]
-        below = [
-            name
-            for key, name in self.file_by_key.items()
-            if key[: len(path)] == path or path[: len(key)] == key
-        ]
-        return max(below) if below else "(folder)"
+        for length in range(len(path), 0, -1):
+            # A missing key stands in no file; its table does.
+            prefix = path[:length]
+            files = [
+                file for key, file in self.file_by_key.items() if key[:length] == prefix
+            ]
+            if files:
+                return max(files)
+        return "(folder)"
 
 
 def load_folder(folder):
--- a/hawthornspoke/node/__init__.py
+++ b/hawthornspoke/node/__init__.py
@@ -22,6 +22,7 @@
     PlatformClients,
     connect_platform,
 )
+from hawthornspoke.node._process import NodeProcess
 from hawthornspoke.node._pumps import DatagramPump, Ticker
 
 __all__ = [
@@ -36,6 +37,7 @@
     "HostsRead",
     "NodeCore",
     "NodeHandler",
+    "NodeProcess",
     "OperatorServer",
     "PlatformActor",
     "PlatformClients",
