State dump by signal; measurements; a test's race

Cause: the test before it accepts revision 6 and this one took the platform down before any node had read it; nodes that can't reach the table rightly stay at 5. Ruled out: a node that went down in revision (5 was the highest each had held).

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -12,8 +12,12 @@
 
 from benchmarks.report import commit, cpu_seconds, memory_bytes, print_table
 from hawthornspoke.base import monotonic
-from hawthornspoke.config import build_document, pack_document, unpack_document
-from hawthornspoke.config._document import document_digest
+from hawthornspoke.config import (
+    build_document,
+    document_digest,
+    pack_document,
+    unpack_document,
+)
 from hawthornspoke.protocol import Datagram, Gossip, Live, Member, Role, decode, encode
 from tests.conftest import weights
 from tests.fleet import Fleet, declarations
--- a/hawthornspoke/base/_digest.py
+++ b/hawthornspoke/base/_digest.py
@@ -4,8 +4,6 @@
 
 import xxhash
 
-DIGEST_HEX_LENGTH = 64
-
 
 def digest_of(data):
     """Return the SHA-256 of some bytes.
--- a/hawthornspoke/node/_process.py
+++ b/hawthornspoke/node/_process.py
@@ -1,6 +1,8 @@
 """The parts that entry and agent processes have in common, put together."""
 
+import json
 import signal
+import sys
 import threading
 
 import pykka
@@ -8,7 +10,7 @@
 
 from hawthornspoke.base import monotonic
 from hawthornspoke.metrics import Metrics
-from hawthornspoke.node._messages import Call, DrainOrdered
+from hawthornspoke.node._messages import Call, DrainOrdered, DumpAsked
 from hawthornspoke.node._operator import OperatorServer
 from hawthornspoke.node._pumps import DatagramPump, Ticker
 from hawthornspoke.protocol import DatagramSocket, RpcServer
@@ -111,6 +113,7 @@
         woken = threading.Event()
         signal.signal(signal.SIGTERM, lambda *_: woken.set())
         signal.signal(signal.SIGINT, lambda *_: woken.set())
+        signal.signal(signal.SIGUSR1, self._dump_soon)
         self.start()
         woken.wait()
         self.stop()
@@ -161,6 +164,17 @@
     def stop_role(self):
         """Stop what only the role has."""
 
+    def _dump_soon(self, *_):
+        """Write the state in a task of its own: a signal handler must not wait."""
+        threading.Thread(target=self._dump, name="dump", daemon=True).start()
+
+    def _dump(self):
+        try:
+            state = self.actor.ask(DumpAsked(), timeout=ASK_SECONDS)
+        except (pykka.Timeout, pykka.ActorDeadError) as error:
+            state = {"error": repr(error)}
+        print(json.dumps(state, sort_keys=True), file=sys.stderr, flush=True)
+
     def _open(self, server):
         server.open()
         self._servers.append(server)
--- a/hawthornspoke/replay/_trace.py
+++ b/hawthornspoke/replay/_trace.py
@@ -86,7 +86,7 @@
     KeyError, TypeError
         If it names a machine, message or field that is not there.
     """
-    _import_all()
+    import_machines()
     tree = tomllib.loads(file.read_text(encoding="utf-8"))
     machine_class = MACHINES.get(tree["machine"])
     module = importlib.import_module(machine_class.__module__)
@@ -120,7 +120,7 @@
     return complaints
 
 
-def _import_all():
+def import_machines():
     """Import every subpackage, so that all machines are registered."""
     for module in pkgutil.iter_modules(hawthornspoke.__path__):
         if module.ispkg and module.name not in ("cli", "demo"):
--- a/hawthornspoke/standins/_table.py
+++ b/hawthornspoke/standins/_table.py
@@ -8,7 +8,6 @@
 from hawthornspoke.web import Response, json_response
 
 CONDITION_FAILED = "com.amazonaws.dynamodb.v20120810#TransactionCanceledException"
-THROTTLED = "com.amazonaws.dynamodb.v20120810#ThrottlingException"
 
 
 class Table:
--- /dev/null
+++ b/tests/test_dump.py
@@ -0,0 +1,30 @@
+"""A look inside a process: over HTTP, by command and by signal."""
+
+import json
+import signal
+
+from tests.fleet import Fleet, declarations
+
+
+def test_dump_by_http_command_and_signal():
+    with Fleet(entries=1, agents=1, plain=0, log=True) as fleet:
+        fleet.publish("redac-v1", b"w" * 20000)
+        fleet.declare("10-all.toml", declarations())
+        fleet.apply("--wait", "20")
+        fleet.wait_ready()
+        for name, part in (("entry-0", "router"), ("runner-0", "gate")):
+            by_http = fleet.dump(name)
+            by_command = json.loads(fleet.command("dump", name).stdout)
+            fleet.signal(name, signal.SIGUSR1)
+            log = fleet.folder / f"{name}.log"
+            fleet.wait_for(lambda log=log: dumped(log))
+            for state in (by_http, by_command, dumped(log)):
+                assert state["node"] == name
+                assert state["revision"]["revision"] == 1
+                assert part in state
+
+
+def dumped(log):
+    """Return the state that a process wrote to its log, or None."""
+    lines = [line for line in log.read_text().splitlines() if line.startswith("{")]
+    return json.loads(lines[-1]) if lines else None
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -7,11 +7,11 @@
 
 from hawthornspoke.agent import ENGINES
 from hawthornspoke.base import MACHINES
-from hawthornspoke.replay._trace import _import_all
+from hawthornspoke.replay import import_machines
 from hawthornspoke.routing import POLICIES
 from hawthornspoke.swarm import STRATEGIES
 
-_import_all()
+import_machines()
 MACHINE_CLASSES = [MACHINES.get(name) for name in MACHINES.names()]
 each_machine = pytest.mark.parametrize(
     "machine_class", MACHINE_CLASSES, ids=MACHINES.names()
--- a/tests/test_promise_config.py
+++ b/tests/test_promise_config.py
@@ -90,6 +90,7 @@
 def test_platform_down_for_long_and_back(fleet):
     """Symptom: nodes lose their configuration or stop when the platform is down."""
     before = accepted(fleet)
+    fleet.wait_for(lambda: set(revisions(fleet).values()) == {before}, LIMIT)
     fleet.faults(table_down=True, hosts_down=True)
     with Callers(fleet, fleet.names("entry"), tasks=4) as callers:
         time.sleep(6)
