A read without time to wait gets an empty reply, not an error

Cause: Run.take put a None for 'don't wait' into its list and kept it when the queue was empty; the handler then failed and the entry host took the reply for lost (unknown in place of timed out). Found by reading. test_read_without_time_to_wait_and_without_events failed first, passes after.

--- a/hawthornspoke/agent/_runs.py
+++ b/hawthornspoke/agent/_runs.py
@@ -113,9 +113,7 @@
         self.read_at = monotonic()
         events = []
         try:
-            events.append(self._events.get(timeout=wait) if wait > 0 else None)
-            if events[0] is None:
-                events = [self._events.get_nowait()]
+            events.append(self._events.get(block=wait > 0, timeout=wait))
             while len(events) < BATCH:
                 events.append(self._events.get_nowait())
         except queue.Empty:
