--- a/hawthornspoke/entry/_attempt.py
+++ b/hawthornspoke/entry/_attempt.py
@@ -27,6 +27,9 @@
 #: Seconds that the agent may take to answer a read beyond that wait.
 READ_SLACK = 2.0
 
+#: Seconds before the deadline in which a failure counts as its passing.
+DEADLINE_SLACK = 0.1
+
 #: Seconds for the last word to an agent whose caller is gone.
 CANCEL_SECONDS = 0.5
 
@@ -210,6 +213,10 @@
         failure = Failure(code=code, reason=reason, retry_after=retry_after)
         if event.kind == EventKind.REFUSED:
             return Ended(done=False, was_run=False, failure=failure, live=event.digest)
+        if monotonic() >= self.context.deadline - DEADLINE_SLACK:
+            # The agent's own wait for the engine ends with the same deadline and
+            # may be told first: it is the caller's time that was up.
+            return self._run_failed(TIMED_OUT.because(event.reason or ""))
         return self._run_failed(CUT_OFF.because(event.reason or ""))
 
     def _run_failed(self, failure):
