Rename the platform clients' package to hawthornspoke.store; peer frames in the IDL

Cause: the adapter of the users' platform is the root folder platform/, and one name should mean one thing. The peer messages between entry hosts and agents are added to the IDL and generated. No behaviour changes; the tests of the package pass.

--- a/hawthornspoke/agent/_control.py
+++ b/hawthornspoke/agent/_control.py
@@ -51,7 +51,7 @@
 )
 from hawthornspoke.membership import STATIC_FIELDS, relay_targets
 from hawthornspoke.node import ControlActor, connect_platform
-from hawthornspoke.platform import HostEntry
+from hawthornspoke.store import HostEntry
 from hawthornspoke.protocol import (
     PROTOCOL_VERSION,
     Announce,
--- a/hawthornspoke/entry/_claims_runner.py
+++ b/hawthornspoke/entry/_claims_runner.py
@@ -22,7 +22,7 @@
     WriteClaim,
     WriteDone,
 )
-from hawthornspoke.platform import CONFLICT, NOT_FOUND, UNSURE, Condition
+from hawthornspoke.store import CONFLICT, NOT_FOUND, UNSURE, Condition
 
 #: Bytes of an answer kept in the row itself; larger ones go to the object store.
 INLINE_BYTES = 128 * 1024
--- a/hawthornspoke/membership/_detector.py
+++ b/hawthornspoke/membership/_detector.py
@@ -46,7 +46,7 @@
 
     Parameters
     ----------
-    entries : list of hawthornspoke.platform.HostEntry
+    entries : list of hawthornspoke.store.HostEntry
     """
 
     entries: list
--- a/hawthornspoke/node/_core.py
+++ b/hawthornspoke/node/_core.py
@@ -4,7 +4,7 @@
 
 from hawthornspoke.base import is_failure, rendezvous_order
 from hawthornspoke.membership import HostListed, MemberHeard, Membership, Tick
-from hawthornspoke.platform import NOT_FOUND
+from hawthornspoke.store import NOT_FOUND
 from hawthornspoke.protocol import PROTOCOL_VERSION, Datagram, Gossip
 from hawthornspoke.revision import (
     DocumentRead,
--- a/hawthornspoke/node/_platform_actor.py
+++ b/hawthornspoke/node/_platform_actor.py
@@ -12,7 +12,7 @@
     ReadTable,
     TableRowRead,
 )
-from hawthornspoke.platform import (
+from hawthornspoke.store import (
     HostListClient,
     HttpClient,
     ObjectClient,
--- a/hawthornspoke/operator/_apply.py
+++ b/hawthornspoke/operator/_apply.py
@@ -20,7 +20,7 @@
     differences,
     read_in_force,
 )
-from hawthornspoke.platform import CONFLICT, NOT_FOUND, UNSURE, Condition
+from hawthornspoke.store import CONFLICT, NOT_FOUND, UNSURE, Condition
 
 HISTORY_PREFIX = "history#"
 
--- a/hawthornspoke/operator/_history.py
+++ b/hawthornspoke/operator/_history.py
@@ -2,7 +2,7 @@
 
 from hawthornspoke.base import is_failure
 from hawthornspoke.operator._plan import CONFIG_KEY
-from hawthornspoke.platform import NOT_FOUND
+from hawthornspoke.store import NOT_FOUND
 
 HISTORY_PREFIX = "history#"
 
--- a/hawthornspoke/operator/_pin.py
+++ b/hawthornspoke/operator/_pin.py
@@ -2,7 +2,7 @@
 
 from hawthornspoke.base import Failure, is_failure
 from hawthornspoke.config import parse_manifest
-from hawthornspoke.platform import NOT_FOUND
+from hawthornspoke.store import NOT_FOUND
 
 BAD_SOURCE = Failure(code="bad_source")
 
--- a/hawthornspoke/operator/_plan.py
+++ b/hawthornspoke/operator/_plan.py
@@ -8,7 +8,7 @@
     unpack_document,
 )
 from hawthornspoke.operator._pin import pin_sources
-from hawthornspoke.platform import NOT_FOUND
+from hawthornspoke.store import NOT_FOUND
 
 CONFIG_KEY = "config"
 DOCUMENT_PREFIX = "documents/"
--- a/hawthornspoke/protocol/_gen/ttypes.py
+++ b/hawthornspoke/protocol/_gen/ttypes.py
@@ -2001,6 +2001,710 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class PeerEndpoint(object):
+    """
+    Attributes:
+     - endpoint_id
+     - address
+     - failure_domain
+     - leaving
+
+    """
+
+    __slots__ = (
+        'endpoint_id',
+        'address',
+        'failure_domain',
+        'leaving',
+    )
+
+
+    def __init__(self, endpoint_id=None, address=None, failure_domain=None, leaving=None,):
+        self.endpoint_id = endpoint_id
+        self.address = address
+        self.failure_domain = failure_domain
+        self.leaving = leaving
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PeerEndpoint')
+        if self.endpoint_id is not None:
+            oprot.writeFieldBegin('endpoint_id', TType.STRING, 1)
+            oprot.writeString(self.endpoint_id.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint_id)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 2)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.failure_domain is not None:
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 3)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 4)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Directive(object):
+    """
+    Attributes:
+     - model
+     - weights_version
+     - age_ms
+     - peers
+     - pieces
+     - piece_bytes
+     - layers
+     - origin_address
+     - store_revision
+     - version_bound_ms
+
+    """
+
+    __slots__ = (
+        'model',
+        'weights_version',
+        'age_ms',
+        'peers',
+        'pieces',
+        'piece_bytes',
+        'layers',
+        'origin_address',
+        'store_revision',
+        'version_bound_ms',
+    )
+
+
+    def __init__(self, model=None, weights_version=None, age_ms=None, peers=None, pieces=None, piece_bytes=None, layers=None, origin_address=None, store_revision=None, version_bound_ms=None,):
+        self.model = model
+        self.weights_version = weights_version
+        self.age_ms = age_ms
+        self.peers = peers
+        self.pieces = pieces
+        self.piece_bytes = piece_bytes
+        self.layers = layers
+        self.origin_address = origin_address
+        self.store_revision = store_revision
+        self.version_bound_ms = version_bound_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.model = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.weights_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.peers = []
+                    (_etype69, _size66) = iprot.readListBegin()
+                    for _i70 in range(_size66):
+                        _elem71 = PeerEndpoint()
+                        _elem71.read(iprot)
+                        self.peers.append(_elem71)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.pieces = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.piece_bytes = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.layers = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.origin_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.store_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.version_bound_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Directive')
+        if self.model is not None:
+            oprot.writeFieldBegin('model', TType.STRING, 1)
+            oprot.writeString(self.model.encode('utf-8') if sys.version_info[0] == 2 else self.model)
+            oprot.writeFieldEnd()
+        if self.weights_version is not None:
+            oprot.writeFieldBegin('weights_version', TType.I64, 2)
+            oprot.writeI64(self.weights_version)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.peers is not None:
+            oprot.writeFieldBegin('peers', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.peers))
+            for iter72 in self.peers:
+                iter72.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.pieces is not None:
+            oprot.writeFieldBegin('pieces', TType.I32, 5)
+            oprot.writeI32(self.pieces)
+            oprot.writeFieldEnd()
+        if self.piece_bytes is not None:
+            oprot.writeFieldBegin('piece_bytes', TType.I32, 6)
+            oprot.writeI32(self.piece_bytes)
+            oprot.writeFieldEnd()
+        if self.layers is not None:
+            oprot.writeFieldBegin('layers', TType.I32, 7)
+            oprot.writeI32(self.layers)
+            oprot.writeFieldEnd()
+        if self.origin_address is not None:
+            oprot.writeFieldBegin('origin_address', TType.STRING, 8)
+            oprot.writeString(self.origin_address.encode('utf-8') if sys.version_info[0] == 2 else self.origin_address)
+            oprot.writeFieldEnd()
+        if self.store_revision is not None:
+            oprot.writeFieldBegin('store_revision', TType.I64, 9)
+            oprot.writeI64(self.store_revision)
+            oprot.writeFieldEnd()
+        if self.version_bound_ms is not None:
+            oprot.writeFieldBegin('version_bound_ms', TType.I32, 10)
+            oprot.writeI32(self.version_bound_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EngineState(object):
+    """
+    Attributes:
+     - endpoint_address
+     - model
+     - weights_version
+     - layer_from
+     - layer_to
+     - running
+     - waiting
+     - loading
+     - pace
+     - next_ready_ms
+     - next_version
+
+    """
+
+    __slots__ = (
+        'endpoint_address',
+        'model',
+        'weights_version',
+        'layer_from',
+        'layer_to',
+        'running',
+        'waiting',
+        'loading',
+        'pace',
+        'next_ready_ms',
+        'next_version',
+    )
+
+
+    def __init__(self, endpoint_address=None, model=None, weights_version=None, layer_from=None, layer_to=None, running=None, waiting=None, loading=None, pace=None, next_ready_ms=None, next_version=None,):
+        self.endpoint_address = endpoint_address
+        self.model = model
+        self.weights_version = weights_version
+        self.layer_from = layer_from
+        self.layer_to = layer_to
+        self.running = running
+        self.waiting = waiting
+        self.loading = loading
+        self.pace = pace
+        self.next_ready_ms = next_ready_ms
+        self.next_version = next_version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.model = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.weights_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.layer_from = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.layer_to = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.running = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.waiting = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.loading = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.DOUBLE:
+                    self.pace = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.next_ready_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.next_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EngineState')
+        if self.endpoint_address is not None:
+            oprot.writeFieldBegin('endpoint_address', TType.STRING, 1)
+            oprot.writeString(self.endpoint_address.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint_address)
+            oprot.writeFieldEnd()
+        if self.model is not None:
+            oprot.writeFieldBegin('model', TType.STRING, 2)
+            oprot.writeString(self.model.encode('utf-8') if sys.version_info[0] == 2 else self.model)
+            oprot.writeFieldEnd()
+        if self.weights_version is not None:
+            oprot.writeFieldBegin('weights_version', TType.I64, 3)
+            oprot.writeI64(self.weights_version)
+            oprot.writeFieldEnd()
+        if self.layer_from is not None:
+            oprot.writeFieldBegin('layer_from', TType.I32, 4)
+            oprot.writeI32(self.layer_from)
+            oprot.writeFieldEnd()
+        if self.layer_to is not None:
+            oprot.writeFieldBegin('layer_to', TType.I32, 5)
+            oprot.writeI32(self.layer_to)
+            oprot.writeFieldEnd()
+        if self.running is not None:
+            oprot.writeFieldBegin('running', TType.I32, 6)
+            oprot.writeI32(self.running)
+            oprot.writeFieldEnd()
+        if self.waiting is not None:
+            oprot.writeFieldBegin('waiting', TType.I32, 7)
+            oprot.writeI32(self.waiting)
+            oprot.writeFieldEnd()
+        if self.loading is not None:
+            oprot.writeFieldBegin('loading', TType.BOOL, 8)
+            oprot.writeBool(self.loading)
+            oprot.writeFieldEnd()
+        if self.pace is not None:
+            oprot.writeFieldBegin('pace', TType.DOUBLE, 9)
+            oprot.writeDouble(self.pace)
+            oprot.writeFieldEnd()
+        if self.next_ready_ms is not None:
+            oprot.writeFieldBegin('next_ready_ms', TType.I32, 10)
+            oprot.writeI32(self.next_ready_ms)
+            oprot.writeFieldEnd()
+        if self.next_version is not None:
+            oprot.writeFieldBegin('next_version', TType.I64, 11)
+            oprot.writeI64(self.next_version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class HoldingsAsk(object):
+    """
+    Attributes:
+     - digest
+
+    """
+
+    __slots__ = (
+        'digest',
+    )
+
+
+    def __init__(self, digest=None,):
+        self.digest = digest
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HoldingsAsk')
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRING, 1)
+            oprot.writeString(self.digest.encode('utf-8') if sys.version_info[0] == 2 else self.digest)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Frame(object):
+    """
+    Attributes:
+     - call
+     - announce
+     - chunk_ask
+     - chunk
+     - holdings_ask
+     - holdings
+     - directive
+     - engine_state
+
+    """
+
+    __slots__ = (
+        'call',
+        'announce',
+        'chunk_ask',
+        'chunk',
+        'holdings_ask',
+        'holdings',
+        'directive',
+        'engine_state',
+    )
+
+
+    def __init__(self, call=None, announce=None, chunk_ask=None, chunk=None, holdings_ask=None, holdings=None, directive=None, engine_state=None,):
+        self.call = call
+        self.announce = announce
+        self.chunk_ask = chunk_ask
+        self.chunk = chunk
+        self.holdings_ask = holdings_ask
+        self.holdings = holdings
+        self.directive = directive
+        self.engine_state = engine_state
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.call = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.announce = Announce()
+                    self.announce.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.chunk_ask = ChunkAsk()
+                    self.chunk_ask.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.chunk = Chunk()
+                    self.chunk.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.holdings_ask = HoldingsAsk()
+                    self.holdings_ask.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRUCT:
+                    self.holdings = Holdings()
+                    self.holdings.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRUCT:
+                    self.directive = Directive()
+                    self.directive.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRUCT:
+                    self.engine_state = EngineState()
+                    self.engine_state.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Frame')
+        if self.call is not None:
+            oprot.writeFieldBegin('call', TType.I32, 1)
+            oprot.writeI32(self.call)
+            oprot.writeFieldEnd()
+        if self.announce is not None:
+            oprot.writeFieldBegin('announce', TType.STRUCT, 2)
+            self.announce.write(oprot)
+            oprot.writeFieldEnd()
+        if self.chunk_ask is not None:
+            oprot.writeFieldBegin('chunk_ask', TType.STRUCT, 3)
+            self.chunk_ask.write(oprot)
+            oprot.writeFieldEnd()
+        if self.chunk is not None:
+            oprot.writeFieldBegin('chunk', TType.STRUCT, 4)
+            self.chunk.write(oprot)
+            oprot.writeFieldEnd()
+        if self.holdings_ask is not None:
+            oprot.writeFieldBegin('holdings_ask', TType.STRUCT, 5)
+            self.holdings_ask.write(oprot)
+            oprot.writeFieldEnd()
+        if self.holdings is not None:
+            oprot.writeFieldBegin('holdings', TType.STRUCT, 6)
+            self.holdings.write(oprot)
+            oprot.writeFieldEnd()
+        if self.directive is not None:
+            oprot.writeFieldBegin('directive', TType.STRUCT, 7)
+            self.directive.write(oprot)
+            oprot.writeFieldEnd()
+        if self.engine_state is not None:
+            oprot.writeFieldBegin('engine_state', TType.STRUCT, 8)
+            self.engine_state.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Live)
 Live.thrift_spec = (
     None,  # 0
@@ -2147,5 +2851,59 @@
     (6, TType.I64, 'peer_bytes', None, None, ),  # 6
     (7, TType.MAP, 'problem_by_key', (TType.STRING, 'UTF8', TType.STRING, 'UTF8', False), None, ),  # 7
 )
+all_structs.append(PeerEndpoint)
+PeerEndpoint.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 3
+    (4, TType.BOOL, 'leaving', None, None, ),  # 4
+)
+all_structs.append(Directive)
+Directive.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'model', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'weights_version', None, None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+    (4, TType.LIST, 'peers', (TType.STRUCT, [PeerEndpoint, None], False), None, ),  # 4
+    (5, TType.I32, 'pieces', None, None, ),  # 5
+    (6, TType.I32, 'piece_bytes', None, None, ),  # 6
+    (7, TType.I32, 'layers', None, None, ),  # 7
+    (8, TType.STRING, 'origin_address', 'UTF8', None, ),  # 8
+    (9, TType.I64, 'store_revision', None, None, ),  # 9
+    (10, TType.I32, 'version_bound_ms', None, None, ),  # 10
+)
+all_structs.append(EngineState)
+EngineState.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint_address', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'model', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'weights_version', None, None, ),  # 3
+    (4, TType.I32, 'layer_from', None, None, ),  # 4
+    (5, TType.I32, 'layer_to', None, None, ),  # 5
+    (6, TType.I32, 'running', None, None, ),  # 6
+    (7, TType.I32, 'waiting', None, None, ),  # 7
+    (8, TType.BOOL, 'loading', None, None, ),  # 8
+    (9, TType.DOUBLE, 'pace', None, None, ),  # 9
+    (10, TType.I32, 'next_ready_ms', None, None, ),  # 10
+    (11, TType.I64, 'next_version', None, None, ),  # 11
+)
+all_structs.append(HoldingsAsk)
+HoldingsAsk.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'digest', 'UTF8', None, ),  # 1
+)
+all_structs.append(Frame)
+Frame.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'call', None, None, ),  # 1
+    (2, TType.STRUCT, 'announce', [Announce, None], None, ),  # 2
+    (3, TType.STRUCT, 'chunk_ask', [ChunkAsk, None], None, ),  # 3
+    (4, TType.STRUCT, 'chunk', [Chunk, None], None, ),  # 4
+    (5, TType.STRUCT, 'holdings_ask', [HoldingsAsk, None], None, ),  # 5
+    (6, TType.STRUCT, 'holdings', [Holdings, None], None, ),  # 6
+    (7, TType.STRUCT, 'directive', [Directive, None], None, ),  # 7
+    (8, TType.STRUCT, 'engine_state', [EngineState, None], None, ),  # 8
+)
 fix_spec(all_structs)
 del all_structs
--- a/hawthornspoke/replay/_trace.py
+++ b/hawthornspoke/replay/_trace.py
@@ -8,7 +8,7 @@
 from hawthornspoke.base import MACHINES
 from hawthornspoke.deployment import Declared
 from hawthornspoke.membership import MemberView
-from hawthornspoke.platform import HostEntry
+from hawthornspoke.store import HostEntry
 from hawthornspoke.protocol import Live, Member
 from hawthornspoke.routing import RequestTraits
 
--- /dev/null
+++ b/hawthornspoke/store/__init__.py
@@ -0,0 +1,22 @@
+"""Clients of the platform: table, objects, host list, origin of weights."""
+
+from hawthornspoke.store._failures import CONFLICT, NOT_FOUND, UNAVAILABLE, UNSURE
+from hawthornspoke.store._hosts import HostEntry, HostListClient
+from hawthornspoke.store._http import HttpClient
+from hawthornspoke.store._objects import ObjectClient
+from hawthornspoke.store._origin import OriginClient
+from hawthornspoke.store._table import Condition, TableClient
+
+__all__ = [
+    "CONFLICT",
+    "NOT_FOUND",
+    "UNAVAILABLE",
+    "UNSURE",
+    "Condition",
+    "HostEntry",
+    "HostListClient",
+    "HttpClient",
+    "ObjectClient",
+    "OriginClient",
+    "TableClient",
+]
--- a/hawthornspoke/platform/_hosts.py
+++ b/hawthornspoke/store/_hosts.py
@@ -8,7 +8,7 @@
 import json
 
 from hawthornspoke.base import is_failure
-from hawthornspoke.platform._failures import UNAVAILABLE
+from hawthornspoke.store._failures import UNAVAILABLE
 
 
 class HostEntry:
--- a/hawthornspoke/platform/_http.py
+++ b/hawthornspoke/store/_http.py
@@ -3,7 +3,7 @@
 import urllib3
 
 from hawthornspoke.base import PARTITION
-from hawthornspoke.platform._failures import UNAVAILABLE, UNSURE
+from hawthornspoke.store._failures import UNAVAILABLE, UNSURE
 
 DEFAULT_TIMEOUT = 2.0
 RETRY_AFTER = 1.0
--- a/hawthornspoke/platform/_objects.py
+++ b/hawthornspoke/store/_objects.py
@@ -1,7 +1,7 @@
 """The platform's object store, by the S3 REST protocol (path style)."""
 
 from hawthornspoke.base import is_failure
-from hawthornspoke.platform._failures import NOT_FOUND, UNAVAILABLE
+from hawthornspoke.store._failures import NOT_FOUND, UNAVAILABLE
 
 
 class ObjectClient:
--- a/hawthornspoke/platform/_origin.py
+++ b/hawthornspoke/store/_origin.py
@@ -1,7 +1,7 @@
 """The origin of weights: plain HTTP with byte ranges."""
 
 from hawthornspoke.base import is_failure
-from hawthornspoke.platform._failures import NOT_FOUND, UNAVAILABLE
+from hawthornspoke.store._failures import NOT_FOUND, UNAVAILABLE
 
 MANIFEST_SUFFIX = "/manifest.json"
 DATA_SUFFIX = "/weights"
--- a/hawthornspoke/platform/_table.py
+++ b/hawthornspoke/store/_table.py
@@ -9,7 +9,7 @@
 import json
 
 from hawthornspoke.base import is_failure
-from hawthornspoke.platform._failures import CONFLICT, NOT_FOUND, UNAVAILABLE, UNSURE
+from hawthornspoke.store._failures import CONFLICT, NOT_FOUND, UNAVAILABLE, UNSURE
 
 TARGET = "DynamoDB_20120810."
 CONTENT_TYPE = "application/x-amz-json-1.0"
--- a/hawthornspoke/swarm/tests/test_exchange.py
+++ b/hawthornspoke/swarm/tests/test_exchange.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from hawthornspoke.platform import HostEntry
+from hawthornspoke.store import HostEntry
 from hawthornspoke.swarm import (
     AnnounceChunks,
     Announced,
--- a/idl/hawthornspoke.thrift
+++ b/idl/hawthornspoke.thrift
@@ -153,6 +153,62 @@
   7: optional map<string, string> problem_by_key,
 }
 
+// An endpoint whose host takes part in spreading weights.
+struct PeerEndpoint {
+  1: optional string endpoint_id,
+  2: optional string address,
+  3: optional string failure_domain,
+  4: optional bool leaving,
+}
+
+// What an entry host has read from the platform and agents act on.
+struct Directive {
+  1: optional string model,
+  // Declared weights, and how long ago the sender learned of them.
+  2: optional i64 weights_version,
+  3: optional i32 age_ms,
+  4: optional list<PeerEndpoint> peers,
+  // Pieces of the weights: how many, their size in bytes, layers they make up.
+  5: optional i32 pieces,
+  6: optional i32 piece_bytes,
+  7: optional i32 layers,
+  8: optional string origin_address,
+  9: optional i64 store_revision,
+  10: optional i32 version_bound_ms,
+}
+
+// State of an agent's engine as read on its own host a moment ago.
+struct EngineState {
+  1: optional string endpoint_address,
+  2: optional string model,
+  3: optional i64 weights_version,
+  4: optional i32 layer_from,
+  5: optional i32 layer_to,
+  6: optional i32 running,
+  7: optional i32 waiting,
+  8: optional bool loading,
+  9: optional double pace,
+  // Milliseconds until the next version is expected to be usable; -1 if unknown.
+  10: optional i32 next_ready_ms,
+  11: optional i64 next_version,
+}
+
+struct HoldingsAsk {
+  1: optional string digest,
+}
+
+// One message on a peer connection; `call` pairs a question with its answer.
+struct Frame {
+  1: optional i32 call,
+  2: optional Announce announce,
+  3: optional ChunkAsk chunk_ask,
+  4: optional Chunk chunk,
+  5: optional HoldingsAsk holdings_ask,
+  6: optional Holdings holdings,
+  7: optional Directive directive,
+  8: optional EngineState engine_state,
+}
+
 service Node {
   Status status(),
   // The whole state as JSON.
