--- a/hawthornspoke/agent/_control.py
+++ b/hawthornspoke/agent/_control.py
@@ -51,7 +51,6 @@
 )
 from hawthornspoke.membership import STATIC_FIELDS, relay_targets
 from hawthornspoke.node import ControlActor, connect_platform
-from hawthornspoke.store import HostEntry
 from hawthornspoke.protocol import (
     PROTOCOL_VERSION,
     Announce,
@@ -61,6 +60,7 @@
     Role,
 )
 from hawthornspoke.rollout import CHANGING, OLD, WAITING, HostState, may_change_over
+from hawthornspoke.store import HostEntry
 from hawthornspoke.swarm import (
     AnnounceChunks,
     Announced,
--- a/hawthornspoke/node/_core.py
+++ b/hawthornspoke/node/_core.py
@@ -4,7 +4,6 @@
 
 from hawthornspoke.base import is_failure, rendezvous_order
 from hawthornspoke.membership import HostListed, MemberHeard, Membership, Tick
-from hawthornspoke.store import NOT_FOUND
 from hawthornspoke.protocol import PROTOCOL_VERSION, Datagram, Gossip
 from hawthornspoke.revision import (
     DocumentRead,
@@ -13,6 +12,7 @@
     RevisionHolder,
     TableRead,
 )
+from hawthornspoke.store import NOT_FOUND
 
 #: Entry hosts of a failure domain that read the table at the short interval.
 POLLERS = 2
--- a/hawthornspoke/node/_platform_actor.py
+++ b/hawthornspoke/node/_platform_actor.py
@@ -12,6 +12,7 @@
     ReadTable,
     TableRowRead,
 )
+from hawthornspoke.protocol import Connection
 from hawthornspoke.store import (
     HostListClient,
     HttpClient,
@@ -19,7 +20,6 @@
     OriginClient,
     TableClient,
 )
-from hawthornspoke.protocol import Connection
 
 CONFIG_KEY = "config"
 DOCUMENT_PREFIX = "documents/"
--- /dev/null
+++ b/hawthornspoke/peering/_connection.py
@@ -0,0 +1,205 @@
+"""Frames between entry hosts and agents, on the event loop.
+
+A frame is a four-byte length and one Thrift struct. The connections are long-lived
+and both sides speak at any time, which a call-and-answer Thrift transport can't do.
+"""
+
+import asyncio
+import struct
+
+from hawthornspoke.base import Failure
+from hawthornspoke.httpio import set_socket_options
+from hawthornspoke.protocol import Frame, decode, encode
+
+LENGTH = struct.Struct(">I")
+
+#: Bytes of the largest frame: one piece of weights (a few dozen KB at the sizes we
+#: know, up to a megabyte elsewhere) and its fields. A longer one is not ours.
+MOST_BYTES = 4 * 1024 * 1024
+
+#: Bytes that may wait for a slow peer. More means that it reads nothing; its frames
+#: would fill this host's memory.
+MOST_WAITING = 2 * 1024 * 1024
+
+CLOSED = Failure(code="peer_closed")
+
+
+class PeerConnection(asyncio.Protocol):
+    """One connection that carries frames both ways.
+
+    Parameters
+    ----------
+    on_frame : callable
+        Called with the connection and each frame.
+    on_closed : callable
+        Called with the connection when it has ended.
+    """
+
+    def __init__(self, *, on_frame, on_closed, on_opened=None):
+        self.on_frame = on_frame
+        self.on_closed = on_closed
+        self.on_opened = on_opened
+        self.transport = None
+        self.address = ""
+        self._buffer = bytearray()
+        self._next_call = 0
+        self._waiter_by_call = {}
+
+    def connection_made(self, transport):
+        """Take the connection."""
+        self.transport = transport
+        set_socket_options(transport.get_extra_info("socket"))
+        self.address = transport.get_extra_info("peername")[0]
+        if self.on_opened is not None:
+            self.on_opened(self)
+
+    def connection_lost(self, exc):
+        """End all that waits for an answer."""
+        self.transport = None
+        for waiter in self._waiter_by_call.values():
+            if not waiter.done():
+                waiter.set_result(CLOSED.because(str(exc) if exc else "closed"))
+        self._waiter_by_call = {}
+        self.on_closed(self)
+
+    def eof_received(self):
+        """Close when the peer does."""
+        return False
+
+    def data_received(self, data):
+        """Take apart what arrived."""
+        self._buffer += data
+        while len(self._buffer) >= LENGTH.size:
+            (size,) = LENGTH.unpack_from(self._buffer)
+            if size > MOST_BYTES:
+                self.close()
+                return
+            end = LENGTH.size + size
+            if len(self._buffer) < end:
+                return
+            body = bytes(self._buffer[LENGTH.size : end])
+            del self._buffer[:end]
+            frame = decode(Frame, body)
+            if frame is None:
+                self.close()
+                return
+            self._take(frame)
+
+    def send(self, frame):
+        """Send a frame.
+
+        Parameters
+        ----------
+        frame : Frame
+
+        Returns
+        -------
+        bool
+            False if the connection is closed, or its peer reads nothing.
+        """
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return False
+        if transport.get_write_buffer_size() > MOST_WAITING:
+            self.close()
+            return False
+        body = encode(frame)
+        transport.write(LENGTH.pack(len(body)) + body)
+        return True
+
+    def waiting_bytes(self):
+        """Return how many bytes have not left this host yet."""
+        return self.transport.get_write_buffer_size() if self.transport else 0
+
+    async def ask(self, frame, *, timeout):
+        """Send a question and wait for its answer.
+
+        Parameters
+        ----------
+        frame : Frame
+        timeout : float
+            Seconds.
+
+        Returns
+        -------
+        Frame or Failure
+        """
+        self._next_call += 1
+        frame.call = call = self._next_call
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiter_by_call[call] = waiter
+        try:
+            if not self.send(frame):
+                return CLOSED
+            async with asyncio.timeout(timeout):
+                return await waiter
+        except TimeoutError:
+            return CLOSED.because(f"no answer in {timeout:g} s")
+        finally:
+            self._waiter_by_call.pop(call, None)
+
+    def close(self):
+        """Close at once."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _take(self, frame):
+        # Answers carry the negative of their question's number, so that questions
+        # of both sides can cross on one connection.
+        if frame.call is not None and frame.call < 0:
+            waiter = self._waiter_by_call.pop(-frame.call, None)
+            if waiter is not None and not waiter.done():
+                waiter.set_result(frame)
+            return
+        self.on_frame(self, frame)
+
+
+async def connect(address, port, *, on_frame, on_closed, timeout):
+    """Connect to a peer.
+
+    Parameters
+    ----------
+    address : str
+    port : int
+    on_frame, on_closed : callable
+    timeout : float
+        Seconds.
+
+    Returns
+    -------
+    PeerConnection or Failure
+    """
+    loop = asyncio.get_running_loop()
+    opening = loop.create_connection(
+        lambda: PeerConnection(on_frame=on_frame, on_closed=on_closed), address, port
+    )
+    try:
+        async with asyncio.timeout(timeout):
+            _, connection = await opening
+    except (OSError, TimeoutError) as error:
+        return CLOSED.because(f"{address}:{port}: {error or type(error).__name__}")
+    return connection
+
+
+async def listen(address, port, *, on_frame, on_closed, on_opened):
+    """Accept peers.
+
+    Parameters
+    ----------
+    address : str
+    port : int
+    on_frame, on_closed, on_opened : callable
+
+    Returns
+    -------
+    asyncio.Server
+    """
+    loop = asyncio.get_running_loop()
+    return await loop.create_server(
+        lambda: PeerConnection(
+            on_frame=on_frame, on_closed=on_closed, on_opened=on_opened
+        ),
+        address,
+        port,
+        reuse_address=True,
+    )
--- /dev/null
+++ b/hawthornspoke/placing/_fleet.py
@@ -0,0 +1,358 @@
+"""Where a request goes, and whether it is taken at all: a pure state machine."""
+
+import random
+
+from hawthornspoke.base import MACHINES, Bounds, Machine
+from hawthornspoke.placing._endpoint import Endpoint
+from hawthornspoke.placing._messages import (
+    Decline,
+    Place,
+)
+from hawthornspoke.placing._predict import first_token, slot_release, whole_answer
+from hawthornspoke.placing._weights import DeclaredVersions
+
+#: Failure rate above which an endpoint is left alone for a while. Services whose
+#: own errors reach one answer in seven stay well below it.
+AVOID_RATE = 0.5
+
+#: Failure rate with which it comes back: two more failures put it aside again.
+RETURN_RATE = 0.35
+
+#: Seconds for which it is left alone, doubled each time up to the most.
+AVOID_FIRST = 0.5
+AVOID_MOST = 8.0
+
+#: Part of a service's endpoints that may be left alone at once. If most of them
+#: fail the cause is not theirs, and the rest could not carry the load.
+AVOID_SHARE = 0.5
+
+#: Seconds an entry that vanished just as the platform came back is still used.
+#: Lapsed entries return within two seconds, and an endpoint that left goes on
+#: serving for at least two.
+LAPSE_TIME = 1.5
+LAPSE_WINDOW = 2.5
+
+#: Requests that may wait at a full engine in the name of callers that are late
+#: already and would rather wait than come back once more.
+LATE_QUEUE = 6
+
+#: Requests for each slot of a plain endpoint above which nothing more is sent to
+#: it: with a queue of four times its slots it sheds.
+PLAIN_QUEUE = 3
+
+#: Part of the remaining time that callers are willing to wait before they return.
+RETURN_SHARE = 1 / 3
+
+#: Least seconds that a refused caller is told to wait: below this it comes back
+#: before anything has changed.
+LEAST_RETRY_AFTER = 0.2
+
+
+@MACHINES.register("fleet")
+class Fleet(Machine):
+    """Knows the endpoints and chooses one for each request.
+
+    Parameters
+    ----------
+    failure_domain : str, default=""
+        Of this host; endpoints there are preferred, since bytes between failure
+        domains are slow and dear.
+    version_bound : float, default=8.0
+        Seconds after its declaration from which only a version or a newer one may
+        begin to answer.
+    version_margin : float, default=0.5
+        Seconds before that from which nothing is sent to an older version: a
+        request that is sent may wait in the engine before it begins.
+    seed : int, default=0
+    """
+
+    __slots__ = (
+        "failure_domain",
+        "version_bound",
+        "version_margin",
+        "seed",
+        "endpoint_by_id",
+        "service_by_name",
+        "_ids_by_service",
+        "_id_by_address",
+        "_declared",
+        "_random",
+    )
+    PARAMS = {
+        "failure_domain": Bounds(kind=str),
+        "version_bound": Bounds(kind=(int, float), low=0),
+        "version_margin": Bounds(kind=(int, float), low=0),
+        "seed": Bounds(kind=int),
+    }
+
+    def __init__(
+        self, *, failure_domain="", version_bound=8.0, version_margin=0.5, seed=0
+    ):
+        self.failure_domain = failure_domain
+        self.version_bound = version_bound
+        self.version_margin = version_margin
+        self.seed = seed
+        self.endpoint_by_id = {}
+        self.service_by_name = {}
+        self._ids_by_service = {}
+        self._id_by_address = {}
+        self._declared = DeclaredVersions()
+        self._random = random.Random(seed)
+
+    def on_catalog_changed(self, message, *, now):
+        """Take the services of a newer configuration."""
+        self.service_by_name = message.service_by_name
+        return []
+
+    def on_endpoints_listed(self, message, *, now):
+        """Take the platform's list."""
+        entry_by_id = {entry.endpoint_id: entry for entry in message.entries}
+        for endpoint_id, entry in entry_by_id.items():
+            endpoint = self.endpoint_by_id.get(endpoint_id)
+            if endpoint is None:
+                self.endpoint_by_id[endpoint_id] = Endpoint(entry=entry)
+                continue
+            endpoint.entry = entry
+            endpoint.gone = False
+        lapsed = now < message.contact_regained_at + LAPSE_WINDOW
+        for endpoint_id, endpoint in list(self.endpoint_by_id.items()):
+            if endpoint_id in entry_by_id:
+                continue
+            if not endpoint.gone:
+                endpoint.gone = True
+                endpoint.doubtful_deadline = now + LAPSE_TIME if lapsed else now
+            if endpoint.own_running == 0 and now >= endpoint.doubtful_deadline:
+                del self.endpoint_by_id[endpoint_id]
+        self._index()
+        return []
+
+    def on_weights_declared(self, message, *, now):
+        """Take a declared version."""
+        self._declared.add(message.declared, at=message.at)
+        return []
+
+    def on_engine_reported(self, message, *, now):
+        """Take an agent's word."""
+        endpoint = self._at(message.address)
+        if endpoint is not None:
+            endpoint.state = message
+            endpoint.report(message.load, now)
+        return []
+
+    def on_agent_lost(self, message, *, now):
+        """Go back to what the platform's list says."""
+        endpoint = self._at(message.address)
+        if endpoint is not None:
+            endpoint.state = None
+        return []
+
+    def on_sent(self, message, *, now):
+        """Count a request that was sent."""
+        endpoint = self.endpoint_by_id.get(message.endpoint_id)
+        if endpoint is not None:
+            endpoint.own_running += 1
+            endpoint.sent_since_report += 1
+        return []
+
+    def on_load_seen(self, message, *, now):
+        """Take the load that a response told."""
+        endpoint = self.endpoint_by_id.get(message.endpoint_id)
+        if endpoint is not None:
+            endpoint.report(message.load, now)
+        return []
+
+    def on_finished(self, message, *, now):
+        """Count what became of a request."""
+        endpoint = self.endpoint_by_id.get(message.endpoint_id)
+        if endpoint is None:
+            return []
+        if message.outcome != "unreachable":
+            endpoint.own_running = max(0, endpoint.own_running - 1)
+            endpoint.reported_load = max(0, endpoint.reported_load - 1)
+        if message.outcome == "moved":
+            # Another endpoint has the address: its own entry is on the way.
+            endpoint.gone = True
+            endpoint.doubtful_deadline = now
+        if message.outcome in ("left", "moved"):
+            return []
+        endpoint.note(message.outcome in ("failed", "unreachable"))
+        if message.outcome == "done":
+            endpoint.avoided = 0
+            if message.seconds is not None:
+                endpoint.note_time(message.seconds)
+        if message.outcome == "unreachable" or endpoint.failure_rate > AVOID_RATE:
+            self._avoid(endpoint, now)
+        return []
+
+    def on_ask(self, message, *, now):
+        """Choose an endpoint, or say why there is none.
+
+        Parameters
+        ----------
+        message : Ask
+        now : float
+
+        Returns
+        -------
+        list of Place or Decline
+        """
+        service = self.service_by_name.get(message.service)
+        known = [
+            endpoint
+            for endpoint in self._of_service(message.service)
+            if endpoint.accepts(now) and endpoint.entry.endpoint_id not in message.tried
+        ]
+        if service is None or not known:
+            return [self._decline(message, "no_endpoint", 0.5)]
+        known = self._without_avoided(known, now)
+        if service.engine is None:
+            return [self._place_plain(message, known, now)]
+        usable = [
+            endpoint
+            for endpoint in known
+            if self._has_weights(endpoint, service.engine, message, now)
+        ]
+        if not usable:
+            return [self._decline_for_weights(message, known, now)]
+        return [self._place_on_engine(message, usable, service.engine, now)]
+
+    def floor_version(self, model, now):
+        """Return the oldest version that may still begin to answer."""
+        return self._declared.floor(
+            model, bound=self.version_bound - self.version_margin, now=now
+        )
+
+    def dump(self, *, now):
+        """Return the state as plain data."""
+        return {
+            "declared": self._declared.dump(now=now),
+            "endpoint_by_id": {
+                endpoint_id: {
+                    "service": endpoint.entry.service,
+                    "address": endpoint.entry.address,
+                    "leaving": endpoint.entry.leaving,
+                    "gone": endpoint.gone,
+                    "load": endpoint.load,
+                    "own_running": endpoint.own_running,
+                    "report_age": _age(endpoint, now),
+                    "weights_version": endpoint.weights_version,
+                    "layers": endpoint.layers,
+                    "loading": endpoint.loading,
+                    "failure_rate": round(endpoint.failure_rate, 3),
+                    "avoided_for": round(max(0.0, endpoint.avoid_deadline - now), 3),
+                }
+                for endpoint_id, endpoint in self.endpoint_by_id.items()
+            },
+        }
+
+    def _index(self):
+        self._ids_by_service = {}
+        self._id_by_address = {}
+        for endpoint_id, endpoint in self.endpoint_by_id.items():
+            ids = self._ids_by_service.setdefault(endpoint.entry.service, [])
+            ids.append(endpoint_id)
+            if not endpoint.gone:
+                self._id_by_address[endpoint.entry.address] = endpoint_id
+
+    def _at(self, address):
+        return self.endpoint_by_id.get(self._id_by_address.get(address))
+
+    def _of_service(self, name):
+        return [self.endpoint_by_id[key] for key in self._ids_by_service.get(name, ())]
+
+    def _avoid(self, endpoint, now):
+        if now < endpoint.avoid_deadline:
+            return
+        pause = min(AVOID_MOST, AVOID_FIRST * 2**endpoint.avoided)
+        endpoint.avoided += 1
+        endpoint.avoid_deadline = now + pause
+        endpoint.failure_rate = RETURN_RATE
+
+    def _without_avoided(self, endpoints, now):
+        kept = [item for item in endpoints if now >= item.avoid_deadline]
+        if len(kept) < len(endpoints) * (1 - AVOID_SHARE) or not kept:
+            return endpoints
+        return kept
+
+    def _has_weights(self, endpoint, engine, message, now):
+        if endpoint.loading:
+            return False
+        if engine.layers and endpoint.layers != (0, engine.layers):
+            return False
+        version = endpoint.weights_version
+        if message.same_version is not None:
+            return version == message.same_version
+        if not engine.layers:
+            return True
+        return version is not None and version >= self.floor_version(engine.model, now)
+
+    def _place_plain(self, message, endpoints, now):
+        open_ones = [
+            endpoint
+            for endpoint in endpoints
+            if endpoint.load < endpoint.entry.slots * PLAIN_QUEUE
+        ]
+        if not open_ones:
+            soonest = min(whole_answer(endpoint) for endpoint in endpoints)
+            return self._decline(message, "full", soonest)
+        ranked = [(self._rank(item, whole_answer(item)), item) for item in open_ones]
+        best = min(ranked, key=lambda pair: pair[0])[1]
+        return self._place(best, whole_answer(best), now)
+
+    def _place_on_engine(self, message, endpoints, engine, now):
+        ranked = []
+        for endpoint in endpoints:
+            expected = first_token(
+                engine,
+                load=endpoint.load,
+                prompt_tokens=message.prompt_tokens,
+                pace=endpoint.pace,
+            )
+            ranked.append((self._rank(endpoint, expected), expected, endpoint))
+        ranked.sort(key=lambda item: item[0])
+        on_time = [item for item in ranked if item[1] <= message.on_time_left]
+        if on_time:
+            _, expected, endpoint = on_time[0]
+            return self._place(endpoint, expected, now)
+        _, expected, endpoint = min(ranked, key=lambda item: item[1])
+        queue = endpoint.load - engine.slots
+        if message.returned and queue < LATE_QUEUE and expected < message.time_left / 2:
+            return self._place(endpoint, expected, now)
+        excess = max(0.0, expected - max(0.0, message.on_time_left))
+        return self._decline(message, "full", max(excess, slot_release(engine)))
+
+    def _rank(self, endpoint, expected):
+        far = endpoint.entry.failure_domain != self.failure_domain
+        return far, expected, endpoint.own_running, self._random.random()
+
+    def _place(self, endpoint, expected, now):
+        return Place(
+            endpoint_id=endpoint.entry.endpoint_id,
+            address=endpoint.entry.address,
+            load=endpoint.load,
+            report_age=_age(endpoint, now),
+            expected=expected,
+        )
+
+    def _decline_for_weights(self, message, endpoints, now):
+        times = [
+            endpoint.state.next_ready_at
+            for endpoint in endpoints
+            if endpoint.state is not None and endpoint.state.next_ready_at is not None
+        ]
+        soonest = max(0.0, min(times) - now) if times else 1.0
+        return self._decline(message, "no_weights", soonest)
+
+    def _decline(self, message, reason, seconds):
+        # Callers refused together come back over a span, not at one moment. They
+        # wait a third of their time at most, so a later time would only be cut.
+        most = max(LEAST_RETRY_AFTER, message.time_left * RETURN_SHARE)
+        earliest = min(max(LEAST_RETRY_AFTER, seconds), most)
+        spread = earliest + (most - earliest) * self._random.random()
+        return Decline(reason=reason, retry_after=round(spread, 3))
+
+
+def _age(endpoint, now):
+    if endpoint.reported_at is None:
+        return None
+    return round(now - endpoint.reported_at, 3)
--- /dev/null
+++ b/hawthornspoke/placing/_messages.py
@@ -0,0 +1,185 @@
+"""Messages of the fleet machine."""
+
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class EndpointsListed:
+    """The platform's list, whole.
+
+    Parameters
+    ----------
+    entries : tuple of EndpointEntry
+    contact_regained_at : float
+        When the platform could be read again after it couldn't; entries that
+        vanish just then may only have lapsed.
+    """
+
+    entries: tuple
+    contact_regained_at: float = float("-inf")
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class CatalogChanged:
+    """A newer configuration is in force.
+
+    Parameters
+    ----------
+    service_by_name : dict of str to Service
+    """
+
+    service_by_name: dict
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class WeightsDeclared:
+    """A version was declared.
+
+    Parameters
+    ----------
+    declared : DeclaredWeights
+    at : float
+        When this process learned of it.
+    """
+
+    declared: object
+    at: float
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class EngineReported:
+    """An agent told the state of its engine.
+
+    Parameters
+    ----------
+    address : str
+        Of the endpoint.
+    load : int
+        Requests running and waiting there.
+    weights_version : int or None
+    layers : tuple of (int, int) or None
+    loading : bool
+    pace : float
+    next_version : int or None
+    next_ready_at : float or None
+        When that version is expected to be usable there.
+    """
+
+    address: str
+    load: int
+    weights_version: int | None
+    layers: tuple | None
+    loading: bool = False
+    pace: float = 1.0
+    next_version: int | None = None
+    next_ready_at: float | None = None
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class AgentLost:
+    """The connection to an agent ended; its word is not taken any longer."""
+
+    address: str
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Sent:
+    """A request was sent to an endpoint."""
+
+    endpoint_id: str
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class LoadSeen:
+    """A response told the endpoint's load."""
+
+    endpoint_id: str
+    load: int
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Finished:
+    """A request at an endpoint ended.
+
+    Parameters
+    ----------
+    endpoint_id : str
+    outcome : str
+        ``"done"``, ``"failed"`` (an answer that is no success, a broken or silent
+        connection), ``"unreachable"``, ``"refused"``, ``"moved"`` (another
+        endpoint has the address) or ``"left"`` (the caller left).
+    seconds : float or None
+        Time of a whole answer.
+    """
+
+    endpoint_id: str
+    outcome: str
+    seconds: float | None = None
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Ask:
+    """Where should this request go?
+
+    Parameters
+    ----------
+    service : str
+    prompt_tokens : int
+    on_time_left : float
+        Seconds until its answer is late; negative if it is already.
+    time_left : float
+        Seconds until its deadline.
+    returned : bool
+        The caller was refused before and has come back.
+    tried : frozenset of str
+        Ids of endpoints that it was sent to.
+    same_version : int or None
+        Only endpoints with exactly this version, to go on with a stream.
+    """
+
+    service: str
+    prompt_tokens: int = 0
+    on_time_left: float = 1.0
+    time_left: float = 1.0
+    returned: bool = False
+    tried: frozenset = field(default_factory=frozenset)
+    same_version: int | None = None
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Place:
+    """Send it there.
+
+    Parameters
+    ----------
+    endpoint_id : str
+    address : str
+    load : int
+        What was believed of the endpoint's load.
+    report_age : float or None
+        Seconds since that load was told.
+    expected : float
+        Seconds until the first token, or the answer of a plain service.
+    """
+
+    endpoint_id: str
+    address: str
+    load: int
+    report_age: float | None
+    expected: float
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Decline:
+    """Nowhere now.
+
+    Parameters
+    ----------
+    reason : str
+        ``"no_endpoint"``, ``"no_weights"`` or ``"full"``.
+    retry_after : float
+        Seconds after which room is expected.
+    """
+
+    reason: str
+    retry_after: float
--- /dev/null
+++ b/hawthornspoke/placing/_predict.py
@@ -0,0 +1,69 @@
+"""How soon an endpoint would begin to answer."""
+
+#: Part of a pass that a new request waits for on average before its prompt is
+#: read: it comes at any moment of the pass that is running.
+PASS_SHARE = 0.5
+
+#: How much longer than its decoding alone a request holds its slot under load,
+#: since the prompts of the others are read between its tokens. At the rate at
+#: which 16 slots turn over, a third of an engine's time goes into prompts.
+READING_STRETCH = 1.4
+
+
+def first_token(profile, *, load, prompt_tokens, pace=1.0):
+    """Return the expected time to the first token.
+
+    Parameters
+    ----------
+    profile : EngineProfile
+    load : int
+        Requests that are there already.
+    prompt_tokens : int
+    pace : float, default=1.0
+
+    Returns
+    -------
+    float
+        Seconds.
+    """
+    step = profile.step + profile.step_per_request * min(load, profile.slots)
+    one_pass = profile.steps_per_pass * step
+    reading = prompt_tokens / profile.read_rate
+    ahead = max(0, load + 1 - profile.slots)
+    waiting = ahead * slot_release(profile)
+    return pace * (waiting + PASS_SHARE * one_pass + reading + profile.step)
+
+
+def slot_release(profile):
+    """Return the mean time between two slots of a full engine becoming free.
+
+    Parameters
+    ----------
+    profile : EngineProfile
+
+    Returns
+    -------
+    float
+        Seconds.
+    """
+    step = profile.step + profile.step_per_request * profile.slots
+    holding = profile.usual_answer * step * READING_STRETCH
+    holding += profile.usual_prompt / profile.read_rate
+    return holding / profile.slots
+
+
+def whole_answer(endpoint):
+    """Return the expected time of a plain service's answer.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+
+    Returns
+    -------
+    float
+        Seconds.
+    """
+    slots = max(1, endpoint.entry.slots)
+    ahead = max(0, endpoint.load + 1 - slots)
+    return endpoint.answer_time * (1 + ahead / slots)
--- /dev/null
+++ b/hawthornspoke/relay/__init__.py
@@ -0,0 +1,19 @@
+"""The entry host on one event loop: callers straight to endpoints."""
+
+from hawthornspoke.relay._contact import Confirmed, Contact, ContactLost, Lost
+from hawthornspoke.relay._dialect import Dialect
+from hawthornspoke.relay._events import EventSplitter
+from hawthornspoke.relay._process import Relay, contact_clock
+from hawthornspoke.relay._settings import RelaySettings
+
+__all__ = [
+    "Confirmed",
+    "Contact",
+    "ContactLost",
+    "Dialect",
+    "EventSplitter",
+    "Lost",
+    "Relay",
+    "RelaySettings",
+    "contact_clock",
+]
--- /dev/null
+++ b/hawthornspoke/relay/_agents.py
@@ -0,0 +1,176 @@
+"""Links from an entry host to the agents beside engines."""
+
+import asyncio
+import random
+
+from hawthornspoke.base import Failure, monotonic
+from hawthornspoke.peering import connect
+from hawthornspoke.placing import AgentLost, EngineReported
+from hawthornspoke.protocol import Directive, Frame, PeerEndpoint
+
+CONNECT_TIMEOUT = 1.0
+
+#: Seconds between two tries to reach an agent, at the least and at the most. All
+#: hosts of a failure domain may start at once, so the pause is drawn at random.
+RECONNECT_PAUSE = (0.3, 0.9)
+
+
+#: Version of weights before any is declared.
+FIRST_VERSION = 1
+
+
+class AgentLinks:
+    """Keeps one connection to each agent: directives out, engine states in.
+
+    Parameters
+    ----------
+    port : int
+        On which agents listen.
+    fleet : Fleet
+    log : EventLog
+    """
+
+    __slots__ = (
+        "port",
+        "_fleet",
+        "_log",
+        "_task_by_address",
+        "_link_by_address",
+        "_directive_for",
+    )
+
+    def __init__(self, *, port, fleet, log, directive_for):
+        self.port = port
+        self._fleet = fleet
+        self._log = log
+        self._directive_for = directive_for
+        self._task_by_address = {}
+        self._link_by_address = {}
+
+    def follow(self, addresses):
+        """Keep links to exactly the agents of these endpoints.
+
+        Parameters
+        ----------
+        addresses : iterable of str
+            ``IP:PORT`` of endpoints that have an agent.
+        """
+        wanted = set(addresses)
+        for address in list(self._task_by_address):
+            if address not in wanted:
+                self._task_by_address.pop(address).cancel()
+        for address in wanted:
+            if address not in self._task_by_address:
+                task = asyncio.get_running_loop().create_task(self._keep(address))
+                self._task_by_address[address] = task
+
+    def tell_all(self):
+        """Send every agent what it has to know now."""
+        for address, link in self._link_by_address.items():
+            self._tell(address, link)
+
+    def close(self):
+        """End all links."""
+        for task in self._task_by_address.values():
+            task.cancel()
+
+    def _tell(self, address, link):
+        directive = self._directive_for(address)
+        if directive is not None:
+            link.send(Frame(directive=directive))
+
+    async def _keep(self, address):
+        ip = address.rpartition(":")[0]
+        try:
+            while True:
+                closed = asyncio.get_running_loop().create_future()
+                link = await connect(
+                    ip,
+                    self.port,
+                    on_frame=lambda _, frame: self._take(address, frame),
+                    on_closed=lambda _, done=closed: done.done() or done.set_result(0),
+                    timeout=CONNECT_TIMEOUT,
+                )
+                if not isinstance(link, Failure):
+                    await self._use(address, link, closed)
+                await asyncio.sleep(random.uniform(*RECONNECT_PAUSE))
+        finally:
+            self._forget(address)
+
+    async def _use(self, address, link, closed):
+        self._link_by_address[address] = link
+        self._log.change("agent_connected", agent=address)
+        self._tell(address, link)
+        try:
+            await closed
+        finally:
+            link.close()
+            self._forget(address)
+            self._log.change("agent_lost", agent=address)
+
+    def _forget(self, address):
+        self._link_by_address.pop(address, None)
+        self._fleet.step(AgentLost(address=address), now=monotonic())
+
+    def _take(self, address, frame):
+        state = frame.engine_state
+        if state is None:
+            return
+        now = monotonic()
+        layers = None
+        if state.layer_to:
+            layers = (state.layer_from or 0, state.layer_to)
+        ready_at = None
+        if state.next_ready_ms is not None and state.next_ready_ms >= 0:
+            ready_at = now + state.next_ready_ms / 1000
+        report = EngineReported(
+            address=address,
+            load=(state.running or 0) + (state.waiting or 0),
+            weights_version=state.weights_version or None,
+            layers=layers,
+            loading=bool(state.loading),
+            pace=state.pace or 1.0,
+            next_version=state.next_version or None,
+            next_ready_at=ready_at,
+        )
+        self._fleet.step(report, now=now)
+
+
+def directive(*, engine, version, age, peers, origin, bound):
+    """Return what an agent has to know of one model.
+
+    Parameters
+    ----------
+    engine : EngineProfile
+    version : int or None
+        Declared version, None before the first declaration.
+    age : float
+        Seconds since this process learned of the declaration.
+    peers : iterable of EndpointEntry
+    origin : str or None
+    bound : float
+        Seconds after a declaration within which it must be in place.
+
+    Returns
+    -------
+    Directive
+    """
+    return Directive(
+        model=engine.model,
+        weights_version=version or FIRST_VERSION,
+        age_ms=int(age * 1000),
+        peers=[
+            PeerEndpoint(
+                endpoint_id=entry.endpoint_id,
+                address=entry.address,
+                failure_domain=entry.failure_domain,
+                leaving=entry.leaving,
+            )
+            for entry in peers
+        ],
+        pieces=engine.pieces,
+        piece_bytes=engine.piece_bytes,
+        layers=engine.layers,
+        origin_address=origin,
+        version_bound_ms=int(bound * 1000),
+    )
--- /dev/null
+++ b/hawthornspoke/relay/_handler.py
@@ -0,0 +1,209 @@
+"""The filters that a request passes, in order, and its final answer."""
+
+import asyncio
+
+from hawthornspoke.base import monotonic
+from hawthornspoke.catalog import RouteTable, choose_share
+from hawthornspoke.relay._work import Work
+
+#: Milliseconds by which a caller's first deadline varies. One that has less time
+#: than others on its route has spent it on an earlier try.
+DEADLINE_JITTER_MS = 150
+
+#: Callers' deadlines that are remembered for that: the longest on each route.
+ASSUMED_DEADLINE = 30.0
+
+#: Seconds after which callers return to a host that knows no configuration yet,
+#: or can't tell whether their key is still valid: the time of a short outage.
+UNINFORMED_RETRY_AFTER = 0.5
+
+#: Seconds after which a caller returns to another host when this one stops.
+LEAVING_RETRY_AFTER = 0.05
+
+
+class Handler:
+    """Authenticates, authorises, sets deadlines, forwards, answers.
+
+    Parameters
+    ----------
+    forwarder : Forwarder
+    dialect : Dialect
+    contact : Contact
+    contact_clock : callable
+        The clock of the contact machine; it goes on while a host is suspended.
+    log : EventLog
+    metrics : Metrics
+    """
+
+    __slots__ = (
+        "catalog",
+        "refusing",
+        "_routes",
+        "_forwarder",
+        "_dialect",
+        "_contact",
+        "_contact_clock",
+        "_log",
+        "_metrics",
+        "_longest_by_route",
+    )
+
+    def __init__(self, *, forwarder, dialect, contact, contact_clock, log, metrics):
+        self.catalog = None
+        self.refusing = False
+        self._routes = None
+        self._forwarder = forwarder
+        self._dialect = dialect
+        self._contact = contact
+        self._contact_clock = contact_clock
+        self._log = log
+        self._metrics = metrics
+        self._longest_by_route = {}
+
+    def use(self, catalog):
+        """Put a configuration in force; the switch is one assignment each."""
+        self._routes = RouteTable(routes=catalog.routes)
+        self.catalog = catalog
+
+    async def __call__(self, request, reply):
+        """Handle one request."""
+        work = Work(
+            request=request,
+            reply=reply,
+            request_id=request.get(self._dialect.request_id, ""),
+        )
+        refusal = self._admit(work)
+        try:
+            if refusal is not None:
+                status, reason, retry_after = refusal
+                self._refuse(work, status, reason, retry_after)
+            else:
+                await self._forward(work)
+        except asyncio.CancelledError:
+            work.outcome = "caller_left"
+            raise
+        finally:
+            self._account(work)
+
+    def _admit(self, work):
+        """Return (status, reason, retry_after) of a refusal, or None."""
+        if self.catalog is None:
+            return 503, "no_configuration", UNINFORMED_RETRY_AFTER
+        if self.refusing:
+            return 503, "stopping", LEAVING_RETRY_AFTER
+        request = work.request
+        work.route = self._routes.find(
+            host=request.get("host", ""), target=request.target
+        )
+        if work.route is None:
+            return 404, "no_route", None
+        refusal = self._identify(work)
+        if refusal is not None:
+            return refusal
+        work.service = choose_share(work.route, work.request_id)
+        self._set_deadlines(work)
+        if work.deadline <= monotonic():
+            return 503, "no_time", None
+        return None
+
+    def _identify(self, work):
+        organisation_by_key = self.catalog.organisation_by_key
+        if work.route.public or not organisation_by_key:
+            return None
+        work.organisation = organisation_by_key.get(
+            work.request.get(self._dialect.key, "")
+        )
+        if work.organisation is None:
+            return 401, "unknown_key", None
+        if not self._contact.keys_trusted(now=self._contact_clock()):
+            return 503, "key_not_confirmed", UNINFORMED_RETRY_AFTER
+        return None
+
+    def _set_deadlines(self, work):
+        arrived = work.request.arrived_at
+        value = work.request.get(self._dialect.deadline_ms, "")
+        given = float(value) if value.isdigit() else ASSUMED_DEADLINE * 1000
+        longest = self._longest_by_route.get(work.route.name, 0.0)
+        if given > longest:
+            self._longest_by_route[work.route.name] = longest = given
+        work.returned = given < longest - DEADLINE_JITTER_MS
+        work.caller_deadline = arrived + given / 1000
+        work.deadline = min(work.caller_deadline, arrived + work.route.timeout)
+        spent = (longest - given) / 1000 if work.returned else 0.0
+        work.objective_deadline = arrived - spent + work.route.objective
+        tokens = work.request.get(self._dialect.tokens, "").partition(",")[0]
+        work.prompt_tokens = int(tokens) if tokens.isdigit() else 0
+
+    async def _forward(self, work):
+        try:
+            async with asyncio.timeout(work.deadline - monotonic()):
+                await self._forwarder.run(work)
+        except TimeoutError:
+            work.last_reason = work.last_reason or "deadline"
+            self._give_up(work, timed_out=True)
+            return
+        if work.reply.finished or work.reply.started:
+            return
+        if work.last_response is not None:
+            self._pass_on(work)
+            return
+        self._give_up(work, timed_out=False)
+
+    def _pass_on(self, work):
+        response = work.last_response
+        work.first_byte_at = monotonic()
+        headers = self._forwarder.answer_headers(response)
+        work.reply.send(response.status, headers, response.body)
+        if work.outcome != "answered":
+            work.outcome = f"endpoint_{response.status}"
+
+    def _give_up(self, work, *, timed_out):
+        if work.reply.started:
+            work.reply.abort()
+            work.outcome = "cut"
+        elif work.may_have_run:
+            self._refuse(work, 504 if timed_out else 502, work.last_reason, None)
+        else:
+            self._refuse(work, 503, work.last_reason, work.retry_after or 0.5)
+
+    def _refuse(self, work, status, reason, retry_after):
+        headers = []
+        if retry_after is not None:
+            headers.append(("Retry-After", f"{retry_after:g}"))
+        if work.request_id:
+            headers.append((self._dialect.request_id, work.request_id))
+        work.outcome = f"refused_{status}"
+        work.last_reason = reason
+        work.retry_after = retry_after
+        work.reply.send(status, headers)
+
+    def _account(self, work):
+        now = monotonic()
+        route = work.route.name if work.route else ""
+        outcome = work.outcome
+        self._metrics.count("requests_total", outcome=outcome)
+        taken = now - work.request.arrived_at
+        self._metrics.observe("request_seconds", taken, outcome=outcome)
+        if work.first_byte_at is not None:
+            first = work.first_byte_at - work.request.arrived_at
+            self._metrics.observe("first_byte_seconds", first)
+        write = self._log.decision if outcome == "answered" else self._log.change
+        write(
+            "request",
+            request=work.request_id,
+            route=route,
+            service=work.service,
+            organisation=work.organisation.name if work.organisation else None,
+            revision=self.catalog.revision if self.catalog else None,
+            contact_age=self._contact.age(now=self._contact_clock()),
+            returned=work.returned,
+            endpoints=work.tried,
+            load=work.believed_load,
+            report_age=work.report_age,
+            sent=work.sent,
+            resumed=work.resumed,
+            outcome=outcome,
+            reason=work.last_reason,
+            retry_after=work.retry_after,
+            seconds=round(taken, 4),
+        )
--- /dev/null
+++ b/hawthornspoke/relay/_process.py
@@ -0,0 +1,392 @@
+"""The entry host's process on one event loop: sockets, signals, what is believed."""
+
+import asyncio
+import json
+import signal
+import time
+
+from hawthornspoke.base import monotonic
+from hawthornspoke.events import EventLog
+from hawthornspoke.httpio import ConnectionPool, HttpServer, ServerLimits
+from hawthornspoke.metrics import Metrics
+from hawthornspoke.placing import (
+    CatalogChanged,
+    DeclaredVersions,
+    EndpointsListed,
+    Fleet,
+    WeightsDeclared,
+)
+from hawthornspoke.relay._agents import AgentLinks, directive
+from hawthornspoke.relay._contact import Confirmed, Contact, ContactLost, Lost
+from hawthornspoke.relay._dialect import Dialect
+from hawthornspoke.relay._forward import Forwarder
+from hawthornspoke.relay._handler import Handler
+from hawthornspoke.retries import RetryBudget
+
+#: Seconds after SIGTERM during which new requests are still served: the balancer
+#: asks once a second and needs two refusals, and callers come a little later.
+SERVE_WHILE_STOPPING = 2.6
+
+#: Seconds before the kill at which requests that still run are cut, so that their
+#: callers see a closed connection and not a host that vanished.
+CUT_BEFORE_KILL = 0.4
+
+#: Seconds between two looks at idle connections and vanished endpoints.
+HOUSEKEEPING_EVERY = 0.5
+
+#: Seconds between two lines of counters in the log.
+SUMMARY_EVERY = 10.0
+
+#: Seconds given to the log's writer at the end.
+FLUSH_TIME = 0.2
+
+
+def contact_clock():
+    """Return seconds on a clock that goes on while the host is suspended.
+
+    A suspended host wakes with the belief of a moment ago, however long that was.
+
+    Returns
+    -------
+    float
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Relay:
+    """Takes callers' requests and forwards them straight to endpoints.
+
+    Parameters
+    ----------
+    settings : RelaySettings
+    source : object
+        Reads the platform: ``await source.run(relay)`` calls ``on_catalog``,
+        ``on_entries``, ``on_declared``, ``on_confirmed`` and ``on_contact_lost``.
+    dialect : Dialect or None, default=None
+    reload_settings : callable or None, default=None
+        Returns fresh RelaySettings on SIGHUP.
+    """
+
+    __slots__ = (
+        "settings",
+        "source",
+        "dialect",
+        "reload_settings",
+        "log",
+        "metrics",
+        "fleet",
+        "contact",
+        "declared",
+        "entries",
+        "stopping",
+        "pool",
+        "handler",
+        "agents",
+        "front",
+        "ready",
+        "operator",
+        "_budget_by_service",
+        "_declared_at_by_model",
+        "_stop_deadline",
+        "_stopped",
+    )
+
+    def __init__(self, *, settings, source, dialect=None, reload_settings=None):
+        self.settings = settings
+        self.source = source
+        self.dialect = dialect or Dialect()
+        self.reload_settings = reload_settings
+        self.log = EventLog(node=settings.node)
+        self.metrics = Metrics()
+        self.fleet = Fleet(
+            failure_domain=settings.failure_domain,
+            version_bound=settings.version_bound,
+            seed=hash(settings.node) & 0xFFFF,
+        )
+        self.contact = Contact(keys_valid_for=settings.keys_valid_for)
+        self.declared = DeclaredVersions()
+        self.entries = ()
+        self.stopping = False
+        self.pool = ConnectionPool(id_header=self.dialect.request_id)
+        self._budget_by_service = {}
+        self._declared_at_by_model = {}
+        self._stop_deadline = None
+        self._stopped = None
+        self.handler = Handler(
+            forwarder=Forwarder(
+                fleet=self.fleet,
+                pool=self.pool,
+                dialect=self.dialect,
+                budget_for=self._budget_for,
+            ),
+            dialect=self.dialect,
+            contact=self.contact,
+            contact_clock=contact_clock,
+            log=self.log,
+            metrics=self.metrics,
+        )
+        self.agents = AgentLinks(
+            port=settings.agent_port,
+            fleet=self.fleet,
+            log=self.log,
+            directive_for=self._directive_for,
+        )
+        self.front = self._server(settings.front, self.handler)
+        self.ready = self._server(settings.ready, self._answer_ready)
+        ip = settings.front.rpartition(":")[0]
+        self.operator = self._server(
+            f"{ip}:{settings.operator_port}", self._answer_operator
+        )
+
+    async def run(self):
+        """Serve until SIGTERM and the end of what is in progress.
+
+        Returns
+        -------
+        int
+            Exit code.
+        """
+        loop = asyncio.get_running_loop()
+        self._stopped = loop.create_future()
+        loop.add_signal_handler(signal.SIGTERM, self._begin_stop)
+        loop.add_signal_handler(signal.SIGINT, self._begin_stop)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        loop.add_signal_handler(signal.SIGUSR1, self._log_dump)
+        for server in (self.ready, self.front, self.operator):
+            await server.start()
+        tasks = [
+            loop.create_task(self.source.run(self)),
+            loop.create_task(self._housekeeping()),
+            loop.create_task(self._summaries()),
+        ]
+        self.log.change("started", role="entry", failure_domain=self._domain)
+        try:
+            await self._stopped
+        finally:
+            for task in tasks:
+                task.cancel()
+            self.agents.close()
+            self.pool.close()
+            for server in (self.front, self.ready, self.operator):
+                server.close()
+            self.log.change("stopped", cut=self.front.running())
+            self.log.flush(monotonic() + FLUSH_TIME)
+        return 0
+
+    # What the platform's reader calls.
+
+    def on_catalog(self, catalog):
+        """Take a configuration; one that is not newer changes nothing."""
+        known = self.handler.catalog
+        if known is not None and catalog.revision <= known.revision:
+            return
+        changed = CatalogChanged(service_by_name=catalog.service_by_name)
+        self.fleet.step(changed, now=monotonic())
+        self.handler.use(catalog)
+        limits = catalog.limits
+        self.front.limits = ServerLimits(
+            header_bytes=limits.header_bytes,
+            body_bytes=limits.body_bytes,
+            header_time=limits.header_time,
+            idle_time=limits.idle_time,
+        )
+        self.log.change(
+            "configuration",
+            revision=catalog.revision,
+            routes=len(catalog.routes),
+            organisations=len(set(catalog.organisation_by_key.values())),
+        )
+        self._follow_agents()
+
+    def on_entries(self, entries):
+        """Take the platform's whole list of endpoints."""
+        listed = EndpointsListed(
+            entries=tuple(entries),
+            contact_regained_at=monotonic()
+            - (contact_clock() - self.contact.regained_at),
+        )
+        before = {entry.endpoint_id: entry for entry in self.entries}
+        self.entries = listed.entries
+        self.fleet.step(listed, now=monotonic())
+        now_there = {entry.endpoint_id: entry for entry in self.entries}
+        for endpoint_id in before.keys() - now_there.keys():
+            self.pool.drop(endpoint_id)
+            self.log.change("endpoint_gone", endpoint=endpoint_id)
+        for endpoint_id, entry in now_there.items():
+            if before.get(endpoint_id) != entry:
+                self.log.change(
+                    "endpoint",
+                    endpoint=endpoint_id,
+                    service=entry.service,
+                    address=entry.address,
+                    leaving=entry.leaving,
+                    weights_version=entry.weights_version,
+                    layers=entry.layers,
+                )
+        self._follow_agents()
+
+    def on_declared(self, declared):
+        """Take declared weights."""
+        now = monotonic()
+        if not self.declared.add(declared, at=now):
+            return
+        self._declared_at_by_model[declared.model] = now
+        self.fleet.step(WeightsDeclared(declared=declared, at=now), now=now)
+        self.log.change("weights", model=declared.model, version=declared.version)
+        self.agents.tell_all()
+
+    def on_confirmed(self, at):
+        """Take that the platform answered; ``at`` is on the contact clock."""
+        self._note_contact(
+            self.contact.step(Confirmed(at=at), now=contact_clock()), "regained"
+        )
+
+    def on_contact_lost(self, reason):
+        """Take that the platform could not be read."""
+        self._note_contact(
+            self.contact.step(Lost(reason=reason), now=contact_clock()), "lost"
+        )
+
+    def _note_contact(self, outcomes, what):
+        for outcome in outcomes:
+            reason = outcome.reason if isinstance(outcome, ContactLost) else ""
+            self.log.change(f"platform_{what}", reason=reason)
+
+    @property
+    def _domain(self):
+        return self.settings.failure_domain
+
+    def _server(self, address, handler):
+        host, _, port = address.rpartition(":")
+        return HttpServer(
+            host=host, port=int(port), handler=handler, on_broken=self._on_broken
+        )
+
+    def _on_broken(self, error):
+        self.log.change("handler_failed", error=repr(error))
+        self.metrics.count("handler_failures_total")
+
+    def _budget_for(self, service):
+        budget = self._budget_by_service.get(service)
+        if budget is None:
+            budget = self._budget_by_service[service] = RetryBudget(
+                ratio=self.settings.retry_ratio, reserve=self.settings.retry_reserve
+            )
+        return budget
+
+    def _engine_services(self):
+        catalog = self.handler.catalog
+        if catalog is None:
+            return {}
+        return {
+            name: service.engine
+            for name, service in catalog.service_by_name.items()
+            if service.engine is not None and service.engine.layers
+        }
+
+    def _follow_agents(self):
+        engines = self._engine_services()
+        self.agents.follow(
+            entry.address for entry in self.entries if entry.service in engines
+        )
+        self.agents.tell_all()
+
+    def _directive_for(self, address):
+        engines = self._engine_services()
+        service = next(
+            (item.service for item in self.entries if item.address == address), None
+        )
+        engine = engines.get(service)
+        if engine is None:
+            return None
+        catalog = self.handler.catalog
+        origins = [item.origin for item in catalog.service_by_name.values()]
+        version = self.declared.latest(engine.model)
+        now = monotonic()
+        declared_at = self._declared_at_by_model.get(engine.model, now)
+        return directive(
+            engine=engine,
+            version=version,
+            age=now - declared_at,
+            peers=[item for item in self.entries if item.service == service],
+            origin=next((origin for origin in origins if origin), None),
+            bound=self.settings.version_bound,
+        )
+
+    async def _answer_ready(self, request, reply):
+        is_ready = not self.stopping and self.handler.catalog is not None
+        reply.send(200 if is_ready else 503)
+
+    async def _answer_operator(self, request, reply):
+        if request.target.startswith("/metrics"):
+            body = self.metrics.render().encode()
+            reply.send(200, [("Content-Type", "text/plain; version=0.0.4")], body)
+        elif request.target.startswith("/dump"):
+            reply.send(200, [("Content-Type", "application/json")], self._dump())
+        else:
+            reply.send(404)
+
+    def _dump(self):
+        now = monotonic()
+        state = {
+            "node": self.settings.node,
+            "stopping": self.stopping,
+            "running": self.front.running(),
+            "revision": getattr(self.handler.catalog, "revision", None),
+            "contact": self.contact.dump(now=contact_clock()),
+            "fleet": self.fleet.dump(now=now),
+            "budgets": {
+                name: budget.dump(now=now)
+                for name, budget in self._budget_by_service.items()
+            },
+            "metrics": self.metrics.dump(),
+        }
+        return json.dumps(state).encode()
+
+    def _log_dump(self):
+        self.log.change("dump", state=json.loads(self._dump()))
+
+    def _reload(self):
+        if self.reload_settings is None:
+            self.log.change("reload", result="nothing to read again")
+            return
+        fresh = self.reload_settings()
+        if not isinstance(fresh, type(self.settings)):
+            # A file that is half-written or wrong must not end a host that serves.
+            self.log.change("reload", result="kept", reason=str(fresh))
+            return
+        self.settings = fresh
+        self.fleet.version_bound = fresh.version_bound
+        self.contact.keys_valid_for = fresh.keys_valid_for
+        self.log.change("reload", result="taken")
+
+    def _begin_stop(self):
+        if self.stopping:
+            return
+        self.stopping = True
+        self._stop_deadline = monotonic() + self.settings.grace - CUT_BEFORE_KILL
+        self.log.change("stopping", running=self.front.running())
+        asyncio.get_running_loop().create_task(self._stop())
+
+    async def _stop(self):
+        # Callers keep coming until the balancer has noticed; they are served, and
+        # told to use another connection next time.
+        self.front.draining = True
+        await asyncio.sleep(SERVE_WHILE_STOPPING)
+        self.handler.refusing = True
+        self.front.stop_listening()
+        self.front.close_idle()
+        while self.front.running() and monotonic() < self._stop_deadline:
+            await asyncio.sleep(0.05)
+        if not self._stopped.done():
+            self._stopped.set_result(None)
+
+    async def _housekeeping(self):
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_EVERY)
+            self.pool.sweep()
+
+    async def _summaries(self):
+        while True:
+            await asyncio.sleep(SUMMARY_EVERY)
+            self.log.decision("counters", **self.metrics.dump())
--- /dev/null
+++ b/hawthornspoke/relay/_settings.py
@@ -0,0 +1,106 @@
+"""What an entry host's relay has to be told."""
+
+from hawthornspoke.base import Bounds, check_params
+
+NUMBER = (int, float)
+SECONDS = Bounds(kind=NUMBER, low=0)
+TEXT = Bounds(kind=str)
+PORT = Bounds(kind=int, low=1, high=65535)
+
+
+class RelaySettings:
+    """Settings of one relay.
+
+    Parameters
+    ----------
+    node : str
+        Name of the host.
+    failure_domain : str
+    front : str
+        ``IP:PORT`` for callers.
+    ready : str
+        ``IP:PORT`` for the balancer's question whether this host takes callers.
+    ready_path : str, default="/v1/readyz"
+    operator_port : int, default=7701
+        Metrics (``/metrics``) and state dump (``/dump``), on the front's IP.
+    agent_port : int, default=7700
+        On which agents listen.
+    grace : float, default=8.0
+        Seconds from SIGTERM until the process is killed.
+    version_bound : float, default=8.0
+        Seconds after which only declared or newer weights may begin to answer.
+    keys_valid_for : float, default=4.6
+        Seconds for which a key is trusted after the platform's last word.
+    retry_ratio : float, default=0.1
+        Retries for each success.
+    retry_reserve : float, default=8.0
+        Retries at hand at the start, for each service.
+    """
+
+    __slots__ = (
+        "node",
+        "failure_domain",
+        "front",
+        "ready",
+        "ready_path",
+        "operator_port",
+        "agent_port",
+        "grace",
+        "version_bound",
+        "keys_valid_for",
+        "retry_ratio",
+        "retry_reserve",
+    )
+    PARAMS = {
+        "node": TEXT,
+        "failure_domain": TEXT,
+        "front": TEXT,
+        "ready": TEXT,
+        "ready_path": TEXT,
+        "operator_port": PORT,
+        "agent_port": PORT,
+        "grace": SECONDS,
+        "version_bound": SECONDS,
+        "keys_valid_for": SECONDS,
+        "retry_ratio": Bounds(kind=NUMBER, low=0, high=1),
+        "retry_reserve": Bounds(kind=NUMBER, low=0),
+    }
+
+    def __init__(
+        self,
+        *,
+        node,
+        failure_domain,
+        front,
+        ready,
+        ready_path="/v1/readyz",
+        operator_port=7701,
+        agent_port=7700,
+        grace=8.0,
+        version_bound=8.0,
+        keys_valid_for=4.6,
+        retry_ratio=0.1,
+        retry_reserve=8.0,
+    ):
+        self.node = node
+        self.failure_domain = failure_domain
+        self.front = front
+        self.ready = ready
+        self.ready_path = ready_path
+        self.operator_port = operator_port
+        self.agent_port = agent_port
+        self.grace = grace
+        self.version_bound = version_bound
+        self.keys_valid_for = keys_valid_for
+        self.retry_ratio = retry_ratio
+        self.retry_reserve = retry_reserve
+
+    def check(self):
+        """Check the values.
+
+        Raises
+        ------
+        ValueError
+            Naming the setting and what is accepted.
+        """
+        check_params(self, self.PARAMS)
--- /dev/null
+++ b/hawthornspoke/relay/_try.py
@@ -0,0 +1,186 @@
+"""One try at one endpoint: connect, send, read the head."""
+
+import asyncio
+
+from hawthornspoke.base import Failure, monotonic
+from hawthornspoke.httpio import ClientConnection, encode_request
+from hawthornspoke.placing import Finished, LoadSeen, Sent
+
+#: Statuses by which an endpoint may say that it has not run a request.
+MISDIRECTED = 421
+
+UNREACHABLE = Failure(code="unreachable")
+NOT_RUN = Failure(code="not_run")
+MAY_HAVE_RUN = Failure(code="may_have_run")
+SILENT = Failure(code="silent")
+
+
+class Try:
+    """A request at one endpoint, from the connection to its end.
+
+    Parameters
+    ----------
+    place : Place
+    pool : ConnectionPool
+    fleet : Fleet
+    dialect : Dialect
+    """
+
+    __slots__ = (
+        "place",
+        "connection",
+        "exchange",
+        "head",
+        "sent_at",
+        "_pool",
+        "_fleet",
+        "_dialect",
+        "_ended",
+    )
+
+    def __init__(self, *, place, pool, fleet, dialect):
+        self.place = place
+        self.connection = None
+        self.exchange = None
+        self.head = None
+        self.sent_at = None
+        self._pool = pool
+        self._fleet = fleet
+        self._dialect = dialect
+        self._ended = False
+
+    async def connect(self):
+        """Get a connection.
+
+        Returns
+        -------
+        None or Failure
+            ``UNREACHABLE`` if no byte of the request has left.
+        """
+        connection = await self._pool.acquire(
+            self.place.endpoint_id, self.place.address
+        )
+        if isinstance(connection, Failure):
+            self._end("unreachable")
+            return UNREACHABLE.because(connection.reason)
+        self.connection = connection
+        return None
+
+    def send(self, work, *, headers):
+        """Send the request."""
+        request = work.request
+        data = encode_request(
+            method=request.method,
+            target=request.target,
+            headers=headers,
+            body=request.body,
+        )
+        self.sent_at = monotonic()
+        self._tell(Sent(endpoint_id=self.place.endpoint_id))
+        self.exchange = self.connection.send(data, expected_id=work.request_id)
+
+    async def read_head(self, *, patience):
+        """Wait for the head of the answer.
+
+        Parameters
+        ----------
+        patience : float
+            Seconds of silence after which the endpoint is given up.
+
+        Returns
+        -------
+        Response or Failure
+            ``NOT_RUN`` is a promise; the other failures are none.
+        """
+        try:
+            async with asyncio.timeout(patience):
+                head = await self.exchange.read_head()
+        except TimeoutError:
+            self.fail()
+            return SILENT.because(f"no answer in {patience:.3f} s")
+        if isinstance(head, Failure):
+            self.fail()
+            return MAY_HAVE_RUN.because(f"{head.code}: {head.reason}")
+        self.head = head
+        self._note_load(head)
+        if head.status == MISDIRECTED or head.get(self._dialect.not_run) is not None:
+            return await self._refused(head)
+        return head
+
+    async def read_whole(self, *, patience):
+        """Read the body of an answer that is passed on as a whole."""
+        try:
+            async with asyncio.timeout(patience):
+                answer = await self.exchange.read_whole()
+        except TimeoutError:
+            self.fail()
+            return SILENT.because(f"no whole answer in {patience:.3f} s")
+        if isinstance(answer, Failure):
+            self.fail()
+            return MAY_HAVE_RUN.because(f"{answer.code}: {answer.reason}")
+        return answer
+
+    def done(self, *, well):
+        """The answer is complete; the connection can be used again."""
+        seconds = monotonic() - self.sent_at
+        self._end("done" if well else "failed", seconds=seconds if well else None)
+        self._pool.put_back(self.place.endpoint_id, self.connection)
+        self.connection = None
+
+    def fail(self):
+        """The endpoint broke off or is silent."""
+        self._end("failed")
+        self.abort()
+
+    def leave(self):
+        """The caller is gone: the endpoint drops what it has of the request."""
+        self._end("left")
+        self.abort()
+
+    def abort(self):
+        """Close the connection, if there still is one."""
+        if self.connection is not None:
+            self.connection.abort()
+            self.connection = None
+
+    async def _refused(self, head):
+        # The body is read so that the connection can be used again: a full engine
+        # refuses many, and a new connection for each costs it more than a refusal.
+        moved = False
+        if head.status == MISDIRECTED:
+            seen = head.get(self._dialect.endpoint_id)
+            moved = seen is not None and seen != self.place.endpoint_id
+        body = await self.exchange.read_whole()
+        self._end("moved" if moved else "refused")
+        if isinstance(body, Failure) or moved:
+            self.abort()
+        else:
+            self._pool.put_back(self.place.endpoint_id, self.connection)
+            self.connection = None
+        return NOT_RUN.because(f"status {head.status}")
+
+    def _note_load(self, head):
+        load = head.get(self._dialect.load, "")
+        parts = load.split(",")
+        if len(parts) == 3 and parts[0].isdigit() and parts[1].isdigit():
+            seen = int(parts[0]) + int(parts[1])
+            self._tell(LoadSeen(endpoint_id=self.place.endpoint_id, load=seen))
+
+    def _end(self, outcome, *, seconds=None):
+        if self._ended:
+            return
+        self._ended = True
+        if outcome == "unreachable" or self.sent_at is not None:
+            self._tell(
+                Finished(
+                    endpoint_id=self.place.endpoint_id, outcome=outcome, seconds=seconds
+                )
+            )
+
+    def _tell(self, message):
+        self._fleet.step(message, now=monotonic())
+
+
+def is_connection(item):
+    """Tell a connection from a failure."""
+    return isinstance(item, ClientConnection)
--- a/hawthornspoke/replay/_trace.py
+++ b/hawthornspoke/replay/_trace.py
@@ -8,9 +8,9 @@
 from hawthornspoke.base import MACHINES
 from hawthornspoke.deployment import Declared
 from hawthornspoke.membership import MemberView
-from hawthornspoke.store import HostEntry
 from hawthornspoke.protocol import Live, Member
 from hawthornspoke.routing import RequestTraits
+from hawthornspoke.store import HostEntry
 
 #: Classes that a trace may build inside a message, by the name it gives them.
 VALUE_CLASSES = {
