--- a/hawthornspoke/peering/__init__.py
+++ b/hawthornspoke/peering/__init__.py
@@ -1,5 +1,13 @@
 """Connections between entry hosts and agents: Thrift frames on the event loop."""
 
 from hawthornspoke.peering._connection import CLOSED, PeerConnection, connect, listen
+from hawthornspoke.peering._directive import FIRST_VERSION, directive
 
-__all__ = ["CLOSED", "PeerConnection", "connect", "listen"]
+__all__ = [
+    "CLOSED",
+    "FIRST_VERSION",
+    "PeerConnection",
+    "connect",
+    "directive",
+    "listen",
+]
--- /dev/null
+++ b/hawthornspoke/peering/_directive.py
@@ -0,0 +1,50 @@
+"""What entry hosts tell agents."""
+
+from hawthornspoke.protocol import Directive, PeerEndpoint
+
+#: Version of weights before any is declared.
+FIRST_VERSION = 1
+
+
+def directive(*, engine, version, age, peers, origin, bound, failure_domain=None):
+    """Return what an agent has to know of one model.
+
+    Parameters
+    ----------
+    engine : EngineProfile
+    version : int or None
+        Declared version, None before the first declaration.
+    age : float
+        Seconds since this process learned of the declaration.
+    peers : iterable of EndpointEntry
+    origin : str or None
+    bound : float
+        Seconds after a declaration within which it must be in place.
+    failure_domain : str or None, default=None
+        Of the sender.
+
+    Returns
+    -------
+    Directive
+    """
+    return Directive(
+        model=engine.model,
+        weights_version=version or FIRST_VERSION,
+        age_ms=int(age * 1000),
+        peers=[
+            PeerEndpoint(
+                endpoint_id=entry.endpoint_id,
+                address=entry.address,
+                failure_domain=entry.failure_domain,
+                leaving=entry.leaving,
+            )
+            for entry in peers
+        ],
+        pieces=engine.pieces,
+        piece_bytes=engine.piece_bytes,
+        layers=engine.layers,
+        origin_address=origin,
+        version_bound_ms=int(bound * 1000),
+        failure_domain=failure_domain,
+        load_time=engine.load_time,
+    )
--- a/hawthornspoke/protocol/_gen/ttypes.py
+++ b/hawthornspoke/protocol/_gen/ttypes.py
@@ -2118,8 +2118,9 @@
      - piece_bytes
      - layers
      - origin_address
-     - store_revision
      - version_bound_ms
+     - failure_domain
+     - load_time
 
     """
 
@@ -2132,12 +2133,13 @@
         'piece_bytes',
         'layers',
         'origin_address',
-        'store_revision',
         'version_bound_ms',
+        'failure_domain',
+        'load_time',
     )
 
 
-    def __init__(self, model=None, weights_version=None, age_ms=None, peers=None, pieces=None, piece_bytes=None, layers=None, origin_address=None, store_revision=None, version_bound_ms=None,):
+    def __init__(self, model=None, weights_version=None, age_ms=None, peers=None, pieces=None, piece_bytes=None, layers=None, origin_address=None, version_bound_ms=None, failure_domain=None, load_time=None,):
         self.model = model
         self.weights_version = weights_version
         self.age_ms = age_ms
@@ -2146,8 +2148,9 @@
         self.piece_bytes = piece_bytes
         self.layers = layers
         self.origin_address = origin_address
-        self.store_revision = store_revision
         self.version_bound_ms = version_bound_ms
+        self.failure_domain = failure_domain
+        self.load_time = load_time
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2205,13 +2208,18 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
-                if ftype == TType.I64:
-                    self.store_revision = iprot.readI64()
+                if ftype == TType.I32:
+                    self.version_bound_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
-                if ftype == TType.I32:
-                    self.version_bound_ms = iprot.readI32()
+                if ftype == TType.STRING:
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.DOUBLE:
+                    self.load_time = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
             else:
@@ -2259,14 +2267,18 @@
             oprot.writeFieldBegin('origin_address', TType.STRING, 8)
             oprot.writeString(self.origin_address.encode('utf-8') if sys.version_info[0] == 2 else self.origin_address)
             oprot.writeFieldEnd()
-        if self.store_revision is not None:
-            oprot.writeFieldBegin('store_revision', TType.I64, 9)
-            oprot.writeI64(self.store_revision)
-            oprot.writeFieldEnd()
         if self.version_bound_ms is not None:
-            oprot.writeFieldBegin('version_bound_ms', TType.I32, 10)
+            oprot.writeFieldBegin('version_bound_ms', TType.I32, 9)
             oprot.writeI32(self.version_bound_ms)
             oprot.writeFieldEnd()
+        if self.failure_domain is not None:
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 10)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
+            oprot.writeFieldEnd()
+        if self.load_time is not None:
+            oprot.writeFieldBegin('load_time', TType.DOUBLE, 11)
+            oprot.writeDouble(self.load_time)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2870,8 +2882,9 @@
     (6, TType.I32, 'piece_bytes', None, None, ),  # 6
     (7, TType.I32, 'layers', None, None, ),  # 7
     (8, TType.STRING, 'origin_address', 'UTF8', None, ),  # 8
-    (9, TType.I64, 'store_revision', None, None, ),  # 9
-    (10, TType.I32, 'version_bound_ms', None, None, ),  # 10
+    (9, TType.I32, 'version_bound_ms', None, None, ),  # 9
+    (10, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 10
+    (11, TType.DOUBLE, 'load_time', None, None, ),  # 11
 )
 all_structs.append(EngineState)
 EngineState.thrift_spec = (
--- a/hawthornspoke/relay/_agents.py
+++ b/hawthornspoke/relay/_agents.py
@@ -6,7 +6,7 @@
 from hawthornspoke.base import Failure, monotonic
 from hawthornspoke.peering import connect
 from hawthornspoke.placing import AgentLost, EngineReported
-from hawthornspoke.protocol import Directive, Frame, PeerEndpoint
+from hawthornspoke.protocol import Frame
 
 CONNECT_TIMEOUT = 1.0
 
@@ -15,10 +15,6 @@
 RECONNECT_PAUSE = (0.3, 0.9)
 
 
-#: Version of weights before any is declared.
-FIRST_VERSION = 1
-
-
 class AgentLinks:
     """Keeps one connection to each agent: directives out, engine states in.
 
@@ -134,43 +130,3 @@
             next_ready_at=ready_at,
         )
         self._fleet.step(report, now=now)
-
-
-def directive(*, engine, version, age, peers, origin, bound):
-    """Return what an agent has to know of one model.
-
-    Parameters
-    ----------
-    engine : EngineProfile
-    version : int or None
-        Declared version, None before the first declaration.
-    age : float
-        Seconds since this process learned of the declaration.
-    peers : iterable of EndpointEntry
-    origin : str or None
-    bound : float
-        Seconds after a declaration within which it must be in place.
-
-    Returns
-    -------
-    Directive
-    """
-    return Directive(
-        model=engine.model,
-        weights_version=version or FIRST_VERSION,
-        age_ms=int(age * 1000),
-        peers=[
-            PeerEndpoint(
-                endpoint_id=entry.endpoint_id,
-                address=entry.address,
-                failure_domain=entry.failure_domain,
-                leaving=entry.leaving,
-            )
-            for entry in peers
-        ],
-        pieces=engine.pieces,
-        piece_bytes=engine.piece_bytes,
-        layers=engine.layers,
-        origin_address=origin,
-        version_bound_ms=int(bound * 1000),
-    )
--- a/hawthornspoke/relay/_process.py
+++ b/hawthornspoke/relay/_process.py
@@ -9,6 +9,7 @@
 from hawthornspoke.events import EventLog
 from hawthornspoke.httpio import ConnectionPool, HttpServer, ServerLimits
 from hawthornspoke.metrics import Metrics
+from hawthornspoke.peering import directive
 from hawthornspoke.placing import (
     CatalogChanged,
     DeclaredVersions,
@@ -16,7 +17,7 @@
     Fleet,
     WeightsDeclared,
 )
-from hawthornspoke.relay._agents import AgentLinks, directive
+from hawthornspoke.relay._agents import AgentLinks
 from hawthornspoke.relay._contact import Confirmed, Contact, ContactLost, Lost
 from hawthornspoke.relay._dialect import Dialect
 from hawthornspoke.relay._forward import Forwarder
@@ -311,6 +312,7 @@
             peers=[item for item in self.entries if item.service == service],
             origin=next((origin for origin in origins if origin), None),
             bound=self.settings.version_bound,
+            failure_domain=self.settings.failure_domain,
         )
 
     async def _answer_ready(self, request, reply):
--- /dev/null
+++ b/hawthornspoke/spread/_installer.py
@@ -0,0 +1,181 @@
+"""Stages verified pieces at the engine and orders it to take them up."""
+
+import asyncio
+
+from hawthornspoke.base import Failure, is_failure
+
+#: Calls to the engine at once; it is on the same host.
+PARALLEL_CALLS = 4
+
+#: Rounds of reading back what was staged. Pieces can turn bad where they lie.
+MOST_ROUNDS = 4
+
+#: Seconds between telling the entry hosts and the order, so that what they have
+#: just sent is taken up before the engine takes nothing new.
+NOTICE_TIME = 0.03
+
+#: Seconds for an order to show in the engine's state.
+ORDER_TIMEOUT = 1.0
+
+POLL_EVERY = 0.05
+
+#: Seconds for an engine to finish what runs and load: the longest answers take
+#: some four seconds.
+INSTALL_TIMEOUT = 8.0
+
+#: Pieces in a row that are of another version before the rest is not read.
+FOREIGN_IN_A_ROW = 3
+
+STAGE_FAILED = Failure(code="stage_failed")
+ORDER_FAILED = Failure(code="order_failed")
+
+
+class Installer:
+    """Speaks with the engine about weights.
+
+    Parameters
+    ----------
+    engine : object
+        ``put_piece``, ``get_piece``, ``held_pieces``, ``start`` and ``snapshot``.
+    log : EventLog
+    on_notice : callable
+        Called with True just before an order, with False when it has ended.
+    """
+
+    __slots__ = ("_engine", "_log", "_on_notice", "_staged_name", "_staged")
+
+    def __init__(self, *, engine, log, on_notice):
+        self._engine = engine
+        self._log = log
+        self._on_notice = on_notice
+        self._staged_name = None
+        self._staged = set()
+
+    async def recover(self, weights):
+        """Take the pieces that lie at the engine already.
+
+        Parameters
+        ----------
+        weights : Weights
+
+        Returns
+        -------
+        int
+            How many were right.
+        """
+        held = await self._engine.held_pieces(weights.model)
+        if is_failure(held):
+            return 0
+        found = foreign = 0
+        for index in held:
+            data = await self._engine.get_piece(weights.model, index)
+            if not is_failure(data) and weights.put(index, data):
+                found += 1
+                foreign = 0
+                continue
+            foreign += 1
+            if foreign >= FOREIGN_IN_A_ROW and not found:
+                break
+        if found == len(weights.digests):
+            self._staged_name = weights.name
+            self._staged = set(weights.held())
+        return found
+
+    async def stage(self, weights, index):
+        """Put one piece there; a failure only means that it is put later."""
+        if self._staged_name != weights.name:
+            self._staged_name = weights.name
+            self._staged = set()
+        if index in self._staged:
+            return
+        result = await self._engine.put_piece(weights.model, index, weights.get(index))
+        if not is_failure(result):
+            self._staged.add(index)
+
+    async def install(self, weights):
+        """Stage all pieces, read all back, and order the engine to load them.
+
+        Parameters
+        ----------
+        weights : Weights
+            Whole.
+
+        Returns
+        -------
+        None or Failure
+        """
+        failure = await self._stage_all(weights)
+        if failure is not None:
+            return failure
+        try:
+            self._on_notice(True)
+            await asyncio.sleep(NOTICE_TIME)
+            return await self._order(weights)
+        finally:
+            self._on_notice(False)
+
+    async def _stage_all(self, weights):
+        indices = range(len(weights.digests))
+        for _ in range(MOST_ROUNDS):
+            await self._for_each(
+                [index for index in indices if index not in self._staged],
+                lambda index: self.stage(weights, index),
+            )
+            self._staged_name = weights.name
+            await self._for_each(indices, lambda index: self._check(weights, index))
+            if len(self._staged) == len(weights.digests):
+                return None
+        return STAGE_FAILED.because(f"{len(self._staged)} of {len(weights.digests)}")
+
+    async def _check(self, weights, index):
+        # A piece that turned bad after it was staged would be loaded as it is; the
+        # engine does not look at digests.
+        data = await self._engine.get_piece(weights.model, index)
+        if is_failure(data) or not weights.is_right(index, data):
+            self._staged.discard(index)
+            self._log.change("staged_piece_bad", weights=weights.name, piece=index)
+
+    async def _order(self, weights):
+        before = await self._engine.snapshot()
+        if is_failure(before):
+            return before
+        if before.busy:
+            return ORDER_FAILED.because("another order is in progress")
+        result = await self._engine.start(
+            weights.model, weights.version, sequence=before.sequence
+        )
+        self._log.change(
+            "order",
+            weights=weights.name,
+            sequence=before.sequence,
+            running=before.running,
+            result=str(result),
+        )
+        return await self._wait(weights, before, result)
+
+    async def _wait(self, weights, before, result):
+        """Wait until the engine has the weights; its state is the only proof."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + INSTALL_TIMEOUT
+        begin_deadline = loop.time() + ORDER_TIMEOUT
+        while loop.time() < deadline:
+            seen = await self._engine.snapshot()
+            if not is_failure(seen):
+                if seen.version == weights.version and not seen.busy:
+                    return None
+                begun = seen.busy or seen.sequence != before.sequence
+                if not begun and loop.time() >= begin_deadline:
+                    break
+            if is_failure(result) and loop.time() >= begin_deadline:
+                break
+            await asyncio.sleep(POLL_EVERY)
+        return ORDER_FAILED.because(str(result))
+
+    async def _for_each(self, indices, call):
+        gate = asyncio.Semaphore(PARALLEL_CALLS)
+
+        async def one(index):
+            async with gate:
+                await call(index)
+
+        await asyncio.gather(*(one(index) for index in indices))
--- /dev/null
+++ b/hawthornspoke/spread/_process.py
@@ -0,0 +1,446 @@
+"""The agent beside an engine on one event loop: pieces, orders, its state."""
+
+import asyncio
+import json
+import random
+import signal
+
+from hawthornspoke.base import is_failure, monotonic
+from hawthornspoke.events import EventLog
+from hawthornspoke.httpio import HttpServer
+from hawthornspoke.metrics import Metrics
+from hawthornspoke.peering import listen
+from hawthornspoke.protocol import EngineState, Frame
+from hawthornspoke.spread._exchange import Exchange, Peer
+from hawthornspoke.spread._installer import Installer
+from hawthornspoke.spread._stock import Weights, weights_name
+from hawthornspoke.spread._upgrade import (
+    EngineSeen,
+    Forget,
+    Install,
+    InstallEnded,
+    Named,
+    PiecesHeld,
+    Placed,
+    Transfer,
+    Upgrade,
+)
+
+#: Seconds between two looks at the engine, which is on the same host.
+LOOK_EVERY = 0.1
+
+#: Seconds after which an unchanged state is told again to entry hosts of the own
+#: failure domain, and of others: these send requests here only when theirs is full.
+TELL_NEAR_EVERY = 1.0
+TELL_FAR_EVERY = 2.0
+
+#: Seconds between two states told to far hosts while only the load changes.
+FAR_LOAD_EVERY = 1.0
+
+#: Seconds without an entry host after which the agent reads the platform itself.
+ALONE_AFTER = 2.0
+READ_ALONE_EVERY = 2.0
+
+#: Seconds between two tries to read a list of digests.
+MANIFEST_PAUSE = (0.2, 0.4)
+
+#: Share of a link that pieces really get beside the rest.
+LINK_SHARE = 0.9
+
+#: Versions whose pieces are kept in memory besides those that are wanted: peers
+#: that are late still ask for them.
+OLD_VERSIONS_KEPT = 1
+
+FLUSH_TIME = 0.2
+
+
+class _EntryLink:
+    __slots__ = ("near", "told_at", "told")
+
+    def __init__(self):
+        self.near = False
+        self.told_at = float("-inf")
+        self.told = None
+
+
+class Agent:
+    """Brings declared weights to the engine on this host.
+
+    Parameters
+    ----------
+    settings : SpreadSettings
+    engine : object
+        The engine on this host; see ``Installer``.
+    origin : object
+        ``manifest`` and ``piece``.
+    read_alone : coroutine function
+        Reads the platform once and returns a Directive or a Failure; used only
+        while no entry host is connected.
+    """
+
+    __slots__ = (
+        "settings",
+        "engine",
+        "origin",
+        "read_alone",
+        "log",
+        "metrics",
+        "exchange",
+        "installer",
+        "upgrade",
+        "model",
+        "operator",
+        "_snapshot",
+        "_noticed",
+        "_weights_by_version",
+        "_link_states",
+        "_alone_since",
+        "_tasks",
+        "_stopped",
+        "_engine_down",
+    )
+
+    def __init__(self, *, settings, engine, origin, read_alone):
+        self.settings = settings
+        self.engine = engine
+        self.origin = origin
+        self.read_alone = read_alone
+        self.log = EventLog(node=settings.node)
+        self.metrics = Metrics()
+        self.exchange = Exchange(
+            settings=settings,
+            origin=origin,
+            log=self.log,
+            metrics=self.metrics,
+            on_piece=self._on_piece,
+            on_whole=self._on_whole,
+            on_distrusted=self._on_distrusted,
+        )
+        self.installer = Installer(
+            engine=engine, log=self.log, on_notice=self._on_notice
+        )
+        self.upgrade = Upgrade()
+        self.model = None
+        self.operator = HttpServer(
+            host=settings.ip,
+            port=settings.operator_port,
+            handler=self._answer_operator,
+            on_broken=lambda error: self.log.change("failed", error=repr(error)),
+        )
+        self._snapshot = None
+        self._noticed = False
+        self._weights_by_version = {}
+        self._link_states = {}
+        self._alone_since = monotonic()
+        self._tasks = {}
+        self._stopped = None
+        self._engine_down = None
+
+    async def run(self):
+        """Work until SIGTERM.
+
+        Returns
+        -------
+        int
+            Exit code.
+        """
+        loop = asyncio.get_running_loop()
+        self._stopped = loop.create_future()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop)
+        loop.add_signal_handler(signal.SIGHUP, lambda: self.log.change("reload"))
+        loop.add_signal_handler(signal.SIGUSR1, self._log_dump)
+        server = await listen(
+            self.settings.ip,
+            self.settings.port,
+            on_frame=self._on_frame,
+            on_closed=self._on_link_closed,
+            on_opened=lambda link: None,
+        )
+        await self.operator.start()
+        loops = [self._watch_engine(), self.exchange.run(), self._read_alone()]
+        tasks = [loop.create_task(item) for item in loops]
+        self.log.change("started", role="agent", engine=self.settings.engine_address)
+        try:
+            # A loop that ends has met a broken invariant; the platform starts the
+            # process again.
+            await asyncio.wait(
+                [self._stopped, *tasks], return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in tasks:
+                if task.done() and not task.cancelled():
+                    self.log.change("loop_ended", error=repr(task.exception()))
+        finally:
+            for task in [*tasks, *self._tasks.values()]:
+                task.cancel()
+            server.close()
+            self.exchange.close()
+            self.operator.close()
+            self.log.change("stopped")
+            self.log.flush(monotonic() + FLUSH_TIME)
+        return 0
+
+    # Entry hosts and peers.
+
+    def _on_frame(self, link, frame):
+        if frame.directive is not None:
+            self._on_directive(link, frame.directive)
+        else:
+            self.exchange.on_frame(link, frame)
+
+    def _on_directive(self, link, directive):
+        state = self._link_states.setdefault(link, _EntryLink())
+        state.near = directive.failure_domain == self.settings.failure_domain
+        self._take_directive(directive)
+        self._tell()
+
+    def _take_directive(self, directive):
+        now = monotonic()
+        self.model = directive.model
+        self.exchange.origin_address = directive.origin_address
+        size = directive.pieces * directive.piece_bytes
+        self.upgrade.transfer_time = size / (self.settings.link_rate * LINK_SHARE)
+        self.upgrade.version_bound = directive.version_bound_ms / 1000
+        self._set_peers(directive.peers or ())
+        age = (directive.age_ms or 0) / 1000
+        before = self.upgrade.next_version()
+        self._step(Named(version=directive.weights_version, at=now - age))
+        if self.upgrade.next_version() != before:
+            self.log.change(
+                "weights", version=directive.weights_version, age=age, before=before
+            )
+
+    def _set_peers(self, peers):
+        by_name = {
+            peer.address: Peer(
+                failure_domain=peer.failure_domain,
+                address=peer.address.rpartition(":")[0],
+                port=self.settings.port,
+            )
+            for peer in peers
+            if not peer.leaving or peer.address == self.settings.engine_address
+        }
+        own = self.settings.engine_address
+        by_name.setdefault(
+            own,
+            Peer(
+                failure_domain=self.settings.failure_domain,
+                address=self.settings.ip,
+                port=self.settings.port,
+            ),
+        )
+        neighbours = sorted(
+            name
+            for name, peer in by_name.items()
+            if peer.failure_domain == self.settings.failure_domain
+        )
+        self._step(Placed(position=neighbours.index(own)))
+        self.exchange.set_peers(by_name)
+
+    def _on_link_closed(self, link):
+        self._link_states.pop(link, None)
+        if not self._link_states:
+            self._alone_since = monotonic()
+
+    async def _read_alone(self):
+        while True:
+            await asyncio.sleep(READ_ALONE_EVERY * random.uniform(0.8, 1.2))
+            if self._link_states or monotonic() < self._alone_since + ALONE_AFTER:
+                continue
+            directive = await self.read_alone()
+            if is_failure(directive):
+                self.log.change("platform_lost", reason=directive.reason)
+            else:
+                self.log.decision("read_alone", version=directive.weights_version)
+                self._take_directive(directive)
+
+    # The engine.
+
+    async def _watch_engine(self):
+        while True:
+            seen = await self.engine.snapshot()
+            down = is_failure(seen)
+            if down != self._engine_down:
+                self._engine_down = down
+                self.log.change("engine_lost" if down else "engine_found")
+            self._snapshot = None if down else seen
+            self._step(self._engine_seen())
+            self._tell()
+            await asyncio.sleep(LOOK_EVERY)
+
+    def _engine_seen(self):
+        seen = self._snapshot
+        if seen is None:
+            return EngineSeen(version=None, whole=False, busy=True)
+        whole = seen.layers is not None and seen.layers[0] == 0
+        return EngineSeen(version=seen.version, whole=whole, busy=seen.busy)
+
+    def _tell(self):
+        now = monotonic()
+        state = self._state(now)
+        for link, kept in self._link_states.items():
+            if self._is_due(kept, state, now):
+                kept.told = state
+                kept.told_at = now
+                link.send(Frame(engine_state=state))
+
+    def _is_due(self, kept, state, now):
+        told = kept.told
+        if told is None:
+            return True
+        held = (told.weights_version, told.layer_to, told.loading)
+        if held != (state.weights_version, state.layer_to, state.loading):
+            return True
+        load_changed = (told.running, told.waiting) != (state.running, state.waiting)
+        if kept.near:
+            return load_changed or now >= kept.told_at + TELL_NEAR_EVERY
+        pause = FAR_LOAD_EVERY if load_changed else TELL_FAR_EVERY
+        return now >= kept.told_at + pause
+
+    def _state(self, now):
+        seen = self._snapshot
+        ready_at = self.upgrade.ready_at(now)
+        state = EngineState(
+            endpoint_address=self.settings.engine_address,
+            model=self.model,
+            next_version=self.upgrade.next_version(),
+            next_ready_ms=-1 if ready_at is None else int((ready_at - now) * 1000),
+            loading=True,
+        )
+        if seen is not None:
+            state.weights_version = seen.version
+            state.layer_from, state.layer_to = seen.layers or (0, 0)
+            state.running = seen.running
+            state.waiting = seen.waiting
+            state.loading = seen.busy or self._noticed
+            state.pace = seen.pace
+        return state
+
+    def _on_notice(self, noticed):
+        self._noticed = noticed
+        self._tell()
+
+    # Weights.
+
+    def _step(self, message):
+        for outcome in self.upgrade.step(message, now=monotonic()):
+            if isinstance(outcome, Transfer):
+                self._begin(f"get {outcome.version}", self._get(outcome))
+            elif isinstance(outcome, Forget):
+                self._drop(outcome.version)
+            elif isinstance(outcome, Install):
+                self._begin("install", self._install(outcome.version))
+
+    def _begin(self, name, coroutine):
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks[name] = task
+        task.add_done_callback(lambda done: self._end(name, done))
+
+    def _end(self, name, task):
+        if self._tasks.get(name) is task:
+            del self._tasks[name]
+        if not task.cancelled() and task.exception() is not None:
+            self.log.change("task_failed", task=name, error=repr(task.exception()))
+
+    async def _get(self, transfer):
+        version = transfer.version
+        weights = self._weights_by_version.get(version)
+        if weights is None:
+            digests = await self._manifest(version)
+            weights = Weights(model=self.model, version=version, digests=digests)
+            self._weights_by_version[version] = weights
+            found = await self.installer.recover(weights)
+            self.log.change("transfer", version=version, found_staged=found)
+            self._trim()
+        self.exchange.want(weights, priority=transfer.priority)
+
+    async def _manifest(self, version):
+        while True:
+            address = self.exchange.origin_address
+            digests = None
+            if address is not None:
+                digests = await self.origin.manifest(address, self.model, version)
+            if digests is not None and not is_failure(digests):
+                return digests
+            self.log.decision("manifest_failed", version=version, reason=str(digests))
+            await asyncio.sleep(random.uniform(*MANIFEST_PAUSE))
+
+    def _on_distrusted(self, weights):
+        self.log.change("digests_distrusted", weights=weights.name)
+        self._weights_by_version.pop(weights.version, None)
+        self.exchange.forget(weights.name)
+        transfer = Transfer(version=weights.version, priority=0)
+        self._begin(f"get {weights.version}", self._get(transfer))
+
+    def _on_piece(self, weights, index):
+        if weights.version == self._stage_target():
+            self._begin(f"stage {index}", self.installer.stage(weights, index))
+
+    def _stage_target(self):
+        """Return the version whose pieces lie at the engine: one at a time."""
+        if "install" in self._tasks:
+            return None
+        current = self._engine_seen()
+        for version in self.upgrade.targets():
+            if version > (current.version or 0) or not current.whole:
+                return version
+        return None
+
+    def _on_whole(self, weights):
+        self.log.change("pieces_whole", weights=weights.name)
+        self._step(PiecesHeld(version=weights.version))
+
+    async def _install(self, version):
+        weights = self._weights_by_version.get(version)
+        failure = None
+        try:
+            if weights is not None:
+                failure = await self.installer.install(weights)
+        finally:
+            self.log.change("install_ended", version=version, failure=str(failure))
+            self._step(InstallEnded(version=version))
+
+    def _drop(self, version):
+        task = self._tasks.get(f"get {version}")
+        if task is not None:
+            task.cancel()
+        self.exchange.drop(weights_name(self.model, version))
+        self.log.change("transfer_dropped", version=version)
+
+    def _trim(self):
+        wanted = set(self.upgrade.targets())
+        spare = sorted(set(self._weights_by_version) - wanted)
+        for version in spare[:-OLD_VERSIONS_KEPT]:
+            weights = self._weights_by_version.pop(version)
+            self.exchange.forget(weights.name)
+
+    # Operators.
+
+    def _stop(self):
+        self.log.change("stopping")
+        if not self._stopped.done():
+            self._stopped.set_result(None)
+
+    async def _answer_operator(self, request, reply):
+        if request.target.startswith("/metrics"):
+            body = self.metrics.render().encode()
+            reply.send(200, [("Content-Type", "text/plain; version=0.0.4")], body)
+        elif request.target.startswith("/dump"):
+            body = json.dumps(self._dump()).encode()
+            reply.send(200, [("Content-Type", "application/json")], body)
+        else:
+            reply.send(404)
+
+    def _dump(self):
+        now = monotonic()
+        return {
+            "node": self.settings.node,
+            "engine": str(self._snapshot),
+            "entry_hosts": len(self._link_states),
+            "upgrade": self.upgrade.dump(now=now),
+            "swarm": self.exchange.swarm.dump(now=now),
+            "metrics": self.metrics.dump(),
+        }
+
+    def _log_dump(self):
+        self.log.change("dump", state=self._dump())
--- /dev/null
+++ b/hawthornspoke/spread/_settings.py
@@ -0,0 +1,91 @@
+"""What an agent on the event loop has to be told."""
+
+from hawthornspoke.base import Bounds, check_params
+
+NUMBER = (int, float)
+TEXT = Bounds(kind=str)
+PORT = Bounds(kind=int, low=1, high=65535)
+
+
+class SpreadSettings:
+    """Settings of one agent.
+
+    Parameters
+    ----------
+    node : str
+    failure_domain : str
+    region_by_failure_domain : dict of str to str
+    ip : str
+    port : int, default=7700
+        For entry hosts and other agents.
+    operator_port : int, default=7701
+        Metrics and state dump.
+    engine_address : str
+        ``IP:PORT`` of the engine on this host.
+    link_rate : float
+        Bytes a second of this host's link.
+    origin_copies : int, default=1
+        Copies of a version that the origin sends for all hosts.
+    strategy : str, default="regional"
+        Of the registry of burst strategies.
+    """
+
+    __slots__ = (
+        "node",
+        "failure_domain",
+        "region_by_failure_domain",
+        "ip",
+        "port",
+        "operator_port",
+        "engine_address",
+        "link_rate",
+        "origin_copies",
+        "strategy",
+    )
+    PARAMS = {
+        "node": TEXT,
+        "failure_domain": TEXT,
+        "region_by_failure_domain": Bounds(kind=dict),
+        "ip": TEXT,
+        "port": PORT,
+        "operator_port": PORT,
+        "engine_address": TEXT,
+        "link_rate": Bounds(kind=NUMBER, low=1),
+        "origin_copies": Bounds(kind=int, low=1),
+        "strategy": TEXT,
+    }
+
+    def __init__(
+        self,
+        *,
+        node,
+        failure_domain,
+        region_by_failure_domain,
+        ip,
+        engine_address,
+        link_rate,
+        port=7700,
+        operator_port=7701,
+        origin_copies=1,
+        strategy="regional",
+    ):
+        self.node = node
+        self.failure_domain = failure_domain
+        self.region_by_failure_domain = region_by_failure_domain
+        self.ip = ip
+        self.port = port
+        self.operator_port = operator_port
+        self.engine_address = engine_address
+        self.link_rate = link_rate
+        self.origin_copies = origin_copies
+        self.strategy = strategy
+
+    def check(self):
+        """Check the values.
+
+        Raises
+        ------
+        ValueError
+            Naming the setting and what is accepted.
+        """
+        check_params(self, self.PARAMS)
--- /dev/null
+++ b/hawthornspoke/spread/_upgrade.py
@@ -0,0 +1,288 @@
+"""Which version an engine goes to next, and when: a pure state machine."""
+
+from dataclasses import dataclass
+
+from hawthornspoke.base import MACHINES, Bounds, Machine
+
+#: Part of a transfer's time within which a version that is followed by another is
+#: dropped for it. With bound B and transfer time T, a version named a gap g before
+#: the next: dropping leaves nothing to serve for g + T - B, finishing it first for
+#: 2T - B - g. Both are equal at g = T/2.
+DROP_SHARE = 0.5
+
+#: Named versions that are remembered; older ones are of no use to anybody.
+KEPT = 4
+
+#: Seconds that an engine needs from the order until it answers with new weights:
+#: it finishes what runs, one to two seconds of tokens, then loads.
+CHANGE_TIME = 2.0
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Named:
+    """A version was declared.
+
+    Parameters
+    ----------
+    version : int
+    at : float
+        When it was, as far as this host knows.
+    """
+
+    version: int
+    at: float
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class EngineSeen:
+    """The engine told its state.
+
+    Parameters
+    ----------
+    version : int or None
+        None if it holds no layers.
+    whole : bool
+        Whether it holds all layers.
+    busy : bool
+        An order is in progress.
+    """
+
+    version: int | None
+    whole: bool
+    busy: bool
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class PiecesHeld:
+    """All pieces of a version are here and verified."""
+
+    version: int
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class InstallEnded:
+    """An attempt to install a version ended, well or not."""
+
+    version: int
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Placed:
+    """Where this host stands among those of its failure domain.
+
+    Parameters
+    ----------
+    position : int
+        Its number, from 0.
+    """
+
+    position: int
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Tick:
+    """Time passed."""
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Transfer:
+    """Get the pieces of a version; lower priorities go first."""
+
+    version: int
+    priority: int
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Forget:
+    """Stop getting a version."""
+
+    version: int
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Install:
+    """Stage a version and order the engine to take it up."""
+
+    version: int
+
+
+@MACHINES.register("upgrade")
+class Upgrade(Machine):
+    """Plans the versions of one engine.
+
+    Parameters
+    ----------
+    transfer_time : float, default=5.7
+        Seconds in which all hosts get all pieces of a version.
+    version_bound : float, default=8.0
+        Seconds after which older versions may not begin to answer.
+    stagger : float, default=0.8
+        Seconds by which every other engine of a failure domain changes later.
+    """
+
+    __slots__ = (
+        "transfer_time",
+        "version_bound",
+        "stagger",
+        "_named",
+        "_held",
+        "_wanted",
+        "_engine",
+        "_installing",
+        "_position",
+        "_held_at_by_version",
+    )
+    PARAMS = {
+        "transfer_time": Bounds(kind=(int, float), low=0),
+        "version_bound": Bounds(kind=(int, float), low=0),
+        "stagger": Bounds(kind=(int, float), low=0),
+    }
+
+    def __init__(self, *, transfer_time=5.7, version_bound=8.0, stagger=0.8):
+        self.transfer_time = transfer_time
+        self.version_bound = version_bound
+        self.stagger = stagger
+        self._named = []
+        self._held = set()
+        self._wanted = {}
+        self._engine = EngineSeen(version=None, whole=False, busy=True)
+        self._installing = None
+        self._position = 0
+        self._held_at_by_version = {}
+
+    def on_named(self, message, *, now):
+        """Take a declaration."""
+        if self._named and message.version <= self._named[-1].version:
+            return []
+        self._named.append(message)
+        del self._named[:-KEPT]
+        return self._plan(now)
+
+    def on_engine_seen(self, message, *, now):
+        """Take the engine's state."""
+        self._engine = message
+        return self._plan(now)
+
+    def on_pieces_held(self, message, *, now):
+        """Take that a version is here."""
+        self._held.add(message.version)
+        self._held_at_by_version.setdefault(message.version, now)
+        return self._plan(now)
+
+    def on_install_ended(self, message, *, now):
+        """Take that the engine can be ordered again."""
+        self._installing = None
+        return self._plan(now)
+
+    def on_placed(self, message, *, now):
+        """Take this host's number."""
+        self._position = message.position
+        return []
+
+    def on_tick(self, message, *, now):
+        """Look again."""
+        return self._plan(now)
+
+    def next_version(self):
+        """Return the newest version named, None if none was."""
+        return self._named[-1].version if self._named else None
+
+    def ready_at(self, now):
+        """Return when the next version is expected to be in use, None if unknown."""
+        if not self._named:
+            return None
+        newest = self._named[-1]
+        if self._engine.version == newest.version and self._engine.whole:
+            return None
+        if newest.version in self._held:
+            return now + CHANGE_TIME
+        return max(now + CHANGE_TIME, newest.at + self.transfer_time + CHANGE_TIME)
+
+    def targets(self):
+        """Return the versions to get, the first one first.
+
+        Returns
+        -------
+        list of int
+        """
+        current = self._engine.version or 0
+        kept = []
+        for place, named in enumerate(self._named):
+            if named.version < current:
+                continue
+            if named.version == current and self._engine.whole:
+                # Held for hosts that still lack it.
+                kept.append(named.version)
+                continue
+            last = place == len(self._named) - 1
+            if last or not self._is_dropped(place):
+                kept.append(named.version)
+        return kept
+
+    def dump(self, *, now):
+        """Return the state as plain data."""
+        return {
+            "named": [[item.version, round(now - item.at, 3)] for item in self._named],
+            "held": sorted(self._held),
+            "wanted": dict(self._wanted),
+            "engine": [self._engine.version, self._engine.whole, self._engine.busy],
+            "installing": self._installing,
+        }
+
+    def _is_dropped(self, place):
+        named, following = self._named[place], self._named[place + 1]
+        if named.version in self._held:
+            return False
+        if self._engine.version is None:
+            # Nothing to bridge a gap for: the newest is there as soon.
+            return True
+        return following.at - named.at < DROP_SHARE * self.transfer_time
+
+    def _plan(self, now):
+        outcomes = []
+        wanted = {version: place for place, version in enumerate(self.targets())}
+        for version in list(self._wanted):
+            if version not in wanted:
+                del self._wanted[version]
+                outcomes.append(Forget(version=version))
+        for version, priority in wanted.items():
+            if version not in self._wanted:
+                outcomes.append(Transfer(version=version, priority=priority))
+            self._wanted[version] = priority
+        version = self._due(now)
+        if version is not None:
+            self._installing = version
+            outcomes.append(Install(version=version))
+        return outcomes
+
+    def _due(self, now):
+        if self._installing is not None or self._engine.busy:
+            return None
+        current = self._engine.version or 0
+        ready = [
+            item
+            for item in self._named
+            if item.version in self._held
+            and (item.version > current or not self._engine.whole)
+        ]
+        if not ready:
+            return None
+        chosen = ready[-1]
+        if chosen is not self._named[-1] and self._newest_comes_in_time(chosen):
+            return None
+        if now < self._start_at(chosen):
+            return None
+        return chosen.version
+
+    def _newest_comes_in_time(self, chosen):
+        """Tell whether the newest is here before the engine's own is too old."""
+        done = self._named[-1].at + self.transfer_time + CHANGE_TIME
+        return self._engine.whole and done < chosen.at + self.version_bound
+
+    def _start_at(self, chosen):
+        held_at = self._held_at_by_version[chosen.version]
+        if not self._engine.whole:
+            return held_at
+        latest = chosen.at + self.version_bound - CHANGE_TIME
+        wanted = held_at + self.stagger * (self._position % 2)
+        return max(held_at, min(wanted, latest))
--- a/hawthornspoke/swarm/_strategies.py
+++ b/hawthornspoke/swarm/_strategies.py
@@ -124,3 +124,56 @@
             order = rendezvous_order(key=key, nodes=self._group)
             owners = self._owners_by_index[index] = order[:OWNERS_KEPT]
         return owners
+
+
+@STRATEGIES.register("regional")
+class Regional(Scatter):
+    """Scatter in which each chunk crosses into a region once.
+
+    Notes
+    -----
+    With plain scatter every host that lacks a chunk may read it from another
+    region before a host of its own has it: links between regions are narrow and
+    carry live traffic. Here one host of each region, the first of the chunk's
+    rendezvous order there, reads it from afar; the others wait for that host, but
+    not for long, since it may be dead or cut off.
+    """
+
+    __slots__ = ("_far_deadline_by_index",)
+
+    #: Seconds for which a chunk that only other regions hold is left to the host
+    #: that reads it for this region: two dozen chunks on a link of 450 KB/s.
+    FAR_PATIENCE = 0.8
+
+    def __init__(self):
+        super().__init__()
+        self._far_deadline_by_index = {}
+
+    def holders(self, transfer, index):
+        """Return the peers from which a chunk may be had."""
+        holders = transfer.holders_by_index[index]
+        region = transfer.participants[transfer.node].region
+        near = [
+            node
+            for node in holders
+            if node in transfer.participants
+            and transfer.participants[node].region == region
+            and not transfer.is_lost(node)
+        ]
+        if near or not holders:
+            return near
+        deadline = self._far_deadline_by_index.setdefault(
+            index, transfer.now + self.FAR_PATIENCE
+        )
+        if transfer.now >= deadline or self._reads_for_region(transfer, index, region):
+            return holders
+        return ()
+
+    def _reads_for_region(self, transfer, index, region):
+        nodes = [
+            node
+            for node, peer in transfer.participants.items()
+            if peer.region == region and not peer.unreachable
+        ]
+        order = rendezvous_order(key=f"{transfer.digest}/{index}/far", nodes=nodes)
+        return order[0] == transfer.node
--- a/idl/hawthornspoke.thrift
+++ b/idl/hawthornspoke.thrift
@@ -173,8 +173,11 @@
   6: optional i32 piece_bytes,
   7: optional i32 layers,
   8: optional string origin_address,
-  9: optional i64 store_revision,
-  10: optional i32 version_bound_ms,
+  9: optional i32 version_bound_ms,
+  // Failure domain of the sender; agents tell load often only within their own.
+  10: optional string failure_domain,
+  // Seconds, as the engine needs them to take up all layers.
+  11: optional double load_time,
 }
 
 // State of an agent's engine as read on its own host a moment ago.
