Pieces yield to live traffic: one upload at a time, in slices, at 0.86 of the link

Cause: up to 16 pieces of 24 KB lay in a host's link at once; events of live streams waited behind them, first tokens came after 310 to 400 ms (p50) from the first named version on. Ruled out: engines (their own times were as before).

--- a/hawthornspoke/peering/_connection.py
+++ b/hawthornspoke/peering/_connection.py
@@ -103,13 +103,24 @@
         if transport.get_write_buffer_size() > MOST_WAITING:
             self.close()
             return False
-        body = encode(frame)
-        transport.write(LENGTH.pack(len(body)) + body)
+        transport.write(self.encode(frame))
         return True
 
-    def waiting_bytes(self):
-        """Return how many bytes have not left this host yet."""
-        return self.transport.get_write_buffer_size() if self.transport else 0
+    @property
+    def is_open(self):
+        """Whether bytes can still be written."""
+        return self.transport is not None and not self.transport.is_closing()
+
+    @staticmethod
+    def encode(frame):
+        """Return a frame as the bytes that are sent for it."""
+        body = encode(frame)
+        return LENGTH.pack(len(body)) + body
+
+    def write(self, data):
+        """Write a part of an encoded frame; no other may come between its parts."""
+        if self.is_open:
+            self.transport.write(data)
 
     async def ask(self, frame, *, timeout):
         """Send a question and wait for its answer.
--- a/hawthornspoke/spread/_exchange.py
+++ b/hawthornspoke/spread/_exchange.py
@@ -14,6 +14,7 @@
     HoldingsAsk,
 )
 from hawthornspoke.spread._ports import ORIGIN_FAILED
+from hawthornspoke.spread._uploads import Uploads
 from hawthornspoke.swarm import (
     AnnounceChunks,
     Announced,
@@ -50,8 +51,9 @@
 #: Seconds without news after which the next owner reads a piece from the origin.
 STALL_AFTER = 1.2
 
-#: Bytes that wait to leave for one peer above which it is told to ask elsewhere.
-BUSY_BYTES = 150_000
+#: Pieces asked of peers at once. Each waits its turn at its peer, so that fewer
+#: would leave some peers idle, and more fill this host's link with several at once.
+PEER_SLOTS = 5
 
 #: Pieces that didn't match before the list of digests itself is read again: it
 #: comes from the origin too, and may be what is wrong.
@@ -85,6 +87,8 @@
         Called with the Weights when all are.
     on_distrusted : callable
         Called with the Weights if their digests seem to be wrong.
+    is_serving : callable
+        Tells whether the engine answers requests now.
     """
 
     __slots__ = (
@@ -103,17 +107,27 @@
         "_dialing",
         "_tasks",
         "_mismatches_by_name",
-        "_running",
+        "_uploads",
     )
 
     def __init__(
-        self, *, settings, origin, log, metrics, on_piece, on_whole, on_distrusted
+        self,
+        *,
+        settings,
+        origin,
+        log,
+        metrics,
+        on_piece,
+        on_whole,
+        on_distrusted,
+        is_serving,
     ):
         self.swarm = Swarm(
             node=settings.engine_address,
             announce_every=ANNOUNCE_EVERY,
             stall_after=STALL_AFTER,
             avoid_for=0.4,
+            peer_slots=PEER_SLOTS,
         )
         self.weights_by_name = {}
         self.origin_address = None
@@ -129,7 +143,7 @@
         self._dialing = {}
         self._tasks = set()
         self._mismatches_by_name = {}
-        self._running = False
+        self._uploads = Uploads(link_rate=settings.link_rate, is_serving=is_serving)
 
     async def run(self):
         """Step the machine as time passes."""
@@ -189,6 +203,7 @@
 
     def close(self):
         """End all links and fetches."""
+        self._uploads.close()
         for task in self._tasks:
             task.cancel()
         for link in self._links.values():
@@ -331,17 +346,18 @@
         data = weights.get(frame.chunk_ask.index) if weights is not None else None
         if data is None:
             chunk = Chunk(reason="missing")
-        elif link.waiting_bytes() > BUSY_BYTES:
+        elif self._uploads.is_full:
             chunk = Chunk(reason="busy")
         else:
             chunk = Chunk(data=data)
-        link.send(Frame(call=-frame.call, chunk=chunk))
+        self._uploads.put(link, Frame(call=-frame.call, chunk=chunk))
 
     def _answer_holdings(self, link, frame):
         weights = self.weights_by_name.get(frame.holdings_ask.digest)
         held = weights.held() if weights is not None else ()
         holdings = Holdings(bitmap=pack_indices(held), held=len(held))
-        link.send(Frame(call=-frame.call, holdings=holdings))
+        # Behind the pieces: on this connection a piece may be half sent.
+        self._uploads.put(link, Frame(call=-frame.call, holdings=holdings))
 
     async def _link(self, address, port):
         link = self._links.get(address)
--- a/hawthornspoke/spread/_process.py
+++ b/hawthornspoke/spread/_process.py
@@ -44,8 +44,8 @@
 #: Seconds between two tries to read a list of digests.
 MANIFEST_PAUSE = (0.2, 0.4)
 
-#: Share of a link that pieces really get beside the rest.
-LINK_SHARE = 0.9
+#: Share of a link that pieces really get beside the rest, over a whole transfer.
+LINK_SHARE = 0.82
 
 #: Versions whose pieces are kept in memory besides those that are wanted: peers
 #: that are late still ask for them.
@@ -115,6 +115,7 @@
             on_piece=self._on_piece,
             on_whole=self._on_whole,
             on_distrusted=self._on_distrusted,
+            is_serving=self._is_serving,
         )
         self.installer = Installer(
             engine=engine, log=self.log, on_notice=self._on_notice
@@ -275,6 +276,9 @@
         whole = seen.layers is not None and seen.layers[0] == 0
         return EngineSeen(version=seen.version, whole=whole, busy=seen.busy)
 
+    def _is_serving(self):
+        return self._snapshot is not None and self._snapshot.running > 0
+
     def _tell(self):
         now = monotonic()
         state = self._state(now)
--- a/hawthornspoke/spread/_upgrade.py
+++ b/hawthornspoke/spread/_upgrade.py
@@ -159,7 +159,15 @@
         return self._plan(now)
 
     def on_engine_seen(self, message, *, now):
-        """Take the engine's state."""
+        """Take the engine's state.
+
+        While it takes up weights it holds none, or some; what it held before is
+        then still what counts for the versions to get.
+        """
+        if message.busy:
+            message = EngineSeen(
+                version=self._engine.version, whole=self._engine.whole, busy=True
+            )
         self._engine = message
         return self._plan(now)
 
--- /dev/null
+++ b/hawthornspoke/spread/_uploads.py
@@ -0,0 +1,75 @@
+"""Sends pieces to peers one after the other, slowly enough for live traffic."""
+
+import asyncio
+import collections
+
+#: Bytes written at once. On the narrowest link we know (456 KB/s) this is 9 ms, the
+#: longest that an event of a live stream then waits behind a piece.
+SLICE_BYTES = 4096
+
+#: Share of the link that pieces take while the engine answers requests. Those take
+#: about a tenth of it at full load; without the pause between slices a stream's
+#: first event waited 300 ms and more behind pieces.
+SHARE_BESIDE_REQUESTS = 0.86
+
+#: Share of it while the engine answers nothing.
+SHARE_ALONE = 0.97
+
+#: Seconds that a late timer may be made up for by sending the next slices sooner.
+CATCH_UP = 0.02
+
+#: Pieces that may wait here; a peer that asks for more is told to ask elsewhere.
+MOST_WAITING = 6
+
+
+class Uploads:
+    """A queue of pieces and the task that sends them.
+
+    Parameters
+    ----------
+    link_rate : float
+        Bytes a second.
+    is_serving : callable
+        Tells whether the engine answers requests now.
+    """
+
+    __slots__ = ("_link_rate", "_is_serving", "_waiting", "_task", "_now")
+
+    def __init__(self, *, link_rate, is_serving):
+        self._link_rate = link_rate
+        self._is_serving = is_serving
+        self._waiting = collections.deque()
+        self._task = None
+
+    @property
+    def is_full(self):
+        """Whether no further piece is taken."""
+        return len(self._waiting) >= MOST_WAITING
+
+    def put(self, link, frame):
+        """Take a piece for a peer."""
+        self._waiting.append((link, frame))
+        if self._task is None or self._task.done():
+            self._task = asyncio.get_running_loop().create_task(self._send_all())
+
+    def close(self):
+        """Send nothing more."""
+        self._waiting.clear()
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _send_all(self):
+        loop = asyncio.get_running_loop()
+        due = loop.time()
+        while self._waiting:
+            link, frame = self._waiting.popleft()
+            data = memoryview(link.encode(frame))
+            while data and link.is_open:
+                link.write(data[:SLICE_BYTES])
+                sent = len(data[:SLICE_BYTES])
+                data = data[SLICE_BYTES:]
+                share = SHARE_BESIDE_REQUESTS if self._is_serving() else SHARE_ALONE
+                due = max(due, loop.time() - CATCH_UP) + sent / (
+                    self._link_rate * share
+                )
+                await asyncio.sleep(max(0.0, due - loop.time()))
