Silent engines are left alone at once; retries by the number of entry hosts

Change: agents speak every 0.25 s in their own failure domain, an engine whose agent is quiet for 0.7 s is left alone, one silent request is enough. The allowed retries are shared by as many hosts as agents see.

--- a/hawthornspoke/placing/_endpoint.py
+++ b/hawthornspoke/placing/_endpoint.py
@@ -29,6 +29,7 @@
         "reported_at",
         "sent_since_report",
         "state",
+        "heard_at",
         "failure_rate",
         "avoid_deadline",
         "avoided",
@@ -44,6 +45,7 @@
         self.reported_at = None
         self.sent_since_report = 0
         self.state = None
+        self.heard_at = 0.0
         self.failure_rate = 0.0
         self.avoid_deadline = 0.0
         self.avoided = 0
--- a/hawthornspoke/placing/_fleet.py
+++ b/hawthornspoke/placing/_fleet.py
@@ -48,6 +48,11 @@
 #: fail the cause is not theirs, and the rest could not carry the load.
 AVOID_SHARE = 0.5
 
+#: Seconds without an agent's word after which its engine is left alone: almost three
+#: of the times after which it speaks again, in the own failure domain and in others.
+QUIET_NEAR = 0.7
+QUIET_FAR = 5.0
+
 #: Seconds an entry that vanished just as the platform came back is still used.
 #: Lapsed entries return within two seconds, and an endpoint that left goes on
 #: serving for at least two.
@@ -159,6 +164,7 @@
         endpoint = self._at(message.address)
         if endpoint is not None:
             endpoint.state = message
+            endpoint.heard_at = now
             endpoint.report(message.load, now)
         return []
 
@@ -198,12 +204,15 @@
             endpoint.doubtful_deadline = now
         if message.outcome in ("left", "moved"):
             return []
-        endpoint.note(message.outcome in ("failed", "unreachable"))
+        endpoint.note(message.outcome in ("failed", "silent", "unreachable"))
         if message.outcome == "done":
             endpoint.avoided = 0
             if message.seconds is not None:
                 endpoint.note_time(message.seconds)
-        if message.outcome == "unreachable" or endpoint.failure_rate > AVOID_RATE:
+        # What doesn't answer at all is dead, cut off or standing still; a few more
+        # requests would only wait there for nothing.
+        at_once = message.outcome in ("silent", "unreachable")
+        if at_once or endpoint.failure_rate > AVOID_RATE:
             self._avoid(endpoint, now)
         return []
 
@@ -291,8 +300,23 @@
         endpoint.avoid_deadline = now + pause
         endpoint.failure_rate = RETURN_RATE
 
+    def _is_quiet(self, endpoint, now):
+        """Tell whether the agent beside an engine has said nothing for too long.
+
+        The connection of a host that stands still, or is cut off, stays open; the
+        first sign of it is that its regular word is missing.
+        """
+        if endpoint.state is None:
+            return False
+        near = endpoint.entry.failure_domain == self.failure_domain
+        return now >= endpoint.heard_at + (QUIET_NEAR if near else QUIET_FAR)
+
     def _without_avoided(self, endpoints, now):
-        kept = [item for item in endpoints if now >= item.avoid_deadline]
+        kept = [
+            item
+            for item in endpoints
+            if now >= item.avoid_deadline and not self._is_quiet(item, now)
+        ]
         if len(kept) < len(endpoints) * (1 - AVOID_SHARE) or not kept:
             return endpoints
         return kept
--- a/hawthornspoke/placing/_messages.py
+++ b/hawthornspoke/placing/_messages.py
@@ -105,8 +105,9 @@
     ----------
     endpoint_id : str
     outcome : str
-        ``"done"``, ``"failed"`` (an answer that is no success, a broken or silent
-        connection), ``"unreachable"``, ``"refused"``, ``"moved"`` (another
+        ``"done"``, ``"failed"`` (an answer that is no success, a broken
+        connection), ``"silent"``, ``"unreachable"``, ``"refused"``, ``"moved"``
+        (another
         endpoint has the address) or ``"left"`` (the caller left).
     seconds : float or None
         Time of a whole answer.
--- a/hawthornspoke/protocol/_gen/ttypes.py
+++ b/hawthornspoke/protocol/_gen/ttypes.py
@@ -2318,6 +2318,7 @@
      - pace
      - next_ready_ms
      - next_version
+     - entry_hosts
 
     """
 
@@ -2333,10 +2334,11 @@
         'pace',
         'next_ready_ms',
         'next_version',
+        'entry_hosts',
     )
 
 
-    def __init__(self, endpoint_address=None, model=None, weights_version=None, layer_from=None, layer_to=None, running=None, waiting=None, loading=None, pace=None, next_ready_ms=None, next_version=None,):
+    def __init__(self, endpoint_address=None, model=None, weights_version=None, layer_from=None, layer_to=None, running=None, waiting=None, loading=None, pace=None, next_ready_ms=None, next_version=None, entry_hosts=None,):
         self.endpoint_address = endpoint_address
         self.model = model
         self.weights_version = weights_version
@@ -2348,6 +2350,7 @@
         self.pace = pace
         self.next_ready_ms = next_ready_ms
         self.next_version = next_version
+        self.entry_hosts = entry_hosts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2413,6 +2416,11 @@
                     self.next_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I32:
+                    self.entry_hosts = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2467,6 +2475,10 @@
             oprot.writeFieldBegin('next_version', TType.I64, 11)
             oprot.writeI64(self.next_version)
             oprot.writeFieldEnd()
+        if self.entry_hosts is not None:
+            oprot.writeFieldBegin('entry_hosts', TType.I32, 12)
+            oprot.writeI32(self.entry_hosts)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2900,6 +2912,7 @@
     (9, TType.DOUBLE, 'pace', None, None, ),  # 9
     (10, TType.I32, 'next_ready_ms', None, None, ),  # 10
     (11, TType.I64, 'next_version', None, None, ),  # 11
+    (12, TType.I32, 'entry_hosts', None, None, ),  # 12
 )
 all_structs.append(HoldingsAsk)
 HoldingsAsk.thrift_spec = (
--- a/hawthornspoke/relay/_agents.py
+++ b/hawthornspoke/relay/_agents.py
@@ -34,6 +34,7 @@
         "_link_by_address",
         "_directive_for",
         "_told_by_address",
+        "_entry_hosts_by_agent",
     )
 
     def __init__(self, *, port, fleet, log, directive_for):
@@ -44,6 +45,7 @@
         self._task_by_address = {}
         self._link_by_address = {}
         self._told_by_address = {}
+        self._entry_hosts_by_agent = {}
 
     def follow(self, addresses):
         """Keep links to exactly the agents of these endpoints.
@@ -62,6 +64,16 @@
                 task = asyncio.get_running_loop().create_task(self._keep(address))
                 self._task_by_address[address] = task
 
+    def entry_hosts(self):
+        """Return how many entry hosts there seem to be, None if no agent told.
+
+        Returns
+        -------
+        int or None
+            The most that an agent sees; one that is cut off sees too few.
+        """
+        return max(self._entry_hosts_by_agent.values(), default=None)
+
     def tell_all(self):
         """Send every agent what it has to know now."""
         for address, link in self._link_by_address.items():
@@ -122,6 +134,8 @@
         if state is None:
             return
         now = monotonic()
+        if state.entry_hosts:
+            self._entry_hosts_by_agent[address] = state.entry_hosts
         layers = None
         if state.layer_to:
             layers = (state.layer_from or 0, state.layer_to)
--- a/hawthornspoke/relay/_process.py
+++ b/hawthornspoke/relay/_process.py
@@ -35,6 +35,9 @@
 #: Seconds between two looks at idle connections and vanished endpoints.
 HOUSEKEEPING_EVERY = 0.5
 
+#: Entry hosts that share the allowed retries, until an agent has told how many.
+ASSUMED_ENTRY_HOSTS = 20
+
 #: Seconds between two lines of counters in the log.
 SUMMARY_EVERY = 10.0
 
@@ -271,10 +274,15 @@
         budget = self._budget_by_service.get(service)
         if budget is None:
             budget = self._budget_by_service[service] = RetryBudget(
-                ratio=self.settings.retry_ratio, reserve=self.settings.retry_reserve
+                ratio=self.settings.retry_ratio, reserve=self._own_reserve()
             )
         return budget
 
+    def _own_reserve(self):
+        """Return this host's part of the retries that all entry hosts may make."""
+        hosts = self.agents.entry_hosts() or ASSUMED_ENTRY_HOSTS
+        return self.settings.retry_reserve / hosts
+
     def _engine_services(self):
         catalog = self.handler.catalog
         if catalog is None:
@@ -390,6 +398,8 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_EVERY)
             self.pool.sweep()
+            for budget in self._budget_by_service.values():
+                budget.reserve = self._own_reserve()
             steady = self.contact.steady(now=contact_clock())
             self.front.draining = self.stopping or not steady
 
--- a/hawthornspoke/relay/_settings.py
+++ b/hawthornspoke/relay/_settings.py
@@ -33,8 +33,8 @@
         Seconds for which a key is trusted after the platform's last word.
     retry_ratio : float, default=0.1
         Retries for each success.
-    retry_reserve : float, default=8.0
-        Retries at hand at the start, for each service.
+    retry_reserve : float, default=80.0
+        Retries at hand at the start, for each service and all entry hosts together.
     """
 
     __slots__ = (
@@ -80,7 +80,7 @@
         version_bound=8.0,
         keys_valid_for=4.6,
         retry_ratio=0.1,
-        retry_reserve=8.0,
+        retry_reserve=80.0,
     ):
         self.node = node
         self.failure_domain = failure_domain
--- a/hawthornspoke/relay/_try.py
+++ b/hawthornspoke/relay/_try.py
@@ -96,7 +96,8 @@
             async with asyncio.timeout(patience):
                 head = await self.exchange.read_head()
         except TimeoutError:
-            self.fail()
+            self._end("silent")
+            self.abort()
             return SILENT.because(f"no answer in {patience:.3f} s")
         if isinstance(head, Failure):
             self.fail()
--- a/hawthornspoke/spread/_process.py
+++ b/hawthornspoke/spread/_process.py
@@ -31,7 +31,8 @@
 
 #: Seconds after which an unchanged state is told again to entry hosts of the own
 #: failure domain, and of others: these send requests here only when theirs is full.
-TELL_NEAR_EVERY = 1.0
+#: Silence for a few of these times tells that the host stands still.
+TELL_NEAR_EVERY = 0.25
 TELL_FAR_EVERY = 2.0
 
 #: Seconds between two states told to far hosts while only the load changes.
@@ -259,16 +260,19 @@
 
     async def _watch_engine(self):
         while True:
-            seen = await self.engine.snapshot()
-            down = is_failure(seen)
-            if down != self._engine_down:
-                self._engine_down = down
-                self.log.change("engine_lost" if down else "engine_found")
-            self._snapshot = None if down else seen
-            self._step(self._engine_seen())
-            self._tell()
+            await self._look()
             await asyncio.sleep(LOOK_EVERY)
 
+    async def _look(self):
+        seen = await self.engine.snapshot()
+        down = is_failure(seen)
+        if down != self._engine_down:
+            self._engine_down = down
+            self.log.change("engine_lost" if down else "engine_found")
+        self._snapshot = None if down else seen
+        self._step(self._engine_seen())
+        self._tell()
+
     def _engine_seen(self):
         seen = self._snapshot
         if seen is None:
@@ -310,6 +314,7 @@
             next_version=self.upgrade.next_version(),
             next_ready_ms=-1 if ready_at is None else int((ready_at - now) * 1000),
             loading=True,
+            entry_hosts=len(self._link_states),
         )
         if seen is not None:
             state.weights_version = seen.version
@@ -402,6 +407,8 @@
                 failure = await self.installer.install(weights)
         finally:
             self.log.change("install_ended", version=version, failure=str(failure))
+            # The next plan must see what the engine holds now, not a moment ago.
+            await self._look()
             self._step(InstallEnded(version=version))
 
     def _drop(self, version):
--- a/hawthornspoke/spread/_upgrade.py
+++ b/hawthornspoke/spread/_upgrade.py
@@ -18,6 +18,10 @@
 CHANGE_TIME = 2.0
 
 
+#: Seconds before a bound from which entry hosts send nothing to an older version.
+BOUND_MARGIN = 0.95
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Named:
     """A version was declared.
@@ -272,6 +276,7 @@
             for item in self._named
             if item.version in self._held
             and (item.version > current or not self._engine.whole)
+            and not self._is_expired(item.version, now)
         ]
         if not ready:
             return None
@@ -282,6 +287,13 @@
             return None
         return chosen.version
 
+    def _is_expired(self, held, now):
+        """Tell whether requests may no longer begin on a version."""
+        for named in self._named:
+            if named.version > held:
+                return now >= named.at + self.version_bound - BOUND_MARGIN
+        return False
+
     def _newest_comes_in_time(self, chosen):
         """Tell whether the newest is here before the engine's own is too old."""
         done = self._named[-1].at + self.transfer_time + CHANGE_TIME
--- /dev/null
+++ b/hawthornspoke/spread/tests/test_upgrade.py
@@ -0,0 +1,108 @@
+"""Which version an engine goes to next: replayed sequences of names and pieces."""
+
+from hawthornspoke.spread._upgrade import (
+    EngineSeen,
+    Forget,
+    Install,
+    Named,
+    PiecesHeld,
+    Transfer,
+    Upgrade,
+)
+
+T = 6.0
+BOUND = 8.0
+
+
+def machine(version=1, *, whole=True):
+    """Return a machine whose engine holds a version, with that version named."""
+    upgrade = Upgrade(transfer_time=T, version_bound=BOUND, stagger=0.0)
+    upgrade.step(Named(version=1, at=-100.0), now=-100.0)
+    seen = EngineSeen(version=version, whole=whole, busy=False)
+    upgrade.step(seen, now=0.0)
+    return upgrade
+
+
+def installs(outcomes):
+    """Return the orders among some outcomes."""
+    return [item for item in outcomes if isinstance(item, Install)]
+
+
+def test_a_version_is_fetched_and_then_installed_once():
+    upgrade = machine()
+    outcomes = upgrade.step(Named(version=2, at=0.0), now=0.0)
+    assert Transfer(version=2, priority=1) in outcomes
+    outcomes = upgrade.step(PiecesHeld(version=2), now=5.5)
+    assert installs(outcomes) == [Install(version=2)]
+    seen = EngineSeen(version=1, whole=True, busy=False)
+    assert installs(upgrade.step(seen, now=5.6)) == []
+
+
+def test_second_name_just_after_drops_the_first():
+    """Nothing could be served for seconds.
+
+    Events: two versions are named 2 s apart; the first is finished first, so that
+    the second comes long after the bound of the old weights. Cause: the transfer of
+    the first took link time that only delayed the second.
+    """
+    upgrade = machine()
+    upgrade.step(Named(version=2, at=0.0), now=0.0)
+    outcomes = upgrade.step(Named(version=3, at=2.0), now=2.0)
+    assert Forget(version=2) in outcomes
+    assert upgrade.targets() == [1, 3]
+
+
+def test_second_name_later_keeps_the_first():
+    """Nothing could be served between the bound of the old and the newest weights.
+
+    Events: two versions 4 s apart; the first is dropped for the second, which is
+    there 2 s after the bound of the old weights. Cause: always the newest only.
+    """
+    upgrade = machine()
+    upgrade.step(Named(version=2, at=0.0), now=0.0)
+    outcomes = upgrade.step(Named(version=3, at=4.0), now=4.0)
+    assert Forget(version=2) not in outcomes
+    assert upgrade.targets() == [1, 2, 3]
+    assert installs(upgrade.step(PiecesHeld(version=2), now=5.9)) == [
+        Install(version=2)
+    ]
+
+
+def test_second_name_after_the_firsts_pieces_are_whole_keeps_the_first():
+    upgrade = machine()
+    upgrade.step(Named(version=2, at=0.0), now=0.0)
+    upgrade.step(PiecesHeld(version=2), now=1.0)
+    upgrade.step(Named(version=3, at=1.5), now=1.5)
+    assert 2 in upgrade.targets()
+
+
+def test_version_past_its_bound_is_not_installed():
+    upgrade = machine()
+    upgrade.step(Named(version=2, at=0.0), now=0.0)
+    upgrade.step(Named(version=3, at=4.0), now=4.0)
+    assert installs(upgrade.step(PiecesHeld(version=2), now=11.5)) == []
+
+
+def test_restarted_engine_gets_its_version_again():
+    upgrade = machine()
+    upgrade.step(PiecesHeld(version=1), now=0.0)
+    seen = EngineSeen(version=None, whole=False, busy=False)
+    assert installs(upgrade.step(seen, now=1.0)) == [Install(version=1)]
+
+
+def test_busy_engine_is_not_ordered():
+    upgrade = machine()
+    upgrade.step(Named(version=2, at=0.0), now=0.0)
+    upgrade.step(EngineSeen(version=1, whole=True, busy=True), now=1.0)
+    assert installs(upgrade.step(PiecesHeld(version=2), now=5.5)) == []
+
+
+def test_older_name_that_comes_late_changes_nothing():
+    """An entry host that was cut off told agents of an older version.
+
+    Cause: the last word was taken, not the newest.
+    """
+    upgrade = machine()
+    upgrade.step(Named(version=3, at=0.0), now=0.0)
+    assert upgrade.step(Named(version=2, at=1.0), now=1.0) == []
+    assert upgrade.next_version() == 3
--- a/idl/hawthornspoke.thrift
+++ b/idl/hawthornspoke.thrift
@@ -194,6 +194,8 @@
   // Milliseconds until the next version is expected to be usable; -1 if unknown.
   10: optional i32 next_ready_ms,
   11: optional i64 next_version,
+  // Entry hosts that are connected to the agent; each connects to every agent.
+  12: optional i32 entry_hosts,
 }
 
 struct HoldingsAsk {
