--- a/hawthornspoke/placing/_endpoint.py
+++ b/hawthornspoke/placing/_endpoint.py
@@ -92,6 +92,14 @@
         self.reported_at = now
         self.sent_since_report = 0
 
+    def end_one(self):
+        """Count that a request of this host ended, whether or not it was reported."""
+        self.own_running = max(0, self.own_running - 1)
+        if self.sent_since_report:
+            self.sent_since_report -= 1
+        else:
+            self.reported_load = max(0, self.reported_load - 1)
+
     def note(self, failed):
         """Count one outcome."""
         self.failure_rate += OUTCOME_WEIGHT * (float(failed) - self.failure_rate)
--- a/hawthornspoke/placing/_fleet.py
+++ b/hawthornspoke/placing/_fleet.py
@@ -196,8 +196,7 @@
         if endpoint is None:
             return []
         if message.outcome != "unreachable":
-            endpoint.own_running = max(0, endpoint.own_running - 1)
-            endpoint.reported_load = max(0, endpoint.reported_load - 1)
+            endpoint.end_one()
         if message.outcome == "moved":
             # Another endpoint has the address: its own entry is on the way.
             endpoint.gone = True
--- /dev/null
+++ b/hawthornspoke/placing/tests/test_fleet.py
@@ -0,0 +1,315 @@
+"""Where requests go, and whether they are taken: the fleet machine."""
+
+import random
+from collections import Counter
+
+import pytest
+
+from hawthornspoke.catalog import (
+    DeclaredWeights,
+    EndpointEntry,
+    EngineProfile,
+    Service,
+)
+from hawthornspoke.placing import (
+    AgentLost,
+    Ask,
+    CatalogChanged,
+    Decline,
+    EndpointsListed,
+    EngineReported,
+    Finished,
+    Fleet,
+    LoadSeen,
+    Place,
+    Sent,
+    WeightsDeclared,
+)
+
+ENGINE = EngineProfile(
+    model="m",
+    slots=16,
+    step=0.00673,
+    step_per_request=0.0000219,
+    steps_per_pass=6,
+    read_rate=30600.0,
+    usual_prompt=964.0,
+    usual_answer=119.0,
+    layers=16,
+)
+
+
+def entry(name, domain="a", **changes):
+    """Return an engine's entry with whole weights of version 1."""
+    fields = {
+        "endpoint_id": name,
+        "service": "llm",
+        "address": f"{name}:1",
+        "failure_domain": domain,
+        "slots": 16,
+        "weights_version": 1,
+        "layers": (0, 16),
+    }
+    return EndpointEntry(**{**fields, **changes})
+
+
+def fleet(*entries, domain="a"):
+    """Return a machine that knows some endpoints."""
+    machine = Fleet(failure_domain=domain, seed=1)
+    services = {
+        "llm": Service(name="llm", engine=ENGINE),
+        "plain": Service(name="plain"),
+    }
+    machine.step(CatalogChanged(service_by_name=services), now=0.0)
+    machine.step(EndpointsListed(entries=entries), now=0.0)
+    return machine
+
+
+def ask(machine, *, now=1.0, **changes):
+    """Return the machine's answer to a usual request."""
+    fields = {
+        "service": "llm",
+        "prompt_tokens": 900,
+        "on_time_left": 0.4,
+        "time_left": 6.0,
+    }
+    (answer,) = machine.step(Ask(**{**fields, **changes}), now=now)
+    return answer
+
+
+def report(machine, name, *, load=0, version=1, now=1.0, **changes):
+    """Let an agent tell its engine's state."""
+    message = EngineReported(
+        address=f"{name}:1",
+        load=load,
+        weights_version=version,
+        layers=(0, 16),
+        **changes,
+    )
+    machine.step(message, now=now)
+
+
+def test_own_failure_domain_goes_first_and_the_least_loaded_there():
+    machine = fleet(entry("far", "b"), entry("busy"), entry("idle"))
+    report(machine, "busy", load=9)
+    assert ask(machine).endpoint_id == "idle"
+
+
+def test_another_failure_domain_takes_what_the_own_one_cannot_do_in_time():
+    machine = fleet(entry("far", "b"), entry("near"))
+    report(machine, "near", load=30)
+    assert ask(machine).endpoint_id == "far"
+
+
+def test_full_engines_refuse_at_once_with_a_time_to_come_back():
+    machine = fleet(entry("one"), entry("two"))
+    for name in ("one", "two"):
+        report(machine, name, load=30)
+    answer = ask(machine)
+    assert isinstance(answer, Decline)
+    assert answer.reason == "full"
+    assert 0.2 <= answer.retry_after <= 2.0
+
+
+def test_refused_callers_are_spread_over_time():
+    """All callers refused in an overload came back at one moment.
+
+    Cause: they were told the same time. Half of the span must not hold more than
+    two thirds of them.
+    """
+    machine = fleet(entry("one"))
+    report(machine, "one", load=30)
+    times = [ask(machine).retry_after for _ in range(200)]
+    middle = (min(times) + max(times)) / 2
+    early = sum(time < middle for time in times)
+    assert 200 / 3 < early < 400 / 3
+
+
+def test_returned_caller_waits_in_the_engine_rather_than_be_refused_again():
+    machine = fleet(entry("one"))
+    report(machine, "one", load=19)
+    assert isinstance(ask(machine), Decline)
+    answer = ask(machine, returned=True, on_time_left=-1.0)
+    assert isinstance(answer, Place)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"leaving": True},
+        {"layers": (0, 4)},
+        {"layers": None, "weights_version": None},
+    ],
+)
+def test_endpoint_that_cannot_answer_gets_nothing(changes):
+    machine = fleet(entry("one", **changes))
+    assert isinstance(ask(machine), Decline)
+
+
+def test_loading_engine_gets_nothing_until_it_has_ended():
+    machine = fleet(entry("one"))
+    report(machine, "one", loading=True, next_ready_at=3.0, next_version=2)
+    answer = ask(machine)
+    assert (answer.reason, answer.retry_after >= 2.0) == ("no_weights", True)
+    report(machine, "one", version=2)
+    assert isinstance(ask(machine), Place)
+
+
+def test_older_weights_answer_nothing_once_their_time_is_over():
+    """A request began on old weights 8.08 s after newer ones were declared.
+
+    Events: it was sent 0.76 s before the bound; a link full of pieces and the
+    engine's own work took 0.84 s. Cause: too small a margin.
+    """
+    machine = fleet(entry("old"), entry("new", weights_version=2))
+    report(machine, "new", version=2, load=9)
+    declared = WeightsDeclared(declared=DeclaredWeights(model="m", version=2), at=10.0)
+    machine.step(declared, now=10.0)
+    report(machine, "old", now=17.0)
+    report(machine, "new", version=2, load=9, now=17.0)
+    assert ask(machine, now=17.0).endpoint_id == "old"
+    assert ask(machine, now=17.1).endpoint_id == "new"
+    stale = fleet(entry("old"))
+    stale.step(declared, now=10.0)
+    assert ask(stale, now=18.0).reason == "no_weights"
+
+
+def test_silent_endpoint_is_left_alone_at_once():
+    machine = fleet(entry("bad"), entry("good"))
+    report(machine, "good", load=10)
+    assert ask(machine).endpoint_id == "bad"
+    machine.step(Sent(endpoint_id="bad"), now=1.0)
+    machine.step(Finished(endpoint_id="bad", outcome="silent"), now=1.3)
+    assert ask(machine, now=1.4).endpoint_id == "good"
+
+
+def test_engine_whose_agent_is_quiet_is_left_alone():
+    """Requests went to a host that stood still and were given up after 1.2 s.
+
+    Events: a host is suspended; its connections stay open. Cause: nothing but
+    failed requests told of it.
+    """
+    machine = fleet(entry("still"), entry("moving"))
+    report(machine, "still", load=0, now=1.0)
+    report(machine, "moving", load=9, now=1.9)
+    assert ask(machine, now=1.6).endpoint_id == "still"
+    assert ask(machine, now=1.9).endpoint_id == "moving"
+    machine.step(AgentLost(address="still:1"), now=1.9)
+    assert ask(machine, now=1.9).endpoint_id == "still"
+
+
+def test_failing_endpoint_is_avoided_and_comes_back():
+    machine = fleet(entry("bad"), entry("good"))
+    for moment in range(6):
+        machine.step(Sent(endpoint_id="bad"), now=float(moment))
+        machine.step(Finished(endpoint_id="bad", outcome="failed"), now=float(moment))
+    assert ask(machine, now=5.1).endpoint_id == "good"
+    report(machine, "good", load=9, now=20.0)
+    assert ask(machine, now=20.0).endpoint_id == "bad"
+
+
+def test_most_endpoints_failing_is_not_their_fault():
+    """A whole service was put aside, and requests were refused with engines idle."""
+    machine = fleet(entry("one"), entry("two"), entry("three"))
+    for name in ("one", "two", "three"):
+        machine.step(Finished(endpoint_id=name, outcome="unreachable"), now=1.0)
+    assert isinstance(ask(machine, now=1.1), Place)
+
+
+def test_some_errors_of_its_own_do_not_put_an_endpoint_aside():
+    """Services whose own errors reach one in seven must stay in use."""
+    machine = fleet(entry("one", service="plain", layers=None, slots=6))
+    rng = random.Random(3)
+    for number in range(300):
+        failed = rng.random() < 0.14
+        outcome = "failed" if failed else "done"
+        machine.step(Sent(endpoint_id="one"), now=float(number))
+        done = Finished(endpoint_id="one", outcome=outcome, seconds=0.04)
+        machine.step(done, now=float(number))
+        answer = ask(machine, service="plain", now=number + 0.9)
+        assert isinstance(answer, Place)
+
+
+def test_entry_that_lapsed_with_the_platform_is_still_used_for_a_moment():
+    """Everything was refused for two seconds after the platform's outage.
+
+    Events: entries lapse while the platform is away; the first list after it lacks
+    them; they are back two seconds later.
+    """
+    machine = fleet(entry("one"))
+    machine.step(EndpointsListed(entries=(), contact_regained_at=10.0), now=10.1)
+    assert isinstance(ask(machine, now=10.2), Place)
+    assert isinstance(ask(machine, now=12.0), Decline)
+
+
+def test_entry_that_vanishes_at_other_times_is_gone():
+    machine = fleet(entry("one"))
+    machine.step(EndpointsListed(entries=()), now=50.0)
+    assert isinstance(ask(machine, now=50.0), Decline)
+
+
+def test_endpoint_that_moved_gets_nothing_under_its_old_id():
+    machine = fleet(entry("one"), entry("two"))
+    machine.step(Finished(endpoint_id="one", outcome="moved"), now=1.0)
+    assert ask(machine).endpoint_id == "two"
+
+
+def test_load_is_what_was_told_and_what_was_sent_since():
+    machine = fleet(entry("one"), entry("two"))
+    machine.step(LoadSeen(endpoint_id="one", load=3), now=1.0)
+    machine.step(Sent(endpoint_id="one"), now=1.0)
+    assert machine.endpoint_by_id["one"].load == 4
+    machine.step(LoadSeen(endpoint_id="one", load=2), now=1.1)
+    assert machine.endpoint_by_id["one"].load == 2
+
+
+def test_endpoint_that_never_tells_its_load_does_not_fill_up():
+    """A service without load reports was refused as full after some dozen requests.
+
+    Events: requests are sent and end well; no response tells a load. Cause: what was
+    sent since the last report was counted, and there was no report.
+    """
+    machine = fleet(entry("one", service="plain", layers=None, slots=2))
+    for number in range(50):
+        machine.step(Sent(endpoint_id="one"), now=float(number))
+        done = Finished(endpoint_id="one", outcome="done", seconds=0.04)
+        machine.step(done, now=number + 0.5)
+    assert machine.endpoint_by_id["one"].load == 0
+
+
+def test_overload_keeps_what_is_taken_on_time():
+    """A load of one and a half times what engines can do.
+
+    Each engine frees a slot in its usual time. Of the callers that are taken, nine
+    in ten must get their first token in time, and engines must not stand idle.
+    """
+    names = ("one", "two", "three")
+    machine = fleet(*(entry(name) for name in names))
+    rng = random.Random(5)
+    release = 0.085
+    running = dict.fromkeys(names, 0)
+    free_at = dict.fromkeys(names, 0.0)
+    outcomes = Counter()
+    now = 0.0
+    while now < 20.0:
+        now += rng.expovariate(1.5 * 3 / release)
+        for name in names:
+            while running[name] and free_at[name] <= now:
+                running[name] -= 1
+                free_at[name] += release
+                machine.step(Finished(endpoint_id=name, outcome="done"), now=now)
+            report(machine, name, load=running[name], now=now)
+        answer = ask(machine, now=now)
+        if isinstance(answer, Decline):
+            outcomes["refused"] += 1
+            continue
+        name = answer.endpoint_id
+        machine.step(Sent(endpoint_id=name), now=now)
+        if running[name] == 0:
+            free_at[name] = now + release
+        waiting = max(0, running[name] + 1 - 16) * release
+        running[name] += 1
+        outcomes["on time" if waiting + 0.12 <= 0.4 else "late"] += 1
+    taken = outcomes["on time"] + outcomes["late"]
+    assert outcomes["on time"] >= 0.9 * taken
+    assert taken >= 0.9 * 20.0 * 3 / release
--- /dev/null
+++ b/hawthornspoke/relay/tests/test_contact.py
@@ -0,0 +1,45 @@
+"""How long keys are trusted: the contact machine."""
+
+from hawthornspoke.relay import Confirmed, Contact, ContactLost, Lost
+
+
+def test_keys_are_trusted_for_a_while_after_the_platforms_word():
+    contact = Contact(keys_valid_for=4.6)
+    assert not contact.keys_trusted(now=0.0)
+    contact.step(Confirmed(at=10.0), now=10.2)
+    assert contact.keys_trusted(now=14.5)
+    assert not contact.keys_trusted(now=14.7)
+
+
+def test_suspended_host_wakes_without_trust():
+    """A host that stood still for ten seconds served a key that had been revoked.
+
+    Cause: its clock had stood still too. The machine is given one that goes on.
+    """
+    contact = Contact(keys_valid_for=4.6)
+    contact.step(Confirmed(at=10.0), now=10.0)
+    assert not contact.keys_trusted(now=20.0)
+
+
+def test_late_answer_to_an_old_question_does_not_take_back_a_newer_one():
+    contact = Contact(keys_valid_for=4.6)
+    contact.step(Confirmed(at=10.0), now=10.0)
+    contact.step(Confirmed(at=8.0), now=10.1)
+    assert contact.keys_trusted(now=14.5)
+
+
+def test_host_sends_callers_elsewhere_before_it_must_refuse_them():
+    contact = Contact(keys_valid_for=5.0)
+    contact.step(Confirmed(at=0.0), now=0.0)
+    assert contact.steady(now=2.9)
+    assert not contact.steady(now=3.1)
+    assert contact.keys_trusted(now=3.1)
+
+
+def test_loss_is_told_once():
+    contact = Contact()
+    contact.step(Confirmed(at=0.0), now=0.0)
+    assert contact.step(Lost(reason="x"), now=1.0) == [ContactLost(reason="x")]
+    assert contact.step(Lost(reason="x"), now=1.5) == []
+    contact.step(Confirmed(at=2.0), now=2.0)
+    assert contact.regained_at == 2.0
--- /dev/null
+++ b/hawthornspoke/relay/tests/test_events.py
@@ -0,0 +1,56 @@
+"""Taking streams apart: only whole events in order are passed on."""
+
+import random
+
+from hawthornspoke.relay import EventSplitter
+
+
+def event(number, extra=b""):
+    """Return one event."""
+    return extra + b"id: %d\ndata: x%d\n\n" % (number, number)
+
+
+def test_any_cut_of_the_bytes_gives_the_same_events():
+    rng = random.Random(1)
+    whole = b"".join(event(number) for number in range(1, 40))
+    for _ in range(50):
+        splitter = EventSplitter()
+        passed, rest = b"", whole
+        while rest:
+            size = rng.randrange(1, 60)
+            passed += splitter.feed(rest[:size])
+            rest = rest[size:]
+        assert passed == whole
+        assert not splitter.unfinished()
+
+
+def test_part_of_an_event_is_kept_back():
+    splitter = EventSplitter()
+    assert splitter.feed(event(1) + b"id: 2\nda") == event(1)
+    assert splitter.unfinished()
+    splitter.restart()
+    assert splitter.feed(event(2)) == event(2)
+
+
+def test_first_event_of_a_resumed_stream_must_follow_the_last():
+    splitter = EventSplitter(last_id=7)
+    assert splitter.feed(event(9)) == b""
+    assert "event 9 after 7" in splitter.broken
+
+
+def test_nothing_is_passed_on_behind_a_gap():
+    splitter = EventSplitter()
+    assert splitter.feed(event(1) + event(3) + event(4)) == event(1)
+    assert splitter.feed(event(5)) == b""
+
+
+def test_other_fields_of_an_event_are_kept():
+    splitter = EventSplitter()
+    data = event(1, extra=b"weights: 2\n")
+    assert splitter.feed(data) == data
+
+
+def test_bytes_without_an_id_are_no_event():
+    splitter = EventSplitter()
+    assert splitter.feed(b"rubbish\n\n") == b""
+    assert splitter.broken
