--- /dev/null
+++ b/hawthornspoke/spread/tests/test_agents.py
@@ -0,0 +1,335 @@
+"""Agents on loopback before engines and an origin with faults, over real sockets."""
+
+import asyncio
+import random
+
+from hawthornspoke.base import digest_of
+from hawthornspoke.catalog import EndpointEntry, EngineProfile
+from hawthornspoke.peering import connect, directive
+from hawthornspoke.protocol import Frame
+from hawthornspoke.spread import (
+    ENGINE_CHANGED,
+    ORIGIN_FAILED,
+    PIECE_MISSING,
+    Agent,
+    EngineSnapshot,
+    SpreadSettings,
+)
+
+PIECES = 24
+SIZE = 2000
+LAYERS = 8
+ENGINE = EngineProfile(
+    model="m",
+    slots=4,
+    step=0.007,
+    step_per_request=0.0,
+    steps_per_pass=6,
+    read_rate=30000.0,
+    usual_prompt=900.0,
+    usual_answer=120.0,
+    layers=LAYERS,
+    pieces=PIECES,
+    piece_bytes=SIZE,
+)
+PORT = random.randrange(21000, 25000)
+
+
+def piece(version, index):
+    """Return the right bytes of a piece."""
+    return random.Random(f"{version}/{index}").randbytes(SIZE)
+
+
+class FakeOrigin:
+    """Serves pieces; some of them wrong, or none while it is down."""
+
+    def __init__(self):
+        self.reads = []
+        self.wrong = set()
+        self.down = False
+
+    async def manifest(self, address, model, version):
+        if self.down:
+            return ORIGIN_FAILED
+        return tuple(digest_of(piece(version, index)) for index in range(PIECES))
+
+    async def piece(self, address, model, version, index):
+        await asyncio.sleep(0.002)
+        if self.down:
+            return ORIGIN_FAILED
+        self.reads.append((version, index))
+        if (version, index) in self.wrong:
+            self.wrong.discard((version, index))
+            return b"?" * SIZE
+        return piece(version, index)
+
+
+class FakeEngine:
+    """Holds staged pieces and loads them as they are, without a check."""
+
+    def __init__(self):
+        self.staged = {}
+        self.version = None
+        self.loaded = {}
+        self.sequence = 0
+        self.busy = False
+        self.orders = []
+        self.rot_after_put = set()
+
+    async def snapshot(self):
+        layers = (0, LAYERS) if self.version else None
+        return EngineSnapshot(
+            version=self.version,
+            layers=layers,
+            busy=self.busy,
+            sequence=self.sequence,
+            running=0,
+            waiting=0,
+            pace=1.0,
+        )
+
+    async def put_piece(self, model, index, data):
+        if index in self.rot_after_put:
+            self.rot_after_put.discard(index)
+            data = b"!" + data[1:]
+        self.staged[index] = data
+        return None
+
+    async def get_piece(self, model, index):
+        return self.staged.get(index, PIECE_MISSING)
+
+    async def held_pieces(self, model):
+        return tuple(sorted(self.staged))
+
+    async def start(self, model, version, *, sequence):
+        if sequence != self.sequence or self.busy:
+            return ENGINE_CHANGED
+        self.orders.append(version)
+        self.sequence += 1
+        self.busy = True
+        self.loaded = dict(self.staged)
+        asyncio.get_running_loop().call_later(0.05, self._end, version)
+        return "begun"
+
+    def _end(self, version):
+        self.version = version
+        self.busy = False
+
+    def has(self, version):
+        """Tell whether exactly the right bytes of a version are loaded."""
+        right = {index: piece(version, index) for index in range(PIECES)}
+        return self.version == version and self.loaded == right
+
+
+class Hosts:
+    """Some agents with their engines, and an entry host that tells them."""
+
+    def __init__(self, count):
+        self.origin = FakeOrigin()
+        self.engines = [FakeEngine() for _ in range(count)]
+        self.ips = [f"127.0.0.{number + 2}" for number in range(count)]
+        self.agents = []
+        self.tasks = []
+        self.links = []
+
+    async def __aenter__(self):
+        for ip, engine in zip(self.ips, self.engines, strict=True):
+            await self._start(ip, engine)
+        return self
+
+    async def __aexit__(self, *exc):
+        for link in self.links:
+            link.close()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def _start(self, ip, engine):
+        agent = Agent(
+            settings=SpreadSettings(
+                node=ip,
+                failure_domain="a",
+                region_by_failure_domain={"a": "r"},
+                ip=ip,
+                engine_address=f"{ip}:1",
+                link_rate=1_000_000,
+                port=PORT,
+                operator_port=PORT + 1,
+            ),
+            engine=engine,
+            origin=self.origin,
+            read_alone=self._read_alone,
+        )
+        self.agents.append(agent)
+        self.tasks.append(asyncio.create_task(agent.run()))
+        await asyncio.sleep(0.05)
+
+    async def _read_alone(self):
+        return ORIGIN_FAILED
+
+    async def name(self, version, *, age=0.0, bound=8.0):
+        """Let an entry host declare a version to all agents."""
+        entries = [
+            EndpointEntry(
+                endpoint_id=ip,
+                service="s",
+                address=f"{ip}:1",
+                failure_domain="a",
+                slots=4,
+            )
+            for ip in self.ips
+        ]
+        told = directive(
+            engine=ENGINE,
+            version=version,
+            age=age,
+            peers=entries,
+            origin="origin:1",
+            bound=bound,
+            failure_domain="a",
+        )
+        for ip in self.ips:
+            link = await connect(
+                ip, PORT, on_frame=_ignore, on_closed=_ignore, timeout=1.0
+            )
+            self.links.append(link)
+            link.send(Frame(directive=told))
+
+    async def until_all_have(self, version, *, seconds=10.0):
+        """Wait until each engine has loaded a version, whole and right."""
+        async with asyncio.timeout(seconds):
+            while not all(engine.has(version) for engine in self.engines):
+                await asyncio.sleep(0.02)
+
+
+def _ignore(*_):
+    return None
+
+
+def play(scenario, count=3):
+    """Run a scenario on some hosts."""
+
+    async def run():
+        async with Hosts(count) as hosts:
+            await scenario(hosts)
+
+    asyncio.run(run())
+
+
+def test_version_reaches_all_and_the_origin_sends_one_copy():
+    async def scenario(hosts):
+        await hosts.name(1)
+        await hosts.until_all_have(1)
+        assert len(hosts.origin.reads) <= PIECES * 1.2
+        assert all(engine.orders == [1] for engine in hosts.engines)
+
+    play(scenario)
+
+
+def test_wrong_pieces_are_never_loaded():
+    """An engine answered from spoilt weights.
+
+    Events: the origin sends wrong bytes; a staged piece turns bad before the order.
+    Cause: the engine loads what lies there and looks at no digest.
+    """
+
+    async def scenario(hosts):
+        hosts.origin.wrong = {(1, 3), (1, 11)}
+        hosts.engines[0].rot_after_put = {0, 5}
+        await hosts.name(1)
+        await hosts.until_all_have(1)
+        assert all(engine.orders == [1] for engine in hosts.engines)
+
+    play(scenario)
+
+
+def test_next_version_replaces_the_first():
+    async def scenario(hosts):
+        await hosts.name(1)
+        await hosts.until_all_have(1)
+        await hosts.name(2)
+        await hosts.until_all_have(2)
+        assert all(engine.orders == [1, 2] for engine in hosts.engines)
+
+    play(scenario)
+
+
+def test_restarted_engine_gets_what_lies_there_without_the_origin():
+    """A crashed engine waited for a whole transfer though its pieces lay there."""
+
+    async def scenario(hosts):
+        await hosts.name(1)
+        await hosts.until_all_have(1)
+        reads = len(hosts.origin.reads)
+        hosts.engines[0].version = None
+        hosts.engines[0].loaded = {}
+        hosts.engines[0].sequence = 0
+        await hosts.until_all_have(1)
+        assert len(hosts.origin.reads) == reads
+
+    play(scenario)
+
+
+def test_restarted_agent_takes_over_what_is_staged():
+    async def scenario(hosts):
+        await hosts.name(1)
+        await hosts.until_all_have(1)
+        reads = len(hosts.origin.reads)
+        hosts.tasks[0].cancel()
+        await asyncio.sleep(0.1)
+        await hosts._start(hosts.ips[0], hosts.engines[0])
+        await hosts.name(1)
+        await asyncio.sleep(0.5)
+        assert hosts.engines[0].orders == [1]
+        assert len(hosts.origin.reads) == reads
+
+    play(scenario)
+
+
+def test_origin_that_is_down_is_waited_for():
+    async def scenario(hosts):
+        hosts.origin.down = True
+        await hosts.name(1)
+        await asyncio.sleep(0.6)
+        hosts.origin.down = False
+        await hosts.until_all_have(1)
+
+    play(scenario)
+
+
+def test_lost_host_does_not_stop_the_others():
+    """A transfer waited for a host that was gone.
+
+    Events: a host that has to read a part of the pieces dies at once. Cause: only
+    it would have read them; the next in order takes over.
+    """
+
+    async def scenario(hosts):
+        hosts.tasks[0].cancel()
+        hosts.engines[0].version = 1
+        hosts.engines[0].loaded = {index: piece(1, index) for index in range(PIECES)}
+        await asyncio.sleep(0.05)
+        hosts.ips_alive = hosts.ips[1:]
+        all_ips, hosts.ips = hosts.ips, hosts.ips[1:]
+        await hosts.name(1)
+        hosts.ips = all_ips
+        await hosts.until_all_have(1)
+
+    play(scenario)
+
+
+def test_order_of_an_older_agent_is_refused_by_the_sequence():
+    """An agent that woke late ordered an engine back to an old version.
+
+    Events: an agent reads the engine's state and stands still; another one orders;
+    the first wakes and orders too. Cause: orders without the number they expect.
+    """
+
+    async def run():
+        engine = FakeEngine()
+        seen = await engine.snapshot()
+        assert await engine.start("m", 2, sequence=seen.sequence) == "begun"
+        await asyncio.sleep(0.1)
+        assert await engine.start("m", 1, sequence=seen.sequence) == ENGINE_CHANGED
+
+    asyncio.run(run())
