--- a/hawthornspoke/cli/_app.py
+++ b/hawthornspoke/cli/_app.py
@@ -62,6 +62,28 @@
     return _run_role("agent", settings, overrides, AgentProcess)
 
 
+@app.command
+def explain(request: str, logs: list[Path]):
+    """Show what the collected logs tell of one request, over all hosts, in order.
+
+    Parameters
+    ----------
+    request
+        Id that the caller sent with the request.
+    logs
+        Files, or folders of files, of structured log lines.
+    """
+    from hawthornspoke.explain import explain_request
+
+    lines = explain_request(request, logs)
+    for line in lines:
+        print(line)
+    if not lines:
+        print(f"no line of {request} in {len(logs)} places", file=sys.stderr)
+        return codes.FAILED
+    return codes.OK
+
+
 @app.command
 def check(folder: Path):
     """Check a folder of declarations without any network; show all errors."""
--- /dev/null
+++ b/hawthornspoke/explain/tests/test_explain.py
@@ -0,0 +1,47 @@
+"""One request's timeline from the logs of several hosts."""
+
+import json
+
+from hawthornspoke.explain import explain_request
+
+
+def write(path, *events):
+    """Write events as log lines, with another program's line between them."""
+    lines = [json.dumps(event) for event in events]
+    path.write_text("not ours\n" + "\n".join(lines) + "\n{broken\n")
+
+
+def test_timeline_has_the_request_and_what_changed_around_it(tmp_path):
+    write(
+        tmp_path / "entry.log",
+        {"t": 10.0, "node": "e1", "event": "placed", "request": "r1", "endpoint": "i1"},
+        {"t": 10.1, "node": "e1", "event": "placed", "request": "r2", "endpoint": "i1"},
+        {"t": 9.0, "node": "e1", "event": "platform_lost", "reason": "503"},
+        {"t": 1.0, "node": "e1", "event": "started"},
+        {
+            "t": 11.3,
+            "node": "e1",
+            "event": "request",
+            "request": "r1",
+            "outcome": "cut",
+        },
+    )
+    write(
+        tmp_path / "other.log",
+        {"t": 11.0, "node": "e2", "event": "endpoint_gone", "endpoint": "i1"},
+        {"t": 11.0, "node": "e2", "event": "endpoint_gone", "endpoint": "i2"},
+    )
+    lines = explain_request("r1", [tmp_path])
+    assert [line.lstrip("* ").split()[3] for line in lines] == [
+        "platform_lost",
+        "placed",
+        "endpoint_gone",
+        "request",
+    ]
+    assert lines[1].startswith("*")
+    assert "outcome=cut" in lines[-1]
+
+
+def test_unknown_request_gives_nothing(tmp_path):
+    write(tmp_path / "a.log", {"t": 1.0, "node": "n", "event": "started"})
+    assert explain_request("r9", [tmp_path]) == []
--- a/hawthornspoke/relay/_forward.py
+++ b/hawthornspoke/relay/_forward.py
@@ -45,15 +45,17 @@
     dialect : Dialect
     budget_for : callable
         Returns the RetryBudget of a service.
+    log : EventLog
     """
 
-    __slots__ = ("_fleet", "_pool", "_dialect", "_budget_for")
+    __slots__ = ("_fleet", "_pool", "_dialect", "_budget_for", "_log")
 
-    def __init__(self, *, fleet, pool, dialect, budget_for):
+    def __init__(self, *, fleet, pool, dialect, budget_for, log):
         self._fleet = fleet
         self._pool = pool
         self._dialect = dialect
         self._budget_for = budget_for
+        self._log = log
 
     async def run(self, work):
         """Try until the request is answered or given up.
@@ -76,6 +78,13 @@
             try:
                 if await self._try(work, attempt):
                     return
+                self._log.change(
+                    "try_failed",
+                    request=work.request_id,
+                    endpoint=place.endpoint_id,
+                    reason=work.last_reason,
+                    may_have_run=work.may_have_run,
+                )
             finally:
                 # Reached with an open connection only if the task was cancelled:
                 # the caller left, or the request's time is over.
@@ -100,13 +109,36 @@
         if isinstance(answer, Decline):
             work.last_reason = work.last_reason or answer.reason
             work.retry_after = answer.retry_after
+            self._log_declined(work, ask, answer)
             return None
+        self._log_placed(work, ask, answer)
         work.tried.append(answer.endpoint_id)
-        work.report_age = answer.report_age
-        work.believed_load = answer.load
-        work.expected = answer.expected
         return answer
 
+    def _log_placed(self, work, ask, place):
+        self._log.decision(
+            "placed",
+            request=work.request_id,
+            endpoint=place.endpoint_id,
+            load=place.load,
+            report_age=place.report_age,
+            expected=round(place.expected, 4),
+            on_time_left=round(ask.on_time_left, 3),
+            returned=ask.returned,
+            version=ask.same_version,
+        )
+
+    def _log_declined(self, work, ask, decline):
+        self._log.change(
+            "declined",
+            request=work.request_id,
+            service=ask.service,
+            reason=decline.reason,
+            on_time_left=round(ask.on_time_left, 3),
+            returned=ask.returned,
+            retry_after=decline.retry_after,
+        )
+
     def _may_retry(self, work):
         if work.sent >= work.route.attempts:
             return False
@@ -233,7 +265,9 @@
             (place,) = self._fleet.step(ask, now=now)
             if isinstance(place, Decline):
                 work.last_reason += f"; no endpoint to go on: {place.reason}"
+                self._log_declined(work, ask, place)
                 return None
+            self._log_placed(work, ask, place)
             work.tried.append(place.endpoint_id)
             attempt = await self._try_to_resume(work, place, splitter, version)
             if attempt is not None:
--- a/hawthornspoke/relay/_process.py
+++ b/hawthornspoke/relay/_process.py
@@ -122,6 +122,7 @@
                 pool=self.pool,
                 dialect=self.dialect,
                 budget_for=self._budget_for,
+                log=self.log,
             ),
             dialect=self.dialect,
             contact=self.contact,
--- a/hawthornspoke/relay/_work.py
+++ b/hawthornspoke/relay/_work.py
@@ -30,9 +30,6 @@
         "last_reason",
         "retry_after",
         "outcome",
-        "report_age",
-        "believed_load",
-        "expected",
         "first_byte_at",
         "resumed",
     )
@@ -56,8 +53,5 @@
         self.last_reason = ""
         self.retry_after = None
         self.outcome = "unfinished"
-        self.report_age = None
-        self.believed_load = None
-        self.expected = None
         self.first_byte_at = None
         self.resumed = 0
--- a/hawthornspoke/relay/tests/endpoint.py
+++ b/hawthornspoke/relay/tests/endpoint.py
@@ -187,6 +187,7 @@
             pool=self.pool,
             dialect=self.dialect,
             budget_for=lambda service: self.budget,
+            log=EventLog(node="test"),
         )
         self.handler = Handler(
             forwarder=forwarder,
