--- /dev/null
+++ b/tests/soak/clients.py
@@ -0,0 +1,127 @@
+"""Callers that keep their connections and check what they are answered."""
+
+import asyncio
+import itertools
+import random
+
+from tests.soak.programs import FRONT
+from tests.soak.world import answer_to, events_of
+
+#: Seconds that a caller waits for an answer; longer than each route's limit.
+PATIENCE = 6.0
+
+
+class Record:
+    """One request and what the caller was told.
+
+    Attributes
+    ----------
+    status : int or None
+        None if the connection ended without an answer.
+    """
+
+    __slots__ = ("id", "prefix", "key", "sent_at", "ended_at", "status", "entry")
+
+    def __init__(self, *, request_id, prefix, key, sent_at, entry):
+        self.id, self.prefix, self.key = request_id, prefix, key
+        self.sent_at, self.entry = sent_at, entry
+        self.ended_at = self.status = None
+
+
+class Callers:
+    """Some callers before the entry hosts.
+
+    Parameters
+    ----------
+    entries : list of Program
+    keys : set of str
+        Shared with the soak, which takes keys away.
+    seed : int
+    """
+
+    def __init__(self, *, entries, keys, seed):
+        self.entries, self.keys = entries, keys
+        self.random = random.Random(seed)
+        self.records = []
+        self.broken = []
+        self._numbers = itertools.count()
+
+    async def run(self, count):
+        """Call until cancelled."""
+        await asyncio.gather(*(self._caller() for _ in range(count)))
+
+    async def _caller(self):
+        while True:
+            entry = self.random.choice(self.entries)
+            try:
+                reader, writer = await asyncio.open_connection(entry.ip, FRONT)
+            except OSError:
+                await asyncio.sleep(0.1)
+                continue
+            try:
+                while await self._one(entry, reader, writer):
+                    await asyncio.sleep(self.random.expovariate(8.0))
+            finally:
+                writer.transport.abort()
+
+    async def _one(self, entry, reader, writer):
+        """Make one request; return whether the connection can be used again."""
+        prefix = self.random.choice(("/once/", "/again/", "/stream/"))
+        request_id = f"q{next(self._numbers)}"
+        loop = asyncio.get_running_loop()
+        record = Record(
+            request_id=request_id,
+            prefix=prefix,
+            key=self.random.choice(sorted(self.keys)),
+            sent_at=loop.time(),
+            entry=entry,
+        )
+        self.records.append(record)
+        lines = [
+            f"POST {prefix}x HTTP/1.1",
+            "Host: svc.example",
+            f"Attempt-Id: {request_id}",
+            "Deadline-Ms: 5000",
+            f"X-Api-Key: {record.key}",
+            "Token-Count: 100,12",
+            "Content-Length: 0",
+        ]
+        try:
+            writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+            async with asyncio.timeout(PATIENCE):
+                return await self._read(record, reader)
+        except (OSError, asyncio.IncompleteReadError, TimeoutError):
+            return False
+        finally:
+            record.ended_at = loop.time()
+
+    async def _read(self, record, reader):
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        status = int(head.split(" ")[1])
+        if "chunked" in head.lower():
+            body = await self._read_chunks(reader)
+        else:
+            length = int(head.lower().split("content-length:")[1].split("\r\n")[0])
+            body = await reader.readexactly(length)
+        record.status = status
+        if status == 200:
+            self._check(record, head, body)
+        return "connection: close" not in head.lower()
+
+    async def _read_chunks(self, reader):
+        body = b""
+        while size := int(await reader.readuntil(b"\r\n"), 16):
+            body += (await reader.readexactly(size + 2))[:-2]
+        await reader.readexactly(2)
+        return body
+
+    def _check(self, record, head, body):
+        if "response-seal: s" not in head.lower():
+            self.broken.append(f"{record.id}: a success without a seal")
+        right = answer_to(record.id)
+        if record.prefix == "/stream/":
+            texts = events_of(record.id)
+            events = [f"id: {n}\ndata: {t}\n\n" for n, t in enumerate(texts, 1)]
+            right = "".join(events).encode()
+        if body != right:
+            self.broken.append(f"{record.id}: not its whole answer: {body[:80]!r}")
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,323 @@
+"""What surrounds the programs: store, origin, engines, and a proxy before them."""
+
+import asyncio
+import contextlib
+import json
+import random
+from hashlib import sha256
+from urllib.parse import parse_qs, urlsplit
+
+from standin_store import StandinStore
+
+from hawthornspoke.httpio import HttpServer
+
+PIECES, SIZE, LAYERS, SLOTS = 16, 2000, 8, 6
+MODEL, LLM, PLAIN, ORIGIN = "m1", "llm", "plain", "origin"
+STEP = 0.02
+KINDS = {"/once/": "non_idempotent", "/again/": "idempotent", "/stream/": "streaming"}
+
+
+def piece(version, index):
+    """Return the right bytes of a piece."""
+    return random.Random(f"{version}/{index}").randbytes(SIZE)
+
+
+def answer_to(request_id):
+    """Return the one right answer to a request."""
+    return f"answer to {request_id}".encode()
+
+
+def events_of(request_id):
+    """Return the data of each event of a stream's one right answer."""
+    return [f"{request_id}-{number}" for number in range(1, 13)]
+
+
+class Engine:
+    """An engine or a plain service; it records what it runs.
+
+    Parameters
+    ----------
+    number : int
+    ip : str
+    port : int
+    service : str
+    """
+
+    def __init__(self, *, number, ip, port, service):
+        self.id = f"i-{number}-0"
+        self.number, self.ip, self.port, self.service = number, ip, port, service
+        self.generation = 0
+        self.staged = {}
+        self.loaded = {}
+        self.version = None
+        self.busy = False
+        self.sequence = 0
+        self.running = 0
+        self.runs = []
+        self.broken = []
+        self.leaving = False
+        self.server = None
+
+    async def start(self):
+        """Listen."""
+        self.server = HttpServer(
+            host=self.ip, port=self.port, handler=self.handle, on_broken=print
+        )
+        await self.server.start()
+
+    def crash(self):
+        """Lose the weights and all connections, and come back as another one."""
+        self.server.close()
+        self.generation += 1
+        self.id = f"i-{self.number}-{self.generation}"
+        self.version, self.loaded, self.busy, self.sequence = None, {}, False, 0
+        self.running = 0
+
+    def entry(self, address):
+        """Return the engine's row in the store."""
+        row = {
+            "service": self.service,
+            "address": address,
+            "zone": f"z{self.number % 2}",
+        }
+        row |= {"version": "v1", "slots": SLOTS, "sequence": 1}
+        row["state"] = "draining" if self.leaving else "ready"
+        if self.service == LLM:
+            held = {"from": 0, "target": LAYERS, "version": self.version}
+            row["layers"] = held if self.version else None
+        return row
+
+    async def handle(self, request, reply):
+        parts = urlsplit(request.target)
+        name = parts.path.split("/")[2] if parts.path.startswith("/v1/") else ""
+        if name == "report":
+            return self._report(reply)
+        if name == "order":
+            return self._order(json.loads(request.body), reply)
+        if name in ("stage-put", "stage-get"):
+            return self._stage(request, parse_qs(parts.query), reply)
+        return await self._run(request, reply)
+
+    def _report(self, reply):
+        held = {"from": 0, "target": LAYERS, "version": self.version}
+        body = {
+            "layers": held if self.version else None,
+            "busy": self.busy,
+            "sequence": self.sequence,
+            "active": self.running,
+            "queued": 0,
+            "pace": 1.0,
+        }
+        reply.send(200, (), json.dumps(body).encode())
+
+    def _order(self, order, reply):
+        if self.busy or order["expectedRevision"] != self.sequence:
+            return reply.send(409)
+        self.busy = True
+        self.sequence += 1
+        taken = dict(self.staged)
+        asyncio.get_running_loop().create_task(self._load(order["version"], taken))
+        return reply.send(202)
+
+    async def _load(self, version, taken):
+        generation = self.generation
+        while self.running and generation == self.generation:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.05)
+        if generation == self.generation:
+            self.version, self.loaded, self.busy = version, taken, False
+
+    def _stage(self, request, query, reply):
+        index = int(query["sampleCount"][0]) if "sampleCount" in query else None
+        if request.method == "PUT":
+            self.staged[index] = request.body
+            return reply.send(200)
+        if index is None:
+            return reply.send(200, (), json.dumps({"held": list(self.staged)}).encode())
+        if index not in self.staged:
+            return reply.send(404)
+        return reply.send(200, (), self.staged[index])
+
+    async def _run(self, request, reply):
+        request_id = request.get("Attempt-Id")
+        echo = [("Attempt-Id", request_id), ("Keep-Alive", "timeout=5")]
+        if request.get("Expect-Instance") != self.id:
+            return reply.send(421, [*echo, ("Instance-Id", self.id)])
+        expected = request.get("Expect-Version")
+        whole = self.service != LLM or self.version is not None
+        if not whole or (expected and int(expected) != self.version):
+            return reply.send(421, [*echo, ("Instance-Id", self.id)])
+        if self.running >= SLOTS or self.busy or self.leaving:
+            return reply.send(503, [*echo, ("Not-Executed", "1")])
+        self._check_weights()
+        self.running += 1
+        self.runs.append((request_id, request.get("Tenant"), self.version))
+        generation = self.generation
+        try:
+            head = [
+                *echo,
+                ("Response-Seal", "s"),
+                ("Weight-Versions", str(self.version)),
+            ]
+            if request.target.startswith("/stream/"):
+                await self._stream(request, reply, head)
+            else:
+                await asyncio.sleep(STEP)
+                reply.send(200, head, answer_to(request_id))
+        finally:
+            if generation == self.generation:
+                self.running -= 1
+        return None
+
+    async def _stream(self, request, reply, head):
+        after = int(request.get("Last-Event-Id") or 0)
+        reply.start(200, head)
+        texts = events_of(request.get("Attempt-Id"))
+        for number in range(after + 1, len(texts) + 1):
+            await asyncio.sleep(STEP)
+            await reply.write(f"id: {number}\ndata: {texts[number - 1]}\n\n".encode())
+        reply.finish()
+
+    def _check_weights(self):
+        if self.service != LLM:
+            return
+        right = {index: piece(self.version, index) for index in range(PIECES)}
+        if self.loaded != right:
+            self.broken.append(f"engine {self.id} runs on spoilt weights")
+
+
+class Origin:
+    """The origin of weights; it may be down or send wrong bytes."""
+
+    def __init__(self):
+        self.down = False
+        self.wrong = 0.0
+        self.random = random.Random(1)
+        self.server = None
+
+    async def start(self, ip, port):
+        self.server = HttpServer(
+            host=ip, port=port, handler=self.handle, on_broken=print
+        )
+        await self.server.start()
+
+    async def handle(self, request, reply):
+        if self.down:
+            return reply.abort()
+        parts = urlsplit(request.target)
+        query = parse_qs(parts.query)
+        version = int(query["version"][0])
+        if "/manifest/" in parts.path:
+            digests = [sha256(piece(version, n)).hexdigest() for n in range(PIECES)]
+            body = {"version": version, "hashes": digests}
+            return reply.send(200, (), json.dumps(body).encode())
+        data = piece(version, int(query["sampleCount"][0]))
+        if self.random.random() < self.wrong:
+            data = b"?" + data[1:]
+        return reply.send(200, (), data)
+
+
+class Proxy:
+    """Passes connections on, and spoils them on demand.
+
+    Attributes
+    ----------
+    fault : str or None
+        ``"silent"`` (nothing passes), ``"one_way"`` (answers don't), ``"slow"``,
+        ``"refuse"`` (new connections are reset).
+    """
+
+    def __init__(self, *, ip, port, target_ip, target_port):
+        self.ip, self.port = ip, port
+        self.target = (target_ip, target_port)
+        self.fault = None
+        self._writers = set()
+        self._server = None
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._accept, self.ip, self.port)
+
+    def reset_all(self):
+        """Reset every open connection."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def close(self):
+        self._server.close()
+        self.reset_all()
+
+    async def _accept(self, reader, writer):
+        if self.fault == "refuse":
+            writer.transport.abort()
+            return
+        try:
+            far_reader, far_writer = await asyncio.open_connection(*self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers |= {writer, far_writer}
+        there = asyncio.create_task(self._pass(reader, far_writer, ("silent",)))
+        back = asyncio.create_task(
+            self._pass(far_reader, writer, ("silent", "one_way"))
+        )
+        await asyncio.gather(there, back, return_exceptions=True)
+        self._writers -= {writer, far_writer}
+
+    async def _pass(self, reader, writer, held_by):
+        try:
+            while data := await reader.read(65536):
+                while self.fault in held_by:
+                    await asyncio.sleep(0.05)
+                if self.fault == "slow":
+                    await asyncio.sleep(0.1)
+                writer.write(data)
+                await writer.drain()
+            writer.close()
+        except OSError:
+            writer.transport.abort()
+
+
+def configuration(version, keys):
+    """Return a configuration with one route of each kind."""
+    routes = [
+        {
+            "name": prefix,
+            "host": "svc.example",
+            "prefix": prefix,
+            "type": kind,
+            "timeoutMs": 4000,
+            "sloMs": 1000,
+            "priority": 1,
+            "service": LLM if kind == "streaming" else PLAIN,
+            "maxAttempts": 1 if kind == "non_idempotent" else 2,
+            "public": False,
+            "resumable": kind == "streaming",
+        }
+        for prefix, kind in KINDS.items()
+    ]
+    engine = {
+        "slots": SLOTS,
+        "interval": 1,
+        "modelList": [{"name": MODEL, "warmupS": 0.05}],
+        "step_ms": STEP * 1000,
+        "per_seq_ms": 0.0,
+        "read_per_s": 30000.0,
+        "usual": {"prompt": 100, "answer": 12},
+        "layers": LAYERS,
+        "blocks": PIECES,
+        "blockBytes": SIZE,
+    }
+    services = [
+        {"name": PLAIN, "maxConns": 100},
+        {"name": LLM, "maxConns": 100, "backend": engine},
+        {"name": ORIGIN, "upstream": "127.0.2.1:9300"},
+    ]
+    return {
+        "version": version,
+        "routes": routes,
+        "services": services,
+        "tenants": [{"name": "org", "apiKeys": sorted(keys)}],
+    }
+
+
+__all__ = ["Engine", "Origin", "Proxy", "StandinStore", "configuration"]
