--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -1,7 +1,6 @@
 """What surrounds the programs: store, origin, engines, and a proxy before them."""
 
 import asyncio
-import contextlib
 import json
 import random
 from hashlib import sha256
