--- a/hawthornspoke/catalog/_types.py
+++ b/hawthornspoke/catalog/_types.py
@@ -49,6 +49,8 @@
         Whether no key is needed.
     resumable : bool
         Whether a stream may go on at another endpoint after its last event.
+    event_patience : float or None
+        Seconds that callers wait for a stream's next event before they leave.
     """
 
     name: str
@@ -62,6 +64,7 @@
     priority: int
     public: bool = False
     resumable: bool = False
+    event_patience: float | None = None
 
     @property
     def repeatable(self):
--- a/hawthornspoke/placing/_fleet.py
+++ b/hawthornspoke/placing/_fleet.py
@@ -379,7 +379,7 @@
         ranked.sort(key=lambda item: item[0])
         on_time = [item for item in ranked if item[1] <= message.on_time_left]
         if on_time:
-            _, expected, endpoint = on_time[0]
+            _, expected, endpoint = self._less_loaded_of_two(on_time)
             return self._place(endpoint, expected, now)
         _, expected, endpoint = min(ranked, key=lambda item: item[1])
         queue = endpoint.load - engine.slots
@@ -388,6 +388,16 @@
         excess = max(0.0, expected - max(0.0, message.on_time_left))
         return self._decline(message, "full", max(excess, slot_release(engine)))
 
+    def _less_loaded_of_two(self, ranked):
+        """Return the less loaded of two random places, near ones before far ones.
+
+        Several entry hosts see the same loads, some 0.1 s old. If each took the
+        least loaded engine, all would take the same one, and its callers be late.
+        """
+        near = [item for item in ranked if item[0][0] == ranked[0][0][0]]
+        pair = self._random.sample(near, min(2, len(near)))
+        return min(pair, key=lambda item: (item[2].load, item[0]))
+
     def _rank(self, endpoint, expected):
         far = endpoint.entry.failure_domain != self.failure_domain
         return far, expected, endpoint.own_running, self._random.random()
--- a/hawthornspoke/placing/tests/test_fleet.py
+++ b/hawthornspoke/placing/tests/test_fleet.py
@@ -288,6 +288,26 @@
     assert machine.endpoint_by_id["one"].load == 0
 
 
+def test_entry_hosts_do_not_all_choose_the_same_engine():
+    """First tokens came late from one engine while its neighbours had room.
+
+    Events: eight entry hosts of a failure domain place a dozen requests between two
+    reports of the engines' loads. Cause: each took the least loaded engine.
+    """
+    names = [f"e{number}" for number in range(6)]
+    hosts = []
+    for seed in range(8):
+        machine = fleet(*(entry(name) for name in names))
+        machine._random.seed(seed)
+        for number, name in enumerate(names):
+            report(machine, name, load=number)
+        hosts.append(machine)
+    chosen = Counter()
+    for machine in hosts * 2:
+        chosen[ask(machine, now=1.0).endpoint_id] += 1
+    assert max(chosen.values()) <= 8
+
+
 def test_overload_keeps_what_is_taken_on_time():
     """A load of one and a half times what engines can do.
 
--- a/hawthornspoke/relay/_forward.py
+++ b/hawthornspoke/relay/_forward.py
@@ -142,6 +142,11 @@
     def _may_retry(self, work):
         if work.sent >= work.route.attempts:
             return False
+        if not work.reply.started and monotonic() > work.resend_deadline:
+            # The caller will have left before a first event can come; an endpoint
+            # would read the prompt for nobody.
+            work.last_reason = f"{work.last_reason}; no time for a first event"
+            return False
         message = AskRetry(
             repeatable=work.route.repeatable,
             was_run=work.may_have_run,
--- a/hawthornspoke/relay/_handler.py
+++ b/hawthornspoke/relay/_handler.py
@@ -13,6 +13,11 @@
 #: Callers' deadlines that are remembered for that: the longest on each route.
 ASSUMED_DEADLINE = 30.0
 
+#: Seconds before a stream's caller leaves from which its request is not sent once
+#: more. A link that is full delays it by half a second and more, and a
+#: first event takes some 0.2 s.
+RESEND_TIME = 0.7
+
 #: Seconds after which callers return to a host that knows no configuration yet,
 #: or can't tell whether their key is still valid: the time of a short outage.
 UNINFORMED_RETRY_AFTER = 0.5
@@ -131,6 +136,10 @@
         work.deadline = min(work.caller_deadline, arrived + work.route.timeout)
         spent = (longest - given) / 1000 if work.returned else 0.0
         work.objective_deadline = arrived - spent + work.route.objective
+        work.resend_deadline = work.deadline
+        if work.route.event_patience is not None:
+            leaves_at = min(work.deadline, arrived + work.route.event_patience)
+            work.resend_deadline = leaves_at - RESEND_TIME
         tokens = work.request.get(self._dialect.tokens, "").partition(",")[0]
         work.prompt_tokens = int(tokens) if tokens.isdigit() else 0
 
--- a/hawthornspoke/relay/_work.py
+++ b/hawthornspoke/relay/_work.py
@@ -21,6 +21,7 @@
         "caller_deadline",
         "deadline",
         "objective_deadline",
+        "resend_deadline",
         "returned",
         "prompt_tokens",
         "tried",
@@ -44,6 +45,7 @@
         self.caller_deadline = None
         self.deadline = None
         self.objective_deadline = None
+        self.resend_deadline = None
         self.returned = False
         self.prompt_tokens = 0
         self.tried = []
--- a/hawthornspoke/relay/tests/endpoint.py
+++ b/hawthornspoke/relay/tests/endpoint.py
@@ -258,6 +258,7 @@
                 priority=1,
                 public=not self.keys,
                 resumable=kind == STREAM,
+                event_patience=self.timeout if kind == STREAM else None,
             )
             for name, kind, attempts in ROUTES
         )
--- a/hawthornspoke/relay/tests/test_forward.py
+++ b/hawthornspoke/relay/tests/test_forward.py
@@ -144,6 +144,25 @@
     play(scenario)
 
 
+def test_request_is_not_sent_again_when_its_caller_is_about_to_leave():
+    """Engines read prompts for callers that had left.
+
+    Events: an engine is silent; the request is sent to a second one just before the
+    caller's patience ends; a full link delays it by more. Cause: only the route's
+    limit was looked at.
+    """
+
+    async def scenario():
+        first, second = Endpoint(reset()), Endpoint(events([1]))
+        async with Bench(first, second, timeout=0.6) as bench:
+            bench.fleet.endpoint_by_id["e1"].own_running = 1
+            status, _, _, _ = await bench.ask("stream")
+            assert status == 502
+            assert second.requests == []
+
+    play(scenario)
+
+
 def test_stream_is_not_joined_from_two_versions():
     """Weights of two versions made one answer.
 
--- a/hawthornspoke/spread/_exchange.py
+++ b/hawthornspoke/spread/_exchange.py
@@ -56,9 +56,9 @@
 PEER_SLOTS = 6
 
 #: Fewest of them, on a link that has become narrow; and the seconds for a piece
-#: from which one fewer, or one more, is asked for. Six at once on a sound link take
-#: 0.3 to 0.6 s each.
-LEAST_PEER_SLOTS = 2
+#: from which half as many, or one more, are asked for. Six at once on a sound link
+#: take 0.3 to 0.6 s each.
+LEAST_PEER_SLOTS = 1
 SLOW_PIECE = 1.0
 QUICK_PIECE = 0.7
 
@@ -292,7 +292,7 @@
         fill it, and requests to the engine wait behind them.
         """
         if seconds > SLOW_PIECE:
-            self.swarm.peer_slots = max(LEAST_PEER_SLOTS, self.swarm.peer_slots - 1)
+            self.swarm.peer_slots = max(LEAST_PEER_SLOTS, self.swarm.peer_slots // 2)
         elif seconds < QUICK_PIECE:
             self.swarm.peer_slots = min(PEER_SLOTS, self.swarm.peer_slots + 1)
 
