--- a/hawthornspoke/httpio/__init__.py
+++ b/hawthornspoke/httpio/__init__.py
@@ -11,14 +11,14 @@
     CONNECT_FAILED,
     NOT_HTTP,
     ClientConnection,
-    ConnectionPool,
     Exchange,
     encode_request,
-    fetch,
     open_connection,
     set_socket_options,
 )
 from hawthornspoke.httpio._message import Message, Request, Response
+from hawthornspoke.httpio._operator import OperatorPort
+from hawthornspoke.httpio._pool import ConnectionPool, fetch
 from hawthornspoke.httpio._server import CallerGone, HttpServer, Reply, ServerLimits
 
 __all__ = [
@@ -31,6 +31,7 @@
     "Exchange",
     "HttpServer",
     "Message",
+    "OperatorPort",
     "Reply",
     "Request",
     "Response",
--- /dev/null
+++ b/hawthornspoke/httpio/_pool.py
@@ -0,0 +1,128 @@
+"""Connections that are kept between requests, and small whole calls on them."""
+
+import asyncio
+
+from hawthornspoke.base import Failure, monotonic
+from hawthornspoke.httpio._client import (
+    BROKEN,
+    ClientConnection,
+    encode_request,
+    open_connection,
+)
+
+
+class ConnectionPool:
+    """Idle connections by key, the last used first.
+
+    Parameters
+    ----------
+    id_header : str or None, default=None
+    connect_timeout : float, default=0.3
+        Seconds. A round trip between regions is some milliseconds, and 0.2 s where
+        a link is full; an endpoint that is dark doesn't answer at all.
+    """
+
+    __slots__ = ("id_header", "connect_timeout", "opened", "_idle_by_key")
+
+    def __init__(self, *, id_header=None, connect_timeout=0.3):
+        self.id_header = id_header
+        self.connect_timeout = connect_timeout
+        self.opened = 0
+        self._idle_by_key = {}
+
+    async def acquire(self, key, address, *, fresh=False, timeout=None):
+        """Return a connection.
+
+        Parameters
+        ----------
+        key : str
+            Connections are shared only under one key: an address can pass to
+            another endpoint.
+        address : str
+        fresh : bool, default=False
+            Whether to open a new one in any case.
+        timeout : float or None, default=None
+            Seconds to connect, if other than the pool's.
+
+        Returns
+        -------
+        ClientConnection or Failure
+        """
+        idle = self._idle_by_key.get(key)
+        now = monotonic()
+        while idle and not fresh:
+            connection = idle.pop()
+            if now < connection.idle_deadline and connection.transport is not None:
+                return connection
+            connection.abort()
+        self.opened += 1
+        return await open_connection(
+            address, timeout=timeout or self.connect_timeout, id_header=self.id_header
+        )
+
+    def put_back(self, key, connection):
+        """Keep a connection whose answer is complete."""
+        if connection.release():
+            self._idle_by_key.setdefault(key, []).append(connection)
+
+    def drop(self, key):
+        """Close the idle connections of an endpoint that is gone."""
+        for connection in self._idle_by_key.pop(key, ()):
+            connection.abort()
+
+    def sweep(self):
+        """Close connections that are idle for too long to be used again."""
+        now = monotonic()
+        for idle in self._idle_by_key.values():
+            for connection in [item for item in idle if now >= item.idle_deadline]:
+                idle.remove(connection)
+                connection.abort()
+
+    def close(self):
+        """Close all idle connections."""
+        for key in list(self._idle_by_key):
+            self.drop(key)
+
+
+async def fetch(pool, address, *, method, target, headers=(), body=b"", timeout):
+    """Make one small call and read its whole answer.
+
+    Parameters
+    ----------
+    pool : ConnectionPool
+    address : str
+        ``IP:PORT``, also the pool's key.
+    method, target : str
+    headers : list of (str, str)
+    body : bytes
+    timeout : float
+        Seconds for all of it.
+
+    Returns
+    -------
+    Response or Failure
+    """
+    connection = None
+    complete = False
+    data = encode_request(
+        method=method,
+        target=target,
+        headers=[("Host", address), *headers],
+        body=body,
+    )
+    try:
+        async with asyncio.timeout(timeout):
+            connection = await pool.acquire(address, address)
+            if isinstance(connection, Failure):
+                return connection
+            answer = await connection.send(data, expected_id=None).read_whole()
+            complete = not isinstance(answer, Failure)
+            return answer
+    except TimeoutError:
+        return BROKEN.because(f"{method} {target}: no answer in {timeout:g} s")
+    finally:
+        if isinstance(connection, ClientConnection):
+            if complete:
+                pool.put_back(address, connection)
+            else:
+                connection.abort()
--- a/hawthornspoke/relay/_process.py
+++ b/hawthornspoke/relay/_process.py
@@ -1,13 +1,17 @@
 """The entry host's process on one event loop: sockets, signals, what is believed."""
 
 import asyncio
-import json
 import signal
 import time
 
 from hawthornspoke.base import monotonic
 from hawthornspoke.events import EventLog
-from hawthornspoke.httpio import ConnectionPool, HttpServer, ServerLimits
+from hawthornspoke.httpio import (
+    ConnectionPool,
+    HttpServer,
+    OperatorPort,
+    ServerLimits,
+)
 from hawthornspoke.metrics import Metrics
 from hawthornspoke.peering import directive
 from hawthornspoke.placing import (
@@ -140,7 +144,8 @@
         self.ready = self._server(settings.ready, self._answer_ready)
         ip = settings.front.rpartition(":")[0]
         self.operator = self._server(
-            f"{ip}:{settings.operator_port}", self._answer_operator
+            f"{ip}:{settings.operator_port}",
+            OperatorPort(metrics=self.metrics, dump=self._dump),
         )
 
     async def run(self):
@@ -331,15 +336,6 @@
         is_ready = is_ready and self.contact.steady(now=contact_clock())
         reply.send(200 if is_ready else 503)
 
-    async def _answer_operator(self, request, reply):
-        if request.target.startswith("/metrics"):
-            body = self.metrics.render().encode()
-            reply.send(200, [("Content-Type", "text/plain; version=0.0.4")], body)
-        elif request.target.startswith("/dump"):
-            reply.send(200, [("Content-Type", "application/json")], self._dump())
-        else:
-            reply.send(404)
-
     def _dump(self):
         now = monotonic()
         state = {
@@ -355,10 +351,10 @@
             },
             "metrics": self.metrics.dump(),
         }
-        return json.dumps(state).encode()
+        return state
 
     def _log_dump(self):
-        self.log.change("dump", state=json.loads(self._dump()))
+        self.log.change("dump", state=self._dump())
 
     def _reload(self):
         if self.reload_settings is None:
--- a/hawthornspoke/relay/_try.py
+++ b/hawthornspoke/relay/_try.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from hawthornspoke.base import Failure, monotonic
-from hawthornspoke.httpio import ClientConnection, encode_request
+from hawthornspoke.httpio import encode_request
 from hawthornspoke.placing import Finished, LoadSeen, Sent
 
 #: Statuses by which an endpoint may say that it has not run a request.
@@ -180,8 +180,3 @@
 
     def _tell(self, message):
         self._fleet.step(message, now=monotonic())
-
-
-def is_connection(item):
-    """Tell a connection from a failure."""
-    return isinstance(item, ClientConnection)
--- a/hawthornspoke/spread/_process.py
+++ b/hawthornspoke/spread/_process.py
@@ -1,13 +1,12 @@
 """The agent beside an engine on one event loop: pieces, orders, its state."""
 
 import asyncio
-import json
 import random
 import signal
 
 from hawthornspoke.base import is_failure, monotonic
 from hawthornspoke.events import EventLog
-from hawthornspoke.httpio import HttpServer
+from hawthornspoke.httpio import HttpServer, OperatorPort
 from hawthornspoke.metrics import Metrics
 from hawthornspoke.peering import listen
 from hawthornspoke.protocol import EngineState, Frame
@@ -126,7 +125,7 @@
         self.operator = HttpServer(
             host=settings.ip,
             port=settings.operator_port,
-            handler=self._answer_operator,
+            handler=OperatorPort(metrics=self.metrics, dump=self._dump),
             on_broken=lambda error: self.log.change("failed", error=repr(error)),
         )
         self._snapshot = None
@@ -432,16 +431,6 @@
         if not self._stopped.done():
             self._stopped.set_result(None)
 
-    async def _answer_operator(self, request, reply):
-        if request.target.startswith("/metrics"):
-            body = self.metrics.render().encode()
-            reply.send(200, [("Content-Type", "text/plain; version=0.0.4")], body)
-        elif request.target.startswith("/dump"):
-            body = json.dumps(self._dump()).encode()
-            reply.send(200, [("Content-Type", "application/json")], body)
-        else:
-            reply.send(404)
-
     def _dump(self):
         now = monotonic()
         return {
