--- a/hawthornspoke/relay/tests/endpoint.py
+++ b/hawthornspoke/relay/tests/endpoint.py
@@ -163,7 +163,7 @@
 )
 
 
-class Bench:
+class RelayHarness:
     """Endpoints, a relay's handler, and callers, on one event loop."""
 
     def __init__(self, *endpoints, timeout=0.6, keys=None, confirmed=True):
--- a/hawthornspoke/relay/tests/test_forward.py
+++ b/hawthornspoke/relay/tests/test_forward.py
@@ -5,8 +5,8 @@
 import pytest
 
 from hawthornspoke.relay.tests.endpoint import (
-    Bench,
     Endpoint,
+    RelayHarness,
     answer,
     events,
     field,
@@ -30,8 +30,8 @@
 def test_request_is_passed_on_unchanged():
     async def scenario():
         endpoint = Endpoint(answer(body=b"hello"))
-        async with Bench(endpoint) as bench:
-            status, head, body, whole = await bench.ask(
+        async with RelayHarness(endpoint) as harness:
+            status, head, body, whole = await harness.ask(
                 "once", extra=["X-Mine: 7", "X-Organisation: liar"]
             )
             assert (status, body, whole) == (200, b"hello", True)
@@ -57,8 +57,8 @@
 
     async def scenario():
         endpoint = Endpoint(silent())
-        async with Bench(endpoint) as bench:
-            status, head, _, _ = await bench.ask("once")
+        async with RelayHarness(endpoint) as harness:
+            status, head, _, _ = await harness.ask("once")
             assert status == 504
             assert field(head, "Retry-After") is None
             assert len(endpoint.requests) == 1
@@ -69,8 +69,8 @@
 def test_reset_endpoint_is_no_promise_either():
     async def scenario():
         endpoint, other = Endpoint(reset()), Endpoint(reset())
-        async with Bench(endpoint, other) as bench:
-            status, _, _, _ = await bench.ask("once")
+        async with RelayHarness(endpoint, other) as harness:
+            status, _, _, _ = await harness.ask("once")
             assert status == 502
             assert len(endpoint.requests) + len(other.requests) == 1
 
@@ -80,8 +80,8 @@
 def test_endpoint_that_sheds_gives_a_truthful_refusal():
     async def scenario():
         endpoint = Endpoint(shed())
-        async with Bench(endpoint) as bench:
-            status, head, _, _ = await bench.ask("once")
+        async with RelayHarness(endpoint) as harness:
+            status, head, _, _ = await harness.ask("once")
             assert status == 503
             assert float(field(head, "Retry-After")) > 0
 
@@ -93,9 +93,9 @@
     async def scenario():
         first, second = Endpoint(step, step), Endpoint(step, step)
         first.steps, second.steps = [step], [answer(body=b"good")]
-        async with Bench(first, second) as bench:
-            bench.fleet.endpoint_by_id["e1"].own_running = 1
-            status, _, body, _ = await bench.ask("again")
+        async with RelayHarness(first, second) as harness:
+            harness.fleet.endpoint_by_id["e1"].own_running = 1
+            status, _, body, _ = await harness.ask("again")
             assert (status, body) == (200, b"good")
             assert len(first.requests) == len(second.requests) == 1
 
@@ -112,10 +112,10 @@
 
     async def scenario():
         dead, alive = Endpoint(), Endpoint(answer())
-        async with Bench(dead, alive) as bench:
+        async with RelayHarness(dead, alive) as harness:
             dead.close()
-            bench.fleet.endpoint_by_id["e1"].own_running = 1
-            status, _, _, _ = await bench.ask("once")
+            harness.fleet.endpoint_by_id["e1"].own_running = 1
+            status, _, _, _ = await harness.ask("once")
             assert status == 200
 
     play(scenario)
@@ -132,9 +132,9 @@
     async def scenario():
         first = Endpoint(events([1, 2, 3], whole=False, cut=b"id: 4\nda"))
         second = Endpoint(events([4, 5]))
-        async with Bench(first, second, timeout=2.0) as bench:
-            bench.fleet.endpoint_by_id["e1"].own_running = 1
-            status, _, body, whole = await bench.ask("stream")
+        async with RelayHarness(first, second, timeout=2.0) as harness:
+            harness.fleet.endpoint_by_id["e1"].own_running = 1
+            status, _, body, whole = await harness.ask("stream")
             assert (status, whole) == (200, True)
             assert ids_of(body) == [1, 2, 3, 4, 5]
             raw, _ = second.requests[0]
@@ -154,9 +154,9 @@
 
     async def scenario():
         first, second = Endpoint(reset()), Endpoint(events([1]))
-        async with Bench(first, second, timeout=0.6) as bench:
-            bench.fleet.endpoint_by_id["e1"].own_running = 1
-            status, _, _, _ = await bench.ask("stream")
+        async with RelayHarness(first, second, timeout=0.6) as harness:
+            harness.fleet.endpoint_by_id["e1"].own_running = 1
+            status, _, _, _ = await harness.ask("stream")
             assert status == 502
             assert second.requests == []
 
@@ -173,9 +173,9 @@
     async def scenario():
         first = Endpoint(events([1, 2], whole=False))
         second = Endpoint(events([3], version="2"))
-        async with Bench(first, second, timeout=2.0) as bench:
-            bench.fleet.endpoint_by_id["e1"].own_running = 1
-            status, _, body, whole = await bench.ask("stream")
+        async with RelayHarness(first, second, timeout=2.0) as harness:
+            harness.fleet.endpoint_by_id["e1"].own_running = 1
+            status, _, body, whole = await harness.ask("stream")
             assert (status, whole) == (200, False)
             assert ids_of(body) == [1, 2]
 
@@ -185,8 +185,8 @@
 def test_stream_with_a_missing_event_does_not_look_complete():
     async def scenario():
         only = Endpoint(events([1, 2, 4]))
-        async with Bench(only, timeout=2.0) as bench:
-            status, _, body, whole = await bench.ask("stream")
+        async with RelayHarness(only, timeout=2.0) as harness:
+            status, _, body, whole = await harness.ask("stream")
             assert (status, whole) == (200, False)
             assert ids_of(body) == [1, 2]
 
@@ -208,10 +208,10 @@
 
     async def scenario():
         endpoint = Endpoint(twice, answer(body=b"second"))
-        async with Bench(endpoint) as bench:
-            assert (await bench.ask("once"))[2] == b"first"
+        async with RelayHarness(endpoint) as harness:
+            assert (await harness.ask("once"))[2] == b"first"
             await asyncio.sleep(0.1)
-            assert (await bench.ask("once", extra=["X-N: 2"]))[2] == b"second"
+            assert (await harness.ask("once", extra=["X-N: 2"]))[2] == b"second"
 
     play(scenario)
 
@@ -222,8 +222,8 @@
         writer.write(response(head, body=b"new"))
 
     async def scenario():
-        async with Bench(Endpoint(late)) as bench:
-            assert (await bench.ask("once"))[2] == b"new"
+        async with RelayHarness(Endpoint(late)) as harness:
+            assert (await harness.ask("once"))[2] == b"new"
 
     play(scenario)
 
@@ -234,8 +234,8 @@
         writer.write(whole.replace(b"X-Seal: s\r\n", b""))
 
     async def scenario():
-        async with Bench(Endpoint(unsealed)) as bench:
-            assert (await bench.ask("once"))[0] == 502
+        async with RelayHarness(Endpoint(unsealed)) as harness:
+            assert (await harness.ask("once"))[0] == 502
 
     play(scenario)
 
@@ -250,8 +250,8 @@
         return False
 
     async def scenario():
-        async with Bench(Endpoint(unframed)) as bench:
-            assert (await bench.ask("once"))[0] == 502
+        async with RelayHarness(Endpoint(unframed)) as harness:
+            assert (await harness.ask("once"))[0] == 502
 
     play(scenario)
 
@@ -274,9 +274,9 @@
         async def read_to_end(endpoint, head, writer):
             return await wait(endpoint, head, writer)
 
-        async with Bench(Endpoint(read_to_end), timeout=5.0) as bench:
+        async with RelayHarness(Endpoint(read_to_end), timeout=5.0) as harness:
             _, writer = await asyncio.open_connection(
-                "127.0.0.1", bench.server.bound_port
+                "127.0.0.1", harness.server.bound_port
             )
             writer.write(
                 b"GET /again/x HTTP/1.1\r\nHost: svc.example\r\n"
@@ -285,7 +285,7 @@
             await asyncio.sleep(0.1)
             writer.transport.abort()
             await asyncio.sleep(0.1)
-            assert bench.fleet.endpoint_by_id["e0"].own_running == 0
+            assert harness.fleet.endpoint_by_id["e0"].own_running == 0
 
     play(scenario)
 
@@ -293,9 +293,9 @@
 def test_revoked_or_unknown_key_is_refused():
     async def scenario():
         endpoint = Endpoint(answer())
-        async with Bench(endpoint, keys={"k1": "org"}) as bench:
-            assert (await bench.ask("once", extra=["X-Api-Key: k2"]))[0] == 401
-            status, _, _, _ = await bench.ask("once", extra=["X-Api-Key: k1"])
+        async with RelayHarness(endpoint, keys={"k1": "org"}) as harness:
+            assert (await harness.ask("once", extra=["X-Api-Key: k2"]))[0] == 401
+            status, _, _, _ = await harness.ask("once", extra=["X-Api-Key: k1"])
             assert status == 200
             raw, _ = endpoint.requests[0]
             assert field(raw, "X-Api-Key") is None
@@ -314,8 +314,10 @@
 
     async def scenario():
         endpoint = Endpoint(answer())
-        async with Bench(endpoint, keys={"k1": "org"}, confirmed=False) as bench:
-            status, head, _, _ = await bench.ask("once", extra=["X-Api-Key: k1"])
+        async with RelayHarness(
+            endpoint, keys={"k1": "org"}, confirmed=False
+        ) as harness:
+            status, head, _, _ = await harness.ask("once", extra=["X-Api-Key: k1"])
             assert status == 503
             assert field(head, "Retry-After") is not None
             assert endpoint.requests == []
@@ -325,8 +327,8 @@
 
 def test_unknown_route_is_not_found():
     async def scenario():
-        async with Bench(Endpoint()) as bench:
-            assert (await bench.ask("nowhere"))[0] == 404
+        async with RelayHarness(Endpoint()) as harness:
+            assert (await harness.ask("nowhere"))[0] == 404
 
     play(scenario)
 
@@ -350,9 +352,9 @@
 
     async def scenario():
         endpoint = Endpoint()
-        async with Bench(endpoint) as bench:
+        async with RelayHarness(endpoint) as harness:
             reader, writer = await asyncio.open_connection(
-                "127.0.0.1", bench.server.bound_port
+                "127.0.0.1", harness.server.bound_port
             )
             writer.write(head)
             raw = await asyncio.wait_for(reader.read(), 2)
