The binary's test waits for the process before it reads its exit code

Cause: children() raises OSError as the process ends, the loop breaks, and returncode is read before wait(). The other process tests read the code after poll() or run(). The check is as strict as before.

--- a/tests/test_binary.py
+++ b/tests/test_binary.py
@@ -29,6 +29,11 @@
 
 
 def test_demo_runs_from_the_binary_as_one_process(binary, tmp_path):
+    """Symptom: the exit code was None, once, beside load.
+
+    Events: the process ends; a look at its children finds no such process and ends
+    the loop. Cause: the exit code was read before the process was waited for.
+    """
     port = str(random.randrange(15000, 20000))
     process = subprocess.Popen(
         [sys.executable, str(binary), "demo", "--once", "--port", port],
@@ -43,7 +48,7 @@
         except OSError:
             break
         time.sleep(0.02)
-    printed = process.stdout.read()
+    printed, _ = process.communicate()
     assert process.returncode == 0, printed
     assert "1.00 copies read from the origin" in printed
     assert seen == set()
