Dead and doubled state: one expected first token, one record of held versions

Found by reading the whole change: the first-token call stood twice in the fleet, the upgrade machine kept held versions twice and a Tick that nobody sends, and a request's caller deadline was stored and never read.

--- a/hawthornspoke/placing/_fleet.py
+++ b/hawthornspoke/placing/_fleet.py
@@ -347,12 +347,7 @@
         """
         if not engine.layers or endpoint.weights_version is None:
             return True
-        expected = first_token(
-            engine,
-            load=endpoint.load,
-            prompt_tokens=message.prompt_tokens,
-            pace=endpoint.pace,
-        )
+        expected = _first_token_at(endpoint, engine, message)
         begins = now + BEGIN_SHARE * expected
         return endpoint.weights_version >= self.floor_version(engine.model, begins)
 
@@ -372,12 +367,7 @@
     def _place_on_engine(self, message, endpoints, engine, now):
         ranked = []
         for endpoint in endpoints:
-            expected = first_token(
-                engine,
-                load=endpoint.load,
-                prompt_tokens=message.prompt_tokens,
-                pace=endpoint.pace,
-            )
+            expected = _first_token_at(endpoint, engine, message)
             ranked.append((self._rank(endpoint, expected), expected, endpoint))
         ranked.sort(key=lambda item: item[0])
         on_time = [item for item in ranked if item[1] <= message.on_time_left]
@@ -436,3 +426,12 @@
     if endpoint.reported_at is None:
         return None
     return round(now - endpoint.reported_at, 3)
+
+
+def _first_token_at(endpoint, engine, message):
+    return first_token(
+        engine,
+        load=endpoint.load,
+        prompt_tokens=message.prompt_tokens,
+        pace=endpoint.pace,
+    )
--- a/hawthornspoke/relay/_handler.py
+++ b/hawthornspoke/relay/_handler.py
@@ -132,8 +132,7 @@
         if given > longest:
             self._longest_by_route[work.route.name] = longest = given
         work.returned = given < longest - DEADLINE_JITTER_MS
-        work.caller_deadline = arrived + given / 1000
-        work.deadline = min(work.caller_deadline, arrived + work.route.timeout)
+        work.deadline = arrived + min(given / 1000, work.route.timeout)
         spent = (longest - given) / 1000 if work.returned else 0.0
         work.objective_deadline = arrived - spent + work.route.objective
         work.resend_deadline = work.deadline
--- a/hawthornspoke/relay/_work.py
+++ b/hawthornspoke/relay/_work.py
@@ -18,7 +18,6 @@
         "route",
         "service",
         "organisation",
-        "caller_deadline",
         "deadline",
         "objective_deadline",
         "resend_deadline",
@@ -42,7 +41,6 @@
         self.route = None
         self.service = ""
         self.organisation = None
-        self.caller_deadline = None
         self.deadline = None
         self.objective_deadline = None
         self.resend_deadline = None
--- a/hawthornspoke/spread/_upgrade.py
+++ b/hawthornspoke/spread/_upgrade.py
@@ -83,11 +83,6 @@
     position: int
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Tick:
-    """Time passed."""
-
-
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Transfer:
     """Get the pieces of a version; lower priorities go first."""
@@ -129,7 +124,6 @@
         "version_bound",
         "stagger",
         "_named",
-        "_held",
         "_wanted",
         "_engine",
         "_installing",
@@ -147,7 +141,6 @@
         self.version_bound = version_bound
         self.stagger = stagger
         self._named = []
-        self._held = set()
         self._wanted = {}
         self._engine = EngineSeen(version=None, whole=False, busy=True)
         self._installing = None
@@ -177,7 +170,6 @@
 
     def on_pieces_held(self, message, *, now):
         """Take that a version is here."""
-        self._held.add(message.version)
         self._held_at_by_version.setdefault(message.version, now)
         return self._plan(now)
 
@@ -191,10 +183,6 @@
         self._position = message.position
         return []
 
-    def on_tick(self, message, *, now):
-        """Look again."""
-        return self._plan(now)
-
     def next_version(self):
         """Return the newest version named, None if none was."""
         return self._named[-1].version if self._named else None
@@ -206,7 +194,7 @@
         newest = self._named[-1]
         if self._engine.version == newest.version and self._engine.whole:
             return None
-        if newest.version in self._held:
+        if newest.version in self._held_at_by_version:
             return now + CHANGE_TIME
         return max(now + CHANGE_TIME, newest.at + self.transfer_time + CHANGE_TIME)
 
@@ -235,7 +223,7 @@
         """Return the state as plain data."""
         return {
             "named": [[item.version, round(now - item.at, 3)] for item in self._named],
-            "held": sorted(self._held),
+            "held": sorted(self._held_at_by_version),
             "wanted": dict(self._wanted),
             "engine": [self._engine.version, self._engine.whole, self._engine.busy],
             "installing": self._installing,
@@ -243,7 +231,7 @@
 
     def _is_dropped(self, place):
         named, following = self._named[place], self._named[place + 1]
-        if named.version in self._held:
+        if named.version in self._held_at_by_version:
             return False
         if self._engine.version is None:
             # Nothing to bridge a gap for: the newest is there as soon.
@@ -274,7 +262,7 @@
         ready = [
             item
             for item in self._named
-            if item.version in self._held
+            if item.version in self._held_at_by_version
             and (item.version > current or not self._engine.whole)
             and not self._is_expired(item.version, now)
         ]
