--- a/hawthornspoke/base/__init__.py
+++ b/hawthornspoke/base/__init__.py
@@ -1,6 +1,6 @@
 """Building blocks without policy: failures, registries, validation, machines."""
 
-from hawthornspoke.base._clock import monotonic, wall
+from hawthornspoke.base._clock import contact_clock, monotonic, wall
 from hawthornspoke.base._digest import digest_of, rendezvous_order
 from hawthornspoke.base._failure import Failure, is_failure
 from hawthornspoke.base._machine import MACHINES, Machine
@@ -17,6 +17,7 @@
     "Machine",
     "Registry",
     "check_params",
+    "contact_clock",
     "digest_of",
     "has_hung_up",
     "is_failure",
--- a/hawthornspoke/base/_clock.py
+++ b/hawthornspoke/base/_clock.py
@@ -1,4 +1,4 @@
-"""The two clocks of a process, in one place so that a test can see every use."""
+"""The clocks of a process, in one place so that a test can see every use."""
 
 import time
 
@@ -15,6 +15,19 @@
     return time.monotonic()
 
 
+def contact_clock():
+    """Return seconds on a clock that goes on while the host is suspended.
+
+    A suspended host wakes with the belief of a moment ago, however long that was.
+
+    Returns
+    -------
+    float
+        Only for the age of what was heard, never for deadlines of requests.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def wall():
     """Return seconds since the Unix epoch.
 
--- /dev/null
+++ b/hawthornspoke/mirror/_neighbours.py
@@ -0,0 +1,223 @@
+"""Asks a neighbour what changed, and answers neighbours that ask."""
+
+import asyncio
+import zlib
+
+from hawthornspoke.base import Failure, contact_clock, is_failure, monotonic
+from hawthornspoke.mirror._readers import NeighboursTold, ReaderFailed, Readers
+from hawthornspoke.mirror._types import News, Row
+from hawthornspoke.peering import connect, listen
+from hawthornspoke.protocol import Frame, TableAsk, TableNews, TableRow
+
+#: Seconds for a connection to a neighbour, which is in the same failure domain.
+CONNECT_TIMEOUT = 0.3
+
+#: Seconds for an answer beyond the time that the neighbour may wait for news. A
+#: neighbour that is slow or frozen shows by this; together with the wait it must
+#: leave time to read the platform before a change is due (2 s).
+ANSWER_TIME = 0.5
+
+#: Seconds between two looks whether there is something to answer.
+LOOK_EVERY = 0.05
+
+#: Bytes from which a row is sent compressed. A configuration of 100 KB becomes
+#: 10 to 15 KB; rows of endpoints are some 200 bytes and gain nothing.
+COMPRESS_FROM = 2048
+
+#: Least effort: 2 ms for 100 KB, and a tenth larger than with the default.
+COMPRESS_LEVEL = 1
+
+NO_NEIGHBOUR = Failure(code="no_neighbour")
+
+
+class Neighbours:
+    """Connections to the other entry hosts of the own failure domain.
+
+    Parameters
+    ----------
+    address : str
+        IP of this host.
+    port : int
+        On which every entry host listens for neighbours.
+    log : EventLog
+    """
+
+    __slots__ = (
+        "readers",
+        "_address",
+        "_port",
+        "_log",
+        "_watch",
+        "_server",
+        "_link_by_address",
+        "_tasks",
+        "_packed_by_row",
+    )
+
+    def __init__(self, *, address, port, log):
+        self.readers = Readers(address=address)
+        self._address = address
+        self._port = port
+        self._log = log
+        self._watch = None
+        self._server = None
+        self._link_by_address = {}
+        self._tasks = set()
+        self._packed_by_row = {}
+
+    async def serve(self, watch):
+        """Answer neighbours with what a watch has read.
+
+        Parameters
+        ----------
+        watch : Watch
+        """
+        self._watch = watch
+        self._server = await listen(
+            self._address,
+            self._port,
+            on_frame=self._on_frame,
+            on_closed=lambda link: None,
+        )
+
+    def close(self):
+        """End all connections."""
+        if self._server is not None:
+            self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        for link in self._link_by_address.values():
+            link.close()
+
+    def told(self, agent, addresses):
+        """Take which entry hosts an agent sees."""
+        message = NeighboursTold(agent=agent, addresses=tuple(addresses))
+        self.readers.step(message, now=monotonic())
+
+    def reader(self):
+        """Return the neighbour to ask, None if this host reads the platform."""
+        return self.readers.reader(monotonic())
+
+    async def ask(self, address, table, *, after, wait):
+        """Ask a neighbour what changed in a table.
+
+        Parameters
+        ----------
+        address : str
+        table : str
+        after : int or None
+            Revision up to which the table is known; None for all of it.
+        wait : float
+            Seconds that the neighbour may wait for a change.
+
+        Returns
+        -------
+        News or Failure
+            A failure means that the platform itself has to be read.
+        """
+        asked_at = contact_clock()
+        answer = await self._ask(address, table, after, wait)
+        if is_failure(answer):
+            self._log.change("neighbour_failed", peer=address, reason=answer.reason)
+            self.readers.step(ReaderFailed(address=address), now=monotonic())
+            return answer
+        # What the neighbour knew when it answered was confirmed `age` before; it
+        # answered no sooner than it had held the question.
+        held, age = answer.held_ms / 1000, answer.age_ms / 1000
+        return News(
+            rows=[_unpacked(row) for row in answer.rows or ()],
+            revision=answer.up_to or 0,
+            whole=bool(answer.whole),
+            confirmed_at=min(asked_at + held - age, contact_clock()),
+        )
+
+    async def _ask(self, address, table, after, wait):
+        link = self._link_by_address.get(address)
+        if link is None:
+            link = await self._dial(address)
+            if is_failure(link):
+                return link
+        ask = TableAsk(
+            table=table, after=-1 if after is None else after, wait_ms=int(wait * 1000)
+        )
+        answer = await link.ask(Frame(table_ask=ask), timeout=wait + ANSWER_TIME)
+        if is_failure(answer):
+            link.close()
+            return answer
+        news = answer.table_news
+        if news is None or not news.current:
+            return NO_NEIGHBOUR.because("it does not read the platform now")
+        return news
+
+    async def _dial(self, address):
+        link = await connect(
+            address,
+            self._port,
+            on_frame=lambda link, frame: None,
+            on_closed=lambda link: self._closed(address, link),
+            timeout=CONNECT_TIMEOUT,
+        )
+        if not is_failure(link):
+            self._link_by_address[address] = link
+        return link
+
+    def _closed(self, address, link):
+        if self._link_by_address.get(address) is link:
+            del self._link_by_address[address]
+
+    def _on_frame(self, link, frame):
+        if frame.table_ask is None or frame.call is None:
+            return
+        task = asyncio.get_running_loop().create_task(self._answer(link, frame))
+        self._tasks.add(task)
+        task.add_done_callback(self._end_task)
+
+    def _end_task(self, task):
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._log.change("neighbour_unanswered", error=repr(task.exception()))
+
+    async def _answer(self, link, frame):
+        ask = frame.table_ask
+        after = None if ask.after < 0 else ask.after
+        asked_at = contact_clock()
+        news = None
+        while self._watch.is_current():
+            news = self._watch.mirror.since(ask.table, after)
+            waited = contact_clock() - asked_at
+            if waited >= ask.wait_ms / 1000 or (news is not None and news.rows):
+                break
+            if not link.is_open:
+                return
+            await asyncio.sleep(LOOK_EVERY)
+        answer = TableNews(current=False)
+        if news is not None and self._watch.is_current():
+            now = contact_clock()
+            answer = TableNews(
+                current=True,
+                whole=news.whole,
+                up_to=news.revision,
+                rows=[self._packed(ask.table, row) for row in news.rows],
+                held_ms=int((now - asked_at) * 1000),
+                age_ms=int((now - self._watch.confirmed_at) * 1000) + 1,
+            )
+        link.send(Frame(call=-frame.call, table_news=answer))
+
+    def _packed(self, table, row):
+        known = self._packed_by_row.get((table, row.key))
+        if known is not None and known.row_revision == row.revision:
+            return known
+        packed = TableRow(key=row.key, row_revision=row.revision, data=row.data)
+        if row.data is not None and len(row.data) >= COMPRESS_FROM:
+            packed.data = zlib.compress(row.data, COMPRESS_LEVEL)
+            packed.compressed = True
+            # Ten neighbours ask for the same row within milliseconds.
+            self._packed_by_row[table, row.key] = packed
+        return packed
+
+
+def _unpacked(row):
+    data = row.data
+    if data is not None and row.compressed:
+        data = zlib.decompress(data)
+    return Row(key=row.key, data=data, revision=row.row_revision)
--- /dev/null
+++ b/hawthornspoke/mirror/_tables.py
@@ -0,0 +1,82 @@
+"""The rows that this process has read."""
+
+from hawthornspoke.mirror._types import News, Row
+
+#: Removed rows that are remembered for each table, so that a neighbour hears of
+#: them. One that asks from before the oldest of these gets the whole table; a
+#: failure domain has some dozen endpoints, so this is hours of them.
+REMOVED_KEPT = 200
+
+
+class _Table:
+    __slots__ = ("row_by_key", "revision", "complete_from")
+
+    def __init__(self):
+        self.row_by_key = {}
+        self.revision = 0
+        self.complete_from = 0
+
+
+class Mirror:
+    """Tables as this process last read them, with what was removed lately."""
+
+    __slots__ = ("_table_by_name",)
+
+    def __init__(self):
+        self._table_by_name = {}
+
+    def take(self, name, news):
+        """Take what was read of a table.
+
+        Parameters
+        ----------
+        name : str
+        news : News
+        """
+        table = self._table_by_name.setdefault(name, _Table())
+        if news.whole:
+            there = {row.key for row in news.rows}
+            for key, row in list(table.row_by_key.items()):
+                if key not in there and row.data is not None:
+                    table.row_by_key[key] = Row(
+                        key=key, data=None, revision=news.revision
+                    )
+        for row in news.rows:
+            table.row_by_key[row.key] = row
+        table.revision = max(table.revision, news.revision)
+        self._forget_removed(table)
+
+    def since(self, name, after):
+        """Return what changed in a table.
+
+        Parameters
+        ----------
+        name : str
+        after : int or None
+            Revision up to which the table is known; None for all of it.
+
+        Returns
+        -------
+        News or None
+            None if the table was not read yet.
+        """
+        table = self._table_by_name.get(name)
+        if table is None:
+            return None
+        rows = table.row_by_key.values()
+        if after is None or after < table.complete_from:
+            kept = [row for row in rows if row.data is not None]
+            return News(rows=kept, revision=table.revision, whole=True)
+        changed = [row for row in rows if row.revision > after]
+        changed.sort(key=lambda row: row.revision)
+        return News(rows=changed, revision=table.revision)
+
+    def _forget_removed(self, table):
+        removed = sorted(
+            (row.revision, key)
+            for key, row in table.row_by_key.items()
+            if row.data is None
+        )
+        for revision, key in removed[:-REMOVED_KEPT]:
+            del table.row_by_key[key]
+            table.complete_from = max(table.complete_from, revision)
--- /dev/null
+++ b/hawthornspoke/mirror/_watch.py
@@ -0,0 +1,189 @@
+"""Follows the platform's tables, through a neighbour where there is one."""
+
+import asyncio
+import random
+
+from hawthornspoke.base import contact_clock, is_failure
+from hawthornspoke.mirror._tables import Mirror
+from hawthornspoke.mirror._types import HISTORY_GONE
+
+#: Seconds for which a neighbour may wait for news before it answers all the same.
+#: A neighbour that froze is noticed half a second later.
+NEIGHBOUR_WAIT = 1.0
+
+#: Seconds between two questions to a neighbour that has news each time.
+NEIGHBOUR_PAUSE = 0.1
+
+#: Seconds that an answer of the platform may be overdue until neighbours are told
+#: to read for themselves. It takes some milliseconds; one that comes later may
+#: come never, and a change is due in force after two seconds.
+OVERDUE_AFTER = 0.4
+
+#: The same for a whole table: 200 KB over a link between regions that pieces of
+#: weights and requests fill take 0.3 s and more.
+OVERDUE_WHOLE = 1.0
+
+#: Seconds after a change within which another one means that they come in quick
+#: succession. The feed carries every version, the table only the newest.
+STORM_GAP = 1.5
+
+#: Seconds between two tries while the platform fails, drawn at random between
+#: these: all hosts lose it together and would come back together.
+RETRY_PAUSE = (0.2, 0.5)
+
+
+class Table:
+    """A table to follow.
+
+    Parameters
+    ----------
+    name : str
+    wait : float
+        Seconds that the platform may wait for a change before it answers.
+    pause : float
+        Seconds between an answer with changes and the next question.
+    take : callable
+        Called with News.
+    confirms : bool, default=False
+        Whether the answers tell that nothing has been revoked until then.
+    """
+
+    __slots__ = ("name", "wait", "pause", "take", "confirms")
+
+    def __init__(self, *, name, wait, pause, take, confirms=False):
+        self.name = name
+        self.wait = wait
+        self.pause = pause
+        self.take = take
+        self.confirms = confirms
+
+
+class Watch:
+    """Keeps a mirror of some tables.
+
+    Parameters
+    ----------
+    store : object
+        ``await read(table)`` and ``await follow(table, after=, wait=)`` return News
+        or a Failure, ``HISTORY_GONE`` if the table has to be read anew.
+    neighbours : Neighbours
+    on_confirmed : callable
+        Called with the moment, on the contact clock, up to which the platform's
+        word is known.
+    on_lost : callable
+        Called with the reason why the platform can't be read.
+    """
+
+    __slots__ = (
+        "mirror",
+        "confirmed_at",
+        "_store",
+        "_neighbours",
+        "_on_confirmed",
+        "_on_lost",
+        "_due_at",
+    )
+
+    def __init__(self, *, store, neighbours, on_confirmed, on_lost):
+        self.mirror = Mirror()
+        self.confirmed_at = float("-inf")
+        self._store = store
+        self._neighbours = neighbours
+        self._on_confirmed = on_confirmed
+        self._on_lost = on_lost
+        self._due_at = float("-inf")
+
+    def is_current(self):
+        """Tell whether this host reads the platform itself and hears from it.
+
+        Returns
+        -------
+        bool
+        """
+        return contact_clock() < self._due_at
+
+    async def run(self, tables):
+        """Follow some tables until cancelled.
+
+        Parameters
+        ----------
+        tables : iterable of Table
+        """
+        await asyncio.gather(*(self._follow(table) for table in tables))
+
+    async def _follow(self, table):
+        revision = None
+        failed = False
+        seen = 0
+        changed_at = float("-inf")
+        while True:
+            reader = None if failed else self._neighbours.reader()
+            if reader is not None:
+                news = await self._ask_neighbour(reader, table, revision)
+            else:
+                news = await self._ask_store(table, revision, failed)
+            if news == HISTORY_GONE:
+                revision = None
+                continue
+            if is_failure(news):
+                # The platform is asked at once if a neighbour fails; if it fails
+                # itself there is nobody else, and all hosts are about to ask it.
+                if reader is None:
+                    self._lose(table, news)
+                    await asyncio.sleep(random.uniform(*RETRY_PAUSE))
+                failed = True
+                continue
+            failed = False
+            # A feed tells of every version of a row.
+            news.rows = list({row.key: row for row in news.rows}.values())
+            self.mirror.take(table.name, news)
+            table.take(news)
+            revision = max(revision or 0, news.revision)
+            newest = max((row.revision for row in news.rows), default=0)
+            if newest <= seen:
+                continue
+            in_a_storm = table.confirms and contact_clock() < changed_at + STORM_GAP
+            seen, changed_at = newest, contact_clock()
+            await asyncio.sleep(table.pause if reader is None else NEIGHBOUR_PAUSE)
+            if in_a_storm and reader is None:
+                revision = None
+
+    async def _ask_neighbour(self, reader, table, revision):
+        news = await self._neighbours.ask(
+            reader, table.name, after=revision, wait=NEIGHBOUR_WAIT
+        )
+        if table.confirms:
+            self._due_at = float("-inf")
+            if not is_failure(news):
+                self._confirm(news.confirmed_at)
+        return news
+
+    async def _ask_store(self, table, revision, failed):
+        # After a failure the first question waits for nothing: the answer is
+        # wanted now, to know that the platform is back.
+        whole = revision is None
+        wait = 0.0 if whole or failed else table.wait
+        asked_at = contact_clock()
+        if table.confirms:
+            overdue = OVERDUE_WHOLE if whole else OVERDUE_AFTER
+            self._due_at = min(self._due_at, asked_at + wait + overdue)
+        if whole:
+            news = await self._store.read(table.name)
+        else:
+            news = await self._store.follow(table.name, after=revision, wait=wait)
+        if table.confirms and not is_failure(news):
+            # An empty answer was made when the wait was over, any other as soon as
+            # there was news, which may be at once.
+            held = wait if not news.rows else 0.0
+            self._confirm(min(asked_at + held, contact_clock()))
+            self._due_at = contact_clock() + table.pause + table.wait + OVERDUE_AFTER
+        return news
+
+    def _lose(self, table, failure):
+        if table.confirms:
+            self._due_at = float("-inf")
+            self._on_lost(failure.reason)
+
+    def _confirm(self, at):
+        self.confirmed_at = max(self.confirmed_at, at)
+        self._on_confirmed(at)
--- /dev/null
+++ b/hawthornspoke/mirror/tests/test_tables.py
@@ -0,0 +1,56 @@
+"""What a mirror tells of its tables."""
+
+from hawthornspoke.mirror import Mirror, News, Row
+
+
+def row(key, revision, data=b"x"):
+    return Row(key=key, data=data, revision=revision)
+
+
+def told(news):
+    return [(item.key, item.data) for item in news.rows]
+
+
+def test_unread_table_is_not_taken_for_an_empty_one():
+    assert Mirror().since("t", None) is None
+
+
+def test_only_what_changed_since_is_told_in_order():
+    mirror = Mirror()
+    mirror.take("t", News(rows=[row("a", 3), row("b", 5)], revision=6, whole=True))
+    mirror.take("t", News(rows=[row("a", 9, b"y")], revision=9))
+    news = mirror.since("t", 4)
+    assert told(news) == [("b", b"x"), ("a", b"y")]
+    assert (news.revision, news.whole) == (9, False)
+    assert mirror.since("t", 9).rows == []
+
+
+def test_removed_rows_are_told():
+    mirror = Mirror()
+    mirror.take("t", News(rows=[row("a", 3), row("b", 5)], revision=6, whole=True))
+    mirror.take("t", News(rows=[row("a", 8, None)], revision=8))
+    assert told(mirror.since("t", 6)) == [("a", None)]
+    assert told(mirror.since("t", None)) == [("b", b"x")]
+
+
+def test_row_missing_from_a_whole_read_counts_as_removed():
+    """A neighbour kept an endpoint that was gone.
+
+    Events: the platform forgot its history, the table was read anew, and the row
+    had vanished in between. Cause: only rows that are there were told.
+    """
+    mirror = Mirror()
+    mirror.take("t", News(rows=[row("a", 3), row("b", 5)], revision=6, whole=True))
+    mirror.take("t", News(rows=[row("b", 5)], revision=20, whole=True))
+    assert told(mirror.since("t", 6)) == [("a", None)]
+
+
+def test_removed_rows_are_remembered_within_a_bound():
+    mirror = Mirror()
+    mirror.take("t", News(rows=[row("kept", 1)], revision=1, whole=True))
+    for number in range(2, 1000):
+        mirror.take("t", News(rows=[row(f"k{number}", number, None)], revision=number))
+    late = mirror.since("t", 5)
+    assert late.whole
+    assert told(late) == [("kept", b"x")]
+    assert not mirror.since("t", 990).whole
--- /dev/null
+++ b/hawthornspoke/mirror/tests/test_watch.py
@@ -0,0 +1,183 @@
+"""Two hosts of a failure domain on loopback: one reads, one asks it."""
+
+import asyncio
+import socket
+
+from hawthornspoke.base import Failure, contact_clock
+from hawthornspoke.mirror import Neighbours, News, Row, Table, Watch
+
+READER = "127.0.0.1"
+ASKER = "127.0.0.2"
+DOWN = Failure(code="down")
+BIG = b"configuration " * 4000
+
+
+class Store:
+    """A table with one row, and faults."""
+
+    def __init__(self):
+        self.revision = 1
+        self.data = b"1"
+        self.fault = None
+        self.calls = 0
+
+    def put(self, data):
+        self.revision += 1
+        self.data = data
+
+    async def read(self, table):
+        self.calls += 1
+        if self.fault is not None:
+            return await self._fail()
+        row = Row(key="k", data=self.data, revision=self.revision)
+        return News(rows=[row], revision=self.revision, whole=True)
+
+    async def follow(self, table, *, after, wait):
+        deadline = contact_clock() + wait
+        while self.fault is None and contact_clock() < deadline:
+            if self.revision > after:
+                break
+            await asyncio.sleep(0.01)
+        news = await self.read(table)
+        if isinstance(news, News):
+            news.rows = [row for row in news.rows if row.revision > after]
+            news.whole = False
+        return news
+
+    async def _fail(self):
+        if self.fault == "silent":
+            await asyncio.sleep(2.0)
+        return DOWN.because(self.fault)
+
+
+class Host:
+    """A watch, its neighbours and what they told."""
+
+    def __init__(self, address, port, store):
+        self.address = address
+        self.store = store
+        self.events = []
+        self.seen = []
+        self.confirmed = []
+        self.lost = []
+        self.neighbours = Neighbours(address=address, port=port, log=self)
+        self.watch = Watch(
+            store=store,
+            neighbours=self.neighbours,
+            on_confirmed=self.confirmed.append,
+            on_lost=self.lost.append,
+        )
+        self.task = None
+
+    def change(self, event, **fields):
+        self.events.append(event)
+
+    async def start(self, hosts):
+        self.neighbours.told("agent", hosts)
+        await self.neighbours.serve(self.watch)
+        table = Table(
+            name="t",
+            wait=0.5,
+            pause=0.05,
+            take=lambda news: self.seen.extend(row.data for row in news.rows),
+            confirms=True,
+        )
+        self.task = asyncio.get_running_loop().create_task(self.watch.run([table]))
+
+    def stop(self):
+        self.task.cancel()
+        self.neighbours.close()
+
+
+def play(scenario):
+    """Run a scenario with a reader and an asker, each with a store of its own."""
+
+    async def run():
+        with socket.socket() as probe:
+            probe.bind((READER, 0))
+            port = probe.getsockname()[1]
+        reader = Host(READER, port, Store())
+        asker = Host(ASKER, port, Store())
+        await reader.start((READER, ASKER))
+        await until(lambda: reader.seen)
+        await asker.start((READER, ASKER))
+        try:
+            await scenario(reader, asker)
+        finally:
+            reader.stop()
+            asker.stop()
+
+    asyncio.run(run())
+
+
+async def until(condition, *, seconds=4.0):
+    """Wait until something holds."""
+    async with asyncio.timeout(seconds):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def test_asker_hears_changes_and_leaves_the_platform_alone():
+    """Configurations were in force 3.3 s late on hosts far from the platform.
+
+    Cause: each host of a region read each of them over the same narrow link.
+    """
+
+    async def scenario(reader, asker):
+        await until(lambda: asker.seen)
+        for number in range(2, 6):
+            reader.store.put(f"{number}".encode())
+            await until(lambda: asker.seen[-1] == reader.store.data, seconds=1.0)
+        assert asker.store.calls == 0
+
+    play(scenario)
+
+
+def test_large_rows_arrive_as_they_were():
+    async def scenario(reader, asker):
+        reader.store.put(BIG)
+        await until(lambda: asker.seen and asker.seen[-1] == BIG)
+
+    play(scenario)
+
+
+def test_asker_never_believes_more_than_its_reader_knows():
+    """A revoked key was trusted for longer than it may be.
+
+    Cause: the neighbour's answer was taken as the platform's word of that moment.
+    """
+
+    async def scenario(reader, asker):
+        await until(lambda: len(asker.confirmed) > 2)
+        assert asker.confirmed[-1] <= reader.watch.confirmed_at + 0.01
+        assert contact_clock() - asker.confirmed[-1] < 2.0
+
+    play(scenario)
+
+
+def test_asker_reads_itself_once_its_reader_is_cut_off():
+    """Routes were missing on hosts that reached the platform.
+
+    Events: the host that reads for the failure domain was cut off from the
+    platform, silently, and a configuration was accepted. Cause: it went on
+    answering its neighbours with what it knew.
+    """
+
+    async def scenario(reader, asker):
+        await until(lambda: asker.seen)
+        reader.store.fault = "silent"
+        asker.store.put(b"newer")
+        await until(lambda: asker.seen[-1] == b"newer", seconds=1.9)
+
+    play(scenario)
+
+
+def test_asker_reads_itself_once_its_reader_is_gone():
+    async def scenario(reader, asker):
+        await until(lambda: asker.seen)
+        reader.stop()
+        asker.store.put(b"newer")
+        await until(lambda: asker.seen[-1] == b"newer", seconds=1.9)
+        assert asker.lost == []
+
+    play(scenario)
--- a/hawthornspoke/peering/_connection.py
+++ b/hawthornspoke/peering/_connection.py
@@ -1,4 +1,4 @@
-"""Frames between entry hosts and agents, on the event loop.
+"""Frames between processes, on the event loop.
 
 A frame is a four-byte length and one Thrift struct. The connections are long-lived
 and both sides speak at any time, which a call-and-answer Thrift transport can't do.
@@ -39,10 +39,9 @@
         Called with the connection when it has ended.
     """
 
-    def __init__(self, *, on_frame, on_closed, on_opened=None):
+    def __init__(self, *, on_frame, on_closed):
         self.on_frame = on_frame
         self.on_closed = on_closed
-        self.on_opened = on_opened
         self.transport = None
         self.address = ""
         self._buffer = bytearray()
@@ -58,8 +57,6 @@
         # the peer, or the link, takes no more.
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
         self.address = transport.get_extra_info("peername")[0]
-        if self.on_opened is not None:
-            self.on_opened(self)
 
     def connection_lost(self, exc):
         """End all that waits for an answer."""
@@ -204,14 +201,14 @@
     return connection
 
 
-async def listen(address, port, *, on_frame, on_closed, on_opened):
+async def listen(address, port, *, on_frame, on_closed):
     """Accept peers.
 
     Parameters
     ----------
     address : str
     port : int
-    on_frame, on_closed, on_opened : callable
+    on_frame, on_closed : callable
 
     Returns
     -------
@@ -219,9 +216,7 @@
     """
     loop = asyncio.get_running_loop()
     return await loop.create_server(
-        lambda: PeerConnection(
-            on_frame=on_frame, on_closed=on_closed, on_opened=on_opened
-        ),
+        lambda: PeerConnection(on_frame=on_frame, on_closed=on_closed),
         address,
         port,
         reuse_address=True,
--- a/hawthornspoke/protocol/__init__.py
+++ b/hawthornspoke/protocol/__init__.py
@@ -17,6 +17,7 @@
     Document,
     DrainReply,
     EngineState,
+    EntryHosts,
     Event,
     EventKind,
     Events,
@@ -30,6 +31,9 @@
     Role,
     Status,
     Submit,
+    TableAsk,
+    TableNews,
+    TableRow,
 )
 from hawthornspoke.protocol._server import RpcServer
 
@@ -51,6 +55,7 @@
     "Document",
     "DrainReply",
     "EngineState",
+    "EntryHosts",
     "Event",
     "EventKind",
     "Events",
@@ -65,6 +70,9 @@
     "RpcServer",
     "Status",
     "Submit",
+    "TableAsk",
+    "TableNews",
+    "TableRow",
     "decode",
     "encode",
 ]
--- a/hawthornspoke/protocol/_gen/ttypes.py
+++ b/hawthornspoke/protocol/_gen/ttypes.py
@@ -2572,6 +2572,415 @@
         return not (self == other)
 
 
+class EntryHosts(object):
+    """
+    Attributes:
+     - addresses
+
+    """
+
+    __slots__ = (
+        'addresses',
+    )
+
+
+    def __init__(self, addresses=None,):
+        self.addresses = addresses
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.addresses = []
+                    (_etype76, _size73) = iprot.readListBegin()
+                    for _i77 in range(_size73):
+                        _elem78 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.addresses.append(_elem78)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EntryHosts')
+        if self.addresses is not None:
+            oprot.writeFieldBegin('addresses', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.addresses))
+            for iter79 in self.addresses:
+                oprot.writeString(iter79.encode('utf-8') if sys.version_info[0] == 2 else iter79)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TableRow(object):
+    """
+    Attributes:
+     - key
+     - data
+     - row_revision
+     - compressed
+
+    """
+
+    __slots__ = (
+        'key',
+        'data',
+        'row_revision',
+        'compressed',
+    )
+
+
+    def __init__(self, key=None, data=None, row_revision=None, compressed=None,):
+        self.key = key
+        self.data = data
+        self.row_revision = row_revision
+        self.compressed = compressed
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.data = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.row_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.compressed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TableRow')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 1)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.data is not None:
+            oprot.writeFieldBegin('data', TType.STRING, 2)
+            oprot.writeBinary(self.data)
+            oprot.writeFieldEnd()
+        if self.row_revision is not None:
+            oprot.writeFieldBegin('row_revision', TType.I64, 3)
+            oprot.writeI64(self.row_revision)
+            oprot.writeFieldEnd()
+        if self.compressed is not None:
+            oprot.writeFieldBegin('compressed', TType.BOOL, 4)
+            oprot.writeBool(self.compressed)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TableAsk(object):
+    """
+    Attributes:
+     - table
+     - after
+     - wait_ms
+
+    """
+
+    __slots__ = (
+        'table',
+        'after',
+        'wait_ms',
+    )
+
+
+    def __init__(self, table=None, after=None, wait_ms=None,):
+        self.table = table
+        self.after = after
+        self.wait_ms = wait_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.table = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.after = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TableAsk')
+        if self.table is not None:
+            oprot.writeFieldBegin('table', TType.STRING, 1)
+            oprot.writeString(self.table.encode('utf-8') if sys.version_info[0] == 2 else self.table)
+            oprot.writeFieldEnd()
+        if self.after is not None:
+            oprot.writeFieldBegin('after', TType.I64, 2)
+            oprot.writeI64(self.after)
+            oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.I32, 3)
+            oprot.writeI32(self.wait_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TableNews(object):
+    """
+    Attributes:
+     - current
+     - whole
+     - up_to
+     - rows
+     - held_ms
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'current',
+        'whole',
+        'up_to',
+        'rows',
+        'held_ms',
+        'age_ms',
+    )
+
+
+    def __init__(self, current=None, whole=None, up_to=None, rows=None, held_ms=None, age_ms=None,):
+        self.current = current
+        self.whole = whole
+        self.up_to = up_to
+        self.rows = rows
+        self.held_ms = held_ms
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.current = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.whole = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.up_to = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.rows = []
+                    (_etype83, _size80) = iprot.readListBegin()
+                    for _i84 in range(_size80):
+                        _elem85 = TableRow()
+                        _elem85.read(iprot)
+                        self.rows.append(_elem85)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.held_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TableNews')
+        if self.current is not None:
+            oprot.writeFieldBegin('current', TType.BOOL, 1)
+            oprot.writeBool(self.current)
+            oprot.writeFieldEnd()
+        if self.whole is not None:
+            oprot.writeFieldBegin('whole', TType.BOOL, 2)
+            oprot.writeBool(self.whole)
+            oprot.writeFieldEnd()
+        if self.up_to is not None:
+            oprot.writeFieldBegin('up_to', TType.I64, 3)
+            oprot.writeI64(self.up_to)
+            oprot.writeFieldEnd()
+        if self.rows is not None:
+            oprot.writeFieldBegin('rows', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.rows))
+            for iter86 in self.rows:
+                iter86.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.held_ms is not None:
+            oprot.writeFieldBegin('held_ms', TType.I32, 5)
+            oprot.writeI32(self.held_ms)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 6)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Frame(object):
     """
     Attributes:
@@ -2583,6 +2992,9 @@
      - holdings
      - directive
      - engine_state
+     - entry_hosts
+     - table_ask
+     - table_news
 
     """
 
@@ -2595,10 +3007,13 @@
         'holdings',
         'directive',
         'engine_state',
+        'entry_hosts',
+        'table_ask',
+        'table_news',
     )
 
 
-    def __init__(self, call=None, announce=None, chunk_ask=None, chunk=None, holdings_ask=None, holdings=None, directive=None, engine_state=None,):
+    def __init__(self, call=None, announce=None, chunk_ask=None, chunk=None, holdings_ask=None, holdings=None, directive=None, engine_state=None, entry_hosts=None, table_ask=None, table_news=None,):
         self.call = call
         self.announce = announce
         self.chunk_ask = chunk_ask
@@ -2607,6 +3022,9 @@
         self.holdings = holdings
         self.directive = directive
         self.engine_state = engine_state
+        self.entry_hosts = entry_hosts
+        self.table_ask = table_ask
+        self.table_news = table_news
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2664,6 +3082,24 @@
                     self.engine_state.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRUCT:
+                    self.entry_hosts = EntryHosts()
+                    self.entry_hosts.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRUCT:
+                    self.table_ask = TableAsk()
+                    self.table_ask.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRUCT:
+                    self.table_news = TableNews()
+                    self.table_news.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2706,6 +3142,18 @@
             oprot.writeFieldBegin('engine_state', TType.STRUCT, 8)
             self.engine_state.write(oprot)
             oprot.writeFieldEnd()
+        if self.entry_hosts is not None:
+            oprot.writeFieldBegin('entry_hosts', TType.STRUCT, 9)
+            self.entry_hosts.write(oprot)
+            oprot.writeFieldEnd()
+        if self.table_ask is not None:
+            oprot.writeFieldBegin('table_ask', TType.STRUCT, 10)
+            self.table_ask.write(oprot)
+            oprot.writeFieldEnd()
+        if self.table_news is not None:
+            oprot.writeFieldBegin('table_news', TType.STRUCT, 11)
+            self.table_news.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2919,6 +3367,36 @@
     None,  # 0
     (1, TType.STRING, 'digest', 'UTF8', None, ),  # 1
 )
+all_structs.append(EntryHosts)
+EntryHosts.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'addresses', (TType.STRING, 'UTF8', False), None, ),  # 1
+)
+all_structs.append(TableRow)
+TableRow.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'data', 'BINARY', None, ),  # 2
+    (3, TType.I64, 'row_revision', None, None, ),  # 3
+    (4, TType.BOOL, 'compressed', None, None, ),  # 4
+)
+all_structs.append(TableAsk)
+TableAsk.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'table', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'after', None, None, ),  # 2
+    (3, TType.I32, 'wait_ms', None, None, ),  # 3
+)
+all_structs.append(TableNews)
+TableNews.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'current', None, None, ),  # 1
+    (2, TType.BOOL, 'whole', None, None, ),  # 2
+    (3, TType.I64, 'up_to', None, None, ),  # 3
+    (4, TType.LIST, 'rows', (TType.STRUCT, [TableRow, None], False), None, ),  # 4
+    (5, TType.I32, 'held_ms', None, None, ),  # 5
+    (6, TType.I32, 'age_ms', None, None, ),  # 6
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -2930,6 +3408,9 @@
     (6, TType.STRUCT, 'holdings', [Holdings, None], None, ),  # 6
     (7, TType.STRUCT, 'directive', [Directive, None], None, ),  # 7
     (8, TType.STRUCT, 'engine_state', [EngineState, None], None, ),  # 8
+    (9, TType.STRUCT, 'entry_hosts', [EntryHosts, None], None, ),  # 9
+    (10, TType.STRUCT, 'table_ask', [TableAsk, None], None, ),  # 10
+    (11, TType.STRUCT, 'table_news', [TableNews, None], None, ),  # 11
 )
 fix_spec(all_structs)
 del all_structs
--- a/hawthornspoke/relay/__init__.py
+++ b/hawthornspoke/relay/__init__.py
@@ -3,7 +3,7 @@
 from hawthornspoke.relay._contact import Confirmed, Contact, ContactLost, Lost
 from hawthornspoke.relay._dialect import Dialect
 from hawthornspoke.relay._events import EventSplitter
-from hawthornspoke.relay._process import Relay, contact_clock
+from hawthornspoke.relay._process import Relay
 from hawthornspoke.relay._settings import RelaySettings
 
 __all__ = [
@@ -15,5 +15,4 @@
     "Lost",
     "Relay",
     "RelaySettings",
-    "contact_clock",
 ]
--- a/hawthornspoke/relay/_agents.py
+++ b/hawthornspoke/relay/_agents.py
@@ -33,15 +33,17 @@
         "_task_by_address",
         "_link_by_address",
         "_directive_for",
+        "_on_entry_hosts",
         "_told_by_address",
         "_entry_hosts_by_agent",
     )
 
-    def __init__(self, *, port, fleet, log, directive_for):
+    def __init__(self, *, port, fleet, log, directive_for, on_entry_hosts):
         self.port = port
         self._fleet = fleet
         self._log = log
         self._directive_for = directive_for
+        self._on_entry_hosts = on_entry_hosts
         self._task_by_address = {}
         self._link_by_address = {}
         self._told_by_address = {}
@@ -127,9 +129,12 @@
     def _forget(self, address):
         self._link_by_address.pop(address, None)
         self._told_by_address.pop(address, None)
+        self._on_entry_hosts(address, ())
         self._fleet.step(AgentLost(address=address), now=monotonic())
 
     def _take(self, address, frame):
+        if frame.entry_hosts is not None:
+            self._on_entry_hosts(address, frame.entry_hosts.addresses or ())
         state = frame.engine_state
         if state is None:
             return
--- a/hawthornspoke/relay/_process.py
+++ b/hawthornspoke/relay/_process.py
@@ -2,9 +2,8 @@
 
 import asyncio
 import signal
-import time
 
-from hawthornspoke.base import monotonic
+from hawthornspoke.base import contact_clock, monotonic
 from hawthornspoke.events import EventLog
 from hawthornspoke.httpio import (
     ConnectionPool,
@@ -13,6 +12,7 @@
     ServerLimits,
 )
 from hawthornspoke.metrics import Metrics
+from hawthornspoke.mirror import Neighbours
 from hawthornspoke.peering import directive
 from hawthornspoke.placing import (
     CatalogChanged,
@@ -49,18 +49,6 @@
 FLUSH_TIME = 0.2
 
 
-def contact_clock():
-    """Return seconds on a clock that goes on while the host is suspended.
-
-    A suspended host wakes with the belief of a moment ago, however long that was.
-
-    Returns
-    -------
-    float
-    """
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class Relay:
     """Takes callers' requests and forwards them straight to endpoints.
 
@@ -68,8 +56,9 @@
     ----------
     settings : RelaySettings
     source : object
-        Reads the platform: ``await source.run(relay)`` calls ``on_catalog``,
-        ``on_entries``, ``on_declared``, ``on_confirmed`` and ``on_contact_lost``.
+        Reads the platform: ``await source.run(relay, neighbours)`` calls
+        ``on_catalog``, ``on_entries``, ``on_declared``, ``on_confirmed`` and
+        ``on_contact_lost``.
     dialect : Dialect or None, default=None
     reload_settings : callable or None, default=None
         Returns fresh RelaySettings on SIGHUP.
@@ -90,6 +79,7 @@
         "pool",
         "handler",
         "agents",
+        "neighbours",
         "front",
         "ready",
         "operator",
@@ -139,10 +129,12 @@
             fleet=self.fleet,
             log=self.log,
             directive_for=self._directive_for,
+            on_entry_hosts=self._on_entry_hosts,
         )
         self.front = self._server(settings.front, self.handler)
         self.ready = self._server(settings.ready, self._answer_ready)
         ip = settings.front.rpartition(":")[0]
+        self.neighbours = Neighbours(address=ip, port=settings.agent_port, log=self.log)
         self.operator = self._server(
             f"{ip}:{settings.operator_port}",
             OperatorPort(metrics=self.metrics, dump=self._dump),
@@ -165,7 +157,7 @@
         for server in (self.ready, self.front, self.operator):
             await server.start()
         tasks = [
-            loop.create_task(self.source.run(self)),
+            loop.create_task(self.source.run(self, self.neighbours)),
             loop.create_task(self._housekeeping()),
             loop.create_task(self._summaries()),
         ]
@@ -176,6 +168,7 @@
             for task in tasks:
                 task.cancel()
             self.agents.close()
+            self.neighbours.close()
             self.pool.close()
             for server in (self.front, self.ready, self.operator):
                 server.close()
@@ -262,6 +255,13 @@
             reason = outcome.reason if isinstance(outcome, ContactLost) else ""
             self.log.change(f"platform_{what}", reason=reason)
 
+    def _on_entry_hosts(self, agent, addresses):
+        before = self.neighbours.reader()
+        self.neighbours.told(agent, addresses)
+        reader = self.neighbours.reader()
+        if reader != before:
+            self.log.change("reader", peer=reader, before=before)
+
     @property
     def _domain(self):
         return self.settings.failure_domain
@@ -344,6 +344,7 @@
             "running": self.front.running(),
             "revision": getattr(self.handler.catalog, "revision", None),
             "contact": self.contact.dump(now=contact_clock()),
+            "readers": self.neighbours.readers.dump(now=now),
             "fleet": self.fleet.dump(now=now),
             "budgets": {
                 name: budget.dump(now=now)
--- a/hawthornspoke/spread/_process.py
+++ b/hawthornspoke/spread/_process.py
@@ -9,7 +9,7 @@
 from hawthornspoke.httpio import HttpServer, OperatorPort
 from hawthornspoke.metrics import Metrics
 from hawthornspoke.peering import listen
-from hawthornspoke.protocol import EngineState, Frame
+from hawthornspoke.protocol import EngineState, EntryHosts, Frame
 from hawthornspoke.spread._exchange import Exchange, Peer
 from hawthornspoke.spread._installer import Installer
 from hawthornspoke.spread._stock import Weights, weights_name
@@ -156,7 +156,6 @@
             self.settings.port,
             on_frame=self._on_frame,
             on_closed=self._on_link_closed,
-            on_opened=lambda link: None,
         )
         await self.operator.start()
         loops = [self._watch_engine(), self.exchange.run(), self._read_alone()]
@@ -191,7 +190,10 @@
 
     def _on_directive(self, link, directive):
         state = self._link_states.setdefault(link, _EntryLink())
+        was_near = state.near
         state.near = directive.failure_domain == self.settings.failure_domain
+        if state.near and not was_near:
+            self._tell_entry_hosts()
         self._take_directive(directive)
         self._tell()
 
@@ -238,8 +240,17 @@
         self._step(Placed(position=neighbours.index(own)))
         self.exchange.set_peers(by_name)
 
+    def _tell_entry_hosts(self):
+        """Tell the entry hosts of this failure domain of each other."""
+        near = [link for link, state in self._link_states.items() if state.near]
+        addresses = sorted(link.address for link in near)
+        for link in near:
+            link.send(Frame(entry_hosts=EntryHosts(addresses=addresses)))
+
     def _on_link_closed(self, link):
-        self._link_states.pop(link, None)
+        state = self._link_states.pop(link, None)
+        if state is not None and state.near:
+            self._tell_entry_hosts()
         if not self._link_states:
             self._alone_since = monotonic()
 
--- a/idl/hawthornspoke.thrift
+++ b/idl/hawthornspoke.thrift
@@ -202,6 +202,39 @@
   1: optional string digest,
 }
 
+// Entry hosts of the agent's failure domain that are connected to it, by IP.
+struct EntryHosts {
+  1: optional list<string> addresses,
+}
+
+// One row of the platform's tables; without data it was removed.
+struct TableRow {
+  1: optional string key,
+  2: optional binary data,
+  // Of the platform's transaction that wrote it.
+  3: optional i64 row_revision,
+  4: optional bool compressed,
+}
+
+// Asks a neighbour what changed in a table since a revision, -1 for all of it.
+struct TableAsk {
+  1: optional string table,
+  2: optional i64 after,
+  3: optional i32 wait_ms,
+}
+
+struct TableNews {
+  // Whether the sender reads the platform itself and hears from it.
+  1: optional bool current,
+  2: optional bool whole,
+  3: optional i64 up_to,
+  4: optional list<TableRow> rows,
+  // For how long the question was held, and how long before the answer the
+  // platform confirmed what the sender knows.
+  5: optional i32 held_ms,
+  6: optional i32 age_ms,
+}
+
 // One message on a peer connection; `call` pairs a question with its answer.
 struct Frame {
   1: optional i32 call,
@@ -212,6 +245,9 @@
   6: optional Holdings holdings,
   7: optional Directive directive,
   8: optional EngineState engine_state,
+  9: optional EntryHosts entry_hosts,
+  10: optional TableAsk table_ask,
+  11: optional TableNews table_news,
 }
 
 service Node {
