--- a/hawthornspoke/peering/__init__.py
+++ b/hawthornspoke/peering/__init__.py
@@ -1,7 +1,7 @@
 """Connections between entry hosts and agents: Thrift frames on the event loop."""
 
 from hawthornspoke.peering._connection import CLOSED, PeerConnection, connect, listen
-from hawthornspoke.peering._directive import FIRST_VERSION, directive
+from hawthornspoke.peering._directive import FIRST_VERSION, directive, peer_endpoints
 
 __all__ = [
     "CLOSED",
@@ -10,4 +10,5 @@
     "connect",
     "directive",
     "listen",
+    "peer_endpoints",
 ]
--- a/hawthornspoke/peering/_directive.py
+++ b/hawthornspoke/peering/_directive.py
@@ -16,7 +16,8 @@
         Declared version, None before the first declaration.
     age : float
         Seconds since this process learned of the declaration.
-    peers : iterable of EndpointEntry
+    peers : iterable of EndpointEntry or None
+        None if another entry host tells of them.
     origin : str or None
     bound : float
         Seconds after a declaration within which it must be in place.
@@ -31,15 +32,7 @@
         model=engine.model,
         weights_version=version or FIRST_VERSION,
         age_ms=int(age * 1000),
-        peers=[
-            PeerEndpoint(
-                endpoint_id=entry.endpoint_id,
-                address=entry.address,
-                failure_domain=entry.failure_domain,
-                leaving=entry.leaving,
-            )
-            for entry in peers
-        ],
+        peers=None if peers is None else peer_endpoints(peers),
         pieces=engine.pieces,
         piece_bytes=engine.piece_bytes,
         layers=engine.layers,
@@ -48,3 +41,24 @@
         failure_domain=failure_domain,
         load_time=engine.load_time,
     )
+
+
+def peer_endpoints(entries):
+    """Return endpoints as agents are told of them.
+
+    Parameters
+    ----------
+    entries : iterable of EndpointEntry
+
+    Returns
+    -------
+    list of PeerEndpoint
+    """
+    return [
+        PeerEndpoint(
+            address=entry.address,
+            failure_domain=entry.failure_domain,
+            leaving=entry.leaving,
+        )
+        for entry in entries
+    ]
--- a/hawthornspoke/protocol/_gen/ttypes.py
+++ b/hawthornspoke/protocol/_gen/ttypes.py
@@ -2572,6 +2572,150 @@
         return not (self == other)
 
 
+class ManifestAsk(object):
+    """
+    Attributes:
+     - weights
+
+    """
+
+    __slots__ = (
+        'weights',
+    )
+
+
+    def __init__(self, weights=None,):
+        self.weights = weights
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.weights = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ManifestAsk')
+        if self.weights is not None:
+            oprot.writeFieldBegin('weights', TType.STRING, 1)
+            oprot.writeString(self.weights.encode('utf-8') if sys.version_info[0] == 2 else self.weights)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Manifest(object):
+    """
+    Attributes:
+     - digests
+
+    """
+
+    __slots__ = (
+        'digests',
+    )
+
+
+    def __init__(self, digests=None,):
+        self.digests = digests
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.digests = []
+                    (_etype76, _size73) = iprot.readListBegin()
+                    for _i77 in range(_size73):
+                        _elem78 = iprot.readBinary()
+                        self.digests.append(_elem78)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Manifest')
+        if self.digests is not None:
+            oprot.writeFieldBegin('digests', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.digests))
+            for iter79 in self.digests:
+                oprot.writeBinary(iter79)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class EntryHosts(object):
     """
     Attributes:
@@ -2599,10 +2743,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.addresses = []
-                    (_etype76, _size73) = iprot.readListBegin()
-                    for _i77 in range(_size73):
-                        _elem78 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.addresses.append(_elem78)
+                    (_etype83, _size80) = iprot.readListBegin()
+                    for _i84 in range(_size80):
+                        _elem85 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.addresses.append(_elem85)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2619,8 +2763,8 @@
         if self.addresses is not None:
             oprot.writeFieldBegin('addresses', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.addresses))
-            for iter79 in self.addresses:
-                oprot.writeString(iter79.encode('utf-8') if sys.version_info[0] == 2 else iter79)
+            for iter86 in self.addresses:
+                oprot.writeString(iter86.encode('utf-8') if sys.version_info[0] == 2 else iter86)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2901,11 +3045,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype83, _size80) = iprot.readListBegin()
-                    for _i84 in range(_size80):
-                        _elem85 = TableRow()
-                        _elem85.read(iprot)
-                        self.rows.append(_elem85)
+                    (_etype90, _size87) = iprot.readListBegin()
+                    for _i91 in range(_size87):
+                        _elem92 = TableRow()
+                        _elem92.read(iprot)
+                        self.rows.append(_elem92)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2944,8 +3088,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter86 in self.rows:
-                iter86.write(oprot)
+            for iter93 in self.rows:
+                iter93.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held_ms is not None:
@@ -2995,6 +3139,8 @@
      - entry_hosts
      - table_ask
      - table_news
+     - manifest_ask
+     - manifest
 
     """
 
@@ -3010,10 +3156,12 @@
         'entry_hosts',
         'table_ask',
         'table_news',
+        'manifest_ask',
+        'manifest',
     )
 
 
-    def __init__(self, call=None, announce=None, chunk_ask=None, chunk=None, holdings_ask=None, holdings=None, directive=None, engine_state=None, entry_hosts=None, table_ask=None, table_news=None,):
+    def __init__(self, call=None, announce=None, chunk_ask=None, chunk=None, holdings_ask=None, holdings=None, directive=None, engine_state=None, entry_hosts=None, table_ask=None, table_news=None, manifest_ask=None, manifest=None,):
         self.call = call
         self.announce = announce
         self.chunk_ask = chunk_ask
@@ -3025,6 +3173,8 @@
         self.entry_hosts = entry_hosts
         self.table_ask = table_ask
         self.table_news = table_news
+        self.manifest_ask = manifest_ask
+        self.manifest = manifest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3100,6 +3250,18 @@
                     self.table_news.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRUCT:
+                    self.manifest_ask = ManifestAsk()
+                    self.manifest_ask.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRUCT:
+                    self.manifest = Manifest()
+                    self.manifest.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3154,6 +3316,14 @@
             oprot.writeFieldBegin('table_news', TType.STRUCT, 11)
             self.table_news.write(oprot)
             oprot.writeFieldEnd()
+        if self.manifest_ask is not None:
+            oprot.writeFieldBegin('manifest_ask', TType.STRUCT, 12)
+            self.manifest_ask.write(oprot)
+            oprot.writeFieldEnd()
+        if self.manifest is not None:
+            oprot.writeFieldBegin('manifest', TType.STRUCT, 13)
+            self.manifest.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3367,6 +3537,16 @@
     None,  # 0
     (1, TType.STRING, 'digest', 'UTF8', None, ),  # 1
 )
+all_structs.append(ManifestAsk)
+ManifestAsk.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'weights', 'UTF8', None, ),  # 1
+)
+all_structs.append(Manifest)
+Manifest.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'digests', (TType.STRING, 'BINARY', False), None, ),  # 1
+)
 all_structs.append(EntryHosts)
 EntryHosts.thrift_spec = (
     None,  # 0
@@ -3411,6 +3591,8 @@
     (9, TType.STRUCT, 'entry_hosts', [EntryHosts, None], None, ),  # 9
     (10, TType.STRUCT, 'table_ask', [TableAsk, None], None, ),  # 10
     (11, TType.STRUCT, 'table_news', [TableNews, None], None, ),  # 11
+    (12, TType.STRUCT, 'manifest_ask', [ManifestAsk, None], None, ),  # 12
+    (13, TType.STRUCT, 'manifest', [Manifest, None], None, ),  # 13
 )
 fix_spec(all_structs)
 del all_structs
--- a/hawthornspoke/relay/_agents.py
+++ b/hawthornspoke/relay/_agents.py
@@ -161,7 +161,9 @@
 
 
 def _what_matters(directive):
-    peers = tuple((peer.address, peer.leaving) for peer in directive.peers)
+    peers = directive.peers
+    if peers is not None:
+        peers = tuple((peer.address, peer.leaving) for peer in peers)
     return (
         directive.weights_version,
         peers,
--- a/hawthornspoke/relay/_process.py
+++ b/hawthornspoke/relay/_process.py
@@ -256,11 +256,7 @@
             self.log.change(f"platform_{what}", reason=reason)
 
     def _on_entry_hosts(self, agent, addresses):
-        before = self.neighbours.reader()
         self.neighbours.told(agent, addresses)
-        reader = self.neighbours.reader()
-        if reader != before:
-            self.log.change("reader", peer=reader, before=before)
 
     @property
     def _domain(self):
@@ -323,12 +319,23 @@
             engine=engine,
             version=version,
             age=now - declared_at,
-            peers=[item for item in self.entries if item.service == service],
+            peers=self._peers(service),
             origin=next((origin for origin in origins if origin), None),
             bound=self.settings.version_bound,
             failure_domain=self.settings.failure_domain,
         )
 
+    def _peers(self, service):
+        """Return the endpoints of a service that agents are told of.
+
+        Each entry host tells each agent. Were the list in all of these messages,
+        34 hosts would send 110 KB to each agent for one endpoint that came or went,
+        a quarter of a second of its link; so only hosts that read the platform do.
+        """
+        if self.neighbours.reader() is not None:
+            return None
+        return [item for item in self.entries if item.service == service]
+
     async def _answer_ready(self, request, reply):
         is_ready = not self.stopping and self.handler.catalog is not None
         # A host that is cut off from the platform must soon refuse all keys. Its
@@ -393,9 +400,14 @@
             self._stopped.set_result(None)
 
     async def _housekeeping(self):
+        reader = self.neighbours.reader()
         while True:
             await asyncio.sleep(HOUSEKEEPING_EVERY)
             self.pool.sweep()
+            before, reader = reader, self.neighbours.reader()
+            if reader != before:
+                self.log.change("reader", peer=reader, before=before)
+                self.agents.tell_all()
             for budget in self._budget_by_service.values():
                 budget.reserve = self._own_reserve()
             steady = self.contact.steady(now=contact_clock())
--- a/hawthornspoke/spread/_exchange.py
+++ b/hawthornspoke/spread/_exchange.py
@@ -72,9 +72,10 @@
 #: be exchanged until then.
 ORIGIN_SLOTS = 1
 
-#: Pieces that didn't match before the list of digests itself is read again: it
-#: comes from the origin too, and may be what is wrong.
-DISTRUST_AFTER = 4
+#: Times that one piece didn't match before the list of digests itself is read
+#: again: it comes from the origin too, and a single digest in it may be wrong. The
+#: origin spoils one piece in fifty, so three times in a row is not its doing.
+DISTRUST_AFTER = 3
 
 
 class Peer:
@@ -123,7 +124,7 @@
         "_links",
         "_dialing",
         "_tasks",
-        "_mismatches_by_name",
+        "_mismatches_by_piece",
         "_uploads",
     )
 
@@ -160,7 +161,7 @@
         self._links = {}
         self._dialing = {}
         self._tasks = set()
-        self._mismatches_by_name = {}
+        self._mismatches_by_piece = {}
         self._uploads = Uploads(link_rate=settings.link_rate, is_serving=is_serving)
 
     async def run(self):
@@ -172,6 +173,23 @@
             ):
                 self._step(Tick())
 
+    @property
+    def node(self):
+        """The name of this host among its peers."""
+        return self._settings.engine_address
+
+    def region_nodes(self):
+        """Return the hosts of the own region, this one too."""
+        return [node for node in self._peers if self._source_of(node) == "region"]
+
+    async def ask(self, node, frame, *, timeout):
+        """Ask a peer and return its answer or a Failure."""
+        peer = self._peers[node]
+        link = await self._link(peer.address, peer.port)
+        if isinstance(link, Failure):
+            return link
+        return await link.ask(frame, timeout=timeout)
+
     def set_peers(self, peer_by_name):
         """Take who exchanges these weights; this host is one of them."""
         self._peers = peer_by_name
@@ -219,7 +237,7 @@
                 ask = AskHoldings(
                     digest=name, node=node, address=peer.address, port=peer.port
                 )
-                self._spawn(self._ask_holdings(ask))
+                self.spawn(self._ask_holdings(ask))
 
     def drop(self, name):
         """Stop getting some weights; what is here can still be asked for."""
@@ -253,19 +271,20 @@
 
     def _carry_out(self, outcome):
         if isinstance(outcome, FetchFromPeer):
-            self._spawn(self._fetch_from_peer(outcome))
+            self.spawn(self._fetch_from_peer(outcome))
         elif isinstance(outcome, FetchFromOrigin):
-            self._spawn(self._fetch_from_origin(outcome))
+            self.spawn(self._fetch_from_origin(outcome))
         elif isinstance(outcome, AnnounceChunks):
             self._announce(outcome)
         elif isinstance(outcome, AskHoldings):
-            self._spawn(self._ask_holdings(outcome))
+            self.spawn(self._ask_holdings(outcome))
         elif isinstance(outcome, Complete):
             weights = self.weights_by_name.get(outcome.digest)
             if weights is not None and weights.whole:
                 self._on_whole(weights)
 
-    def _spawn(self, coroutine):
+    def spawn(self, coroutine):
+        """Run something until it or this exchange ends; failures are logged."""
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._end_task)
@@ -338,16 +357,18 @@
         if not weights.put(fetch.index, data):
             self._metrics.count("corrupt_pieces_total", source=source)
             self._fail(fetch, "corrupt")
-            self._note_mismatch(weights)
+            self._note_mismatch(weights, fetch.index)
             return
+        self._mismatches_by_piece.pop((weights.name, fetch.index), None)
         self._on_piece(weights, fetch.index)
         self._step(ChunkVerified(digest=fetch.digest, index=fetch.index))
 
-    def _note_mismatch(self, weights):
-        count = self._mismatches_by_name.get(weights.name, 0) + 1
-        self._mismatches_by_name[weights.name] = count
-        if count >= DISTRUST_AFTER and not weights.held():
-            self._mismatches_by_name[weights.name] = 0
+    def _note_mismatch(self, weights, index):
+        key = (weights.name, index)
+        count = self._mismatches_by_piece.get(key, 0) + 1
+        self._mismatches_by_piece[key] = count
+        if count >= DISTRUST_AFTER:
+            self._mismatches_by_piece = {}
             self._on_distrusted(weights)
 
     def _fail(self, fetch, cause):
@@ -383,7 +404,7 @@
             if link is not None:
                 link.send(Frame(announce=announce))
             else:
-                self._spawn(self._announce_later(address, port, announce))
+                self.spawn(self._announce_later(address, port, announce))
 
     async def _announce_later(self, address, port, announce):
         link = await self._link(address, port)
--- a/hawthornspoke/spread/_process.py
+++ b/hawthornspoke/spread/_process.py
@@ -12,6 +12,7 @@
 from hawthornspoke.protocol import EngineState, EntryHosts, Frame
 from hawthornspoke.spread._exchange import Exchange, Peer
 from hawthornspoke.spread._installer import Installer
+from hawthornspoke.spread._manifests import Manifests
 from hawthornspoke.spread._stock import Weights, weights_name
 from hawthornspoke.spread._upgrade import (
     EngineSeen,
@@ -55,10 +56,11 @@
 
 
 class _EntryLink:
-    __slots__ = ("near", "told_at", "told")
+    __slots__ = ("near", "tells", "told_at", "told")
 
     def __init__(self):
         self.near = False
+        self.tells = False
         self.told_at = float("-inf")
         self.told = None
 
@@ -74,8 +76,8 @@
     origin : object
         ``manifest`` and ``piece``.
     read_alone : coroutine function
-        Reads the platform once and returns a Directive or a Failure; used only
-        while no entry host is connected.
+        Reads the platform once, given the last Directive or None, and returns a
+        Directive or a Failure; used only while no entry host is connected.
     """
 
     __slots__ = (
@@ -86,6 +88,7 @@
         "log",
         "metrics",
         "exchange",
+        "manifests",
         "installer",
         "upgrade",
         "model",
@@ -95,6 +98,7 @@
         "_weights_by_version",
         "_link_states",
         "_alone_since",
+        "_directive",
         "_tasks",
         "_stopped",
         "_engine_down",
@@ -117,6 +121,7 @@
             on_distrusted=self._on_distrusted,
             is_serving=self._is_serving,
         )
+        self.manifests = Manifests(origin=origin, exchange=self.exchange, log=self.log)
         self.installer = Installer(
             engine=engine, log=self.log, on_notice=self._on_notice
         )
@@ -133,6 +138,7 @@
         self._weights_by_version = {}
         self._link_states = {}
         self._alone_since = monotonic()
+        self._directive = None
         self._tasks = {}
         self._stopped = None
         self._engine_down = None
@@ -185,6 +191,8 @@
     def _on_frame(self, link, frame):
         if frame.directive is not None:
             self._on_directive(link, frame.directive)
+        elif frame.manifest_ask is not None:
+            self.manifests.answer(link, frame)
         else:
             self.exchange.on_frame(link, frame)
 
@@ -194,17 +202,26 @@
         state.near = directive.failure_domain == self.settings.failure_domain
         if state.near and not was_near:
             self._tell_entry_hosts()
-        self._take_directive(directive)
+        state.tells = directive.peers is not None
+        if state.tells:
+            self._take_directive(directive)
+        elif self._directive is not None:
+            self._take_version(directive)
+        self._note_tellers()
         self._tell()
 
     def _take_directive(self, directive):
-        now = monotonic()
+        self._directive = directive
         self.model = directive.model
         self.exchange.origin_address = directive.origin_address
         size = directive.pieces * directive.piece_bytes
         self.upgrade.transfer_time = size / (self.settings.link_rate * LINK_SHARE)
         self.upgrade.version_bound = directive.version_bound_ms / 1000
         self._set_peers(directive.peers or ())
+        self._take_version(directive)
+
+    def _take_version(self, directive):
+        now = monotonic()
         age = (directive.age_ms or 0) / 1000
         before = self.upgrade.next_version()
         self._step(Named(version=directive.weights_version, at=now - age))
@@ -251,15 +268,23 @@
         state = self._link_states.pop(link, None)
         if state is not None and state.near:
             self._tell_entry_hosts()
-        if not self._link_states:
+        self._note_tellers()
+
+    def _note_tellers(self):
+        """Note since when no entry host that reads the platform is connected."""
+        if any(state.tells for state in self._link_states.values()):
+            self._alone_since = None
+        elif self._alone_since is None:
             self._alone_since = monotonic()
 
     async def _read_alone(self):
         while True:
             await asyncio.sleep(READ_ALONE_EVERY * random.uniform(0.8, 1.2))
-            if self._link_states or monotonic() < self._alone_since + ALONE_AFTER:
+            if self._alone_since is None:
+                continue
+            if monotonic() < self._alone_since + ALONE_AFTER:
                 continue
-            directive = await self.read_alone()
+            directive = await self.read_alone(self._directive)
             if is_failure(directive):
                 self.log.change("platform_lost", reason=directive.reason)
             else:
@@ -375,11 +400,8 @@
 
     async def _manifest(self, version):
         while True:
-            address = self.exchange.origin_address
-            digests = None
-            if address is not None:
-                digests = await self.origin.manifest(address, self.model, version)
-            if digests is not None and not is_failure(digests):
+            digests = await self.manifests.get(self.model, version)
+            if not is_failure(digests):
                 return digests
             self.log.decision("manifest_failed", version=version, reason=str(digests))
             await asyncio.sleep(random.uniform(*MANIFEST_PAUSE))
@@ -388,8 +410,17 @@
         self.log.change("digests_distrusted", weights=weights.name)
         self._weights_by_version.pop(weights.version, None)
         self.exchange.forget(weights.name)
-        transfer = Transfer(version=weights.version, priority=0)
-        self._begin(f"get {weights.version}", self._get(transfer))
+        self.manifests.distrust(weights.name)
+        self._begin(f"get {weights.version}", self._get_anew(weights))
+
+    async def _get_anew(self, distrusted):
+        """Get a version again, whose digests were wrong, with what is here of it."""
+        await self._get(Transfer(version=distrusted.version, priority=0))
+        fresh = self._weights_by_version[distrusted.version]
+        for index in distrusted.held():
+            fresh.put(index, distrusted.get(index))
+        self.exchange.forget(fresh.name)
+        self.exchange.want(fresh, priority=0)
 
     def _on_piece(self, weights, index):
         if weights.version == self._stage_target():
--- a/hawthornspoke/swarm/_strategies.py
+++ b/hawthornspoke/swarm/_strategies.py
@@ -145,6 +145,13 @@
     #: that reads it for this region: two dozen chunks on a link of 450 KB/s.
     FAR_PATIENCE = 0.8
 
+    #: Hosts that read from the origin. It may accept no more than 48 connections,
+    #: and resets those beyond: with 53 readers a version took 15 s, since some of
+    #: them never got their pieces. Its link carries one piece in 45 ms, so that
+    #: eight readers already keep it busy; 24 are as many as the fleets have whose
+    #: transfers were measured with every host a reader.
+    ORIGIN_READERS = 24
+
     def __init__(self):
         super().__init__()
         self._far_deadline_by_index = {}
@@ -182,9 +189,20 @@
     def _owners(self, transfer, index):
         if self._group != transfer.group_nodes():
             self._group = transfer.group_nodes()
-            self._order_by_index = _even_orders(transfer, self._group)
+            readers = self._readers(transfer, self._group)
+            self._order_by_index = _even_orders(transfer, readers)
         return self._order_by_index[index]
 
+    def _readers(self, transfer, nodes):
+        """Return the hosts that read from the origin, evenly over the regions."""
+        nodes_by_region = {}
+        for node in rendezvous_order(key=f"{transfer.digest}/origin", nodes=nodes):
+            region = transfer.participants[node].region
+            nodes_by_region.setdefault(region, []).append(node)
+        share = -(-self.ORIGIN_READERS // max(1, len(nodes_by_region)))
+        chosen = [node for names in nodes_by_region.values() for node in names[:share]]
+        return sorted(chosen)
+
 
 def _even_orders(transfer, nodes):
     """Return the owners of each chunk, with as many first places for each host.
--- a/idl/hawthornspoke.thrift
+++ b/idl/hawthornspoke.thrift
@@ -167,6 +167,8 @@
   // Declared weights, and how long ago the sender learned of them.
   2: optional i64 weights_version,
   3: optional i32 age_ms,
+  // Absent if the sender does not read the platform itself: then only the version
+  // and the failure domain are news, and another entry host tells the rest.
   4: optional list<PeerEndpoint> peers,
   // Pieces of the weights: how many, their size in bytes, layers they make up.
   5: optional i32 pieces,
@@ -202,6 +204,16 @@
   1: optional string digest,
 }
 
+// Asks an agent for the digests of a version's pieces, in order.
+struct ManifestAsk {
+  1: optional string weights,
+}
+
+struct Manifest {
+  // 32 bytes each; absent if the sender does not know them.
+  1: optional list<binary> digests,
+}
+
 // Entry hosts of the agent's failure domain that are connected to it, by IP.
 struct EntryHosts {
   1: optional list<string> addresses,
@@ -248,6 +260,8 @@
   9: optional EntryHosts entry_hosts,
   10: optional TableAsk table_ask,
   11: optional TableNews table_news,
+  12: optional ManifestAsk manifest_ask,
+  13: optional Manifest manifest,
 }
 
 service Node {
