--- a/hawthornspoke/mirror/_neighbours.py
+++ b/hawthornspoke/mirror/_neighbours.py
@@ -98,6 +98,11 @@
         """Return the neighbour to ask, None if this host reads the platform."""
         return self.readers.reader(monotonic())
 
+    def lost_platform(self, reason):
+        """Take that this host can't read the platform."""
+        self._log.change("platform_unread", reason=reason)
+        self.readers.step(ReaderFailed(address=self._address), now=monotonic())
+
     async def ask(self, address, table, *, after, wait):
         """Ask a neighbour what changed in a table.
 
--- a/hawthornspoke/mirror/_readers.py
+++ b/hawthornspoke/mirror/_readers.py
@@ -23,7 +23,7 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class ReaderFailed:
-    """A neighbour didn't answer, or doesn't know the platform's newest word."""
+    """A host doesn't know the platform's newest word: a neighbour, or this one."""
 
     address: str
 
@@ -36,7 +36,8 @@
     configuration crosses the link into their region dozens of times: with eleven
     hosts and 100 KB a configuration was in force 3.3 s after it was accepted, and
     requests behind it on the link were late. So the first of the known hosts reads;
-    the others ask it, and read the platform themselves as soon as it fails them.
+    the others ask it, and read the platform themselves as soon as it fails them. A
+    host that the platform refuses, or that is cut off from it, asks its neighbours.
 
     Parameters
     ----------
@@ -84,14 +85,19 @@
         str or None
             An IP; None if this host has to read the platform itself.
         """
-        known = {self.address}.union(*self._addresses_by_agent.values())
-        for address in sorted(known):
-            if address == self.address:
-                return None
-            if now >= self._deadline_by_address.get(address, 0.0):
-                return address
+        for address in sorted(self._known()):
+            if now < self._deadline_by_address.get(address, 0.0):
+                continue
+            return None if address == self.address else address
         return None
 
+    def known(self):
+        """Return how many hosts this failure domain has, this one too."""
+        return len(self._known())
+
+    def _known(self):
+        return {self.address}.union(*self._addresses_by_agent.values())
+
     def dump(self, *, now):
         """Return the state as plain data."""
         return {
--- a/hawthornspoke/mirror/_watch.py
+++ b/hawthornspoke/mirror/_watch.py
@@ -71,7 +71,7 @@
         Called with the moment, on the contact clock, up to which the platform's
         word is known.
     on_lost : callable
-        Called with the reason why the platform can't be read.
+        Called with the reason why the platform can't be read, by neighbours either.
     """
 
     __slots__ = (
@@ -126,12 +126,11 @@
                 revision = None
                 continue
             if is_failure(news):
-                # The platform is asked at once if a neighbour fails; if it fails
-                # itself there is nobody else, and all hosts are about to ask it.
+                # The platform is asked at once if a neighbour fails. If it fails
+                # itself a neighbour may still reach it.
+                failed = reader is not None or self._lose(table, news)
                 if reader is None:
-                    self._lose(table, news)
                     await asyncio.sleep(random.uniform(*RETRY_PAUSE))
-                failed = True
                 continue
             failed = False
             # A feed tells of every version of a row.
@@ -180,9 +179,14 @@
         return news
 
     def _lose(self, table, failure):
+        """Take that the platform failed; return whether nobody else can be asked."""
+        self._neighbours.lost_platform(failure.reason)
+        alone = self._neighbours.reader() is None
         if table.confirms:
             self._due_at = float("-inf")
-            self._on_lost(failure.reason)
+            if alone:
+                self._on_lost(failure.reason)
+        return alone
 
     def _confirm(self, at):
         self.confirmed_at = max(self.confirmed_at, at)
--- a/hawthornspoke/mirror/tests/test_watch.py
+++ b/hawthornspoke/mirror/tests/test_watch.py
@@ -181,3 +181,22 @@
         assert asker.lost == []
 
     play(scenario)
+
+
+def test_host_that_the_platform_refuses_asks_a_neighbour():
+    """Keys were refused for nine seconds on hosts whose neighbours knew them.
+
+    Events: the platform turned a third of the hosts away and served the others.
+    Cause: each host relied on what it read itself.
+    """
+
+    async def scenario(reader, asker):
+        await until(lambda: asker.seen)
+        reader.store.fault = "refused"
+        await until(lambda: "platform_unread" in reader.events)
+        asker.store.put(b"newer")
+        await until(lambda: reader.seen[-1] == b"newer")
+        before = contact_clock()
+        await until(lambda: reader.confirmed[-1] > before)
+
+    play(scenario)
--- a/hawthornspoke/placing/_fleet.py
+++ b/hawthornspoke/placing/_fleet.py
@@ -4,6 +4,7 @@
 
 from hawthornspoke.base import MACHINES, Bounds, Machine
 from hawthornspoke.placing._endpoint import Endpoint
+from hawthornspoke.placing._herd import Herd, added_load
 from hawthornspoke.placing._messages import (
     AgentLost,
     Ask,
@@ -11,6 +12,7 @@
     Decline,
     EndpointsListed,
     EngineReported,
+    EntryHostsSeen,
     Finished,
     LoadSeen,
     Place,
@@ -27,6 +29,7 @@
     CatalogChanged,
     EndpointsListed,
     EngineReported,
+    EntryHostsSeen,
     Finished,
     LoadSeen,
     Sent,
@@ -111,6 +114,8 @@
         "_ids_by_service",
         "_id_by_address",
         "_declared",
+        "_entry_hosts",
+        "_herd_by_service",
         "_random",
     )
     PARAMS = {
@@ -132,6 +137,8 @@
         self._ids_by_service = {}
         self._id_by_address = {}
         self._declared = DeclaredVersions()
+        self._entry_hosts = (1, 1)
+        self._herd_by_service = {}
         self._random = random.Random(seed)
 
     def on_catalog_changed(self, message, *, now):
@@ -182,6 +189,11 @@
             endpoint.state = None
         return []
 
+    def on_entry_hosts_seen(self, message, *, now):
+        """Take how many entry hosts there are."""
+        self._entry_hosts = (max(1, message.near), max(1, message.near, message.all))
+        return []
+
     def on_sent(self, message, *, now):
         """Count a request that was sent."""
         endpoint = self.endpoint_by_id.get(message.endpoint_id)
@@ -315,8 +327,8 @@
         """
         if endpoint.state is None:
             return False
-        near = endpoint.entry.failure_domain == self.failure_domain
-        return now >= endpoint.heard_at + (QUIET_NEAR if near else QUIET_FAR)
+        quiet = QUIET_NEAR if self._is_near(endpoint) else QUIET_FAR
+        return now >= endpoint.heard_at + quiet
 
     def _without_avoided(self, endpoints, now):
         kept = [
@@ -365,12 +377,12 @@
         return self._place(best, whole_answer(best), now)
 
     def _place_on_engine(self, message, endpoints, engine, now):
-        ranked = []
-        for endpoint in endpoints:
-            expected = _first_token_at(endpoint, engine, message)
-            ranked.append((self._rank(endpoint, expected), expected, endpoint))
-        ranked.sort(key=lambda item: item[0])
+        herd = self._herd_of(message.service)
+        herd.count_asked(now)
+        ranked = self._ranked(message, endpoints, engine, herd, now)
         on_time = [item for item in ranked if item[1] <= message.on_time_left]
+        if not on_time or on_time[0][0][0]:
+            herd.count_overflowed(now)
         if on_time:
             _, expected, endpoint = self._less_loaded_of_two(on_time)
             return self._place(endpoint, expected, now)
@@ -381,6 +393,39 @@
         excess = max(0.0, expected - max(0.0, message.on_time_left))
         return self._decline(message, "full", max(excess, slot_release(engine)))
 
+    def _ranked(self, message, endpoints, engine, herd, now):
+        """Return (rank, expected first token, endpoint), near ones first."""
+        holding = slot_release(engine) * engine.slots
+        arrivals = {near: herd.arrivals(near=near, now=now) for near in (True, False)}
+        sharing = {True: 0, False: 0}
+        for endpoint in endpoints:
+            sharing[self._is_near(endpoint)] += endpoint.load < engine.slots
+        ranked = []
+        for endpoint in endpoints:
+            near = self._is_near(endpoint)
+            added = added_load(
+                arrivals=arrivals[near],
+                sharing=sharing[near],
+                load=endpoint.load,
+                holding=holding,
+                slots=engine.slots,
+                age=_age(endpoint, now),
+            )
+            expected = _first_token_at(endpoint, engine, message, added=added)
+            ranked.append((self._rank(endpoint, expected), expected, endpoint))
+        ranked.sort(key=lambda item: item[0])
+        return ranked
+
+    def _herd_of(self, service):
+        herd = self._herd_by_service.get(service)
+        if herd is None:
+            herd = self._herd_by_service[service] = Herd()
+        herd.near_hosts, herd.all_hosts = self._entry_hosts
+        return herd
+
+    def _is_near(self, endpoint):
+        return endpoint.entry.failure_domain == self.failure_domain
+
     def _less_loaded_of_two(self, ranked):
         """Return the less loaded of two random places, near ones before far ones.
 
@@ -392,7 +437,7 @@
         return min(pair, key=lambda item: (item[2].load, item[0]))
 
     def _rank(self, endpoint, expected):
-        far = endpoint.entry.failure_domain != self.failure_domain
+        far = not self._is_near(endpoint)
         return far, expected, endpoint.own_running, self._random.random()
 
     def _place(self, endpoint, expected, now):
@@ -428,10 +473,10 @@
     return round(now - endpoint.reported_at, 3)
 
 
-def _first_token_at(endpoint, engine, message):
+def _first_token_at(endpoint, engine, message, *, added=0.0):
     return first_token(
         engine,
-        load=endpoint.load,
+        load=endpoint.load + added,
         prompt_tokens=message.prompt_tokens,
         pace=endpoint.pace,
     )
--- a/hawthornspoke/placing/_messages.py
+++ b/hawthornspoke/placing/_messages.py
@@ -82,6 +82,21 @@
     address: str
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class EntryHostsSeen:
+    """How many entry hosts there seem to be, this one too.
+
+    Parameters
+    ----------
+    near : int
+        In the own failure domain.
+    all : int
+    """
+
+    near: int
+    all: int
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Sent:
     """A request was sent to an endpoint."""
--- a/hawthornspoke/relay/_process.py
+++ b/hawthornspoke/relay/_process.py
@@ -18,6 +18,7 @@
     CatalogChanged,
     DeclaredVersions,
     EndpointsListed,
+    EntryHostsSeen,
     Fleet,
     WeightsDeclared,
 )
@@ -408,6 +409,11 @@
             if reader != before:
                 self.log.change("reader", peer=reader, before=before)
                 self.agents.tell_all()
+            seen = EntryHostsSeen(
+                near=self.neighbours.readers.known(),
+                all=self.agents.entry_hosts() or ASSUMED_ENTRY_HOSTS,
+            )
+            self.fleet.step(seen, now=monotonic())
             for budget in self._budget_by_service.values():
                 budget.reserve = self._own_reserve()
             steady = self.contact.steady(now=contact_clock())
