New agents ask neighbours what to load

Cause: added engines took requests 7.4 s after their hosts started: 0.2 to 0.6 s until the agent ran, 1.0 to 1.3 s until an entry host knew of it (an engine registers itself a second after its start), 5.55 s for the pieces (1.07 of what the link allows), 0.4 s to load. Ruled out: the transfer itself.

A new agent reads the list of endpoints once (one call, 300 bytes an endpoint) and asks a neighbour of its failure domain what it was told.

--- a/hawthornspoke/protocol/_gen/ttypes.py
+++ b/hawthornspoke/protocol/_gen/ttypes.py
@@ -2304,6 +2304,74 @@
         return not (self == other)
 
 
+class DirectiveAsk(object):
+    """
+    Attributes:
+     - failure_domain
+
+    """
+
+    __slots__ = (
+        'failure_domain',
+    )
+
+
+    def __init__(self, failure_domain=None,):
+        self.failure_domain = failure_domain
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DirectiveAsk')
+        if self.failure_domain is not None:
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 1)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class EngineState(object):
     """
     Attributes:
@@ -3153,6 +3221,7 @@
      - table_news
      - manifest_ask
      - manifest
+     - directive_ask
 
     """
 
@@ -3170,10 +3239,11 @@
         'table_news',
         'manifest_ask',
         'manifest',
+        'directive_ask',
     )
 
 
-    def __init__(self, call=None, announce=None, chunk_ask=None, chunk=None, holdings_ask=None, holdings=None, directive=None, engine_state=None, entry_hosts=None, table_ask=None, table_news=None, manifest_ask=None, manifest=None,):
+    def __init__(self, call=None, announce=None, chunk_ask=None, chunk=None, holdings_ask=None, holdings=None, directive=None, engine_state=None, entry_hosts=None, table_ask=None, table_news=None, manifest_ask=None, manifest=None, directive_ask=None,):
         self.call = call
         self.announce = announce
         self.chunk_ask = chunk_ask
@@ -3187,6 +3257,7 @@
         self.table_news = table_news
         self.manifest_ask = manifest_ask
         self.manifest = manifest
+        self.directive_ask = directive_ask
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3274,6 +3345,12 @@
                     self.manifest.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.STRUCT:
+                    self.directive_ask = DirectiveAsk()
+                    self.directive_ask.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3336,6 +3413,10 @@
             oprot.writeFieldBegin('manifest', TType.STRUCT, 13)
             self.manifest.write(oprot)
             oprot.writeFieldEnd()
+        if self.directive_ask is not None:
+            oprot.writeFieldBegin('directive_ask', TType.STRUCT, 14)
+            self.directive_ask.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3528,6 +3609,11 @@
     (10, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 10
     (11, TType.DOUBLE, 'load_time', None, None, ),  # 11
 )
+all_structs.append(DirectiveAsk)
+DirectiveAsk.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 1
+)
 all_structs.append(EngineState)
 EngineState.thrift_spec = (
     None,  # 0
@@ -3606,6 +3692,7 @@
     (11, TType.STRUCT, 'table_news', [TableNews, None], None, ),  # 11
     (12, TType.STRUCT, 'manifest_ask', [ManifestAsk, None], None, ),  # 12
     (13, TType.STRUCT, 'manifest', [Manifest, None], None, ),  # 13
+    (14, TType.STRUCT, 'directive_ask', [DirectiveAsk, None], None, ),  # 14
 )
 fix_spec(all_structs)
 del all_structs
--- a/hawthornspoke/spread/_exchange.py
+++ b/hawthornspoke/spread/_exchange.py
@@ -185,8 +185,11 @@
 
     async def ask(self, node, frame, *, timeout):
         """Ask a peer and return its answer or a Failure."""
-        peer = self._peers[node]
-        link = await self._link(peer.address, peer.port)
+        return await self.ask_at(self._peers[node].address, frame, timeout=timeout)
+
+    async def ask_at(self, address, frame, *, timeout):
+        """Ask the agent at an IP, also one that is no peer yet."""
+        link = await self._link(address, self._settings.port)
         if isinstance(link, Failure):
             return link
         return await link.ask(frame, timeout=timeout)
--- a/hawthornspoke/spread/_process.py
+++ b/hawthornspoke/spread/_process.py
@@ -1,6 +1,7 @@
 """The agent beside an engine on one event loop: pieces, orders, its state."""
 
 import asyncio
+import copy
 import random
 import signal
 
@@ -9,7 +10,7 @@
 from hawthornspoke.httpio import HttpServer, OperatorPort
 from hawthornspoke.metrics import Metrics
 from hawthornspoke.peering import listen
-from hawthornspoke.protocol import EngineState, EntryHosts, Frame
+from hawthornspoke.protocol import DirectiveAsk, EngineState, EntryHosts, Frame
 from hawthornspoke.spread._exchange import Exchange, Peer
 from hawthornspoke.spread._installer import Installer
 from hawthornspoke.spread._manifests import Manifests
@@ -42,6 +43,11 @@
 ALONE_AFTER = 2.0
 READ_ALONE_EVERY = 2.0
 
+#: Neighbours that a new agent asks what they were told, one after the other, and
+#: seconds for each.
+INTRODUCED_BY = 3
+INTRODUCTION_TIME = 0.4
+
 #: Seconds between two tries to read a list of digests.
 MANIFEST_PAUSE = (0.2, 0.4)
 
@@ -77,7 +83,8 @@
         ``manifest`` and ``piece``.
     read_alone : coroutine function
         Reads the platform once, given the last Directive or None, and returns a
-        Directive or a Failure; used only while no entry host is connected.
+        Directive or a Failure; used only while no entry host is connected. Its
+        ``peers`` returns only the endpoints.
     """
 
     __slots__ = (
@@ -165,6 +172,7 @@
         )
         await self.operator.start()
         loops = [self._watch_engine(), self.exchange.run(), self._read_alone()]
+        self.exchange.spawn(self._introduce())
         tasks = [loop.create_task(item) for item in loops]
         self.log.change("started", role="agent", engine=self.settings.engine_address)
         try:
@@ -193,6 +201,8 @@
             self._on_directive(link, frame.directive)
         elif frame.manifest_ask is not None:
             self.manifests.answer(link, frame)
+        elif frame.directive_ask is not None:
+            self._answer_directive(link, frame)
         else:
             self.exchange.on_frame(link, frame)
 
@@ -291,6 +301,50 @@
                 self.log.decision("read_alone", version=directive.weights_version)
                 self._take_directive(directive)
 
+    async def _introduce(self):
+        """Ask neighbours what they were told, until an entry host tells it.
+
+        An engine registers itself a second after its host started, and only then do
+        entry hosts know of this agent; a second of a transfer of five.
+        """
+        while self._directive is None:
+            peers = await self.read_alone.peers()
+            if is_failure(peers):
+                self.log.decision("introduction_failed", reason=peers.reason)
+                peers = []
+            near = [
+                peer
+                for peer in peers
+                if peer.failure_domain == self.settings.failure_domain
+                and peer.address != self.settings.engine_address
+            ]
+            for peer in random.sample(near, min(INTRODUCED_BY, len(near))):
+                if await self._ask_directive(peer, peers):
+                    return
+            await asyncio.sleep(READ_ALONE_EVERY * random.uniform(0.8, 1.2))
+
+    async def _ask_directive(self, peer, peers):
+        ask = DirectiveAsk(failure_domain=self.settings.failure_domain)
+        answer = await self.exchange.ask_at(
+            peer.address.rpartition(":")[0],
+            Frame(directive_ask=ask),
+            timeout=INTRODUCTION_TIME,
+        )
+        if is_failure(answer) or answer.directive is None or self._directive:
+            return self._directive is not None
+        answer.directive.peers = peers
+        self.log.change("introduced", peer=peer.address)
+        self._take_directive(answer.directive)
+        return True
+
+    def _answer_directive(self, link, frame):
+        known = copy.copy(self._directive)
+        if known is not None:
+            known.weights_version = self.upgrade.next_version()
+            known.age_ms = int(1000 * self.upgrade.age_of_newest(monotonic()))
+            known.peers = None
+        link.send(Frame(call=-frame.call, directive=known))
+
     # The engine.
 
     async def _watch_engine(self):
--- a/hawthornspoke/spread/_upgrade.py
+++ b/hawthornspoke/spread/_upgrade.py
@@ -187,6 +187,10 @@
         """Return the newest version named, None if none was."""
         return self._named[-1].version if self._named else None
 
+    def age_of_newest(self, now):
+        """Return the seconds since the newest version was named, 0 if none was."""
+        return now - self._named[-1].at if self._named else 0.0
+
     def ready_at(self, now):
         """Return when the next version is expected to be in use, None if unknown."""
         if not self._named:
--- a/hawthornspoke/spread/tests/test_agents.py
+++ b/hawthornspoke/spread/tests/test_agents.py
@@ -5,7 +5,7 @@
 
 from hawthornspoke.base import digest_of
 from hawthornspoke.catalog import EndpointEntry, EngineProfile
-from hawthornspoke.peering import connect, directive
+from hawthornspoke.peering import connect, directive, peer_endpoints
 from hawthornspoke.protocol import Frame
 from hawthornspoke.spread import (
     ENGINE_CHANGED,
@@ -128,6 +128,19 @@
         return self.version == version and self.loaded == right
 
 
+class FakePlatform:
+    """What an agent can read itself: the endpoints, if anything."""
+
+    def __init__(self, hosts):
+        self._hosts = hosts
+
+    async def __call__(self, known):
+        return ORIGIN_FAILED
+
+    async def peers(self):
+        return peer_endpoints(self._hosts.entries())
+
+
 class Hosts:
     """Some agents with their engines, and an entry host that tells them."""
 
@@ -165,18 +178,15 @@
             ),
             engine=engine,
             origin=self.origin,
-            read_alone=self._read_alone,
+            read_alone=FakePlatform(self),
         )
         self.agents.append(agent)
         self.tasks.append(asyncio.create_task(agent.run()))
         await asyncio.sleep(0.05)
 
-    async def _read_alone(self, known):
-        return ORIGIN_FAILED
-
-    async def name(self, version, *, age=0.0, bound=8.0, with_peers=True):
-        """Let an entry host declare a version to all agents."""
-        entries = [
+    def entries(self):
+        """Return the platform's list of endpoints."""
+        return [
             EndpointEntry(
                 endpoint_id=ip,
                 service="s",
@@ -186,6 +196,10 @@
             )
             for ip in self.ips
         ]
+
+    async def name(self, version, *, age=0.0, bound=8.0, with_peers=True):
+        """Let an entry host declare a version to all agents."""
+        entries = self.entries()
         told = directive(
             engine=ENGINE,
             version=version,
@@ -397,3 +411,24 @@
         assert len(hosts.origin.reads) <= 2 * PIECES * 1.2
 
     play(scenario)
+
+
+def test_new_agent_learns_from_neighbours_what_it_has_to_load():
+    """Added engines took requests 7.4 s after their hosts started.
+
+    Events: hosts are added; their agents run after 0.2 s and hear what to load
+    after 1.4 s. Cause: entry hosts know of an agent only once its engine has
+    registered itself with the platform, and no one else told it.
+    """
+
+    async def scenario(hosts):
+        await hosts.name(1)
+        await hosts.until_all_have(1)
+        known, added = list(hosts.ips), "127.0.0.9"
+        engine = FakeEngine()
+        await hosts._start(added, engine)
+        hosts.engines.append(engine)
+        await hosts.until_all_have(1)
+        assert hosts.ips == known
+
+    play(scenario)
--- a/idl/hawthornspoke.thrift
+++ b/idl/hawthornspoke.thrift
@@ -182,6 +182,11 @@
   11: optional double load_time,
 }
 
+// Asks an agent for what entry hosts told it last.
+struct DirectiveAsk {
+  1: optional string failure_domain,
+}
+
 // State of an agent's engine as read on its own host a moment ago.
 struct EngineState {
   1: optional string endpoint_address,
@@ -265,6 +270,7 @@
   11: optional TableNews table_news,
   12: optional ManifestAsk manifest_ask,
   13: optional Manifest manifest,
+  14: optional DirectiveAsk directive_ask,
 }
 
 service Node {
