--- a/hawthornspoke/placing/_endpoint.py
+++ b/hawthornspoke/placing/_endpoint.py
@@ -82,7 +82,7 @@
 
     @property
     def link_delay(self):
-        """Seconds that its last report waited on the way."""
+        """Seconds that a message there and back waits on the way."""
         return self.state.link_delay if self.state is not None else 0.0
 
     def accepts(self, now):
--- a/hawthornspoke/placing/_fleet.py
+++ b/hawthornspoke/placing/_fleet.py
@@ -60,9 +60,8 @@
 QUIET_NEAR = 0.7
 QUIET_FAR = 5.0
 
-#: Seconds by which a report is late from which the link it came over is left alone.
-#: A request waits there as long, and its first event again: twice this is the time
-#: within which first events are wanted. Beside a spread of weights 0.1 s are usual.
+#: Seconds that messages wait on the way to an engine and back from which it is left
+#: alone: as long as first events may take. Beside a spread of weights 0.1 s are usual.
 LINK_FULL = 0.4
 
 #: Seconds an entry that vanished just as the platform came back is still used.
@@ -90,6 +89,18 @@
 LEAST_RETRY_AFTER = 0.2
 
 
+class _Candidate:
+    """An engine that may take a request: its load now and what follows from it."""
+
+    __slots__ = ("endpoint", "load", "expected", "rank")
+
+    def __init__(self, *, endpoint, load, expected, rank):
+        self.endpoint = endpoint
+        self.load = load
+        self.expected = expected
+        self.rank = rank
+
+
 @MACHINES.register("fleet")
 class Fleet(Machine):
     """Knows the endpoints and chooses one for each request.
@@ -366,7 +377,7 @@
         """
         if not engine.layers or endpoint.weights_version is None:
             return True
-        expected = _first_token_at(endpoint, engine, message)
+        expected = _first_token_at(endpoint, engine, message, load=endpoint.load)
         begins = now + BEGIN_SHARE * expected
         return endpoint.weights_version >= self.floor_version(engine.model, begins)
 
@@ -386,31 +397,35 @@
     def _place_on_engine(self, message, endpoints, engine, now):
         herd = self._herd_of(message.service)
         herd.count_asked(now)
-        ranked = self._ranked(message, endpoints, engine, herd, now)
-        on_time = [item for item in ranked if item[1] <= message.on_time_left]
-        if not on_time or on_time[0][0][0]:
+        candidates = self._candidates(message, endpoints, engine, herd, now)
+        on_time = [item for item in candidates if item.expected <= message.on_time_left]
+        if not on_time or not self._is_near(on_time[0].endpoint):
             herd.count_overflowed(now)
+        if not on_time and message.returned:
+            on_time = [
+                item
+                for item in candidates
+                if item.load - engine.slots < LATE_QUEUE
+                and item.expected < message.time_left / 2
+            ]
         if on_time:
-            _, expected, endpoint = self._less_loaded_of_two(on_time)
-            return self._place(endpoint, expected, now)
-        _, expected, endpoint = min(ranked, key=lambda item: item[1])
-        queue = endpoint.load - engine.slots
-        if message.returned and queue < LATE_QUEUE and expected < message.time_left / 2:
-            return self._place(endpoint, expected, now)
+            chosen = self._less_loaded_of_two(on_time)
+            return self._place(chosen.endpoint, chosen.expected, now)
+        expected = min(item.expected for item in candidates)
         excess = max(0.0, expected - max(0.0, message.on_time_left))
         return self._decline(message, "full", max(excess, slot_release(engine)))
 
-    def _ranked(self, message, endpoints, engine, herd, now):
-        """Return (rank, expected first token, endpoint), near ones first."""
+    def _candidates(self, message, endpoints, engine, herd, now):
+        """Return a candidate for each endpoint, the best first."""
         holding = slot_release(engine) * engine.slots
         arrivals = {near: herd.arrivals(near=near, now=now) for near in (True, False)}
         sharing = {True: 0, False: 0}
         for endpoint in endpoints:
             sharing[self._is_near(endpoint)] += endpoint.load < engine.slots
-        ranked = []
+        candidates = []
         for endpoint in endpoints:
             near = self._is_near(endpoint)
-            added = added_load(
+            load = endpoint.load + added_load(
                 arrivals=arrivals[near],
                 sharing=sharing[near],
                 load=endpoint.load,
@@ -418,10 +433,13 @@
                 slots=engine.slots,
                 age=_age(endpoint, now),
             )
-            expected = _first_token_at(endpoint, engine, message, added=added)
-            ranked.append((self._rank(endpoint, expected), expected, endpoint))
-        ranked.sort(key=lambda item: item[0])
-        return ranked
+            expected = _first_token_at(endpoint, engine, message, load=load)
+            rank = self._rank(endpoint, expected)
+            candidates.append(
+                _Candidate(endpoint=endpoint, load=load, expected=expected, rank=rank)
+            )
+        candidates.sort(key=lambda item: item.rank)
+        return candidates
 
     def _herd_of(self, service):
         herd = self._herd_by_service.get(service)
@@ -433,15 +451,18 @@
     def _is_near(self, endpoint):
         return endpoint.entry.failure_domain == self.failure_domain
 
-    def _less_loaded_of_two(self, ranked):
-        """Return the less loaded of two random places, near ones before far ones.
+    def _less_loaded_of_two(self, candidates):
+        """Return the less loaded of two random ones, near ones before far ones.
 
         Several entry hosts see the same loads, some 0.1 s old. If each took the
         least loaded engine, all would take the same one, and its callers be late.
         """
-        near = [item for item in ranked if item[0][0] == ranked[0][0][0]]
-        pair = self._random.sample(near, min(2, len(near)))
-        return min(pair, key=lambda item: (item[2].load, item[0]))
+        first_near = self._is_near(candidates[0].endpoint)
+        alike = [
+            item for item in candidates if self._is_near(item.endpoint) == first_near
+        ]
+        pair = self._random.sample(alike, min(2, len(alike)))
+        return min(pair, key=lambda item: (item.load, item.rank))
 
     def _rank(self, endpoint, expected):
         far = not self._is_near(endpoint)
@@ -480,10 +501,10 @@
     return round(now - endpoint.reported_at, 3)
 
 
-def _first_token_at(endpoint, engine, message, *, added=0.0):
+def _first_token_at(endpoint, engine, message, *, load):
     return first_token(
         engine,
-        load=endpoint.load + added,
+        load=load,
         prompt_tokens=message.prompt_tokens,
         pace=endpoint.pace,
     )
--- a/hawthornspoke/placing/_messages.py
+++ b/hawthornspoke/placing/_messages.py
@@ -64,7 +64,7 @@
     next_ready_at : float or None
         When that version is expected to be usable there.
     link_delay : float
-        Seconds by which this report came later than one does on a calm link.
+        Seconds that a message there and back waits on the link of its host.
     """
 
     address: str
--- a/hawthornspoke/placing/tests/test_herd.py
+++ b/hawthornspoke/placing/tests/test_herd.py
@@ -69,7 +69,7 @@
             fleet.step(message, now=now)
 
 
-def play(fleets, load_by_engine, *, seconds, start):
+def play(fleets, load_by_engine, *, seconds, start, aim=AIM, returned=False):
     """Let callers come to all hosts; return how many requests each engine gets."""
     rng = random.Random(7)
     got = [0] * len(load_by_engine)
@@ -78,7 +78,13 @@
     while now < start + seconds:
         now += rng.expovariate(REQUESTS_A_SECOND * len(fleets))
         fleet = rng.choice(fleets)
-        ask = Ask(service="s", prompt_tokens=900, on_time_left=AIM, time_left=6.0)
+        ask = Ask(
+            service="s",
+            prompt_tokens=900,
+            on_time_left=aim,
+            time_left=6.0,
+            returned=returned,
+        )
         (answer,) = fleet.step(ask, now=now)
         if isinstance(answer, Place):
             fleet.step(Sent(endpoint_id=answer.endpoint_id), now=now)
@@ -105,6 +111,21 @@
     assert sum(got[1:]) == 0
 
 
+def test_callers_that_are_late_spread_over_free_engines():
+    """An engine got 40 requests within 0.3 s and began none of them.
+
+    Events: callers whose first tries failed return; one engine reports the fewest
+    requests. Cause: each entry host sent all of them to the engine with the least
+    expected time.
+    """
+    hosts = fleets(engines=12)
+    loads = [3, *[5] * 11]
+    report(hosts, loads, now=1.0)
+    got, declined = play(hosts, loads, seconds=0.2, start=1.0, aim=-0.2, returned=True)
+    assert declined == 0
+    assert got[0] <= 3 * sum(got) / len(got)
+
+
 def test_engines_with_room_get_what_comes():
     """Nothing is refused where the fleet has room, also on reports that are old."""
     hosts = fleets(engines=40)
--- a/hawthornspoke/protocol/_gen/ttypes.py
+++ b/hawthornspoke/protocol/_gen/ttypes.py
@@ -2387,7 +2387,7 @@
      - next_ready_ms
      - next_version
      - entry_hosts
-     - sent_ms
+     - link_delay_ms
 
     """
 
@@ -2404,11 +2404,11 @@
         'next_ready_ms',
         'next_version',
         'entry_hosts',
-        'sent_ms',
+        'link_delay_ms',
     )
 
 
-    def __init__(self, endpoint_address=None, model=None, weights_version=None, layer_from=None, layer_to=None, running=None, waiting=None, loading=None, pace=None, next_ready_ms=None, next_version=None, entry_hosts=None, sent_ms=None,):
+    def __init__(self, endpoint_address=None, model=None, weights_version=None, layer_from=None, layer_to=None, running=None, waiting=None, loading=None, pace=None, next_ready_ms=None, next_version=None, entry_hosts=None, link_delay_ms=None,):
         self.endpoint_address = endpoint_address
         self.model = model
         self.weights_version = weights_version
@@ -2421,7 +2421,7 @@
         self.next_ready_ms = next_ready_ms
         self.next_version = next_version
         self.entry_hosts = entry_hosts
-        self.sent_ms = sent_ms
+        self.link_delay_ms = link_delay_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2493,8 +2493,8 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
-                if ftype == TType.I64:
-                    self.sent_ms = iprot.readI64()
+                if ftype == TType.I32:
+                    self.link_delay_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             else:
@@ -2555,9 +2555,9 @@
             oprot.writeFieldBegin('entry_hosts', TType.I32, 12)
             oprot.writeI32(self.entry_hosts)
             oprot.writeFieldEnd()
-        if self.sent_ms is not None:
-            oprot.writeFieldBegin('sent_ms', TType.I64, 13)
-            oprot.writeI64(self.sent_ms)
+        if self.link_delay_ms is not None:
+            oprot.writeFieldBegin('link_delay_ms', TType.I32, 13)
+            oprot.writeI32(self.link_delay_ms)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -3222,6 +3222,7 @@
      - manifest_ask
      - manifest
      - directive_ask
+     - probe
 
     """
 
@@ -3240,10 +3241,11 @@
         'manifest_ask',
         'manifest',
         'directive_ask',
+        'probe',
     )
 
 
-    def __init__(self, call=None, announce=None, chunk_ask=None, chunk=None, holdings_ask=None, holdings=None, directive=None, engine_state=None, entry_hosts=None, table_ask=None, table_news=None, manifest_ask=None, manifest=None, directive_ask=None,):
+    def __init__(self, call=None, announce=None, chunk_ask=None, chunk=None, holdings_ask=None, holdings=None, directive=None, engine_state=None, entry_hosts=None, table_ask=None, table_news=None, manifest_ask=None, manifest=None, directive_ask=None, probe=None,):
         self.call = call
         self.announce = announce
         self.chunk_ask = chunk_ask
@@ -3258,6 +3260,7 @@
         self.manifest_ask = manifest_ask
         self.manifest = manifest
         self.directive_ask = directive_ask
+        self.probe = probe
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3351,6 +3354,11 @@
                     self.directive_ask.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.BOOL:
+                    self.probe = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3417,6 +3425,10 @@
             oprot.writeFieldBegin('directive_ask', TType.STRUCT, 14)
             self.directive_ask.write(oprot)
             oprot.writeFieldEnd()
+        if self.probe is not None:
+            oprot.writeFieldBegin('probe', TType.BOOL, 15)
+            oprot.writeBool(self.probe)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3629,7 +3641,7 @@
     (10, TType.I32, 'next_ready_ms', None, None, ),  # 10
     (11, TType.I64, 'next_version', None, None, ),  # 11
     (12, TType.I32, 'entry_hosts', None, None, ),  # 12
-    (13, TType.I64, 'sent_ms', None, None, ),  # 13
+    (13, TType.I32, 'link_delay_ms', None, None, ),  # 13
 )
 all_structs.append(HoldingsAsk)
 HoldingsAsk.thrift_spec = (
@@ -3693,6 +3705,7 @@
     (12, TType.STRUCT, 'manifest_ask', [ManifestAsk, None], None, ),  # 12
     (13, TType.STRUCT, 'manifest', [Manifest, None], None, ),  # 13
     (14, TType.STRUCT, 'directive_ask', [DirectiveAsk, None], None, ),  # 14
+    (15, TType.BOOL, 'probe', None, None, ),  # 15
 )
 fix_spec(all_structs)
 del all_structs
--- a/hawthornspoke/relay/_agents.py
+++ b/hawthornspoke/relay/_agents.py
@@ -3,11 +3,10 @@
 import asyncio
 import random
 
-from hawthornspoke.base import Failure, contact_clock, monotonic
+from hawthornspoke.base import Failure, monotonic
 from hawthornspoke.peering import connect
 from hawthornspoke.placing import AgentLost, EngineReported
 from hawthornspoke.protocol import Frame
-from hawthornspoke.relay._delays import Delays
 
 CONNECT_TIMEOUT = 1.0
 
@@ -37,7 +36,6 @@
         "_on_entry_hosts",
         "_told_by_address",
         "_entry_hosts_by_agent",
-        "_delays",
     )
 
     def __init__(self, *, port, fleet, log, directive_for, on_entry_hosts):
@@ -50,7 +48,6 @@
         self._link_by_address = {}
         self._told_by_address = {}
         self._entry_hosts_by_agent = {}
-        self._delays = Delays()
 
     def follow(self, addresses):
         """Keep links to exactly the agents of these endpoints.
@@ -108,7 +105,7 @@
                 link = await connect(
                     ip,
                     self.port,
-                    on_frame=lambda _, frame: self._take(address, frame),
+                    on_frame=lambda link, frame: self._take(address, link, frame),
                     on_closed=lambda _, done=closed: done.done() or done.set_result(0),
                     timeout=CONNECT_TIMEOUT,
                 )
@@ -133,10 +130,11 @@
         self._link_by_address.pop(address, None)
         self._told_by_address.pop(address, None)
         self._on_entry_hosts(address, ())
-        self._delays.forget(address)
         self._fleet.step(AgentLost(address=address), now=monotonic())
 
-    def _take(self, address, frame):
+    def _take(self, address, link, frame):
+        if frame.probe and frame.call is not None:
+            link.send(Frame(call=-frame.call, probe=True))
         if frame.entry_hosts is not None:
             self._on_entry_hosts(address, frame.entry_hosts.addresses or ())
         state = frame.engine_state
@@ -151,11 +149,6 @@
         ready_at = None
         if state.next_ready_ms is not None and state.next_ready_ms >= 0:
             ready_at = now + state.next_ready_ms / 1000
-        delay = 0.0
-        if state.sent_ms is not None:
-            delay = self._delays.note(
-                address, sent=state.sent_ms / 1000, now=contact_clock()
-            )
         report = EngineReported(
             address=address,
             load=(state.running or 0) + (state.waiting or 0),
@@ -165,7 +158,7 @@
             pace=state.pace or 1.0,
             next_version=state.next_version or None,
             next_ready_at=ready_at,
-            link_delay=delay,
+            link_delay=(state.link_delay_ms or 0) / 1000,
         )
         self._fleet.step(report, now=now)
 
--- /dev/null
+++ b/hawthornspoke/spread/_link.py
@@ -0,0 +1,104 @@
+"""How long a message waits on the link of this host: a pure state machine."""
+
+from dataclasses import dataclass
+
+from hawthornspoke.base import MACHINES, Bounds, Machine
+
+#: Probes that count: to two entry hosts in turn, so that one that stands still is
+#: not taken for a full link.
+COUNTED = 2
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class ProbeSent:
+    """A probe left.
+
+    Parameters
+    ----------
+    number : int
+    """
+
+    number: int
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class ProbeEnded:
+    """A probe came back, or its connection ended.
+
+    Parameters
+    ----------
+    number : int
+    came_back : bool
+    """
+
+    number: int
+    came_back: bool
+
+
+@MACHINES.register("link")
+class Link(Machine):
+    """Tells the delay of this host's link from the times of probes.
+
+    A link that has become narrow, or that pieces fill, shows nowhere but in what
+    crosses it: requests reach the engine up to two seconds late, some after their
+    callers have left, while the engine itself reports few of them.
+
+    Parameters
+    ----------
+    least_kept : float, default=30.0
+        Seconds after which the quickest probe is taken to be out of date.
+    """
+
+    __slots__ = ("least_kept", "_sent_at_by_number", "_recent", "_least", "_least_at")
+    PARAMS = {"least_kept": Bounds(kind=(int, float), low=0)}
+
+    def __init__(self, *, least_kept=30.0):
+        self.least_kept = least_kept
+        self._sent_at_by_number = {}
+        self._recent = {}
+        self._least = None
+        self._least_at = 0.0
+
+    def on_probe_sent(self, message, *, now):
+        """Take that a probe left."""
+        self._sent_at_by_number[message.number] = now
+        return []
+
+    def on_probe_ended(self, message, *, now):
+        """Take the end of a probe; one whose connection ended tells nothing."""
+        sent_at = self._sent_at_by_number.pop(message.number, None)
+        if sent_at is None or not message.came_back:
+            return []
+        taken = now - sent_at
+        known = self._least is not None and now < self._least_at + self.least_kept
+        if not known or taken <= self._least:
+            self._least, self._least_at = taken, now
+        self._recent[message.number] = taken - self._least
+        for number in sorted(self._recent)[:-COUNTED]:
+            del self._recent[number]
+        return []
+
+    def delay(self, now):
+        """Return the seconds that a message there and back waits.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        float
+            The least of the latest probes; one that is not back yet counts with
+            its age.
+        """
+        delay_by_number = dict(self._recent)
+        for number, sent_at in self._sent_at_by_number.items():
+            waited = now - sent_at - (self._least or 0.0)
+            if waited > 0:
+                delay_by_number[number] = waited
+        latest = sorted(delay_by_number)[-COUNTED:]
+        return min((delay_by_number[number] for number in latest), default=0.0)
+
+    def dump(self, *, now):
+        """Return the state as plain data."""
+        return {"delay": round(self.delay(now), 3), "least": self._least}
--- a/hawthornspoke/spread/_process.py
+++ b/hawthornspoke/spread/_process.py
@@ -5,7 +5,7 @@
 import random
 import signal
 
-from hawthornspoke.base import contact_clock, is_failure, monotonic
+from hawthornspoke.base import is_failure, monotonic
 from hawthornspoke.events import EventLog
 from hawthornspoke.httpio import HttpServer, OperatorPort
 from hawthornspoke.metrics import Metrics
@@ -13,6 +13,7 @@
 from hawthornspoke.protocol import DirectiveAsk, EngineState, EntryHosts, Frame
 from hawthornspoke.spread._exchange import Exchange, Peer
 from hawthornspoke.spread._installer import Installer
+from hawthornspoke.spread._link import Link, ProbeEnded, ProbeSent
 from hawthornspoke.spread._manifests import Manifests
 from hawthornspoke.spread._stock import Weights, weights_name
 from hawthornspoke.spread._upgrade import (
@@ -43,6 +44,10 @@
 ALONE_AFTER = 2.0
 READ_ALONE_EVERY = 2.0
 
+#: Seconds between two probes of the link, 60 bytes each, and for one to come back.
+PROBE_EVERY = 0.25
+PROBE_TIME = 2.0
+
 #: Neighbours that a new agent asks what they were told, one after the other, and
 #: seconds for each.
 INTRODUCED_BY = 3
@@ -98,6 +103,7 @@
         "manifests",
         "installer",
         "upgrade",
+        "link",
         "model",
         "operator",
         "_snapshot",
@@ -133,6 +139,7 @@
             engine=engine, log=self.log, on_notice=self._on_notice
         )
         self.upgrade = Upgrade()
+        self.link = Link()
         self.model = None
         self.operator = HttpServer(
             host=settings.ip,
@@ -171,7 +178,12 @@
             on_closed=self._on_link_closed,
         )
         await self.operator.start()
-        loops = [self._watch_engine(), self.exchange.run(), self._read_alone()]
+        loops = [
+            self._watch_engine(),
+            self._probe_link(),
+            self.exchange.run(),
+            self._read_alone(),
+        ]
         self.exchange.spawn(self._introduce())
         tasks = [loop.create_task(item) for item in loops]
         self.log.change("started", role="agent", engine=self.settings.engine_address)
@@ -369,6 +381,22 @@
         whole = seen.layers is not None and seen.layers[0] == 0
         return EngineSeen(version=seen.version, whole=whole, busy=seen.busy)
 
+    async def _probe_link(self):
+        number = 0
+        while True:
+            await asyncio.sleep(PROBE_EVERY)
+            near = [link for link, state in self._link_states.items() if state.near]
+            if near:
+                number += 1
+                link = near[number % len(near)]
+                self.exchange.spawn(self._probe(link, number))
+
+    async def _probe(self, link, number):
+        self.link.step(ProbeSent(number=number), now=monotonic())
+        answer = await link.ask(Frame(probe=True), timeout=PROBE_TIME)
+        ended = ProbeEnded(number=number, came_back=not is_failure(answer))
+        self.link.step(ended, now=monotonic())
+
     def _is_serving(self):
         return self._snapshot is not None and self._snapshot.running > 0
 
@@ -379,7 +407,6 @@
             if self._is_due(kept, state, now):
                 kept.told = state
                 kept.told_at = now
-                state.sent_ms = int(contact_clock() * 1000)
                 link.send(Frame(engine_state=state))
 
     def _is_due(self, kept, state, now):
@@ -405,6 +432,7 @@
             next_ready_ms=-1 if ready_at is None else int((ready_at - now) * 1000),
             loading=True,
             entry_hosts=len(self._link_states),
+            link_delay_ms=int(self.link.delay(now) * 1000),
         )
         if seen is not None:
             state.weights_version = seen.version
@@ -535,6 +563,7 @@
             "engine": str(self._snapshot),
             "entry_hosts": len(self._link_states),
             "upgrade": self.upgrade.dump(now=now),
+            "link": self.link.dump(now=now),
             "swarm": self.exchange.swarm.dump(now=now),
             "metrics": self.metrics.dump(),
         }
--- a/idl/hawthornspoke.thrift
+++ b/idl/hawthornspoke.thrift
@@ -203,9 +203,8 @@
   11: optional i64 next_version,
   // Entry hosts that are connected to the agent; each connects to every agent.
   12: optional i32 entry_hosts,
-  // Milliseconds on a clock of the sender that goes on while it is suspended; only
-  // differences mean anything.
-  13: optional i64 sent_ms,
+  // Milliseconds by which messages over the host's link are late, there and back.
+  13: optional i32 link_delay_ms,
 }
 
 struct HoldingsAsk {
@@ -271,6 +270,8 @@
   12: optional ManifestAsk manifest_ask,
   13: optional Manifest manifest,
   14: optional DirectiveAsk directive_ask,
+  // Asks for an empty answer, to see how long it takes.
+  15: optional bool probe,
 }
 
 service Node {
