--- a/hawthornspoke/spread/_upgrade.py
+++ b/hawthornspoke/spread/_upgrade.py
@@ -10,13 +10,6 @@
 #: 2T - B - g. Both are equal at g = T/2.
 DROP_SHARE = 0.5
 
-#: Times by which the gap that dropping leaves may exceed the one that finishing
-#: leaves, for half of the engines to drop and half to finish. With gaps D and F and a
-#: demand d of what all engines can do, one way for all loses d F, half each way
-#: (d - 1/2)(D + F): less up to d = (D + F) / 2D, 0.73 at this ratio. Engines worked
-#: for 0.6 to 0.8 of the time on the days that were played.
-SPLIT_RATIO = 2.2
-
 #: Named versions that are remembered; older ones are of no use to anybody.
 KEPT = 4
 
@@ -247,21 +240,7 @@
         if self._engine.version is None:
             # Nothing to bridge a gap for: the newest is there as soon.
             return True
-        gap = following.at - named.at
-        if gap < DROP_SHARE * self.transfer_time:
-            return True
-        return self._position % 2 == 1 and self._is_split(gap)
-
-    def _is_split(self, gap):
-        """Tell whether half of the engines skip a version that the others finish.
-
-        Neither way can all engines answer throughout: then at least half of them do,
-        instead of none for some seconds.
-        """
-        usable = self.version_bound - BOUND_MARGIN
-        finishing = 2 * self.transfer_time + CHANGE_TIME - gap - usable
-        dropping = gap + self.transfer_time + CHANGE_TIME - usable
-        return 0 < finishing and dropping <= SPLIT_RATIO * finishing
+        return following.at - named.at < DROP_SHARE * self.transfer_time
 
     def _plan(self, now):
         outcomes = []
