--- a/hawthornspoke/mirror/_tables.py
+++ b/hawthornspoke/mirror/_tables.py
@@ -33,7 +33,11 @@
         name : str
         news : News
         """
-        table = self._table_by_name.setdefault(name, _Table())
+        table = self._table_by_name.get(name)
+        if table is None:
+            table = self._table_by_name[name] = _Table()
+            # What was removed before was never seen here.
+            table.complete_from = news.revision
         if news.whole:
             there = {row.key for row in news.rows}
             for key, row in list(table.row_by_key.items()):
