A reader that fails hands over to the next host, not to all

The reader gave way every three seconds to a host before it that the platform refused; its eleven neighbours then all read the platform, and answers of 100 KB and more filled the link until none came within its time and all began anew.

Ruled out: the storm of configurations itself (the two other failure domains had each of them within 0.3 s).

--- a/hawthornspoke/mirror/_neighbours.py
+++ b/hawthornspoke/mirror/_neighbours.py
@@ -3,9 +3,9 @@
 import asyncio
 import zlib
 
-from hawthornspoke.base import Failure, contact_clock, is_failure, monotonic
+from hawthornspoke.base import contact_clock, is_failure, monotonic
 from hawthornspoke.mirror._readers import NeighboursTold, ReaderFailed, Readers
-from hawthornspoke.mirror._types import News, Row
+from hawthornspoke.mirror._types import NOT_READING, News, Row
 from hawthornspoke.peering import connect, listen
 from hawthornspoke.protocol import Frame, TableAsk, TableNews, TableRow
 
@@ -20,6 +20,10 @@
 #: Seconds between two looks whether there is something to answer.
 LOOK_EVERY = 0.05
 
+#: Seconds within which a host learns that the reader before it failed: its own
+#: question is answered at the same moment as those of the others.
+TAKEOVER_TIME = 0.3
+
 #: Bytes from which a row is sent compressed. A configuration of 100 KB becomes
 #: 10 to 15 KB; rows of endpoints are some 200 bytes and gain nothing.
 COMPRESS_FROM = 2048
@@ -27,8 +31,6 @@
 #: Least effort: 2 ms for 100 KB, and a tenth larger than with the default.
 COMPRESS_LEVEL = 1
 
-NO_NEIGHBOUR = Failure(code="no_neighbour")
-
 
 class Neighbours:
     """Connections to the other entry hosts of the own failure domain.
@@ -151,7 +153,7 @@
             return answer
         news = answer.table_news
         if news is None or not news.current:
-            return NO_NEIGHBOUR.because("it does not read the platform now")
+            return NOT_READING.because("it does not read the platform now")
         return news
 
     async def _dial(self, address):
@@ -187,8 +189,9 @@
         after = None if ask.after < 0 else ask.after
         asked_at = contact_clock()
         news = None
-        while self._watch.is_current():
-            news = self._watch.mirror.since(ask.table, after)
+        while self._watch.is_current() or self._may_take_over(asked_at):
+            if self._watch.is_current():
+                news = self._watch.mirror.since(ask.table, after)
             waited = contact_clock() - asked_at
             if waited >= ask.wait_ms / 1000 or (news is not None and news.rows):
                 break
@@ -208,6 +211,20 @@
             )
         link.send(Frame(call=-frame.call, table_news=answer))
 
+    def _may_take_over(self, asked_at):
+        """Tell whether this host is about to read for whoever asks.
+
+        When a reader fails, its neighbours turn to the next in order before that one
+        has noticed. Were they told that it does not read, each would go on to the
+        next, and in the end all would read.
+        """
+        if self._watch.is_beginning():
+            return True
+        now = monotonic()
+        if self.readers.is_avoided(self._address, now):
+            return False
+        return contact_clock() < asked_at + TAKEOVER_TIME
+
     def _packed(self, table, row):
         known = self._packed_by_row.get((table, row.key))
         if known is not None and known.row_revision == row.revision:
--- a/hawthornspoke/mirror/_readers.py
+++ b/hawthornspoke/mirror/_readers.py
@@ -86,11 +86,15 @@
             An IP; None if this host has to read the platform itself.
         """
         for address in sorted(self._known()):
-            if now < self._deadline_by_address.get(address, 0.0):
+            if self.is_avoided(address, now):
                 continue
             return None if address == self.address else address
         return None
 
+    def is_avoided(self, address, now):
+        """Tell whether a host failed lately."""
+        return now < self._deadline_by_address.get(address, 0.0)
+
     def known(self):
         """Return how many hosts this failure domain has, this one too."""
         return len(self._known())
--- a/hawthornspoke/mirror/_types.py
+++ b/hawthornspoke/mirror/_types.py
@@ -5,6 +5,9 @@
 #: The answer if what changed since a revision is no longer known.
 HISTORY_GONE = Failure(code="history_gone")
 
+#: The answer of a neighbour that leaves reading to others, or can't read now.
+NOT_READING = Failure(code="not_reading")
+
 
 class Row:
     """One row of a table.
--- a/hawthornspoke/mirror/_watch.py
+++ b/hawthornspoke/mirror/_watch.py
@@ -5,7 +5,7 @@
 
 from hawthornspoke.base import contact_clock, is_failure
 from hawthornspoke.mirror._tables import Mirror
-from hawthornspoke.mirror._types import HISTORY_GONE
+from hawthornspoke.mirror._types import HISTORY_GONE, NOT_READING
 
 #: Seconds for which a neighbour may wait for news before it answers all the same.
 #: A neighbour that froze is noticed half a second later.
@@ -19,9 +19,9 @@
 #: come never, and a change is due in force after two seconds.
 OVERDUE_AFTER = 0.4
 
-#: The same for a whole table: 200 KB over a link between regions that pieces of
-#: weights and requests fill take 0.3 s and more.
-OVERDUE_WHOLE = 1.0
+#: The same for a whole table and for many versions of a row: up to 1 MB over a link
+#: between regions that pieces of weights and requests fill as well.
+OVERDUE_LARGE = 1.2
 
 #: Seconds after a change within which another one means that they come in quick
 #: succession. The feed carries every version, the table only the newest.
@@ -82,6 +82,7 @@
         "_on_confirmed",
         "_on_lost",
         "_due_at",
+        "_is_reading",
     )
 
     def __init__(self, *, store, neighbours, on_confirmed, on_lost):
@@ -92,6 +93,7 @@
         self._on_confirmed = on_confirmed
         self._on_lost = on_lost
         self._due_at = float("-inf")
+        self._is_reading = False
 
     def is_current(self):
         """Tell whether this host reads the platform itself and hears from it.
@@ -102,6 +104,15 @@
         """
         return contact_clock() < self._due_at
 
+    def is_beginning(self):
+        """Tell whether this host's first answer of the platform is on its way.
+
+        Returns
+        -------
+        bool
+        """
+        return self._is_reading and self._due_at == float("-inf")
+
     async def run(self, tables):
         """Follow some tables until cancelled.
 
@@ -117,20 +128,25 @@
         seen = 0
         changed_at = float("-inf")
         while True:
+            in_a_storm = table.confirms and contact_clock() < changed_at + STORM_GAP
             reader = None if failed else self._neighbours.reader()
             if reader is not None:
                 news = await self._ask_neighbour(reader, table, revision)
             else:
-                news = await self._ask_store(table, revision, failed)
+                news = await self._ask_store(table, revision, failed, in_a_storm)
             if news == HISTORY_GONE:
                 revision = None
                 continue
             if is_failure(news):
-                # The platform is asked at once if a neighbour fails. If it fails
-                # itself a neighbour may still reach it.
-                failed = reader is not None or self._lose(table, news)
-                if reader is None:
-                    await asyncio.sleep(random.uniform(*RETRY_PAUSE))
+                # A neighbour that is silent may not be the only one, so the platform
+                # is asked at once. One that says it does not read it leaves that to
+                # the next in order: were all to ask then, as many answers as hosts
+                # would cross the link that made the first one late.
+                if reader is not None:
+                    failed = news != NOT_READING
+                    continue
+                failed = self._lose(table, news)
+                await asyncio.sleep(random.uniform(*RETRY_PAUSE))
                 continue
             failed = False
             # A feed tells of every version of a row.
@@ -148,23 +164,25 @@
                 revision = None
 
     async def _ask_neighbour(self, reader, table, revision):
+        if table.confirms:
+            self._is_reading = False
         news = await self._neighbours.ask(
             reader, table.name, after=revision, wait=NEIGHBOUR_WAIT
         )
-        if table.confirms:
+        if table.confirms and not is_failure(news):
             self._due_at = float("-inf")
-            if not is_failure(news):
-                self._confirm(news.confirmed_at)
+            self._confirm(news.confirmed_at)
         return news
 
-    async def _ask_store(self, table, revision, failed):
+    async def _ask_store(self, table, revision, failed, in_a_storm):
         # After a failure the first question waits for nothing: the answer is
         # wanted now, to know that the platform is back.
         whole = revision is None
         wait = 0.0 if whole or failed else table.wait
         asked_at = contact_clock()
         if table.confirms:
-            overdue = OVERDUE_WHOLE if whole else OVERDUE_AFTER
+            self._is_reading = True
+            overdue = OVERDUE_LARGE if whole or in_a_storm else OVERDUE_AFTER
             self._due_at = min(self._due_at, asked_at + wait + overdue)
         if whole:
             news = await self._store.read(table.name)
@@ -175,7 +193,7 @@
             # there was news, which may be at once.
             held = wait if not news.rows else 0.0
             self._confirm(min(asked_at + held, contact_clock()))
-            self._due_at = contact_clock() + table.pause + table.wait + OVERDUE_AFTER
+            self._due_at = contact_clock() + table.pause + table.wait + OVERDUE_LARGE
         return news
 
     def _lose(self, table, failure):
--- a/hawthornspoke/mirror/tests/test_watch.py
+++ b/hawthornspoke/mirror/tests/test_watch.py
@@ -8,6 +8,7 @@
 
 READER = "127.0.0.1"
 ASKER = "127.0.0.2"
+THIRD = "127.0.0.3"
 DOWN = Failure(code="down")
 BIG = b"configuration " * 4000
 
@@ -55,6 +56,7 @@
 
     def __init__(self, address, port, store):
         self.address = address
+        self.port = port
         self.store = store
         self.events = []
         self.seen = []
@@ -200,3 +202,34 @@
         await until(lambda: reader.confirmed[-1] > before)
 
     play(scenario)
+
+
+def test_reader_goes_on_while_a_host_before_it_is_refused():
+    """A failure domain had no configuration for nine seconds.
+
+    Events: the platform turns the first host away, the second reads for the others;
+    each three seconds it tries the first one again. Cause: it stopped answering
+    before it knew that the first reads again, all others then read the platform, and
+    their answers filled the link until none came in time.
+    """
+
+    async def scenario(first, second):
+        first.store.fault = "refused"
+        await until(lambda: "platform_unread" in first.events)
+        third = Host(THIRD, second.port, Store())
+        everyone = (READER, ASKER, THIRD)
+        for host in (first, second):
+            host.neighbours.told("agent", everyone)
+        await third.start(everyone)
+        try:
+            await until(lambda: third.seen and second.watch.is_current())
+            reads = third.store.calls
+            for number in range(8):
+                second.store.put(f"{number}".encode())
+                await until(lambda: third.seen[-1] == second.store.data, seconds=1.0)
+                await asyncio.sleep(0.5)
+            assert third.store.calls == reads
+        finally:
+            third.stop()
+
+    play(scenario)
