--- /dev/null
+++ b/hawthornspoke/spread/_entry_links.py
@@ -0,0 +1,137 @@
+"""An agent's connections to entry hosts: its state out, probes, who tells it."""
+
+import asyncio
+
+from hawthornspoke.base import is_failure, monotonic
+from hawthornspoke.protocol import EntryHosts, Frame
+from hawthornspoke.spread._link import Link, ProbeEnded, ProbeSent
+
+#: Seconds after which an unchanged state is told again to entry hosts of the own
+#: failure domain, and of others: these send requests here only when theirs is full.
+#: Silence for a few of these times tells that the host stands still.
+TELL_NEAR_EVERY = 0.25
+TELL_FAR_EVERY = 2.0
+
+#: Seconds between two states told to far hosts while only the load changes.
+FAR_LOAD_EVERY = 1.0
+
+#: Seconds between two probes of the link, 60 bytes each, and for one to come back.
+PROBE_EVERY = 0.25
+PROBE_TIME = 2.0
+
+
+class _EntryHost:
+    """What is known of the entry host at the other end of a connection.
+
+    ``near`` is whether it is in the own failure domain, ``tells`` whether it reads
+    the platform itself, so that its word on peers is first-hand.
+    """
+
+    __slots__ = ("near", "tells", "told_at", "told")
+
+    def __init__(self):
+        self.near = False
+        self.tells = False
+        self.told_at = float("-inf")
+        self.told = None
+
+
+class EntryLinks:
+    """The entry hosts that are connected to an agent.
+
+    Parameters
+    ----------
+    failure_domain : str
+        Of the agent's host.
+    spawn : callable
+        Runs a coroutine and logs its failure.
+
+    Attributes
+    ----------
+    link : Link
+        Machine that tells how full the host's link is.
+    untold_since : float or None
+        Since when no host that reads the platform is connected, None if one is.
+    """
+
+    __slots__ = ("link", "untold_since", "_failure_domain", "_spawn", "_host_by_link")
+
+    def __init__(self, *, failure_domain, spawn):
+        self.link = Link()
+        self.untold_since = monotonic()
+        self._failure_domain = failure_domain
+        self._spawn = spawn
+        self._host_by_link = {}
+
+    def __len__(self):
+        return len(self._host_by_link)
+
+    def take(self, link, directive):
+        """Note what a directive says of its sender."""
+        host = self._host_by_link.setdefault(link, _EntryHost())
+        was_near = host.near
+        host.near = directive.failure_domain == self._failure_domain
+        host.tells = directive.peers is not None
+        if host.near and not was_near:
+            self._tell_of_each_other()
+        self._note_untold()
+
+    def drop(self, link):
+        """Forget a connection that has ended."""
+        host = self._host_by_link.pop(link, None)
+        if host is not None and host.near:
+            self._tell_of_each_other()
+        self._note_untold()
+
+    def tell(self, state, now):
+        """Send the engine's state to the hosts for which it is due."""
+        for link, host in self._host_by_link.items():
+            if _is_due(host, state, now):
+                host.told = state
+                host.told_at = now
+                link.send(Frame(engine_state=state))
+
+    async def probe(self):
+        """Probe the own link until cancelled."""
+        number = 0
+        while True:
+            await asyncio.sleep(PROBE_EVERY)
+            near = self._near_links()
+            if near:
+                number += 1
+                self._spawn(self._probe_once(near[number % len(near)], number))
+
+    async def _probe_once(self, link, number):
+        self.link.step(ProbeSent(number=number), now=monotonic())
+        answer = await link.ask(Frame(probe=True), timeout=PROBE_TIME)
+        ended = ProbeEnded(number=number, came_back=not is_failure(answer))
+        self.link.step(ended, now=monotonic())
+
+    def _near_links(self):
+        return [link for link, host in self._host_by_link.items() if host.near]
+
+    def _tell_of_each_other(self):
+        near = self._near_links()
+        addresses = sorted(link.address for link in near)
+        for link in near:
+            link.send(Frame(entry_hosts=EntryHosts(addresses=addresses)))
+
+    def _note_untold(self):
+        if any(host.tells for host in self._host_by_link.values()):
+            self.untold_since = None
+        elif self.untold_since is None:
+            self.untold_since = monotonic()
+
+
+def _is_due(host, state, now):
+    told = host.told
+    if told is None:
+        return True
+    held = (told.weights_version, told.layer_to, told.loading)
+    if held != (state.weights_version, state.layer_to, state.loading):
+        return True
+    load_changed = (told.running, told.waiting) != (state.running, state.waiting)
+    if host.near:
+        return load_changed or now >= host.told_at + TELL_NEAR_EVERY
+    pause = FAR_LOAD_EVERY if load_changed else TELL_FAR_EVERY
+    return now >= host.told_at + pause
--- a/hawthornspoke/spread/_process.py
+++ b/hawthornspoke/spread/_process.py
@@ -10,10 +10,10 @@
 from hawthornspoke.httpio import HttpServer, OperatorPort
 from hawthornspoke.metrics import Metrics
 from hawthornspoke.peering import listen
-from hawthornspoke.protocol import DirectiveAsk, EngineState, EntryHosts, Frame
+from hawthornspoke.protocol import DirectiveAsk, EngineState, Frame
+from hawthornspoke.spread._entry_links import EntryLinks
 from hawthornspoke.spread._exchange import Exchange, Peer
 from hawthornspoke.spread._installer import Installer
-from hawthornspoke.spread._link import Link, ProbeEnded, ProbeSent
 from hawthornspoke.spread._manifests import Manifests
 from hawthornspoke.spread._stock import Weights, weights_name
 from hawthornspoke.spread._upgrade import (
@@ -31,23 +31,10 @@
 #: Seconds between two looks at the engine, which is on the same host.
 LOOK_EVERY = 0.1
 
-#: Seconds after which an unchanged state is told again to entry hosts of the own
-#: failure domain, and of others: these send requests here only when theirs is full.
-#: Silence for a few of these times tells that the host stands still.
-TELL_NEAR_EVERY = 0.25
-TELL_FAR_EVERY = 2.0
-
-#: Seconds between two states told to far hosts while only the load changes.
-FAR_LOAD_EVERY = 1.0
-
 #: Seconds without an entry host after which the agent reads the platform itself.
 ALONE_AFTER = 2.0
 READ_ALONE_EVERY = 2.0
 
-#: Seconds between two probes of the link, 60 bytes each, and for one to come back.
-PROBE_EVERY = 0.25
-PROBE_TIME = 2.0
-
 #: Neighbours that a new agent asks what they were told, one after the other, and
 #: seconds for each.
 INTRODUCED_BY = 3
@@ -66,16 +53,6 @@
 FLUSH_TIME = 0.2
 
 
-class _EntryLink:
-    __slots__ = ("near", "tells", "told_at", "told")
-
-    def __init__(self):
-        self.near = False
-        self.tells = False
-        self.told_at = float("-inf")
-        self.told = None
-
-
 class Agent:
     """Brings declared weights to the engine on this host.
 
@@ -103,14 +80,12 @@
         "manifests",
         "installer",
         "upgrade",
-        "link",
+        "entry_links",
         "model",
         "operator",
         "_snapshot",
         "_noticed",
         "_weights_by_version",
-        "_link_states",
-        "_alone_since",
         "_directive",
         "_tasks",
         "_stopped",
@@ -139,7 +114,9 @@
             engine=engine, log=self.log, on_notice=self._on_notice
         )
         self.upgrade = Upgrade()
-        self.link = Link()
+        self.entry_links = EntryLinks(
+            failure_domain=settings.failure_domain, spawn=self.exchange.spawn
+        )
         self.model = None
         self.operator = HttpServer(
             host=settings.ip,
@@ -150,8 +127,6 @@
         self._snapshot = None
         self._noticed = False
         self._weights_by_version = {}
-        self._link_states = {}
-        self._alone_since = monotonic()
         self._directive = None
         self._tasks = {}
         self._stopped = None
@@ -180,7 +155,7 @@
         await self.operator.start()
         loops = [
             self._watch_engine(),
-            self._probe_link(),
+            self.entry_links.probe(),
             self.exchange.run(),
             self._read_alone(),
         ]
@@ -219,17 +194,11 @@
             self.exchange.on_frame(link, frame)
 
     def _on_directive(self, link, directive):
-        state = self._link_states.setdefault(link, _EntryLink())
-        was_near = state.near
-        state.near = directive.failure_domain == self.settings.failure_domain
-        if state.near and not was_near:
-            self._tell_entry_hosts()
-        state.tells = directive.peers is not None
-        if state.tells:
+        self.entry_links.take(link, directive)
+        if directive.peers is not None:
             self._take_directive(directive)
         elif self._directive is not None:
             self._take_version(directive)
-        self._note_tellers()
         self._tell()
 
     def _take_directive(self, directive):
@@ -279,32 +248,14 @@
         self._step(Placed(position=neighbours.index(own)))
         self.exchange.set_peers(by_name)
 
-    def _tell_entry_hosts(self):
-        """Tell the entry hosts of this failure domain of each other."""
-        near = [link for link, state in self._link_states.items() if state.near]
-        addresses = sorted(link.address for link in near)
-        for link in near:
-            link.send(Frame(entry_hosts=EntryHosts(addresses=addresses)))
-
     def _on_link_closed(self, link):
-        state = self._link_states.pop(link, None)
-        if state is not None and state.near:
-            self._tell_entry_hosts()
-        self._note_tellers()
-
-    def _note_tellers(self):
-        """Note since when no entry host that reads the platform is connected."""
-        if any(state.tells for state in self._link_states.values()):
-            self._alone_since = None
-        elif self._alone_since is None:
-            self._alone_since = monotonic()
+        self.entry_links.drop(link)
 
     async def _read_alone(self):
         while True:
             await asyncio.sleep(READ_ALONE_EVERY * random.uniform(0.8, 1.2))
-            if self._alone_since is None:
-                continue
-            if monotonic() < self._alone_since + ALONE_AFTER:
+            untold_since = self.entry_links.untold_since
+            if untold_since is None or monotonic() < untold_since + ALONE_AFTER:
                 continue
             directive = await self.read_alone(self._directive)
             if is_failure(directive):
@@ -381,46 +332,12 @@
         whole = seen.layers is not None and seen.layers[0] == 0
         return EngineSeen(version=seen.version, whole=whole, busy=seen.busy)
 
-    async def _probe_link(self):
-        number = 0
-        while True:
-            await asyncio.sleep(PROBE_EVERY)
-            near = [link for link, state in self._link_states.items() if state.near]
-            if near:
-                number += 1
-                link = near[number % len(near)]
-                self.exchange.spawn(self._probe(link, number))
-
-    async def _probe(self, link, number):
-        self.link.step(ProbeSent(number=number), now=monotonic())
-        answer = await link.ask(Frame(probe=True), timeout=PROBE_TIME)
-        ended = ProbeEnded(number=number, came_back=not is_failure(answer))
-        self.link.step(ended, now=monotonic())
-
     def _is_serving(self):
         return self._snapshot is not None and self._snapshot.running > 0
 
     def _tell(self):
         now = monotonic()
-        state = self._state(now)
-        for link, kept in self._link_states.items():
-            if self._is_due(kept, state, now):
-                kept.told = state
-                kept.told_at = now
-                link.send(Frame(engine_state=state))
-
-    def _is_due(self, kept, state, now):
-        told = kept.told
-        if told is None:
-            return True
-        held = (told.weights_version, told.layer_to, told.loading)
-        if held != (state.weights_version, state.layer_to, state.loading):
-            return True
-        load_changed = (told.running, told.waiting) != (state.running, state.waiting)
-        if kept.near:
-            return load_changed or now >= kept.told_at + TELL_NEAR_EVERY
-        pause = FAR_LOAD_EVERY if load_changed else TELL_FAR_EVERY
-        return now >= kept.told_at + pause
+        self.entry_links.tell(self._state(now), now)
 
     def _state(self, now):
         seen = self._snapshot
@@ -431,8 +348,8 @@
             next_version=self.upgrade.next_version(),
             next_ready_ms=-1 if ready_at is None else int((ready_at - now) * 1000),
             loading=True,
-            entry_hosts=len(self._link_states),
-            link_delay_ms=int(self.link.delay(now) * 1000),
+            entry_hosts=len(self.entry_links),
+            link_delay_ms=int(self.entry_links.link.delay(now) * 1000),
         )
         if seen is not None:
             state.weights_version = seen.version
@@ -561,9 +478,9 @@
         return {
             "node": self.settings.node,
             "engine": str(self._snapshot),
-            "entry_hosts": len(self._link_states),
+            "entry_hosts": len(self.entry_links),
             "upgrade": self.upgrade.dump(now=now),
-            "link": self.link.dump(now=now),
+            "link": self.entry_links.link.dump(now=now),
             "swarm": self.exchange.swarm.dump(now=now),
             "metrics": self.metrics.dump(),
         }
