A version whose digests were wrong is got once, not begun twice; one way to ask an agent

Found on reading the whole change: after a wrong list of digests the transfer was begun, forgotten and begun again to take over the pieces that were here; they are put in before it begins now. Holdings are asked with the exchange's own ask_at. A pass through method is gone, two docstrings say who takes over when a reader fails.

--- a/hawthornspoke/mirror/_neighbours.py
+++ b/hawthornspoke/mirror/_neighbours.py
@@ -120,7 +120,8 @@
         Returns
         -------
         News or Failure
-            A failure means that the platform itself has to be read.
+            ``NOT_READING`` leaves it to the next in order; with any other failure the
+            platform itself has to be read.
         """
         asked_at = contact_clock()
         answer = await self._ask(address, table, after, wait)
--- a/hawthornspoke/mirror/_readers.py
+++ b/hawthornspoke/mirror/_readers.py
@@ -36,8 +36,8 @@
     configuration crosses the link into their region dozens of times: with eleven
     hosts and 100 KB a configuration was in force 3.3 s after it was accepted, and
     requests behind it on the link were late. So the first of the known hosts reads;
-    the others ask it, and read the platform themselves as soon as it fails them. A
-    host that the platform refuses, or that is cut off from it, asks its neighbours.
+    the others ask it, and the next in order takes over when it fails them. A host
+    that the platform refuses, or that is cut off from it, asks its neighbours.
 
     Parameters
     ----------
--- a/hawthornspoke/spread/_exchange.py
+++ b/hawthornspoke/spread/_exchange.py
@@ -379,11 +379,8 @@
         self._step(ChunkFailed(digest=fetch.digest, index=fetch.index, cause=cause))
 
     async def _ask_holdings(self, ask):
-        link = await self._link(ask.address, ask.port)
-        answer = link
-        if not isinstance(link, Failure):
-            frame = Frame(holdings_ask=HoldingsAsk(digest=ask.digest))
-            answer = await link.ask(frame, timeout=PIECE_TIMEOUT)
+        frame = Frame(holdings_ask=HoldingsAsk(digest=ask.digest))
+        answer = await self.ask_at(ask.address, frame, timeout=PIECE_TIMEOUT)
         if isinstance(answer, Failure) or answer.holdings is None:
             self._step(PeerUnreachable(digest=ask.digest, node=ask.node))
             return
--- a/hawthornspoke/spread/_process.py
+++ b/hawthornspoke/spread/_process.py
@@ -150,7 +150,7 @@
             self.settings.ip,
             self.settings.port,
             on_frame=self._on_frame,
-            on_closed=self._on_link_closed,
+            on_closed=self.entry_links.drop,
         )
         await self.operator.start()
         loops = [
@@ -248,9 +248,6 @@
         self._step(Placed(position=neighbours.index(own)))
         self.exchange.set_peers(by_name)
 
-    def _on_link_closed(self, link):
-        self.entry_links.drop(link)
-
     async def _read_alone(self):
         while True:
             await asyncio.sleep(READ_ALONE_EVERY * random.uniform(0.8, 1.2))
@@ -386,13 +383,16 @@
         if not task.cancelled() and task.exception() is not None:
             self.log.change("task_failed", task=name, error=repr(task.exception()))
 
-    async def _get(self, transfer):
+    async def _get(self, transfer, distrusted=None):
+        """Get a version; pieces of one whose digests were wrong are checked anew."""
         version = transfer.version
         weights = self._weights_by_version.get(version)
         if weights is None:
             digests = await self._manifest(version)
             weights = Weights(model=self.model, version=version, digests=digests)
             self._weights_by_version[version] = weights
+            for index in distrusted.held() if distrusted is not None else ():
+                weights.put(index, distrusted.get(index))
             found = await self.installer.recover(weights)
             self.log.change("transfer", version=version, found_staged=found)
             self._trim()
@@ -411,16 +411,9 @@
         self._weights_by_version.pop(weights.version, None)
         self.exchange.forget(weights.name)
         self.manifests.distrust(weights.name)
-        self._begin(f"get {weights.version}", self._get_anew(weights))
-
-    async def _get_anew(self, distrusted):
-        """Get a version again, whose digests were wrong, with what is here of it."""
-        await self._get(Transfer(version=distrusted.version, priority=0))
-        fresh = self._weights_by_version[distrusted.version]
-        for index in distrusted.held():
-            fresh.put(index, distrusted.get(index))
-        self.exchange.forget(fresh.name)
-        self.exchange.want(fresh, priority=0)
+        transfer = Transfer(version=weights.version, priority=0)
+        again = self._get(transfer, distrusted=weights)
+        self._begin(f"get {weights.version}", again)
 
     def _on_piece(self, weights, index):
         if weights.version == self._stage_target():
