Old weights end at their bound: requests withdrawn, declarations dated, old words not final

Cause: the bound of old weights was (1) an expectation at the moment of sending, with nothing that took a request back, and (2) counted from when a process learned of a declaration, on a clock that stands still in a suspended host. And 401 and 404 were final whatever the age of the configuration. Ruled out: another start of the engine (none near the failure in the record). Change: a place on old weights carries the moment at which the request must have begun; a request that has not is withdrawn 0.4 s before the bound and may go elsewhere. A row carries the earliest moment at which it may have been written, by the platform's own clock; neighbours and agents pass it on, so that a process that starts learns it; unknown means that it binds at once.

--- a/hawthornspoke/mirror/_neighbours.py
+++ b/hawthornspoke/mirror/_neighbours.py
@@ -1,6 +1,7 @@
 """Asks a neighbour what changed, and answers neighbours that ask."""
 
 import asyncio
+import copy
 import zlib
 
 from hawthornspoke.base import contact_clock, is_failure, monotonic
@@ -131,12 +132,12 @@
             return answer
         # What the neighbour knew when it answered was confirmed `age` before; it
         # answered no sooner than it had held the question.
-        held, age = answer.held_ms / 1000, answer.age_ms / 1000
+        answered_at = asked_at + answer.held_ms / 1000
         return News(
-            rows=[_unpacked(row) for row in answer.rows or ()],
+            rows=[_unpacked(row, answered_at) for row in answer.rows or ()],
             revision=answer.up_to or 0,
             whole=bool(answer.whole),
-            confirmed_at=min(asked_at + held - age, contact_clock()),
+            confirmed_at=min(answered_at - answer.age_ms / 1000, contact_clock()),
         )
 
     async def _ask(self, address, table, after, wait):
@@ -206,7 +207,7 @@
                 current=True,
                 whole=news.whole,
                 up_to=news.revision,
-                rows=[self._packed(ask.table, row) for row in news.rows],
+                rows=[self._dated(ask.table, row, now) for row in news.rows],
                 held_ms=int((now - asked_at) * 1000),
                 age_ms=int((now - self._watch.confirmed_at) * 1000) + 1,
             )
@@ -226,6 +227,12 @@
             return False
         return contact_clock() < asked_at + TAKEOVER_TIME
 
+    def _dated(self, table, row, now):
+        packed = copy.copy(self._packed(table, row))
+        if row.written_at != float("-inf"):
+            packed.written_age_ms = int((now - row.written_at) * 1000) + 1
+        return packed
+
     def _packed(self, table, row):
         known = self._packed_by_row.get((table, row.key))
         if known is not None and known.row_revision == row.revision:
@@ -239,8 +246,11 @@
         return packed
 
 
-def _unpacked(row):
+def _unpacked(row, answered_at):
     data = row.data
+    written_at = float("-inf")
+    if row.written_age_ms is not None:
+        written_at = answered_at - row.written_age_ms / 1000
     if data is not None and row.compressed:
         data = zlib.decompress(data)
-    return Row(key=row.key, data=data, revision=row.row_revision)
+    return Row(key=row.key, data=data, revision=row.row_revision, written_at=written_at)
--- a/hawthornspoke/mirror/_types.py
+++ b/hawthornspoke/mirror/_types.py
@@ -19,14 +19,18 @@
         None if the row was removed.
     revision : int
         Of the transaction that wrote it.
+    written_at : float, default=-inf
+        A moment before which it was not written, on the clock that goes on while a
+        host is suspended; minus infinity if there is none.
     """
 
-    __slots__ = ("key", "data", "revision")
+    __slots__ = ("key", "data", "revision", "written_at")
 
-    def __init__(self, *, key, data, revision):
+    def __init__(self, *, key, data, revision, written_at=float("-inf")):
         self.key = key
         self.data = data
         self.revision = revision
+        self.written_at = written_at
 
 
 class News:
@@ -42,12 +46,16 @@
     confirmed_at : float or None, default=None
         A moment at which this was the platform's newest word, on the clock that goes
         on while a host is suspended; None if the answer itself has to tell.
+    made_at : float or None, default=None
+        When the platform made the answer, in seconds on its own steady clock; None
+        if it did not say.
     """
 
-    __slots__ = ("rows", "revision", "whole", "confirmed_at")
+    __slots__ = ("rows", "revision", "whole", "confirmed_at", "made_at")
 
-    def __init__(self, *, rows, revision, whole=False, confirmed_at=None):
+    def __init__(self, *, rows, revision, whole=False, confirmed_at=None, made_at=None):
         self.rows = rows
         self.revision = revision
         self.whole = whole
         self.confirmed_at = confirmed_at
+        self.made_at = made_at
--- a/hawthornspoke/mirror/_watch.py
+++ b/hawthornspoke/mirror/_watch.py
@@ -4,6 +4,7 @@
 import random
 
 from hawthornspoke.base import contact_clock, is_failure
+from hawthornspoke.mirror._dating import PlatformClock, held_since
 from hawthornspoke.mirror._tables import Mirror
 from hawthornspoke.mirror._types import HISTORY_GONE, NOT_READING
 
@@ -81,8 +82,10 @@
         "_neighbours",
         "_on_confirmed",
         "_on_lost",
+        "_clock",
         "_due_at",
         "_is_reading",
+        "_known_until_by_table",
     )
 
     def __init__(self, *, store, neighbours, on_confirmed, on_lost):
@@ -92,8 +95,10 @@
         self._neighbours = neighbours
         self._on_confirmed = on_confirmed
         self._on_lost = on_lost
+        self._clock = PlatformClock()
         self._due_at = float("-inf")
         self._is_reading = False
+        self._known_until_by_table = {}
 
     def is_current(self):
         """Tell whether this host reads the platform itself and hears from it.
@@ -169,7 +174,10 @@
         news = await self._neighbours.ask(
             reader, table.name, after=revision, wait=NEIGHBOUR_WAIT
         )
-        if table.confirms and not is_failure(news):
+        if is_failure(news):
+            return news
+        self._known_until_by_table[table.name] = news.confirmed_at
+        if table.confirms:
             self._due_at = float("-inf")
             self._confirm(news.confirmed_at)
         return news
@@ -188,14 +196,32 @@
             news = await self._store.read(table.name)
         else:
             news = await self._store.follow(table.name, after=revision, wait=wait)
-        if table.confirms and not is_failure(news):
-            # An empty answer was made when the wait was over, any other as soon as
-            # there was news, which may be at once.
-            held = wait if not news.rows else 0.0
-            self._confirm(min(asked_at + held, contact_clock()))
-            self._due_at = contact_clock() + table.pause + table.wait + OVERDUE_LARGE
+        if is_failure(news):
+            return news
+        # An empty answer was made when the wait was over, any other as soon as
+        # there was news, which may be at once.
+        held = wait if not news.rows else 0.0
+        now = contact_clock()
+        confirmed_at = min(asked_at + held, now)
+        self._date(table, news, asked_at, confirmed_at)
+        if table.confirms:
+            self._confirm(confirmed_at)
+            self._due_at = now + table.pause + table.wait + OVERDUE_LARGE
         return news
 
+    def _date(self, table, news, asked_at, confirmed_at):
+        """Note from when the rows of the platform's answer may date."""
+        known_until = self._known_until_by_table.get(table.name, float("-inf"))
+        since = None
+        if news.made_at is not None:
+            self._clock.note(asked_at=asked_at, made_at=news.made_at)
+            made_at = self._clock.earliest(news.made_at, received_at=contact_clock())
+            if not news.whole:
+                since = held_since(asked_at=asked_at, made_at=made_at)
+            confirmed_at = max(confirmed_at, made_at)
+        self.mirror.date(table.name, news, known_until, since)
+        self._known_until_by_table[table.name] = confirmed_at
+
     def _lose(self, table, failure):
         """Take that the platform failed; return whether nobody else can be asked."""
         self._neighbours.lost_platform(failure.reason)
--- /dev/null
+++ b/hawthornspoke/mirror/tests/test_dating.py
@@ -0,0 +1,86 @@
+"""From when rows may date: an old declaration must not look like a new one."""
+
+import asyncio
+
+from hawthornspoke.base import contact_clock
+from hawthornspoke.mirror import Mirror, News, Row
+from hawthornspoke.mirror._dating import PlatformClock, held_since
+from hawthornspoke.mirror._watch import NEIGHBOUR_WAIT
+from hawthornspoke.mirror.tests.test_watch import play, until
+
+UNKNOWN = float("-inf")
+
+
+def test_answer_that_was_long_on_its_way_is_not_new():
+    """Old weights got the time that the news of the next version took.
+
+    Events: a question is answered within 4 ms; the next answer, with a large
+    configuration, takes 0.6 s over a narrow link. Cause: what it told was taken to
+    have been written when it arrived.
+    """
+    clock = PlatformClock()
+    clock.note(asked_at=100.0, made_at=7.002)
+    clock.note(asked_at=101.0, made_at=8.5)
+    assert round(clock.earliest(8.5, received_at=102.1), 3) == 101.498
+
+
+def test_answer_is_no_later_than_its_arrival_whatever_the_platforms_clock_says():
+    clock = PlatformClock()
+    clock.note(asked_at=100.0, made_at=7.0)
+    clock.note(asked_at=101.0, made_at=50.0)
+    assert clock.earliest(50.0, received_at=101.2) == 101.2
+    clock.note(asked_at=102.0, made_at=1.0)
+    assert clock.earliest(1.0, received_at=102.1) <= 102.1
+
+
+def test_only_an_answer_that_waited_tells_that_there_was_nothing_before():
+    assert held_since(asked_at=10.0, made_at=10.2) is None
+    assert 10.5 < held_since(asked_at=10.0, made_at=10.7) < 10.7
+
+
+def test_rows_keep_their_moment_when_the_table_is_read_again():
+    mirror = Mirror()
+    first = News(rows=[Row(key="a", data=b"1", revision=3)], revision=3, whole=True)
+    mirror.date("t", first, UNKNOWN, None)
+    mirror.take("t", first)
+    assert first.rows[0].written_at == UNKNOWN
+    change = News(rows=[Row(key="b", data=b"1", revision=5)], revision=5)
+    mirror.date("t", change, 10.0, 10.6)
+    mirror.take("t", change)
+    again = News(
+        rows=[
+            Row(key="a", data=b"2", revision=7),
+            Row(key="b", data=b"1", revision=5),
+        ],
+        revision=7,
+        whole=True,
+    )
+    mirror.date("t", again, 12.0, None)
+    assert [row.written_at for row in again.rows] == [12.0, 10.6]
+
+
+def test_host_that_asks_a_neighbour_hears_since_when_a_row_is_there():
+    """An entry host that started beside others took each declaration for a new one."""
+
+    async def scenario(reader, asker):
+        await until(lambda: asker.seen)
+        changed_at = contact_clock()
+        reader.store.put(b"2")
+        await until(lambda: asker.seen[-1] == b"2")
+        (row,) = asker.watch.mirror.since("t", None).rows
+        assert changed_at - NEIGHBOUR_WAIT < row.written_at <= contact_clock()
+        asker.stop()
+        await asyncio.sleep(0.3)
+        assert row.written_at <= changed_at
+
+    play(scenario)
+
+
+def test_host_that_has_just_started_knows_no_moment():
+    async def scenario(reader, asker):
+        await until(lambda: asker.seen)
+        for host in (reader, asker):
+            (row,) = host.watch.mirror.since("t", None).rows
+            assert row.written_at == UNKNOWN
+
+    play(scenario)
--- a/hawthornspoke/peering/_directive.py
+++ b/hawthornspoke/peering/_directive.py
@@ -14,8 +14,8 @@
     engine : EngineProfile
     version : int or None
         Declared version, None before the first declaration.
-    age : float
-        Seconds since this process learned of the declaration.
+    age : float or None
+        Seconds since the declaration at the most, None if that is unknown.
     peers : iterable of EndpointEntry or None
         None if another entry host tells of them.
     origin : str or None
@@ -31,7 +31,7 @@
     return Directive(
         model=engine.model,
         weights_version=version or FIRST_VERSION,
-        age_ms=int(age * 1000),
+        age_ms=None if age is None else int(age * 1000),
         peers=None if peers is None else peer_endpoints(peers),
         pieces=engine.pieces,
         piece_bytes=engine.piece_bytes,
--- a/hawthornspoke/placing/__init__.py
+++ b/hawthornspoke/placing/__init__.py
@@ -15,9 +15,10 @@
     Sent,
     WeightsDeclared,
 )
-from hawthornspoke.placing._weights import DeclaredVersions
+from hawthornspoke.placing._weights import UNKNOWN, DeclaredVersions, age_of
 
 __all__ = [
+    "UNKNOWN",
     "AgentLost",
     "Ask",
     "CatalogChanged",
@@ -32,4 +33,5 @@
     "Place",
     "Sent",
     "WeightsDeclared",
+    "age_of",
 ]
--- a/hawthornspoke/placing/_fleet.py
+++ b/hawthornspoke/placing/_fleet.py
@@ -1,6 +1,7 @@
 """Where a request goes, and whether it is taken at all: a pure state machine."""
 
 import random
+from dataclasses import replace
 
 from hawthornspoke.base import MACHINES, Bounds, Machine
 from hawthornspoke.placing._endpoint import Endpoint
@@ -51,6 +52,11 @@
 #: fail the cause is not theirs, and the rest could not carry the load.
 AVOID_SHARE = 0.5
 
+#: Seconds before a bound at which a request that has not begun on older weights is
+#: taken back. Its end needs as long to reach the engine as anything else on a link
+#: full of pieces, 0.18 s as seen, and a busy process notices the time 0.1 s late.
+WITHDRAW_MARGIN = 0.4
+
 #: Times the expected time to the first token after which a request is taken to have
 #: begun. On an engine four times slower than usual 1.05 s were seen for 0.4 s.
 BEGIN_SHARE = 2.0
@@ -129,7 +135,7 @@
         "service_by_name",
         "_ids_by_service",
         "_id_by_address",
-        "_declared",
+        "declared",
         "_entry_hosts",
         "_herd_by_service",
         "_random",
@@ -152,7 +158,7 @@
         self.service_by_name = {}
         self._ids_by_service = {}
         self._id_by_address = {}
-        self._declared = DeclaredVersions()
+        self.declared = DeclaredVersions()
         self._entry_hosts = (1, 1)
         self._herd_by_service = {}
         self._random = random.Random(seed)
@@ -186,7 +192,7 @@
 
     def on_weights_declared(self, message, *, now):
         """Take a declared version."""
-        self._declared.add(message.declared, at=message.at)
+        self.declared.add(message.declared, at=message.at)
         return []
 
     def on_engine_reported(self, message, *, now):
@@ -196,6 +202,10 @@
             endpoint.state = message
             endpoint.heard_at = now
             endpoint.report(message.load, now)
+        if message.next_declared_at is not None:
+            self.declared.hear(
+                message.model, message.next_version, at=message.next_declared_at
+            )
         return []
 
     def on_agent_lost(self, message, *, now):
@@ -262,6 +272,7 @@
         -------
         list of Place or Decline
         """
+        contact_now = now if message.contact_now is None else message.contact_now
         service = self.service_by_name.get(message.service)
         known = [
             endpoint
@@ -276,23 +287,26 @@
         usable = [
             endpoint
             for endpoint in known
-            if self._has_weights(endpoint, service.engine, message, now)
-            and self._begins_in_time(endpoint, service.engine, message, now)
+            if self._has_weights(endpoint, service.engine, message, contact_now)
+            and self._begins_in_time(endpoint, service.engine, message, contact_now)
         ]
         if not usable:
             return [self._decline_for_weights(message, known, now)]
-        return [self._place_on_engine(message, usable, service.engine, now)]
+        answer = self._place_on_engine(message, usable, service.engine, now)
+        if isinstance(answer, Place):
+            answer = self._with_deadline(answer, service.engine, contact_now - now)
+        return [answer]
 
-    def floor_version(self, model, now):
+    def floor_version(self, model, contact_now):
         """Return the oldest version that may still begin to answer."""
-        return self._declared.floor(
-            model, bound=self.version_bound - self.version_margin, now=now
+        return self.declared.floor(
+            model, bound=self.version_bound - self.version_margin, now=contact_now
         )
 
     def dump(self, *, now):
         """Return the state as plain data."""
         return {
-            "declared": self._declared.dump(now=now),
+            "declared": self.declared.dump(now=now),
             "endpoint_by_id": {
                 endpoint_id: {
                     "service": endpoint.entry.service,
@@ -358,7 +372,27 @@
             return endpoints
         return kept
 
-    def _has_weights(self, endpoint, engine, message, now):
+    def _with_deadline(self, place, engine, suspended):
+        """Return a place with the moment at which a request must have begun there.
+
+        Parameters
+        ----------
+        place : Place
+        engine : EngineProfile
+        suspended : float
+            Seconds by which the clock of declarations is ahead of that of deadlines.
+        """
+        if not engine.layers or place.weights_version is None:
+            return place
+        too_old_at = self.declared.too_old_at(
+            engine.model, place.weights_version, bound=self.version_bound
+        )
+        if too_old_at is None:
+            return place
+        deadline = too_old_at - suspended - WITHDRAW_MARGIN
+        return replace(place, begin_deadline=deadline)
+
+    def _has_weights(self, endpoint, engine, message, contact_now):
         if endpoint.loading:
             return False
         if engine.layers and endpoint.layers != (0, engine.layers):
@@ -368,9 +402,11 @@
             return version == message.same_version
         if not engine.layers:
             return True
-        return version is not None and version >= self.floor_version(engine.model, now)
+        if version is None:
+            return False
+        return version >= self.floor_version(engine.model, contact_now)
 
-    def _begins_in_time(self, endpoint, engine, message, now):
+    def _begins_in_time(self, endpoint, engine, message, contact_now):
         """Tell whether a request begins there before its weights are too old.
 
         An engine that is full, or slow, begins later than the margin allows for.
@@ -378,7 +414,7 @@
         if not engine.layers or endpoint.weights_version is None:
             return True
         expected = _first_token_at(endpoint, engine, message, load=endpoint.load)
-        begins = now + BEGIN_SHARE * expected
+        begins = contact_now + BEGIN_SHARE * expected
         return endpoint.weights_version >= self.floor_version(engine.model, begins)
 
     def _place_plain(self, message, endpoints, now):
@@ -475,6 +511,7 @@
             load=endpoint.load,
             report_age=_age(endpoint, now),
             expected=expected,
+            weights_version=endpoint.weights_version,
         )
 
     def _decline_for_weights(self, message, endpoints, now):
--- a/hawthornspoke/placing/_messages.py
+++ b/hawthornspoke/placing/_messages.py
@@ -39,7 +39,8 @@
     ----------
     declared : DeclaredWeights
     at : float
-        When this process learned of it.
+        A moment before which it was not, on the clock that goes on while the host
+        is suspended; minus infinity if there is none.
     """
 
     declared: object
@@ -63,6 +64,10 @@
     next_version : int or None
     next_ready_at : float or None
         When that version is expected to be usable there.
+    model : str
+    next_declared_at : float or None
+        When that version was declared as far as the agent was told, on the clock
+        that goes on while the host is suspended.
     link_delay : float
         Seconds that a message there and back waits on the link of its host.
     """
@@ -75,6 +80,8 @@
     pace: float = 1.0
     next_version: int | None = None
     next_ready_at: float | None = None
+    model: str = ""
+    next_declared_at: float | None = None
     link_delay: float = 0.0
 
 
@@ -154,6 +161,9 @@
         Ids of endpoints that it was sent to.
     same_version : int or None
         Only endpoints with exactly this version, to go on with a stream.
+    contact_now : float or None
+        The moment on the clock that goes on while the host is suspended; None if
+        both clocks are the same.
     """
 
     service: str
@@ -163,6 +173,7 @@
     returned: bool = False
     tried: frozenset = field(default_factory=frozenset)
     same_version: int | None = None
+    contact_now: float | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -179,6 +190,11 @@
         Seconds since that load was told.
     expected : float
         Seconds until the first token, or the answer of a plain service.
+    weights_version : int or None
+        Version that the endpoint is believed to hold.
+    begin_deadline : float or None
+        When it must have begun, since its weights are too old soon after; None if
+        no newer ones are declared.
     """
 
     endpoint_id: str
@@ -186,6 +202,8 @@
     load: int
     report_age: float | None
     expected: float
+    weights_version: int | None = None
+    begin_deadline: float | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- /dev/null
+++ b/hawthornspoke/placing/tests/test_weights.py
@@ -0,0 +1,102 @@
+"""From when declared versions bind."""
+
+from hawthornspoke.catalog import DeclaredWeights
+from hawthornspoke.placing import (
+    UNKNOWN,
+    Ask,
+    DeclaredVersions,
+    Decline,
+    EngineReported,
+    Place,
+    WeightsDeclared,
+)
+from hawthornspoke.placing._fleet import WITHDRAW_MARGIN
+from hawthornspoke.placing.tests.test_fleet import entry, fleet
+
+TWO = DeclaredWeights(model="m", version=2)
+THREE = DeclaredWeights(model="m", version=3)
+
+
+def declare(machine, declared, *, at, now):
+    machine.step(WeightsDeclared(declared=declared, at=at), now=now)
+
+
+def place(machine, *, now, contact_now=None):
+    ask = Ask(service="llm", prompt_tokens=900, contact_now=contact_now)
+    return machine.step(ask, now=now)[0]
+
+
+def agent_says(machine, *, declared_at, now):
+    report = EngineReported(
+        address="one:1",
+        load=0,
+        weights_version=1,
+        layers=(0, 16),
+        model="m",
+        next_version=2,
+        next_declared_at=declared_at,
+    )
+    machine.step(report, now=now)
+
+
+def test_declaration_of_unknown_age_binds_at_once():
+    """An entry host that had just started sent requests to weights that were too old.
+
+    Events: a version is declared; a host starts 4 s later and finds it in the table.
+    Cause: it counted the bound from its own start. Until somebody tells when the
+    declaration was made, it may have been long ago.
+    """
+    machine = fleet(entry("one"))
+    declare(machine, TWO, at=UNKNOWN, now=10.0)
+    assert isinstance(place(machine, now=10.0), Decline)
+
+
+def test_agents_tell_a_host_that_has_started_when_it_was():
+    """The same host refused what old weights could still answer."""
+    machine = fleet(entry("one"))
+    declare(machine, TWO, at=UNKNOWN, now=10.0)
+    agent_says(machine, declared_at=6.1, now=10.1)
+    assert isinstance(place(machine, now=10.1), Place)
+    agent_says(machine, declared_at=5.0, now=12.5)
+    assert isinstance(place(machine, now=12.5), Decline)
+
+
+def test_what_the_platform_tells_goes_before_the_agents_word():
+    machine = fleet(entry("one"))
+    declare(machine, TWO, at=5.0, now=5.1)
+    agent_says(machine, declared_at=9.0, now=12.5)
+    assert isinstance(place(machine, now=12.5), Decline)
+
+
+def test_later_word_on_the_same_version_only_dates_it_better():
+    declared = DeclaredVersions()
+    assert declared.add(TWO, at=UNKNOWN)
+    assert not declared.add(TWO, at=4.0)
+    assert not declared.add(TWO, at=3.0)
+    assert declared.since("m") == 4.0
+    assert declared.add(THREE, at=9.0)
+    assert not declared.add(TWO, at=11.0)
+    assert declared.too_old_at("m", 1, bound=8.0) == 12.0
+    assert declared.too_old_at("m", 2, bound=8.0) == 17.0
+    assert declared.too_old_at("m", 3, bound=8.0) is None
+
+
+def test_suspended_host_wakes_to_the_true_age_of_a_declaration():
+    """A host that was suspended for 6 s used old weights 6 s too long.
+
+    Cause: the bound was counted on a clock that stands still meanwhile.
+    """
+    machine = fleet(entry("one"))
+    declare(machine, TWO, at=10.0, now=10.0)
+    assert isinstance(place(machine, now=12.0, contact_now=12.0), Place)
+    assert isinstance(place(machine, now=12.0, contact_now=18.0), Decline)
+
+
+def test_place_on_old_weights_tells_until_when_it_must_have_begun():
+    machine = fleet(entry("one"))
+    assert place(machine, now=1.0).begin_deadline is None
+    declare(machine, TWO, at=10.0, now=10.0)
+    found = place(machine, now=12.0, contact_now=15.0)
+    # Three seconds of the bound passed while the host was suspended.
+    assert found.begin_deadline == 10.0 + 8.0 - 3.0 - WITHDRAW_MARGIN
+    assert found.weights_version == 1
--- a/hawthornspoke/protocol/_gen/ttypes.py
+++ b/hawthornspoke/protocol/_gen/ttypes.py
@@ -2172,8 +2172,8 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.I32:
-                    self.age_ms = iprot.readI32()
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
@@ -2241,8 +2241,8 @@
             oprot.writeI64(self.weights_version)
             oprot.writeFieldEnd()
         if self.age_ms is not None:
-            oprot.writeFieldBegin('age_ms', TType.I32, 3)
-            oprot.writeI32(self.age_ms)
+            oprot.writeFieldBegin('age_ms', TType.I64, 3)
+            oprot.writeI64(self.age_ms)
             oprot.writeFieldEnd()
         if self.peers is not None:
             oprot.writeFieldBegin('peers', TType.LIST, 4)
@@ -2388,6 +2388,7 @@
      - next_version
      - entry_hosts
      - link_delay_ms
+     - next_version_age_ms
 
     """
 
@@ -2405,10 +2406,11 @@
         'next_version',
         'entry_hosts',
         'link_delay_ms',
+        'next_version_age_ms',
     )
 
 
-    def __init__(self, endpoint_address=None, model=None, weights_version=None, layer_from=None, layer_to=None, running=None, waiting=None, loading=None, pace=None, next_ready_ms=None, next_version=None, entry_hosts=None, link_delay_ms=None,):
+    def __init__(self, endpoint_address=None, model=None, weights_version=None, layer_from=None, layer_to=None, running=None, waiting=None, loading=None, pace=None, next_ready_ms=None, next_version=None, entry_hosts=None, link_delay_ms=None, next_version_age_ms=None,):
         self.endpoint_address = endpoint_address
         self.model = model
         self.weights_version = weights_version
@@ -2422,6 +2424,7 @@
         self.next_version = next_version
         self.entry_hosts = entry_hosts
         self.link_delay_ms = link_delay_ms
+        self.next_version_age_ms = next_version_age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2497,6 +2500,11 @@
                     self.link_delay_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.I64:
+                    self.next_version_age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2559,6 +2567,10 @@
             oprot.writeFieldBegin('link_delay_ms', TType.I32, 13)
             oprot.writeI32(self.link_delay_ms)
             oprot.writeFieldEnd()
+        if self.next_version_age_ms is not None:
+            oprot.writeFieldBegin('next_version_age_ms', TType.I64, 14)
+            oprot.writeI64(self.next_version_age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2879,6 +2891,7 @@
      - data
      - row_revision
      - compressed
+     - written_age_ms
 
     """
 
@@ -2887,14 +2900,16 @@
         'data',
         'row_revision',
         'compressed',
+        'written_age_ms',
     )
 
 
-    def __init__(self, key=None, data=None, row_revision=None, compressed=None,):
+    def __init__(self, key=None, data=None, row_revision=None, compressed=None, written_age_ms=None,):
         self.key = key
         self.data = data
         self.row_revision = row_revision
         self.compressed = compressed
+        self.written_age_ms = written_age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2925,6 +2940,11 @@
                     self.compressed = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.written_age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2951,6 +2971,10 @@
             oprot.writeFieldBegin('compressed', TType.BOOL, 4)
             oprot.writeBool(self.compressed)
             oprot.writeFieldEnd()
+        if self.written_age_ms is not None:
+            oprot.writeFieldBegin('written_age_ms', TType.I64, 5)
+            oprot.writeI64(self.written_age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3611,7 +3635,7 @@
     None,  # 0
     (1, TType.STRING, 'model', 'UTF8', None, ),  # 1
     (2, TType.I64, 'weights_version', None, None, ),  # 2
-    (3, TType.I32, 'age_ms', None, None, ),  # 3
+    (3, TType.I64, 'age_ms', None, None, ),  # 3
     (4, TType.LIST, 'peers', (TType.STRUCT, [PeerEndpoint, None], False), None, ),  # 4
     (5, TType.I32, 'pieces', None, None, ),  # 5
     (6, TType.I32, 'piece_bytes', None, None, ),  # 6
@@ -3642,6 +3666,7 @@
     (11, TType.I64, 'next_version', None, None, ),  # 11
     (12, TType.I32, 'entry_hosts', None, None, ),  # 12
     (13, TType.I32, 'link_delay_ms', None, None, ),  # 13
+    (14, TType.I64, 'next_version_age_ms', None, None, ),  # 14
 )
 all_structs.append(HoldingsAsk)
 HoldingsAsk.thrift_spec = (
@@ -3670,6 +3695,7 @@
     (2, TType.STRING, 'data', 'BINARY', None, ),  # 2
     (3, TType.I64, 'row_revision', None, None, ),  # 3
     (4, TType.BOOL, 'compressed', None, None, ),  # 4
+    (5, TType.I64, 'written_age_ms', None, None, ),  # 5
 )
 all_structs.append(TableAsk)
 TableAsk.thrift_spec = (
--- a/hawthornspoke/relay/_agents.py
+++ b/hawthornspoke/relay/_agents.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from hawthornspoke.base import Failure, monotonic
+from hawthornspoke.base import Failure, contact_clock, monotonic
 from hawthornspoke.peering import connect
 from hawthornspoke.placing import AgentLost, EngineReported
 from hawthornspoke.protocol import Frame
@@ -149,6 +149,9 @@
         ready_at = None
         if state.next_ready_ms is not None and state.next_ready_ms >= 0:
             ready_at = now + state.next_ready_ms / 1000
+        declared_at = None
+        if state.next_version_age_ms is not None:
+            declared_at = contact_clock() - state.next_version_age_ms / 1000
         report = EngineReported(
             address=address,
             load=(state.running or 0) + (state.waiting or 0),
@@ -158,6 +161,8 @@
             pace=state.pace or 1.0,
             next_version=state.next_version or None,
             next_ready_at=ready_at,
+            model=state.model or "",
+            next_declared_at=declared_at,
             link_delay=(state.link_delay_ms or 0) / 1000,
         )
         self._fleet.step(report, now=now)
--- a/hawthornspoke/relay/_contact.py
+++ b/hawthornspoke/relay/_contact.py
@@ -63,17 +63,29 @@
     keys_valid_for : float, default=4.6
         Seconds after a confirmation for which keys are trusted. Revocations bind
         after 5 s, and a request needs some time from the check to the endpoint.
+    changes_bind_after : float, default=2.0
+        Seconds after which a change of the configuration has to be in force.
 
     Notes
     -----
     ``now`` must be on a clock that goes on while the host is suspended.
     """
 
-    __slots__ = ("keys_valid_for", "confirmed_at", "connected", "regained_at")
-    PARAMS = {"keys_valid_for": Bounds(kind=(int, float), low=0)}
-
-    def __init__(self, *, keys_valid_for=4.6):
+    __slots__ = (
+        "keys_valid_for",
+        "changes_bind_after",
+        "confirmed_at",
+        "connected",
+        "regained_at",
+    )
+    PARAMS = {
+        "keys_valid_for": Bounds(kind=(int, float), low=0),
+        "changes_bind_after": Bounds(kind=(int, float), low=0),
+    }
+
+    def __init__(self, *, keys_valid_for=4.6, changes_bind_after=2.0):
         self.keys_valid_for = keys_valid_for
+        self.changes_bind_after = changes_bind_after
         self.confirmed_at = None
         self.connected = None
         self.regained_at = float("-inf")
@@ -109,6 +121,25 @@
             return False
         return now < self.confirmed_at + self.keys_valid_for
 
+    def may_deny(self, *, now):
+        """Tell whether what is not in the configuration may be refused for good.
+
+        A key or a route may have been added since the platform's last word. A caller
+        that is told so is not to return, so a host whose word is older than changes
+        may take says that it can't tell, and the caller goes to another one.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        bool
+        """
+        if self.confirmed_at is None:
+            return False
+        return now < self.confirmed_at + self.changes_bind_after
+
     def steady(self, *, now):
         """Tell whether callers had better stay at this host.
 
--- a/hawthornspoke/relay/_forward.py
+++ b/hawthornspoke/relay/_forward.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from hawthornspoke.base import Failure, monotonic
+from hawthornspoke.base import Failure, contact_clock, monotonic
 from hawthornspoke.catalog import STREAM
 from hawthornspoke.placing import Ask, Decline
 from hawthornspoke.relay._events import EventSplitter
@@ -104,6 +104,7 @@
             time_left=work.deadline - now,
             returned=work.returned or work.sent > 0,
             tried=frozenset(work.tried),
+            contact_now=contact_clock(),
         )
         (answer,) = self._fleet.step(ask, now=now)
         if isinstance(answer, Decline):
@@ -125,7 +126,8 @@
             expected=round(place.expected, 4),
             on_time_left=round(ask.on_time_left, 3),
             returned=ask.returned,
-            version=ask.same_version,
+            version=place.weights_version,
+            begin_left=_left(place.begin_deadline),
         )
 
     def _log_declined(self, work, ask, decline):
@@ -266,6 +268,7 @@
                 returned=True,
                 tried=frozenset(work.tried),
                 same_version=int(version),
+                contact_now=contact_clock(),
             )
             (place,) = self._fleet.step(ask, now=now)
             if isinstance(place, Decline):
@@ -352,6 +355,10 @@
         return response.end_to_end(without=self._dialect.internal())
 
 
+def _left(deadline):
+    return None if deadline is None else round(deadline - monotonic(), 3)
+
+
 def _number(request, dialect):
     value = request.get(dialect.last_event, "")
     return int(value) if value.isdigit() else None
--- a/hawthornspoke/relay/_handler.py
+++ b/hawthornspoke/relay/_handler.py
@@ -101,7 +101,7 @@
             host=request.get("host", ""), target=request.target
         )
         if work.route is None:
-            return 404, "no_route", None
+            return self._deny(404, "no_route")
         refusal = self._identify(work)
         if refusal is not None:
             return refusal
@@ -119,11 +119,17 @@
             work.request.get(self._dialect.key, "")
         )
         if work.organisation is None:
-            return 401, "unknown_key", None
+            return self._deny(401, "unknown_key")
         if not self._contact.keys_trusted(now=self._contact_clock()):
             return 503, "key_not_confirmed", UNINFORMED_RETRY_AFTER
         return None
 
+    def _deny(self, status, reason):
+        """Return a refusal for good, or one for now if the configuration is old."""
+        if self._contact.may_deny(now=self._contact_clock()):
+            return status, reason, None
+        return 503, f"{reason}_not_confirmed", UNINFORMED_RETRY_AFTER
+
     def _set_deadlines(self, work):
         arrived = work.request.arrived_at
         value = work.request.get(self._dialect.deadline_ms, "")
--- a/hawthornspoke/relay/_process.py
+++ b/hawthornspoke/relay/_process.py
@@ -15,12 +15,13 @@
 from hawthornspoke.mirror import Neighbours
 from hawthornspoke.peering import directive
 from hawthornspoke.placing import (
+    UNKNOWN,
     CatalogChanged,
-    DeclaredVersions,
     EndpointsListed,
     EntryHostsSeen,
     Fleet,
     WeightsDeclared,
+    age_of,
 )
 from hawthornspoke.relay._agents import AgentLinks
 from hawthornspoke.relay._contact import Confirmed, Contact, ContactLost, Lost
@@ -74,7 +75,6 @@
         "metrics",
         "fleet",
         "contact",
-        "declared",
         "entries",
         "stopping",
         "pool",
@@ -85,7 +85,6 @@
         "ready",
         "operator",
         "_budget_by_service",
-        "_declared_at_by_model",
         "_stop_deadline",
         "_stopped",
     )
@@ -102,13 +101,14 @@
             version_bound=settings.version_bound,
             seed=hash(settings.node) & 0xFFFF,
         )
-        self.contact = Contact(keys_valid_for=settings.keys_valid_for)
-        self.declared = DeclaredVersions()
+        self.contact = Contact(
+            keys_valid_for=settings.keys_valid_for,
+            changes_bind_after=settings.changes_bind_after,
+        )
         self.entries = ()
         self.stopping = False
         self.pool = ConnectionPool(id_header=self.dialect.request_id)
         self._budget_by_service = {}
-        self._declared_at_by_model = {}
         self._stop_deadline = None
         self._stopped = None
         self.handler = Handler(
@@ -229,14 +229,27 @@
                 )
         self._follow_agents()
 
-    def on_declared(self, declared):
-        """Take declared weights."""
-        now = monotonic()
-        if not self.declared.add(declared, at=now):
+    def on_declared(self, declared, *, written_at=UNKNOWN):
+        """Take declared weights.
+
+        Parameters
+        ----------
+        declared : DeclaredWeights
+        written_at : float, default=UNKNOWN
+            A moment on the contact clock before which they were not declared.
+        """
+        before = self.fleet.declared.latest(declared.model)
+        message = WeightsDeclared(declared=declared, at=written_at)
+        self.fleet.step(message, now=monotonic())
+        if self.fleet.declared.latest(declared.model) == before:
             return
-        self._declared_at_by_model[declared.model] = now
-        self.fleet.step(WeightsDeclared(declared=declared, at=now), now=now)
-        self.log.change("weights", model=declared.model, version=declared.version)
+        self.log.change(
+            "weights",
+            model=declared.model,
+            version=declared.version,
+            age=age_of(written_at, contact_clock()),
+            before=before,
+        )
         self.agents.tell_all()
 
     def on_confirmed(self, at):
@@ -313,13 +326,11 @@
             return None
         catalog = self.handler.catalog
         origins = [item.origin for item in catalog.service_by_name.values()]
-        version = self.declared.latest(engine.model)
-        now = monotonic()
-        declared_at = self._declared_at_by_model.get(engine.model, now)
+        declared = self.fleet.declared
         return directive(
             engine=engine,
-            version=version,
-            age=now - declared_at,
+            version=declared.latest(engine.model),
+            age=age_of(declared.since(engine.model), contact_clock()),
             peers=self._peers(service),
             origin=next((origin for origin in origins if origin), None),
             bound=self.settings.version_bound,
@@ -377,6 +388,7 @@
         self.settings = fresh
         self.fleet.version_bound = fresh.version_bound
         self.contact.keys_valid_for = fresh.keys_valid_for
+        self.contact.changes_bind_after = fresh.changes_bind_after
         self.log.change("reload", result="taken")
 
     def _begin_stop(self):
--- a/hawthornspoke/relay/_settings.py
+++ b/hawthornspoke/relay/_settings.py
@@ -31,6 +31,8 @@
         Seconds after which only declared or newer weights may begin to answer.
     keys_valid_for : float, default=4.6
         Seconds for which a key is trusted after the platform's last word.
+    changes_bind_after : float, default=2.0
+        Seconds after which a change of the configuration has to be in force.
     retry_ratio : float, default=0.1
         Retries for each success.
     retry_reserve : float, default=80.0
@@ -48,6 +50,7 @@
         "grace",
         "version_bound",
         "keys_valid_for",
+        "changes_bind_after",
         "retry_ratio",
         "retry_reserve",
     )
@@ -62,6 +65,7 @@
         "grace": SECONDS,
         "version_bound": SECONDS,
         "keys_valid_for": SECONDS,
+        "changes_bind_after": SECONDS,
         "retry_ratio": Bounds(kind=NUMBER, low=0, high=1),
         "retry_reserve": Bounds(kind=NUMBER, low=0),
     }
@@ -79,6 +83,7 @@
         grace=8.0,
         version_bound=8.0,
         keys_valid_for=4.6,
+        changes_bind_after=2.0,
         retry_ratio=0.1,
         retry_reserve=80.0,
     ):
@@ -92,6 +97,7 @@
         self.grace = grace
         self.version_bound = version_bound
         self.keys_valid_for = keys_valid_for
+        self.changes_bind_after = changes_bind_after
         self.retry_ratio = retry_ratio
         self.retry_reserve = retry_reserve
 
--- a/hawthornspoke/relay/_try.py
+++ b/hawthornspoke/relay/_try.py
@@ -13,6 +13,7 @@
 NOT_RUN = Failure(code="not_run")
 MAY_HAVE_RUN = Failure(code="may_have_run")
 SILENT = Failure(code="silent")
+WITHDRAWN = Failure(code="withdrawn")
 
 
 class Try:
@@ -92,10 +93,13 @@
         Response or Failure
             ``NOT_RUN`` is a promise; the other failures are none.
         """
+        withdraws, patience = self._until_withdrawn(patience)
         try:
             async with asyncio.timeout(patience):
                 head = await self.exchange.read_head()
         except TimeoutError:
+            if withdraws:
+                return self._withdraw()
             self._end("silent")
             self.abort()
             return SILENT.because(f"no answer in {patience:.3f} s")
@@ -108,6 +112,23 @@
             return await self._refused(head)
         return head
 
+    def _until_withdrawn(self, patience):
+        """Return whether the begin deadline comes first, and the shorter time."""
+        if self.place.begin_deadline is None:
+            return False, patience
+        left = max(0.0, self.place.begin_deadline - monotonic())
+        return left < patience, min(left, patience)
+
+    def _withdraw(self):
+        # That the request begins in time was expected when it was sent. An engine
+        # that a dozen entry hosts fill at once begins it a second later, on weights
+        # that are then too old; an engine drops what it has not begun when the
+        # connection closes. It is no fault of the engine's.
+        self._end("left")
+        self.abort()
+        version = self.place.weights_version
+        return WITHDRAWN.because(f"not begun before version {version} is too old")
+
     async def read_whole(self, *, patience):
         """Read the body of an answer that is passed on as a whole."""
         try:
--- a/hawthornspoke/relay/tests/test_old_weights.py
+++ b/hawthornspoke/relay/tests/test_old_weights.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from hawthornspoke.base import monotonic
+from hawthornspoke.base import contact_clock, monotonic
 from hawthornspoke.catalog import Catalog, DeclaredWeights, EndpointEntry, Service
 from hawthornspoke.placing import Ask, Decline, Fleet, WeightsDeclared
 from hawthornspoke.relay import Relay, RelaySettings
@@ -11,6 +11,7 @@
     Endpoint,
     RelayHarness,
     begins_late,
+    events,
 )
 
 BOUND = 0.8
@@ -23,10 +24,10 @@
 
 def declare(harness, version):
     """Declare a version now; return when older ones may no longer begin."""
-    now = monotonic()
     declared = DeclaredWeights(model="m", version=version)
-    harness.fleet.step(WeightsDeclared(declared=declared, at=now), now=now)
-    return now + BOUND
+    message = WeightsDeclared(declared=declared, at=contact_clock())
+    harness.fleet.step(message, now=monotonic())
+    return monotonic() + BOUND
 
 
 def test_request_that_waits_at_an_engine_is_withdrawn_before_the_bound():
@@ -59,6 +60,38 @@
     asyncio.run(scenario())
 
 
+def test_withdrawn_request_goes_to_an_engine_with_the_new_weights():
+    """The same events, and an engine that has the new version by then."""
+
+    async def scenario():
+        begun = []
+        full, current = (
+            Endpoint(begins_late(BOUND + 0.1, begun)),
+            Endpoint(events([1, 2], version="2")),
+        )
+        async with RelayHarness(full, current, timeout=3.0, fleet=fleet()) as harness:
+            entry = harness.fleet.endpoint_by_id["e1"].entry
+            harness.fleet.endpoint_by_id["e1"].own_running = 3
+            declare(harness, 2)
+            asking = asyncio.create_task(harness.ask("stream"))
+            await asyncio.sleep(0.1)
+            harness.fleet.endpoint_by_id["e1"].entry = EndpointEntry(
+                endpoint_id="e1",
+                service="s",
+                address=entry.address,
+                failure_domain="a",
+                slots=4,
+                weights_version=2,
+                layers=(0, 16),
+            )
+            status, _, body, whole = await asking
+            assert (status, whole) == (200, True)
+            assert body.count(b"id: ") == 2
+            assert begun == []
+
+    asyncio.run(scenario())
+
+
 def test_request_that_has_begun_in_time_is_left_alone():
     """A stream that began before the bound goes on after it."""
 
--- a/hawthornspoke/spread/_process.py
+++ b/hawthornspoke/spread/_process.py
@@ -213,12 +213,17 @@
 
     def _take_version(self, directive):
         now = monotonic()
-        age = (directive.age_ms or 0) / 1000
+        is_dated = directive.age_ms is not None
+        age = directive.age_ms / 1000 if is_dated else 0.0
         before = self.upgrade.next_version()
-        self._step(Named(version=directive.weights_version, at=now - age))
+        version = directive.weights_version
+        self._step(Named(version=version, at=now - age, is_dated=is_dated))
         if self.upgrade.next_version() != before:
             self.log.change(
-                "weights", version=directive.weights_version, age=age, before=before
+                "weights",
+                version=version,
+                age=age if is_dated else None,
+                before=before,
             )
 
     def _set_peers(self, peers):
@@ -301,7 +306,7 @@
         known = copy.copy(self._directive)
         if known is not None:
             known.weights_version = self.upgrade.next_version()
-            known.age_ms = int(1000 * self.upgrade.age_of_newest(monotonic()))
+            known.age_ms = self._newest_age_ms(monotonic())
             known.peers = None
         link.send(Frame(call=-frame.call, directive=known))
 
@@ -329,6 +334,10 @@
         whole = seen.layers is not None and seen.layers[0] == 0
         return EngineSeen(version=seen.version, whole=whole, busy=seen.busy)
 
+    def _newest_age_ms(self, now):
+        age = self.upgrade.age_of_newest(now)
+        return None if age is None else int(1000 * age)
+
     def _is_serving(self):
         return self._snapshot is not None and self._snapshot.running > 0
 
@@ -339,6 +348,8 @@
     def _state(self, now):
         seen = self._snapshot
         ready_at = self.upgrade.ready_at(now)
+        link_delay = int(self.entry_links.link.delay(now) * 1000)
+        age = self._newest_age_ms(now)
         state = EngineState(
             endpoint_address=self.settings.engine_address,
             model=self.model,
@@ -346,7 +357,9 @@
             next_ready_ms=-1 if ready_at is None else int((ready_at - now) * 1000),
             loading=True,
             entry_hosts=len(self.entry_links),
-            link_delay_ms=int(self.entry_links.link.delay(now) * 1000),
+            link_delay_ms=link_delay,
+            # Older by the time that this message may wait on the way.
+            next_version_age_ms=None if age is None else age + link_delay,
         )
         if seen is not None:
             state.weights_version = seen.version
--- a/hawthornspoke/spread/_upgrade.py
+++ b/hawthornspoke/spread/_upgrade.py
@@ -31,10 +31,13 @@
     version : int
     at : float
         When it was, as far as this host knows.
+    is_dated : bool, default=True
+        False if nobody told when; ``at`` is then the moment of hearing of it.
     """
 
     version: int
     at: float
+    is_dated: bool = True
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -148,8 +151,13 @@
         self._held_at_by_version = {}
 
     def on_named(self, message, *, now):
-        """Take a declaration."""
+        """Take a declaration, or an earlier moment of the newest one.
+
+        Entry hosts tell of it one after the other, and one that has just started
+        does not know when it was.
+        """
         if self._named and message.version <= self._named[-1].version:
+            self._date_newest(message)
             return []
         self._named.append(message)
         del self._named[:-KEPT]
@@ -188,8 +196,10 @@
         return self._named[-1].version if self._named else None
 
     def age_of_newest(self, now):
-        """Return the seconds since the newest version was named, 0 if none was."""
-        return now - self._named[-1].at if self._named else 0.0
+        """Return the seconds since the newest version was named, None if unknown."""
+        if not self._named or not self._named[-1].is_dated:
+            return None
+        return now - self._named[-1].at
 
     def ready_at(self, now):
         """Return when the next version is expected to be in use, None if unknown."""
@@ -233,6 +243,13 @@
             "installing": self._installing,
         }
 
+    def _date_newest(self, message):
+        newest = self._named[-1]
+        if message.version != newest.version or not message.is_dated:
+            return
+        if not newest.is_dated or message.at < newest.at:
+            self._named[-1] = message
+
     def _is_dropped(self, place):
         named, following = self._named[place], self._named[place + 1]
         if named.version in self._held_at_by_version:
--- a/hawthornspoke/spread/tests/test_agents.py
+++ b/hawthornspoke/spread/tests/test_agents.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from hawthornspoke.base import digest_of
+from hawthornspoke.base import digest_of, monotonic
 from hawthornspoke.catalog import EndpointEntry, EngineProfile
 from hawthornspoke.peering import connect, directive, peer_endpoints
 from hawthornspoke.protocol import Frame
@@ -307,6 +307,52 @@
     play(scenario)
 
 
+def test_entry_host_that_restarts_hears_when_the_version_was_declared():
+    """An entry host that had just started counted a version's bound from its start.
+
+    Events: a version is declared; an entry host restarts and reads it without a word
+    on when that was; only the agents have heard of it before.
+    """
+
+    async def scenario(hosts):
+        await hosts.name(1, age=2.0)
+        states = []
+
+        def take(link, frame):
+            if frame.engine_state is not None:
+                states.append(frame.engine_state)
+
+        link = await connect(
+            hosts.ips[0], PORT, on_frame=take, on_closed=_ignore, timeout=1.0
+        )
+        hosts.links.append(link)
+        told = directive(
+            engine=ENGINE, version=1, age=None, peers=None, origin=None, bound=8.0
+        )
+        link.send(Frame(directive=told))
+        async with asyncio.timeout(2.0):
+            while not states:
+                await asyncio.sleep(0.02)
+        assert states[0].next_version == 1
+        assert 2000 <= states[0].next_version_age_ms < 4000
+
+    play(scenario, count=1)
+
+
+def test_agent_that_nobody_told_the_age_tells_none():
+    async def scenario(hosts):
+        await hosts.name(1, age=None)
+        await asyncio.sleep(0.2)
+        agent = hosts.agents[0]
+        assert agent.upgrade.next_version() == 1
+        assert agent.upgrade.age_of_newest(0.0) is None
+        await hosts.name(1, age=3.0)
+        await asyncio.sleep(0.2)
+        assert agent.upgrade.age_of_newest(monotonic()) >= 3.0
+
+    play(scenario, count=1)
+
+
 def test_origin_that_is_down_is_waited_for():
     async def scenario(hosts):
         hosts.origin.down = True
--- a/idl/hawthornspoke.thrift
+++ b/idl/hawthornspoke.thrift
@@ -164,9 +164,9 @@
 // What an entry host has read from the platform and agents act on.
 struct Directive {
   1: optional string model,
-  // Declared weights, and how long ago the sender learned of them.
+  // Declared weights, and how long ago that was at the most; absent if unknown.
   2: optional i64 weights_version,
-  3: optional i32 age_ms,
+  3: optional i64 age_ms,
   // Absent if the sender does not read the platform itself: then only the version
   // and the failure domain are news, and another entry host tells the rest.
   4: optional list<PeerEndpoint> peers,
@@ -205,6 +205,8 @@
   12: optional i32 entry_hosts,
   // Milliseconds by which messages over the host's link are late, there and back.
   13: optional i32 link_delay_ms,
+  // Milliseconds since the next version was declared, as far as the agent was told.
+  14: optional i64 next_version_age_ms,
 }
 
 struct HoldingsAsk {
@@ -233,6 +235,8 @@
   // Of the platform's transaction that wrote it.
   3: optional i64 row_revision,
   4: optional bool compressed,
+  // Milliseconds before the answer from which the row may date; absent if unknown.
+  5: optional i64 written_age_ms,
 }
 
 // Asks a neighbour what changed in a table since a revision, -1 for all of it.
