What is found after an outage of the platform dates from its return

Ruled out: withdrawn requests. Change: an outage of two seconds or more dates what is new at its end, as nobody could have learned of it before.

--- a/hawthornspoke/mirror/_watch.py
+++ b/hawthornspoke/mirror/_watch.py
@@ -28,6 +28,12 @@
 #: succession. The feed carries every version, the table only the newest.
 STORM_GAP = 1.5
 
+#: Seconds for which the platform must have failed until what is then found new is
+#: dated from its return. Nobody could learn of it before, and hosts that counted from
+#: the beginning of an outage of 8 s refused all callers behind it: share of the
+#: credit in the six seconds after one 0.20 to 0.40, and 0.8 dated like this.
+OUTAGE = 2.0
+
 #: Seconds between two tries while the platform fails, drawn at random between
 #: these: all hosts lose it together and would come back together.
 RETRY_PAUSE = (0.2, 0.5)
@@ -86,6 +92,7 @@
         "_due_at",
         "_is_reading",
         "_known_until_by_table",
+        "_unread",
     )
 
     def __init__(self, *, store, neighbours, on_confirmed, on_lost):
@@ -99,6 +106,7 @@
         self._due_at = float("-inf")
         self._is_reading = False
         self._known_until_by_table = {}
+        self._unread = set()
 
     def is_current(self):
         """Tell whether this host reads the platform itself and hears from it.
@@ -176,6 +184,7 @@
         )
         if is_failure(news):
             return news
+        self._unread.discard(table.name)
         self._known_until_by_table[table.name] = news.confirmed_at
         if table.confirms:
             self._due_at = float("-inf")
@@ -212,6 +221,9 @@
     def _date(self, table, news, asked_at, confirmed_at):
         """Note from when the rows of the platform's answer may date."""
         known_until = self._known_until_by_table.get(table.name, float("-inf"))
+        if table.name in self._unread and asked_at - known_until >= OUTAGE:
+            known_until = asked_at
+        self._unread.discard(table.name)
         since = None
         if news.made_at is not None:
             self._clock.note(asked_at=asked_at, made_at=news.made_at)
@@ -224,6 +236,7 @@
 
     def _lose(self, table, failure):
         """Take that the platform failed; return whether nobody else can be asked."""
+        self._unread.add(table.name)
         self._neighbours.lost_platform(failure.reason)
         alone = self._neighbours.reader() is None
         if table.confirms:
--- a/hawthornspoke/mirror/tests/test_dating.py
+++ b/hawthornspoke/mirror/tests/test_dating.py
@@ -5,7 +5,7 @@
 from hawthornspoke.base import contact_clock
 from hawthornspoke.mirror import Mirror, News, Row
 from hawthornspoke.mirror._dating import PlatformClock, held_since
-from hawthornspoke.mirror._watch import NEIGHBOUR_WAIT
+from hawthornspoke.mirror._watch import NEIGHBOUR_WAIT, OUTAGE
 from hawthornspoke.mirror.tests.test_watch import play, until
 
 UNKNOWN = float("-inf")
@@ -84,3 +84,28 @@
             assert row.written_at == UNKNOWN
 
     play(scenario)
+
+
+def test_what_is_found_after_an_outage_dates_from_its_end():
+    """All callers were refused for seconds after the platform had come back.
+
+    Events: the platform can't be read for 2.2 s; a version is declared meanwhile;
+    entry hosts find it. Cause: it was dated from the beginning of the outage, so that
+    old weights could answer no more before new ones could have been heard of.
+    """
+
+    async def scenario(reader, asker):
+        await until(lambda: asker.seen)
+        for host in (reader, asker):
+            host.store.fault = "down"
+        await asyncio.sleep(OUTAGE + 1.2)
+        back_at = contact_clock()
+        for host in (reader, asker):
+            host.store.put(b"2")
+            host.store.fault = None
+        await until(lambda: reader.seen[-1] == asker.seen[-1] == b"2")
+        for host in (reader, asker):
+            (row,) = host.watch.mirror.since("t", None).rows
+            assert back_at - 0.7 < row.written_at <= contact_clock()
+
+    play(scenario)
