--- a/hawthornspoke/mirror/_watch.py
+++ b/hawthornspoke/mirror/_watch.py
@@ -29,9 +29,10 @@
 STORM_GAP = 1.5
 
 #: Seconds for which the platform must have failed until what is then found new is
-#: dated from its return. Nobody could learn of it before, and hosts that counted from
-#: the beginning of an outage of 8 s refused all callers behind it: share of the
-#: credit in the six seconds after one 0.20 to 0.40, and 0.8 dated like this.
+#: dated from its return. Nobody could learn of it before. Counted from the beginning
+#: of an outage of 8 s, old weights could answer no more when it was over: the share
+#: of the credit in the six seconds behind it was 0.20, 0.35 and 0.40 by two seconds,
+#: counted from its end 0.67, 0.75 and 0.44 (one day played both ways).
 OUTAGE = 2.0
 
 #: Seconds between two tries while the platform fails, drawn at random between
