--- a/hawthornspoke/catalog/__init__.py
+++ b/hawthornspoke/catalog/__init__.py
@@ -1,5 +1,11 @@
 """Configuration and endpoints as the product sees them, whatever the platform."""
 
+from hawthornspoke.catalog._declared import (
+    FIRST_VERSION,
+    UNKNOWN,
+    DeclaredVersions,
+    age_of,
+)
 from hawthornspoke.catalog._table import RouteTable, choose_share
 from hawthornspoke.catalog._types import (
     AT_MOST_ONCE,
@@ -18,10 +24,13 @@
 
 __all__ = [
     "AT_MOST_ONCE",
+    "FIRST_VERSION",
     "IDEMPOTENT",
     "STREAM",
+    "UNKNOWN",
     "CallerLimits",
     "Catalog",
+    "DeclaredVersions",
     "DeclaredWeights",
     "EndpointEntry",
     "EngineProfile",
@@ -30,5 +39,6 @@
     "RouteTable",
     "Service",
     "Share",
+    "age_of",
     "choose_share",
 ]
--- a/hawthornspoke/placing/_weights.py
+++ b/hawthornspoke/catalog/_declared.py
@@ -4,6 +4,9 @@
 #: the newest of them does.
 KEPT = 4
 
+#: Version of weights before any is declared.
+FIRST_VERSION = 1
+
 #: The moment of a declaration of which nothing is known but that it was made.
 UNKNOWN = float("-inf")
 
@@ -42,14 +45,22 @@
     def __init__(self):
         self._declared_by_model = {}
 
-    def add(self, declared, *, at):
+    def add(self, declared, *, at, known_until=UNKNOWN):
         """Take a declaration; one that is known or older changes nothing but its time.
 
+        A process that was away may have missed a version in between, and what is
+        older than that one is too old sooner than the newest declaration tells: a
+        host that started 1 s after the second of two sent requests to weights that
+        both had replaced, 3.6 s beyond their bound. So the version before it is
+        taken to have been declared as well, at the earliest possible moment.
+
         Parameters
         ----------
         declared : DeclaredWeights
         at : float
             A moment before which it was not declared, ``UNKNOWN`` if there is none.
+        known_until : float, default=UNKNOWN
+            A moment until which all declarations were known.
 
         Returns
         -------
@@ -57,18 +68,23 @@
             Whether it was new.
         """
         known = self._declared_by_model.setdefault(declared.model, [])
-        if known and known[-1].version >= declared.version:
-            if known[-1].version == declared.version:
+        last = known[-1].version if known else FIRST_VERSION - 1
+        if last >= declared.version:
+            if last == declared.version:
                 known[-1].at = max(known[-1].at, at)
             return False
+        if last < declared.version - 1:
+            missed_at = min(at, known_until)
+            known.append(_Declared(version=declared.version - 1, at=missed_at))
         known.append(_Declared(version=declared.version, at=at))
         del known[:-KEPT]
         return True
 
     def hear(self, model, version, *, at):
-        """Take an agent's word of when a version was declared.
+        """Take an agent's word of a moment before which a version was not declared.
 
-        Agents hear of a declaration after it was made, so the earliest word is best.
+        Each agent's word is such a moment, so the latest tells most: that of a host
+        which was cut off for long is true as well, and of no use.
 
         Parameters
         ----------
@@ -77,10 +93,27 @@
         at : float
         """
         for item in self._declared_by_model.get(model, ()):
-            if item.version != version:
-                continue
-            if item.heard_at == UNKNOWN or at < item.heard_at:
-                item.heard_at = at
+            if item.version == version:
+                item.heard_at = max(item.heard_at, at)
+
+    def dated(self, model, *, youngest):
+        """Return the versions that were declared after a moment.
+
+        Parameters
+        ----------
+        model : str
+        youngest : float
+
+        Returns
+        -------
+        list of (int, float)
+            Version and moment; those of unknown age are left out.
+        """
+        return [
+            (item.version, item.since)
+            for item in self._declared_by_model.get(model, ())
+            if item.since >= youngest and item.since != UNKNOWN
+        ]
 
     def latest(self, model):
         """Return the newest declared version, None if there is none."""
--- a/hawthornspoke/mirror/_dating.py
+++ b/hawthornspoke/mirror/_dating.py
@@ -1,31 +1,32 @@
 """From when what a table says may date, by the platform's own clock."""
 
-#: Seconds between a question and the platform's answer from which the answer waited
-#: for a change. If there is one already the platform answers in some milliseconds,
-#: but the question itself may wait 0.2 s on a link full of pieces.
-HELD_FROM = 0.3
+import collections
 
-#: Seconds that the platform may take from a change to the answer that tells of it.
-ANSWER_SLACK = 0.05
+#: Answers that are remembered: those of some ten seconds at three a second.
+KEPT = 32
 
 
 class PlatformClock:
-    """Tells when the platform made its answers, on a clock of this host.
+    """Tells before which moment a row was not written, on a clock of this host.
 
     An answer with a large configuration takes some tenths of a second over a narrow
     link. If the moment at which it arrives were taken for the moment of the change,
     every process would grant old weights that time beyond their bound.
 
-    The platform can't make an answer before it is asked, so each answer bounds the
-    difference between the clocks from below; the quickest question bounds it best.
+    All transactions of the platform share one counter, and each answer tells its
+    value and the platform's time. So a row with a higher revision was written after
+    that answer was made. The platform can't make an answer before it is asked, so each
+    answer bounds the difference between the clocks from below; the quickest question
+    bounds it best.
     """
 
-    __slots__ = ("_offset",)
+    __slots__ = ("_offset", "_answers")
 
     def __init__(self):
         self._offset = float("-inf")
+        self._answers = collections.deque(maxlen=KEPT)
 
-    def note(self, *, asked_at, made_at):
+    def note(self, *, asked_at, made_at, revision):
         """Take an answer.
 
         Parameters
@@ -34,8 +35,11 @@
             On the clock of this host.
         made_at : float
             When the platform made the answer, on its own clock.
+        revision : int
+            Of the newest transaction then.
         """
         self._offset = max(self._offset, asked_at - made_at)
+        self._answers.append((revision, made_at))
 
     def earliest(self, made_at, *, received_at):
         """Return a moment on this host's clock before which an answer was not made.
@@ -53,21 +57,22 @@
         """
         return min(made_at + self._offset, received_at)
 
+    def written_after(self, revision, *, received_at):
+        """Return a moment on this host's clock before which a row was not written.
 
-def held_since(*, asked_at, made_at):
-    """Return since when the platform's answer held nothing back.
-
-    Parameters
-    ----------
-    asked_at, made_at : float
-        On the same clock.
+        Parameters
+        ----------
+        revision : int
+            Of the transaction that wrote the row.
+        received_at : float
+            When the answer with the row arrived, on the clock of this host.
 
-    Returns
-    -------
-    float or None
-        A moment before which what is new was not written; None if it may have been
-        written before the platform was asked.
-    """
-    if made_at - asked_at < HELD_FROM:
-        return None
-    return made_at - ANSWER_SLACK
+        Returns
+        -------
+        float
+            Minus infinity if no answer was made before the row was written.
+        """
+        before = [made_at for seen, made_at in self._answers if seen < revision]
+        if not before:
+            return float("-inf")
+        return self.earliest(max(before), received_at=received_at)
--- a/hawthornspoke/mirror/_tables.py
+++ b/hawthornspoke/mirror/_tables.py
@@ -50,28 +50,25 @@
         table.revision = max(table.revision, news.revision)
         self._forget_removed(table)
 
-    def date(self, name, news, known_until, held_since):
+    def date(self, name, news, written_after):
         """Note from when the rows of an answer of the platform may date.
 
         Parameters
         ----------
         name : str
         news : News
-        known_until : float
-            A moment until which this mirror knew all of the table; minus infinity
-            if it was never known.
-        held_since : float or None
-            A later moment before which what is new was not written, if there is one.
+            ``known_until`` is set.
+        written_after : callable
+            Returns a moment before which a row of some revision was not written.
         """
         table = self._table_by_name.get(name)
         known_by_key = table.row_by_key if table is not None else {}
-        since = known_until if held_since is None else max(known_until, held_since)
         for row in news.rows:
             known = known_by_key.get(row.key)
             if known is not None and known.revision == row.revision:
                 row.written_at = known.written_at
             else:
-                row.written_at = since
+                row.written_at = max(news.known_until, written_after(row.revision))
 
     def since(self, name, after):
         """Return what changed in a table.
--- a/hawthornspoke/mirror/_types.py
+++ b/hawthornspoke/mirror/_types.py
@@ -49,9 +49,22 @@
     made_at : float or None, default=None
         When the platform made the answer, in seconds on its own steady clock; None
         if it did not say.
+
+    Attributes
+    ----------
+    known_until : float
+        A moment until which this process knew all of the table before; minus
+        infinity if it did not.
     """
 
-    __slots__ = ("rows", "revision", "whole", "confirmed_at", "made_at")
+    __slots__ = (
+        "rows",
+        "revision",
+        "whole",
+        "confirmed_at",
+        "made_at",
+        "known_until",
+    )
 
     def __init__(self, *, rows, revision, whole=False, confirmed_at=None, made_at=None):
         self.rows = rows
@@ -59,3 +72,4 @@
         self.whole = whole
         self.confirmed_at = confirmed_at
         self.made_at = made_at
+        self.known_until = float("-inf")
--- a/hawthornspoke/mirror/_watch.py
+++ b/hawthornspoke/mirror/_watch.py
@@ -4,7 +4,7 @@
 import random
 
 from hawthornspoke.base import contact_clock, is_failure
-from hawthornspoke.mirror._dating import PlatformClock, held_since
+from hawthornspoke.mirror._dating import PlatformClock
 from hawthornspoke.mirror._tables import Mirror
 from hawthornspoke.mirror._types import HISTORY_GONE, NOT_READING
 
@@ -186,6 +186,7 @@
         if is_failure(news):
             return news
         self._unread.discard(table.name)
+        news.known_until = self._known_until(table)
         self._known_until_by_table[table.name] = news.confirmed_at
         if table.confirms:
             self._due_at = float("-inf")
@@ -221,20 +222,26 @@
 
     def _date(self, table, news, asked_at, confirmed_at):
         """Note from when the rows of the platform's answer may date."""
-        known_until = self._known_until_by_table.get(table.name, float("-inf"))
-        if table.name in self._unread and asked_at - known_until >= OUTAGE:
-            known_until = asked_at
+        clock, now = self._clock, contact_clock()
+        news.known_until = self._known_until(table)
+        if table.name in self._unread and asked_at - news.known_until >= OUTAGE:
+            news.known_until = asked_at
         self._unread.discard(table.name)
-        since = None
         if news.made_at is not None:
-            self._clock.note(asked_at=asked_at, made_at=news.made_at)
-            made_at = self._clock.earliest(news.made_at, received_at=contact_clock())
-            if not news.whole:
-                since = held_since(asked_at=asked_at, made_at=made_at)
-            confirmed_at = max(confirmed_at, made_at)
-        self.mirror.date(table.name, news, known_until, since)
+            clock.note(asked_at=asked_at, made_at=news.made_at, revision=news.revision)
+            confirmed_at = max(
+                confirmed_at, clock.earliest(news.made_at, received_at=now)
+            )
+        self.mirror.date(
+            table.name,
+            news,
+            lambda revision: clock.written_after(revision, received_at=now),
+        )
         self._known_until_by_table[table.name] = confirmed_at
 
+    def _known_until(self, table):
+        return self._known_until_by_table.get(table.name, float("-inf"))
+
     def _lose(self, table, failure):
         """Take that the platform failed; return whether nobody else can be asked."""
         self._unread.add(table.name)
--- a/hawthornspoke/mirror/tests/test_dating.py
+++ b/hawthornspoke/mirror/tests/test_dating.py
@@ -4,7 +4,7 @@
 
 from hawthornspoke.base import contact_clock
 from hawthornspoke.mirror import Mirror, News, Row
-from hawthornspoke.mirror._dating import PlatformClock, held_since
+from hawthornspoke.mirror._dating import PlatformClock
 from hawthornspoke.mirror._watch import NEIGHBOUR_WAIT, OUTAGE
 from hawthornspoke.mirror.tests.test_watch import play, until
 
@@ -19,33 +19,52 @@
     have been written when it arrived.
     """
     clock = PlatformClock()
-    clock.note(asked_at=100.0, made_at=7.002)
-    clock.note(asked_at=101.0, made_at=8.5)
+    clock.note(asked_at=100.0, made_at=7.002, revision=40)
+    clock.note(asked_at=101.0, made_at=8.5, revision=43)
     assert round(clock.earliest(8.5, received_at=102.1), 3) == 101.498
+    assert round(clock.written_after(42, received_at=102.1), 3) == 100.0
+
+
+def test_question_that_was_long_on_its_way_makes_nothing_newer():
+    """A row was dated 0.9 s after it was written.
+
+    Events: a row is written at 0.95 on the platform's clock, while the reader pauses
+    between two questions; the next question takes 0.6 s to get there and is answered
+    at once. Cause: the time until the answer was taken to have been spent waiting for
+    the change.
+    """
+    clock = PlatformClock()
+    clock.note(asked_at=100.0, made_at=0.004, revision=4)
+    clock.note(asked_at=100.89, made_at=0.9, revision=4)
+    clock.note(asked_at=101.3, made_at=1.9, revision=5)
+    assert clock.written_after(5, received_at=101.95) <= 100.95
 
 
 def test_answer_is_no_later_than_its_arrival_whatever_the_platforms_clock_says():
     clock = PlatformClock()
-    clock.note(asked_at=100.0, made_at=7.0)
-    clock.note(asked_at=101.0, made_at=50.0)
+    clock.note(asked_at=100.0, made_at=7.0, revision=1)
+    clock.note(asked_at=101.0, made_at=50.0, revision=2)
     assert clock.earliest(50.0, received_at=101.2) == 101.2
-    clock.note(asked_at=102.0, made_at=1.0)
+    assert clock.written_after(3, received_at=101.2) == 101.2
+    clock.note(asked_at=102.0, made_at=1.0, revision=3)
     assert clock.earliest(1.0, received_at=102.1) <= 102.1
 
 
-def test_only_an_answer_that_waited_tells_that_there_was_nothing_before():
-    assert held_since(asked_at=10.0, made_at=10.2) is None
-    assert 10.5 < held_since(asked_at=10.0, made_at=10.7) < 10.7
+def test_row_older_than_all_answers_has_no_moment():
+    clock = PlatformClock()
+    clock.note(asked_at=100.0, made_at=7.0, revision=9)
+    assert clock.written_after(9, received_at=100.1) == UNKNOWN
 
 
 def test_rows_keep_their_moment_when_the_table_is_read_again():
     mirror = Mirror()
     first = News(rows=[Row(key="a", data=b"1", revision=3)], revision=3, whole=True)
-    mirror.date("t", first, UNKNOWN, None)
+    mirror.date("t", first, lambda revision: UNKNOWN)
     mirror.take("t", first)
     assert first.rows[0].written_at == UNKNOWN
     change = News(rows=[Row(key="b", data=b"1", revision=5)], revision=5)
-    mirror.date("t", change, 10.0, 10.6)
+    change.known_until = 10.0
+    mirror.date("t", change, lambda revision: 10.6)
     mirror.take("t", change)
     again = News(
         rows=[
@@ -55,7 +74,8 @@
         revision=7,
         whole=True,
     )
-    mirror.date("t", again, 12.0, None)
+    again.known_until = 12.0
+    mirror.date("t", again, lambda revision: 11.0)
     assert [row.written_at for row in again.rows] == [12.0, 10.6]
 
 
--- a/hawthornspoke/peering/__init__.py
+++ b/hawthornspoke/peering/__init__.py
@@ -1,11 +1,10 @@
 """Connections between entry hosts and agents: Thrift frames on the event loop."""
 
 from hawthornspoke.peering._connection import CLOSED, PeerConnection, connect, listen
-from hawthornspoke.peering._directive import FIRST_VERSION, directive, peer_endpoints
+from hawthornspoke.peering._directive import directive, peer_endpoints
 
 __all__ = [
     "CLOSED",
-    "FIRST_VERSION",
     "PeerConnection",
     "connect",
     "directive",
--- a/hawthornspoke/peering/_directive.py
+++ b/hawthornspoke/peering/_directive.py
@@ -1,10 +1,8 @@
 """What entry hosts tell agents."""
 
+from hawthornspoke.catalog import FIRST_VERSION
 from hawthornspoke.protocol import Directive, PeerEndpoint
 
-#: Version of weights before any is declared.
-FIRST_VERSION = 1
-
 
 def directive(*, engine, version, age, peers, origin, bound, failure_domain=None):
     """Return what an agent has to know of one model.
--- a/hawthornspoke/placing/__init__.py
+++ b/hawthornspoke/placing/__init__.py
@@ -15,15 +15,12 @@
     Sent,
     WeightsDeclared,
 )
-from hawthornspoke.placing._weights import UNKNOWN, DeclaredVersions, age_of
 
 __all__ = [
-    "UNKNOWN",
     "AgentLost",
     "Ask",
     "CatalogChanged",
     "Decline",
-    "DeclaredVersions",
     "EndpointsListed",
     "EngineReported",
     "EntryHostsSeen",
@@ -33,5 +30,4 @@
     "Place",
     "Sent",
     "WeightsDeclared",
-    "age_of",
 ]
--- a/hawthornspoke/placing/_fleet.py
+++ b/hawthornspoke/placing/_fleet.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from hawthornspoke.base import MACHINES, Bounds, Machine
+from hawthornspoke.catalog import DeclaredVersions
 from hawthornspoke.placing._endpoint import Endpoint
 from hawthornspoke.placing._herd import Herd, added_load
 from hawthornspoke.placing._messages import (
@@ -21,7 +22,6 @@
     WeightsDeclared,
 )
 from hawthornspoke.placing._predict import first_token, slot_release, whole_answer
-from hawthornspoke.placing._weights import DeclaredVersions
 
 #: What the machine takes.
 MESSAGES = (
@@ -192,7 +192,9 @@
 
     def on_weights_declared(self, message, *, now):
         """Take a declared version."""
-        self.declared.add(message.declared, at=message.at)
+        self.declared.add(
+            message.declared, at=message.at, known_until=message.known_until
+        )
         return []
 
     def on_engine_reported(self, message, *, now):
@@ -202,10 +204,8 @@
             endpoint.state = message
             endpoint.heard_at = now
             endpoint.report(message.load, now)
-        if message.next_declared_at is not None:
-            self.declared.hear(
-                message.model, message.next_version, at=message.next_declared_at
-            )
+        for version, at in message.declared:
+            self.declared.hear(message.model, version, at=at)
         return []
 
     def on_agent_lost(self, message, *, now):
--- a/hawthornspoke/placing/_messages.py
+++ b/hawthornspoke/placing/_messages.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from hawthornspoke.catalog import UNKNOWN
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class EndpointsListed:
@@ -40,11 +42,14 @@
     declared : DeclaredWeights
     at : float
         A moment before which it was not, on the clock that goes on while the host
-        is suspended; minus infinity if there is none.
+        is suspended; ``UNKNOWN`` if there is none.
+    known_until : float
+        A moment until which this process knew all declarations.
     """
 
     declared: object
     at: float
+    known_until: float = UNKNOWN
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -65,9 +70,9 @@
     next_ready_at : float or None
         When that version is expected to be usable there.
     model : str
-    next_declared_at : float or None
-        When that version was declared as far as the agent was told, on the clock
-        that goes on while the host is suspended.
+    declared : tuple of (int, float)
+        Versions and moments before which they were not declared as far as the agent
+        was told, on the clock that goes on while the host is suspended.
     link_delay : float
         Seconds that a message there and back waits on the link of its host.
     """
@@ -81,7 +86,7 @@
     next_version: int | None = None
     next_ready_at: float | None = None
     model: str = ""
-    next_declared_at: float | None = None
+    declared: tuple = ()
     link_delay: float = 0.0
 
 
--- a/hawthornspoke/placing/tests/test_weights.py
+++ b/hawthornspoke/placing/tests/test_declared.py
@@ -1,10 +1,8 @@
 """From when declared versions bind."""
 
-from hawthornspoke.catalog import DeclaredWeights
+from hawthornspoke.catalog import UNKNOWN, DeclaredVersions, DeclaredWeights
 from hawthornspoke.placing import (
-    UNKNOWN,
     Ask,
-    DeclaredVersions,
     Decline,
     EngineReported,
     Place,
@@ -34,7 +32,7 @@
         layers=(0, 16),
         model="m",
         next_version=2,
-        next_declared_at=declared_at,
+        declared=((2, declared_at),),
     )
     machine.step(report, now=now)
 
@@ -55,10 +53,13 @@
     """The same host refused what old weights could still answer."""
     machine = fleet(entry("one"))
     declare(machine, TWO, at=UNKNOWN, now=10.0)
-    agent_says(machine, declared_at=6.1, now=10.1)
-    assert isinstance(place(machine, now=10.1), Place)
-    agent_says(machine, declared_at=5.0, now=12.5)
-    assert isinstance(place(machine, now=12.5), Decline)
+    agent_says(machine, declared_at=1.0, now=10.1)
+    assert isinstance(place(machine, now=10.1), Decline)
+    agent_says(machine, declared_at=6.1, now=10.2)
+    assert isinstance(place(machine, now=10.2), Place)
+    agent_says(machine, declared_at=5.0, now=13.2)
+    assert isinstance(place(machine, now=12.8), Place)
+    assert isinstance(place(machine, now=13.2), Decline)
 
 
 def test_what_the_platform_tells_goes_before_the_agents_word():
@@ -100,3 +101,37 @@
     # Three seconds of the bound passed while the host was suspended.
     assert found.begin_deadline == 10.0 + 8.0 - 3.0 - WITHDRAW_MARGIN
     assert found.weights_version == 1
+
+
+def test_version_that_was_missed_binds_what_is_older():
+    """A host sent requests to weights that two declarations had replaced.
+
+    Events: version 2 is declared at 21.0 and version 3 at 25.0; a host starts at 26
+    and hears of version 3 only; engines hold version 1, which is too old at 29.0.
+    Cause: it counted from version 3 for version 1 as well.
+    """
+    machine = fleet(entry("one"))
+    declare(machine, THREE, at=25.0, now=26.0)
+    assert isinstance(place(machine, now=26.1), Decline)
+    two = EngineReported(
+        address="one:1",
+        load=0,
+        weights_version=1,
+        layers=(0, 16),
+        model="m",
+        declared=((2, 21.0), (3, 25.0)),
+    )
+    machine.step(two, now=26.2)
+    found = place(machine, now=26.3)
+    assert found.begin_deadline == 29.0 - WITHDRAW_MARGIN
+    machine.step(two, now=28.9)
+    assert isinstance(place(machine, now=28.9), Decline)
+
+
+def test_host_that_was_away_for_a_while_dates_what_it_missed_from_then():
+    declared = DeclaredVersions()
+    declared.add(DeclaredWeights(model="m", version=1), at=0.0)
+    declared.add(THREE, at=25.0, known_until=20.0)
+    assert declared.too_old_at("m", 1, bound=8.0) == 28.0
+    assert declared.too_old_at("m", 2, bound=8.0) == 33.0
+    assert declared.dated("m", youngest=22.0) == [(3, 25.0)]
--- a/hawthornspoke/protocol/_gen/ttypes.py
+++ b/hawthornspoke/protocol/_gen/ttypes.py
@@ -2372,6 +2372,86 @@
         return not (self == other)
 
 
+class DeclaredAge(object):
+    """
+    Attributes:
+     - version
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'version',
+        'age_ms',
+    )
+
+
+    def __init__(self, version=None, age_ms=None,):
+        self.version = version
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DeclaredAge')
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 1)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 2)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class EngineState(object):
     """
     Attributes:
@@ -2388,7 +2468,7 @@
      - next_version
      - entry_hosts
      - link_delay_ms
-     - next_version_age_ms
+     - declared
 
     """
 
@@ -2406,11 +2486,11 @@
         'next_version',
         'entry_hosts',
         'link_delay_ms',
-        'next_version_age_ms',
+        'declared',
     )
 
 
-    def __init__(self, endpoint_address=None, model=None, weights_version=None, layer_from=None, layer_to=None, running=None, waiting=None, loading=None, pace=None, next_ready_ms=None, next_version=None, entry_hosts=None, link_delay_ms=None, next_version_age_ms=None,):
+    def __init__(self, endpoint_address=None, model=None, weights_version=None, layer_from=None, layer_to=None, running=None, waiting=None, loading=None, pace=None, next_ready_ms=None, next_version=None, entry_hosts=None, link_delay_ms=None, declared=None,):
         self.endpoint_address = endpoint_address
         self.model = model
         self.weights_version = weights_version
@@ -2424,7 +2504,7 @@
         self.next_version = next_version
         self.entry_hosts = entry_hosts
         self.link_delay_ms = link_delay_ms
-        self.next_version_age_ms = next_version_age_ms
+        self.declared = declared
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2501,8 +2581,14 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 14:
-                if ftype == TType.I64:
-                    self.next_version_age_ms = iprot.readI64()
+                if ftype == TType.LIST:
+                    self.declared = []
+                    (_etype76, _size73) = iprot.readListBegin()
+                    for _i77 in range(_size73):
+                        _elem78 = DeclaredAge()
+                        _elem78.read(iprot)
+                        self.declared.append(_elem78)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             else:
@@ -2567,9 +2653,12 @@
             oprot.writeFieldBegin('link_delay_ms', TType.I32, 13)
             oprot.writeI32(self.link_delay_ms)
             oprot.writeFieldEnd()
-        if self.next_version_age_ms is not None:
-            oprot.writeFieldBegin('next_version_age_ms', TType.I64, 14)
-            oprot.writeI64(self.next_version_age_ms)
+        if self.declared is not None:
+            oprot.writeFieldBegin('declared', TType.LIST, 14)
+            oprot.writeListBegin(TType.STRUCT, len(self.declared))
+            for iter79 in self.declared:
+                iter79.write(oprot)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -2759,10 +2848,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.digests = []
-                    (_etype76, _size73) = iprot.readListBegin()
-                    for _i77 in range(_size73):
-                        _elem78 = iprot.readBinary()
-                        self.digests.append(_elem78)
+                    (_etype83, _size80) = iprot.readListBegin()
+                    for _i84 in range(_size80):
+                        _elem85 = iprot.readBinary()
+                        self.digests.append(_elem85)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2779,8 +2868,8 @@
         if self.digests is not None:
             oprot.writeFieldBegin('digests', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.digests))
-            for iter79 in self.digests:
-                oprot.writeBinary(iter79)
+            for iter86 in self.digests:
+                oprot.writeBinary(iter86)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2835,10 +2924,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.addresses = []
-                    (_etype83, _size80) = iprot.readListBegin()
-                    for _i84 in range(_size80):
-                        _elem85 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.addresses.append(_elem85)
+                    (_etype90, _size87) = iprot.readListBegin()
+                    for _i91 in range(_size87):
+                        _elem92 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.addresses.append(_elem92)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2855,8 +2944,8 @@
         if self.addresses is not None:
             oprot.writeFieldBegin('addresses', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.addresses))
-            for iter86 in self.addresses:
-                oprot.writeString(iter86.encode('utf-8') if sys.version_info[0] == 2 else iter86)
+            for iter93 in self.addresses:
+                oprot.writeString(iter93.encode('utf-8') if sys.version_info[0] == 2 else iter93)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3149,11 +3238,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype90, _size87) = iprot.readListBegin()
-                    for _i91 in range(_size87):
-                        _elem92 = TableRow()
-                        _elem92.read(iprot)
-                        self.rows.append(_elem92)
+                    (_etype97, _size94) = iprot.readListBegin()
+                    for _i98 in range(_size94):
+                        _elem99 = TableRow()
+                        _elem99.read(iprot)
+                        self.rows.append(_elem99)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3192,8 +3281,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter93 in self.rows:
-                iter93.write(oprot)
+            for iter100 in self.rows:
+                iter100.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held_ms is not None:
@@ -3650,6 +3739,12 @@
     None,  # 0
     (1, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 1
 )
+all_structs.append(DeclaredAge)
+DeclaredAge.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'version', None, None, ),  # 1
+    (2, TType.I64, 'age_ms', None, None, ),  # 2
+)
 all_structs.append(EngineState)
 EngineState.thrift_spec = (
     None,  # 0
@@ -3666,7 +3761,7 @@
     (11, TType.I64, 'next_version', None, None, ),  # 11
     (12, TType.I32, 'entry_hosts', None, None, ),  # 12
     (13, TType.I32, 'link_delay_ms', None, None, ),  # 13
-    (14, TType.I64, 'next_version_age_ms', None, None, ),  # 14
+    (14, TType.LIST, 'declared', (TType.STRUCT, [DeclaredAge, None], False), None, ),  # 14
 )
 all_structs.append(HoldingsAsk)
 HoldingsAsk.thrift_spec = (
--- a/hawthornspoke/relay/_agents.py
+++ b/hawthornspoke/relay/_agents.py
@@ -149,9 +149,6 @@
         ready_at = None
         if state.next_ready_ms is not None and state.next_ready_ms >= 0:
             ready_at = now + state.next_ready_ms / 1000
-        declared_at = None
-        if state.next_version_age_ms is not None:
-            declared_at = contact_clock() - state.next_version_age_ms / 1000
         report = EngineReported(
             address=address,
             load=(state.running or 0) + (state.waiting or 0),
@@ -162,18 +159,23 @@
             next_version=state.next_version or None,
             next_ready_at=ready_at,
             model=state.model or "",
-            next_declared_at=declared_at,
+            declared=_dated(state.declared or (), contact_clock()),
             link_delay=(state.link_delay_ms or 0) / 1000,
         )
         self._fleet.step(report, now=now)
 
 
+def _dated(declared, now):
+    return tuple((item.version, now - item.age_ms / 1000) for item in declared)
+
+
 def _what_matters(directive):
     peers = directive.peers
     if peers is not None:
         peers = tuple((peer.address, peer.leaving) for peer in peers)
     return (
         directive.weights_version,
+        directive.age_ms is None,
         peers,
         directive.origin_address,
         directive.pieces,
--- a/hawthornspoke/relay/_process.py
+++ b/hawthornspoke/relay/_process.py
@@ -4,6 +4,7 @@
 import signal
 
 from hawthornspoke.base import contact_clock, monotonic
+from hawthornspoke.catalog import UNKNOWN, age_of
 from hawthornspoke.events import EventLog
 from hawthornspoke.httpio import (
     ConnectionPool,
@@ -15,13 +16,11 @@
 from hawthornspoke.mirror import Neighbours
 from hawthornspoke.peering import directive
 from hawthornspoke.placing import (
-    UNKNOWN,
     CatalogChanged,
     EndpointsListed,
     EntryHostsSeen,
     Fleet,
     WeightsDeclared,
-    age_of,
 )
 from hawthornspoke.relay._agents import AgentLinks
 from hawthornspoke.relay._contact import Confirmed, Contact, ContactLost, Lost
@@ -229,7 +228,7 @@
                 )
         self._follow_agents()
 
-    def on_declared(self, declared, *, written_at=UNKNOWN):
+    def on_declared(self, declared, *, written_at=UNKNOWN, known_until=UNKNOWN):
         """Take declared weights.
 
         Parameters
@@ -237,9 +236,13 @@
         declared : DeclaredWeights
         written_at : float, default=UNKNOWN
             A moment on the contact clock before which they were not declared.
+        known_until : float, default=UNKNOWN
+            A moment on it until which all declarations were known.
         """
         before = self.fleet.declared.latest(declared.model)
-        message = WeightsDeclared(declared=declared, at=written_at)
+        message = WeightsDeclared(
+            declared=declared, at=written_at, known_until=known_until
+        )
         self.fleet.step(message, now=monotonic())
         if self.fleet.declared.latest(declared.model) == before:
             return
--- a/hawthornspoke/spread/_process.py
+++ b/hawthornspoke/spread/_process.py
@@ -5,12 +5,13 @@
 import random
 import signal
 
-from hawthornspoke.base import is_failure, monotonic
+from hawthornspoke.base import contact_clock, is_failure, monotonic
+from hawthornspoke.catalog import UNKNOWN, DeclaredVersions, DeclaredWeights, age_of
 from hawthornspoke.events import EventLog
 from hawthornspoke.httpio import HttpServer, OperatorPort
 from hawthornspoke.metrics import Metrics
 from hawthornspoke.peering import listen
-from hawthornspoke.protocol import DirectiveAsk, EngineState, Frame
+from hawthornspoke.protocol import DeclaredAge, DirectiveAsk, EngineState, Frame
 from hawthornspoke.spread._entry_links import EntryLinks
 from hawthornspoke.spread._exchange import Exchange, Peer
 from hawthornspoke.spread._installer import Installer
@@ -50,6 +51,9 @@
 #: that are late still ask for them.
 OLD_VERSIONS_KEPT = 1
 
+#: Seconds beyond a version's bound for which its age is told to entry hosts.
+TELL_BEYOND_BOUND = 2.0
+
 FLUSH_TIME = 0.2
 
 
@@ -81,6 +85,7 @@
         "installer",
         "upgrade",
         "entry_links",
+        "declared",
         "model",
         "operator",
         "_snapshot",
@@ -117,6 +122,7 @@
         self.entry_links = EntryLinks(
             failure_domain=settings.failure_domain, spawn=self.exchange.spawn
         )
+        self.declared = DeclaredVersions()
         self.model = None
         self.operator = HttpServer(
             host=settings.ip,
@@ -213,18 +219,17 @@
 
     def _take_version(self, directive):
         now = monotonic()
-        is_dated = directive.age_ms is not None
-        age = directive.age_ms / 1000 if is_dated else 0.0
-        before = self.upgrade.next_version()
         version = directive.weights_version
-        self._step(Named(version=version, at=now - age, is_dated=is_dated))
+        age = None if directive.age_ms is None else directive.age_ms / 1000
+        before = self.upgrade.next_version()
+        self.declared.add(
+            DeclaredWeights(model=directive.model, version=version),
+            at=UNKNOWN if age is None else contact_clock() - age - self._link_delay(),
+        )
+        named = Named(version=version, at=now - (age or 0.0), is_dated=age is not None)
+        self._step(named)
         if self.upgrade.next_version() != before:
-            self.log.change(
-                "weights",
-                version=version,
-                age=age if is_dated else None,
-                before=before,
-            )
+            self.log.change("weights", version=version, age=age, before=before)
 
     def _set_peers(self, peers):
         by_name = {
@@ -306,7 +311,8 @@
         known = copy.copy(self._directive)
         if known is not None:
             known.weights_version = self.upgrade.next_version()
-            known.age_ms = self._newest_age_ms(monotonic())
+            age = age_of(self.declared.since(self.model), contact_clock())
+            known.age_ms = None if age is None else int(1000 * age)
             known.peers = None
         link.send(Frame(call=-frame.call, directive=known))
 
@@ -334,9 +340,23 @@
         whole = seen.layers is not None and seen.layers[0] == 0
         return EngineSeen(version=seen.version, whole=whole, busy=seen.busy)
 
-    def _newest_age_ms(self, now):
-        age = self.upgrade.age_of_newest(now)
-        return None if age is None else int(1000 * age)
+    def _link_delay(self):
+        """Return the seconds that a message may wait on the way."""
+        return self.entry_links.link.delay(monotonic())
+
+    def _declared_ages(self):
+        """Return what an entry host has to know that has just started.
+
+        Its bounds are over soon after a declaration; older ones need no date.
+        """
+        now = contact_clock()
+        youngest = now - self.upgrade.version_bound - TELL_BEYOND_BOUND
+        return [
+            DeclaredAge(
+                version=version, age_ms=int(1000 * (now - at + self._link_delay()))
+            )
+            for version, at in self.declared.dated(self.model, youngest=youngest)
+        ]
 
     def _is_serving(self):
         return self._snapshot is not None and self._snapshot.running > 0
@@ -348,8 +368,6 @@
     def _state(self, now):
         seen = self._snapshot
         ready_at = self.upgrade.ready_at(now)
-        link_delay = int(self.entry_links.link.delay(now) * 1000)
-        age = self._newest_age_ms(now)
         state = EngineState(
             endpoint_address=self.settings.engine_address,
             model=self.model,
@@ -357,9 +375,8 @@
             next_ready_ms=-1 if ready_at is None else int((ready_at - now) * 1000),
             loading=True,
             entry_hosts=len(self.entry_links),
-            link_delay_ms=link_delay,
-            # Older by the time that this message may wait on the way.
-            next_version_age_ms=None if age is None else age + link_delay,
+            link_delay_ms=int(self._link_delay() * 1000),
+            declared=self._declared_ages(),
         )
         if seen is not None:
             state.weights_version = seen.version
--- a/hawthornspoke/spread/_upgrade.py
+++ b/hawthornspoke/spread/_upgrade.py
@@ -151,10 +151,11 @@
         self._held_at_by_version = {}
 
     def on_named(self, message, *, now):
-        """Take a declaration, or an earlier moment of the newest one.
+        """Take a declaration, or a better moment of the newest one.
 
-        Entry hosts tell of it one after the other, and one that has just started
-        does not know when it was.
+        Entry hosts tell of it one after the other. One that has just started does
+        not know when it was, and one that was cut off only that it was not before
+        it was; so the latest moment tells most.
         """
         if self._named and message.version <= self._named[-1].version:
             self._date_newest(message)
@@ -195,12 +196,6 @@
         """Return the newest version named, None if none was."""
         return self._named[-1].version if self._named else None
 
-    def age_of_newest(self, now):
-        """Return the seconds since the newest version was named, None if unknown."""
-        if not self._named or not self._named[-1].is_dated:
-            return None
-        return now - self._named[-1].at
-
     def ready_at(self, now):
         """Return when the next version is expected to be in use, None if unknown."""
         if not self._named:
@@ -247,7 +242,7 @@
         newest = self._named[-1]
         if message.version != newest.version or not message.is_dated:
             return
-        if not newest.is_dated or message.at < newest.at:
+        if not newest.is_dated or message.at > newest.at:
             self._named[-1] = message
 
     def _is_dropped(self, place):
--- a/hawthornspoke/spread/tests/test_agents.py
+++ b/hawthornspoke/spread/tests/test_agents.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from hawthornspoke.base import digest_of, monotonic
+from hawthornspoke.base import digest_of
 from hawthornspoke.catalog import EndpointEntry, EngineProfile
 from hawthornspoke.peering import connect, directive, peer_endpoints
 from hawthornspoke.protocol import Frame
@@ -333,8 +333,9 @@
         async with asyncio.timeout(2.0):
             while not states:
                 await asyncio.sleep(0.02)
-        assert states[0].next_version == 1
-        assert 2000 <= states[0].next_version_age_ms < 4000
+        (declared,) = states[0].declared
+        assert declared.version == 1
+        assert 2000 <= declared.age_ms < 4000
 
     play(scenario, count=1)
 
@@ -345,10 +346,11 @@
         await asyncio.sleep(0.2)
         agent = hosts.agents[0]
         assert agent.upgrade.next_version() == 1
-        assert agent.upgrade.age_of_newest(0.0) is None
+        assert agent._declared_ages() == []
         await hosts.name(1, age=3.0)
         await asyncio.sleep(0.2)
-        assert agent.upgrade.age_of_newest(monotonic()) >= 3.0
+        (declared,) = agent._declared_ages()
+        assert declared.age_ms >= 3000
 
     play(scenario, count=1)
 
--- a/idl/hawthornspoke.thrift
+++ b/idl/hawthornspoke.thrift
@@ -188,6 +188,12 @@
 }
 
 // State of an agent's engine as read on its own host a moment ago.
+// A declared version, and how long ago that was at the most.
+struct DeclaredAge {
+  1: optional i64 version,
+  2: optional i64 age_ms,
+}
+
 struct EngineState {
   1: optional string endpoint_address,
   2: optional string model,
@@ -205,8 +211,8 @@
   12: optional i32 entry_hosts,
   // Milliseconds by which messages over the host's link are late, there and back.
   13: optional i32 link_delay_ms,
-  // Milliseconds since the next version was declared, as far as the agent was told.
-  14: optional i64 next_version_age_ms,
+  // Versions that were declared lately, as far as the agent was told.
+  14: optional list<DeclaredAge> declared,
 }
 
 struct HoldingsAsk {
