Failing tests: one row of another writer stops or blinds a process

Cause, as read: a row that can't be decoded fails the whole answer of the store; fields are taken as they come, so that some pass and others raise what nobody catches; the task that reads the platform may end unseen; a neighbour's answer with a missing field ends the task that follows a table.

--- /dev/null
+++ b/hawthornspoke/relay/tests/test_reading.py
@@ -0,0 +1,61 @@
+"""What becomes of an entry host whose reader of the platform ends."""
+
+import asyncio
+
+from hawthornspoke.relay import Relay, RelaySettings
+
+
+class FailingSource:
+    """Ends with an error at first, later without one, and then goes on."""
+
+    def __init__(self):
+        self.runs = 0
+
+    async def run(self, relay, neighbours):
+        self.runs += 1
+        if self.runs == 1:
+            raise AttributeError("'int' object has no attribute 'rpartition'")
+        if self.runs > 2:
+            await asyncio.Event().wait()
+
+
+def test_reader_that_ends_is_told_and_begun_again():
+    """A host served on with a configuration that never changed.
+
+    Symptom: new routes unknown, revoked keys refused only when the contact ran out,
+    and no line that says why.
+    Events: the task that reads the platform ends with an error that nobody expected;
+    its result is looked at by nobody, as it was to run until the end.
+    Cause: nothing waited for that task.
+    """
+
+    async def scenario():
+        source = FailingSource()
+        relay = Relay(
+            settings=RelaySettings(
+                node="n",
+                failure_domain="a",
+                front="127.0.0.1:0",
+                ready="127.0.0.1:0",
+                operator_port=0,
+                agent_port=0,
+            ),
+            source=source,
+        )
+        lines = []
+        relay.log.change = lambda event, **fields: lines.append((event, fields))
+        running = asyncio.create_task(relay.run())
+        try:
+            async with asyncio.timeout(5.0):
+                while source.runs < 3:
+                    await asyncio.sleep(0.02)
+        finally:
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
+        ended = [fields for event, fields in lines if event == "task_ended"]
+        assert len(ended) == 2
+        assert ended[0]["task"] == "platform"
+        assert "rpartition" in ended[0]["error"]
+        assert relay.metrics.value("tasks_ended_total", task="platform") == 2
+
+    asyncio.run(scenario())
