One row of another writer takes nothing else with it, and is told once

Ruled out: catching more kinds of errors round whole answers, which keeps one row failing all others. A neighbour's answer that can't be read counts as none. A task of the entry host that ends is told, counted and begun again; the platform's word counts as confirmed only once it was taken, so that a host whose reader fails stops trusting keys.

--- a/hawthornspoke/mirror/_neighbours.py
+++ b/hawthornspoke/mirror/_neighbours.py
@@ -4,7 +4,7 @@
 import copy
 import zlib
 
-from hawthornspoke.base import contact_clock, is_failure, monotonic
+from hawthornspoke.base import Failure, contact_clock, is_failure, monotonic
 from hawthornspoke.mirror._readers import NeighboursTold, ReaderFailed, Readers
 from hawthornspoke.mirror._types import NOT_READING, News, Row
 from hawthornspoke.peering import connect, listen
@@ -32,6 +32,12 @@
 #: Least effort: 2 ms for 100 KB, and a tenth larger than with the default.
 COMPRESS_LEVEL = 1
 
+#: Bytes of the largest row, unpacked: the platform sends 1 MB in one answer.
+MOST_ROW_BYTES = 4 * 1024 * 1024
+
+#: The answer of a neighbour that can't be read.
+UNREADABLE = Failure(code="neighbour_unreadable")
+
 
 class Neighbours:
     """Connections to the other entry hosts of the own failure domain.
@@ -69,13 +75,15 @@
         self._packed_by_row = {}
 
     async def serve(self, watch):
-        """Answer neighbours with what a watch has read.
+        """Answer neighbours with what a watch has read, from now on this one.
 
         Parameters
         ----------
         watch : Watch
         """
         self._watch = watch
+        if self._server is not None:
+            return
         self._server = await listen(
             self._address,
             self._port,
@@ -126,19 +134,13 @@
         """
         asked_at = contact_clock()
         answer = await self._ask(address, table, after, wait)
+        if not is_failure(answer) and not _is_readable(answer):
+            answer = UNREADABLE.because("a field is missing or can't be unpacked")
         if is_failure(answer):
             self._log.change("neighbour_failed", peer=address, reason=answer.reason)
             self.readers.step(ReaderFailed(address=address), now=monotonic())
             return answer
-        # What the neighbour knew when it answered was confirmed `age` before; it
-        # answered no sooner than it had held the question.
-        answered_at = asked_at + answer.held_ms / 1000
-        return News(
-            rows=[_unpacked(row, answered_at) for row in answer.rows or ()],
-            revision=answer.up_to or 0,
-            whole=bool(answer.whole),
-            confirmed_at=min(answered_at - answer.age_ms / 1000, contact_clock()),
-        )
+        return _news(answer, asked_at)
 
     async def _ask(self, address, table, after, wait):
         link = self._link_by_address.get(address)
@@ -175,7 +177,10 @@
             del self._link_by_address[address]
 
     def _on_frame(self, link, frame):
-        if frame.table_ask is None or frame.call is None:
+        ask = frame.table_ask
+        if ask is None or frame.call is None:
+            return
+        if None in (ask.table, ask.after, ask.wait_ms):
             return
         task = asyncio.get_running_loop().create_task(self._answer(link, frame))
         self._tasks.add(task)
@@ -246,11 +251,47 @@
         return packed
 
 
-def _unpacked(row, answered_at):
-    data = row.data
+def _is_readable(answer):
+    """Tell whether a neighbour's answer is whole; unpacks its rows in place.
+
+    An error here would end the task that follows the table, and with it all that
+    this host hears; a neighbour that is not believed is only passed over.
+    """
+    if None in (answer.up_to, answer.held_ms, answer.age_ms):
+        return False
+    return all(_unpack(row) for row in answer.rows or ())
+
+
+def _unpack(row):
+    if row.key is None or row.row_revision is None:
+        return False
+    if row.data is None or not row.compressed:
+        return True
+    unpacking = zlib.decompressobj()
+    try:
+        row.data = unpacking.decompress(row.data, MOST_ROW_BYTES)
+    except zlib.error:
+        return False
+    return unpacking.eof
+
+
+def _news(answer, asked_at):
+    """Return what a neighbour's answer says, its ages counted from the question."""
+    # What the neighbour knew when it answered was confirmed `age` before; it
+    # answered no sooner than it had held the question.
+    answered_at = asked_at + answer.held_ms / 1000
+    return News(
+        rows=[_row(row, answered_at) for row in answer.rows or ()],
+        revision=answer.up_to,
+        whole=bool(answer.whole),
+        confirmed_at=min(answered_at - answer.age_ms / 1000, contact_clock()),
+    )
+
+
+def _row(row, answered_at):
     written_at = float("-inf")
     if row.written_age_ms is not None:
         written_at = answered_at - row.written_age_ms / 1000
-    if data is not None and row.compressed:
-        data = zlib.decompress(data)
-    return Row(key=row.key, data=data, revision=row.row_revision, written_at=written_at)
+    return Row(
+        key=row.key, data=row.data, revision=row.row_revision, written_at=written_at
+    )
--- a/hawthornspoke/mirror/_watch.py
+++ b/hawthornspoke/mirror/_watch.py
@@ -125,7 +125,11 @@
         ----------
         tables : iterable of Table
         """
-        await asyncio.gather(*(self._follow(table) for table in tables))
+        # A group, so that where one ends with an error the others end as well: left
+        # over they would go on telling of a mirror that nobody keeps any more.
+        async with asyncio.TaskGroup() as group:
+            for table in tables:
+                group.create_task(self._follow(table))
 
     async def _follow(self, table):
         revision = None
@@ -158,6 +162,10 @@
             news.rows = list({row.key: row for row in news.rows}.values())
             self.mirror.take(table.name, news)
             table.take(news)
+            if table.confirms:
+                # Only now: keys are trusted by this moment, and a configuration that
+                # could not be taken must not pass for one that is in force.
+                self._confirm(news.confirmed_at)
             revision = max(revision or 0, news.revision)
             newest = max((row.revision for row in news.rows), default=0)
             if newest <= seen:
@@ -179,7 +187,6 @@
         self._known_until_by_table[table.name] = news.confirmed_at
         if table.confirms:
             self._due_at = float("-inf")
-            self._confirm(news.confirmed_at)
         return news
 
     async def _ask_store(self, table, revision, failed, in_a_storm):
@@ -203,9 +210,9 @@
         held = wait if not news.rows else 0.0
         now = contact_clock()
         confirmed_at = min(asked_at + held, now)
+        news.confirmed_at = confirmed_at
         self._date(table, news, asked_at, confirmed_at)
         if table.confirms:
-            self._confirm(confirmed_at)
             self._due_at = now + table.pause + table.wait + OVERDUE_LARGE
         return news
 
--- a/hawthornspoke/protocol/_codec.py
+++ b/hawthornspoke/protocol/_codec.py
@@ -6,13 +6,20 @@
 )
 from thrift.transport.TTransport import TMemoryBuffer
 
+#: Items of the longest list or map: members and endpoints are some thousands. The
+#: decoder makes room for as many as a message claims before it reads one, so that
+#: eight bytes of a stranger could ask for 16 GB.
+MOST_ITEMS = 100_000
+
 
 def _factory():
     try:
         import thrift.protocol.fastbinary  # noqa: F401
     except ImportError:
-        return TCompactProtocolFactory()
-    return TCompactProtocolAcceleratedFactory(fallback=True)
+        return TCompactProtocolFactory(container_length_limit=MOST_ITEMS)
+    return TCompactProtocolAcceleratedFactory(
+        container_length_limit=MOST_ITEMS, fallback=True
+    )
 
 
 PROTOCOL_FACTORY = _factory()
--- a/hawthornspoke/relay/_process.py
+++ b/hawthornspoke/relay/_process.py
@@ -1,6 +1,7 @@
 """The entry host's process on one event loop: sockets, signals, what is believed."""
 
 import asyncio
+import random
 import signal
 
 from hawthornspoke.base import contact_clock, monotonic
@@ -47,6 +48,10 @@
 #: Seconds between two lines of counters in the log.
 SUMMARY_EVERY = 10.0
 
+#: Seconds, drawn at random between these, after which a task that ended is begun
+#: again: what ended it may be there still, and may have ended it on all hosts.
+BEGIN_AGAIN_PAUSE = (0.3, 0.9)
+
 #: Seconds given to the log's writer at the end.
 FLUSH_TIME = 0.2
 
@@ -158,9 +163,9 @@
         for server in (self.ready, self.front, self.operator):
             await server.start()
         tasks = [
-            loop.create_task(self.source.run(self, self.neighbours)),
-            loop.create_task(self._housekeeping()),
-            loop.create_task(self._summaries()),
+            loop.create_task(self._keep("platform", self._read_platform)),
+            loop.create_task(self._keep("housekeeping", self._housekeeping)),
+            loop.create_task(self._keep("summaries", self._summaries)),
         ]
         self.log.change("started", role="entry", failure_domain=self._domain)
         try:
@@ -412,6 +417,28 @@
         if not self._stopped.done():
             self._stopped.set_result(None)
 
+    async def _keep(self, name, work):
+        """Run a task that is not to end, and begin it again if it does.
+
+        A task that ended unseen would leave a host that serves on with what it
+        believed then. Ending the process instead would cut all streams that callers
+        read through it, and the next process would read the same rows. Meanwhile the
+        platform's word gets older, so that the host stops trusting keys and reports
+        itself not ready, as when the platform can't be reached.
+        """
+        while True:
+            try:
+                await work()
+                error = "it returned"
+            except Exception as raised:
+                error = repr(raised)
+            self.metrics.count("tasks_ended_total", task=name)
+            self.log.change("task_ended", task=name, error=error)
+            await asyncio.sleep(random.uniform(*BEGIN_AGAIN_PAUSE))
+
+    async def _read_platform(self):
+        await self.source.run(self, self.neighbours)
+
     async def _housekeeping(self):
         reader = self.neighbours.reader()
         while True:
--- a/hawthornspoke/relay/tests/test_reading.py
+++ b/hawthornspoke/relay/tests/test_reading.py
@@ -19,6 +19,19 @@
             await asyncio.Event().wait()
 
 
+class Log:
+    """Keeps lines."""
+
+    def __init__(self):
+        self.lines = []
+
+    def change(self, event, **fields):
+        self.lines.append((event, fields))
+
+    def flush(self, deadline):
+        pass
+
+
 def test_reader_that_ends_is_told_and_begun_again():
     """A host served on with a configuration that never changed.
 
@@ -42,8 +55,7 @@
             ),
             source=source,
         )
-        lines = []
-        relay.log.change = lambda event, **fields: lines.append((event, fields))
+        log = relay.log = Log()
         running = asyncio.create_task(relay.run())
         try:
             async with asyncio.timeout(5.0):
@@ -52,7 +64,7 @@
         finally:
             running.cancel()
             await asyncio.gather(running, return_exceptions=True)
-        ended = [fields for event, fields in lines if event == "task_ended"]
+        ended = [fields for event, fields in log.lines if event == "task_ended"]
         assert len(ended) == 2
         assert ended[0]["task"] == "platform"
         assert "rpartition" in ended[0]["error"]
