Messages with anything in them raise nothing, and an odd entry moves no agent

Cause: the fuzz test of agents' messages and one test of its own found that an entry of another writer at the address of an agent's engine, in another failure domain, made the agent look for itself in vain and end; that a question without a number, a directive with fields missing, or a pace that is no number raised or spoiled comparisons. Change: an agent knows its own place from its settings; such messages are passed over.

--- a/hawthornspoke/peering/__init__.py
+++ b/hawthornspoke/peering/__init__.py
@@ -1,7 +1,12 @@
 """Connections between entry hosts and agents: Thrift frames on the event loop."""
 
 from hawthornspoke.peering._connection import CLOSED, PeerConnection, connect, listen
-from hawthornspoke.peering._directive import FIRST_VERSION, directive, peer_endpoints
+from hawthornspoke.peering._directive import (
+    FIRST_VERSION,
+    directive,
+    is_usable,
+    peer_endpoints,
+)
 
 __all__ = [
     "CLOSED",
@@ -9,6 +14,7 @@
     "PeerConnection",
     "connect",
     "directive",
+    "is_usable",
     "listen",
     "peer_endpoints",
 ]
--- a/hawthornspoke/peering/_connection.py
+++ b/hawthornspoke/peering/_connection.py
@@ -27,6 +27,15 @@
 
 CLOSED = Failure(code="peer_closed")
 
+#: Fields of a frame that ask for an answer.
+QUESTIONS = (
+    "chunk_ask",
+    "directive_ask",
+    "holdings_ask",
+    "manifest_ask",
+    "table_ask",
+)
+
 
 class PeerConnection(asyncio.Protocol):
     """One connection that carries frames both ways.
@@ -171,9 +180,17 @@
             if waiter is not None and not waiter.done():
                 waiter.set_result(frame)
             return
+        if frame.call is None and _is_question(frame):
+            # Its answer could not be told from others. Making one all the same would
+            # raise, and end the connection with all that waits on it.
+            return
         self.on_frame(self, frame)
 
 
+def _is_question(frame):
+    return any(getattr(frame, name) is not None for name in QUESTIONS)
+
+
 async def connect(address, port, *, on_frame, on_closed, timeout):
     """Connect to a peer.
 
@@ -196,7 +213,8 @@
     try:
         async with asyncio.timeout(timeout):
             _, connection = await opening
-    except (OSError, TimeoutError) as error:
+    except (OSError, TimeoutError, ValueError) as error:
+        # ValueError: what should be an address is no name either.
         return CLOSED.because(f"{address}:{port}: {error or type(error).__name__}")
     return connection
 
--- a/hawthornspoke/peering/_directive.py
+++ b/hawthornspoke/peering/_directive.py
@@ -62,3 +62,32 @@
         )
         for entry in entries
     ]
+
+
+def is_usable(directive):
+    """Tell whether an agent can act on a directive.
+
+    Parameters
+    ----------
+    directive : Directive
+        Without ``peers`` only the version is news.
+
+    Returns
+    -------
+    bool
+    """
+    if directive.weights_version is None:
+        return False
+    if directive.peers is None:
+        return True
+    needed = (
+        directive.model,
+        directive.pieces,
+        directive.piece_bytes,
+        directive.version_bound_ms,
+    )
+    if None in needed:
+        return False
+    return not any(
+        None in (peer.address, peer.failure_domain) for peer in directive.peers
+    )
--- /dev/null
+++ b/hawthornspoke/protocol/tests/structs.py
@@ -0,0 +1,32 @@
+"""Thrift structs with anything in them."""
+
+from hypothesis import strategies as st
+from thrift.Thrift import TType
+
+SCALARS = {
+    TType.BOOL: st.booleans(),
+    TType.I32: st.integers(-(2**31), 2**31 - 1),
+    TType.I64: st.integers(-(2**63), 2**63 - 1),
+    TType.DOUBLE: st.floats(),
+}
+
+
+def structs(kind):
+    """Return Thrift structs of a kind, with any fields left out."""
+    fields = {
+        spec[2]: st.one_of(st.none(), _values(spec[1], spec[3]))
+        for spec in kind.thrift_spec
+        if spec is not None
+    }
+    return st.builds(kind, **fields)
+
+
+def _values(code, detail):
+    if code in SCALARS:
+        return SCALARS[code]
+    if code == TType.STRING:
+        binary = detail == "BINARY"
+        return st.binary(max_size=6) if binary else st.text(max_size=6)
+    if code == TType.LIST:
+        return st.lists(_values(detail[0], detail[1]), max_size=2)
+    return structs(detail[0])
--- a/hawthornspoke/relay/_agents.py
+++ b/hawthornspoke/relay/_agents.py
@@ -1,6 +1,7 @@
 """Links from an entry host to the agents beside engines."""
 
 import asyncio
+import math
 import random
 
 from hawthornspoke.base import Failure, contact_clock, monotonic
@@ -158,7 +159,7 @@
             weights_version=state.weights_version or None,
             layers=layers,
             loading=bool(state.loading),
-            pace=state.pace or 1.0,
+            pace=_pace(state.pace),
             next_version=state.next_version or None,
             next_ready_at=ready_at,
             model=state.model or "",
@@ -168,6 +169,16 @@
         self._fleet.step(report, now=now)
 
 
+def _pace(told):
+    """Return how many times slower than usual an engine is, 1 if that is unknown.
+
+    Compared with a time that is no number nothing is sooner or later, and requests
+    would be placed, or refused, at random.
+    """
+    is_known = told is not None and math.isfinite(told) and told > 0
+    return told if is_known else 1.0
+
+
 def _what_matters(directive):
     peers = directive.peers
     if peers is not None:
--- /dev/null
+++ b/hawthornspoke/relay/tests/test_agent_frames.py
@@ -0,0 +1,68 @@
+"""Messages of agents with anything in them, at an entry host."""
+
+from hypothesis import given, settings
+
+from hawthornspoke.catalog import EndpointEntry, Service
+from hawthornspoke.placing import Ask, CatalogChanged, EndpointsListed, Fleet, Place
+from hawthornspoke.protocol import EngineState, Frame
+from hawthornspoke.protocol.tests.structs import structs
+from hawthornspoke.relay._agents import AgentLinks
+from hawthornspoke.relay.tests.endpoint import ENGINE
+
+ADDRESSES = ("10.0.0.1:80", "10.0.0.2:80")
+
+
+class Link:
+    """Takes frames."""
+
+    def send(self, frame):
+        return True
+
+
+def links():
+    """Return an entry host's links and its fleet of two engines."""
+    fleet = Fleet(failure_domain="a")
+    entries = tuple(
+        EndpointEntry(
+            endpoint_id=address,
+            service="s",
+            address=address,
+            failure_domain="a",
+            slots=4,
+            weights_version=1,
+            layers=(0, 16),
+        )
+        for address in ADDRESSES
+    )
+    service = Service(name="s", engine=ENGINE)
+    fleet.step(CatalogChanged(service_by_name={"s": service}), now=0.0)
+    fleet.step(
+        EndpointsListed(entries=entries, contact_regained_at=float("-inf")), now=0.0
+    )
+    made = AgentLinks(
+        port=7700,
+        fleet=fleet,
+        log=None,
+        directive_for=lambda address: None,
+        on_entry_hosts=lambda agent, addresses: None,
+    )
+    return made, fleet
+
+
+@settings(max_examples=200, deadline=None)
+@given(structs(Frame))
+def test_odd_word_of_one_agent_leaves_the_other_engine(frame):
+    made, fleet = links()
+    made._take(ADDRESSES[0], Link(), frame)
+    ask = Ask(service="s", prompt_tokens=10, tried=(ADDRESSES[0],))
+    (answer,) = fleet.step(ask, now=0.1)
+    assert isinstance(answer, Place)
+    assert answer.endpoint_id == ADDRESSES[1]
+
+
+def test_pace_that_is_no_number_counts_as_usual():
+    made, fleet = links()
+    for pace in (float("nan"), float("inf"), -1.0):
+        state = EngineState(running=0, waiting=0, pace=pace, weights_version=1)
+        made._take(ADDRESSES[0], Link(), Frame(engine_state=state))
+        assert fleet.endpoint_by_id[ADDRESSES[0]].pace == 1.0
--- a/hawthornspoke/spread/_process.py
+++ b/hawthornspoke/spread/_process.py
@@ -9,7 +9,7 @@
 from hawthornspoke.events import EventLog
 from hawthornspoke.httpio import HttpServer, OperatorPort
 from hawthornspoke.metrics import Metrics
-from hawthornspoke.peering import listen
+from hawthornspoke.peering import is_usable, listen
 from hawthornspoke.protocol import DirectiveAsk, EngineState, Frame
 from hawthornspoke.spread._entry_links import EntryLinks
 from hawthornspoke.spread._exchange import Exchange, Peer
@@ -194,6 +194,9 @@
             self.exchange.on_frame(link, frame)
 
     def _on_directive(self, link, directive):
+        if not is_usable(directive):
+            self.log.change("directive_unusable", directive=str(directive)[:200])
+            return
         self.entry_links.take(link, directive)
         if directive.peers is not None:
             self._take_directive(directive)
@@ -236,14 +239,13 @@
             for peer in peers
             if not peer.leaving or peer.address == self.settings.engine_address
         }
+        # Whatever the list says at this address: an entry of another writer may put it
+        # into another failure domain, and this host would not be among its own.
         own = self.settings.engine_address
-        by_name.setdefault(
-            own,
-            Peer(
-                failure_domain=self.settings.failure_domain,
-                address=self.settings.ip,
-                port=self.settings.port,
-            ),
+        by_name[own] = Peer(
+            failure_domain=self.settings.failure_domain,
+            address=self.settings.ip,
+            port=self.settings.port,
         )
         neighbours = sorted(
             name
@@ -298,6 +300,8 @@
         if is_failure(answer) or answer.directive is None or self._directive:
             return self._directive is not None
         answer.directive.peers = peers
+        if not is_usable(answer.directive):
+            return False
         self.log.change("introduced", peer=peer.address)
         self._take_directive(answer.directive)
         return True
--- /dev/null
+++ b/hawthornspoke/spread/tests/test_frames.py
@@ -0,0 +1,136 @@
+"""Messages with anything in them, and lists with odd endpoints, at an agent."""
+
+import asyncio
+
+from hypothesis import given, settings
+
+from hawthornspoke.base import Failure
+from hawthornspoke.protocol import Directive, Frame, PeerEndpoint
+from hawthornspoke.protocol.tests.structs import structs
+from hawthornspoke.spread import Agent, SpreadSettings
+from hawthornspoke.spread._stock import Weights
+
+OWN = "127.0.0.2:1"
+DOWN = Failure(code="down")
+
+
+class Origin:
+    """Has nothing."""
+
+    async def manifest(self, address, model, version):
+        return DOWN
+
+    async def piece(self, address, model, version, index):
+        return DOWN
+
+
+class Link:
+    """Takes frames."""
+
+    address = "127.0.0.9"
+    is_open = True
+
+    def send(self, frame):
+        return True
+
+    def write(self, data):
+        pass
+
+    def unsent(self):
+        return 0
+
+    @staticmethod
+    def encode(frame):
+        return b""
+
+
+def directive(*peers):
+    """Return what an entry host tells."""
+    return Directive(
+        model="m",
+        weights_version=2,
+        age_ms=0,
+        peers=list(peers),
+        pieces=4,
+        piece_bytes=10,
+        layers=4,
+        version_bound_ms=8000,
+        failure_domain="a",
+        load_time=0.1,
+    )
+
+
+async def agent():
+    """Return an agent that gets a version of four pieces."""
+    made = Agent(
+        settings=SpreadSettings(
+            node="n",
+            failure_domain="a",
+            region_by_failure_domain={"a": "r"},
+            ip="127.0.0.2",
+            engine_address=OWN,
+            link_rate=1_000_000,
+            port=7750,
+            operator_port=7751,
+        ),
+        engine=None,
+        origin=Origin(),
+        read_alone=None,
+    )
+    made._on_frame(Link(), Frame(directive=directive()))
+    made.exchange.want(
+        Weights(model="m", version=2, digests=("00" * 32,) * 4), priority=0
+    )
+    return made
+
+
+def test_no_message_raises():
+    with asyncio.Runner() as runner:
+        made = runner.run(agent())
+
+        @settings(max_examples=200, deadline=None)
+        @given(structs(Frame))
+        def check(frame):
+            if frame.call is None:
+                # A connection hands on no question without a number.
+                frame = Frame(
+                    announce=frame.announce,
+                    directive=frame.directive,
+                    engine_state=frame.engine_state,
+                    entry_hosts=frame.entry_hosts,
+                )
+            runner.run(feed(made, frame))
+
+        check()
+        runner.run(close(made))
+
+
+async def feed(made, frame):
+    """Hand a message to an agent."""
+    made._on_frame(Link(), frame)
+
+
+async def close(made):
+    """End what an agent began."""
+    for task in made._tasks.values():
+        task.cancel()
+    made.exchange.close()
+
+
+def test_entry_of_another_writer_at_the_own_address_moves_no_agent():
+    """An agent ended again and again, or lost all its entry hosts.
+
+    Events: another writer lists an endpoint at the address of an agent's engine, in
+    another failure domain. The agent looks for itself among the hosts of its own and
+    isn't there. Cause: the list's word on this host went before its own settings.
+    """
+
+    async def scenario():
+        made = await agent()
+        odd = PeerEndpoint(address=OWN, failure_domain="elsewhere")
+        good = PeerEndpoint(address="127.0.0.3:1", failure_domain="a")
+        made._on_frame(Link(), Frame(directive=directive(odd, good)))
+        assert set(made.exchange.region_nodes()) == {OWN, "127.0.0.3:1"}
+        await close(made)
+
+    asyncio.run(scenario())
