--- a/hawthornspoke/peering/__init__.py
+++ b/hawthornspoke/peering/__init__.py
@@ -1,13 +1,14 @@
 """Connections between entry hosts and agents: Thrift frames on the event loop."""
 
 from hawthornspoke.peering._connection import CLOSED, PeerConnection, connect, listen
-from hawthornspoke.peering._directive import directive, peer_endpoints
+from hawthornspoke.peering._directive import directive, is_usable, peer_endpoints
 
 __all__ = [
     "CLOSED",
     "PeerConnection",
     "connect",
     "directive",
+    "is_usable",
     "listen",
     "peer_endpoints",
 ]
