A start of an endpoint is told, remembered and compared in one place

Cause: an id may come again with a new start. Load, failures, avoidance, the agent's word and connections were kept by id or address, and a neighbour's old rows replaced newer ones. Ruled out: ordering starts by the time that they tell, since a clock may be put back. Change: catalog.Incarnation, decoded once; placing.Starts says which start holds; ends, loads and sends carry the start of their Place; the pool closes connections to another start; the mirror passes over rows older than the known.

--- a/hawthornspoke/catalog/_types.py
+++ b/hawthornspoke/catalog/_types.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from hawthornspoke.catalog._incarnation import UNKNOWN_START, Incarnation
+
 #: Kinds of repetition that a route allows.
 IDEMPOTENT = "idempotent"
 AT_MOST_ONCE = "at_most_once"
@@ -195,7 +197,7 @@
     Parameters
     ----------
     endpoint_id : str
-        New with each start of the endpoint.
+        The endpoint may start again under it.
     service : str
     address : str
         ``IP:PORT``.
@@ -207,6 +209,8 @@
         Of the weights it holds, None if none.
     layers : tuple of (int, int) or None
         First layer held, and the one after the last.
+    incarnation : Incarnation
+        The start that all of this is about.
     """
 
     endpoint_id: str
@@ -217,6 +221,7 @@
     leaving: bool = False
     weights_version: int | None = None
     layers: tuple | None = None
+    incarnation: Incarnation = UNKNOWN_START
 
     @property
     def ip(self):
--- a/hawthornspoke/httpio/_pool.py
+++ b/hawthornspoke/httpio/_pool.py
@@ -11,6 +11,16 @@
 )
 
 
+class _Idle:
+    """An idle connection and the start of the endpoint that it leads to."""
+
+    __slots__ = ("connection", "start")
+
+    def __init__(self, *, connection, start):
+        self.connection = connection
+        self.start = start
+
+
 class ConnectionPool:
     """Idle connections by key, the last used first.
 
@@ -30,7 +40,7 @@
         self.opened = 0
         self._idle_by_key = {}
 
-    async def acquire(self, key, address, *, fresh=False, timeout=None):
+    async def acquire(self, key, address, *, start=None, fresh=False, timeout=None):
         """Return a connection.
 
         Parameters
@@ -39,6 +49,10 @@
             Connections are shared only under one key: an address can pass to
             another endpoint.
         address : str
+        start : object, default=None
+            Which start of the endpoint is meant. Connections to others are closed:
+            one whose host lost power looks open, and a request that is sent on it
+            may have run for all that is known.
         fresh : bool, default=False
             Whether to open a new one in any case.
         timeout : float or None, default=None
@@ -48,10 +62,10 @@
         -------
         ClientConnection or Failure
         """
-        idle = self._idle_by_key.get(key)
+        idle = self._idle_at(key, start)
         now = monotonic()
         while idle and not fresh:
-            connection = idle.pop()
+            connection = idle.pop().connection
             if now < connection.idle_deadline and connection.transport is not None:
                 return connection
             connection.abort()
@@ -60,23 +74,35 @@
             address, timeout=timeout or self.connect_timeout, id_header=self.id_header
         )
 
-    def put_back(self, key, connection):
-        """Keep a connection whose answer is complete."""
+    def put_back(self, key, connection, *, start=None):
+        """Keep a connection whose answer is complete; see ``acquire``."""
         if connection.release():
-            self._idle_by_key.setdefault(key, []).append(connection)
+            kept = _Idle(connection=connection, start=start)
+            self._idle_by_key.setdefault(key, []).append(kept)
 
     def drop(self, key):
         """Close the idle connections of an endpoint that is gone."""
-        for connection in self._idle_by_key.pop(key, ()):
-            connection.abort()
+        for item in self._idle_by_key.pop(key, ()):
+            item.connection.abort()
 
     def sweep(self):
         """Close connections that are idle for too long to be used again."""
         now = monotonic()
         for idle in self._idle_by_key.values():
-            for connection in [item for item in idle if now >= item.idle_deadline]:
-                idle.remove(connection)
-                connection.abort()
+            over = [item for item in idle if now >= item.connection.idle_deadline]
+            for item in over:
+                idle.remove(item)
+                item.connection.abort()
+
+    def _idle_at(self, key, start):
+        """Return the idle connections to one start, and close those to others."""
+        idle = self._idle_by_key.get(key)
+        if not idle:
+            return idle
+        for item in [item for item in idle if item.start != start]:
+            idle.remove(item)
+            item.connection.abort()
+        return idle
 
     def close(self):
         """Close all idle connections."""
--- a/hawthornspoke/mirror/_tables.py
+++ b/hawthornspoke/mirror/_tables.py
@@ -16,6 +16,15 @@
         self.revision = 0
         self.complete_from = 0
 
+    def is_older(self, row):
+        """Tell whether a newer row of the same key is known."""
+        known = self.row_by_key.get(row.key)
+        return known is not None and row.revision < known.revision
+
+    def live_rows(self):
+        """Return the rows that were not removed."""
+        return [row for row in self.row_by_key.values() if row.data is not None]
+
 
 class Mirror:
     """Tables as this process last read them, with what was removed lately."""
@@ -26,12 +35,22 @@
         self._table_by_name = {}
 
     def take(self, name, news):
-        """Take what was read of a table.
+        """Take what was read of a table, but for rows that are older than the known.
+
+        Neighbours are asked in turn, and one that stood still, or was cut off, tells
+        what it knew before. Its older rows would bring an endpoint back that is gone
+        or has started again; one would notice requests to engines without weights.
 
         Parameters
         ----------
         name : str
         news : News
+
+        Returns
+        -------
+        News
+            What of it is to be believed, whole if ``news`` is: then with the known
+            rows in place of older ones.
         """
         table = self._table_by_name.get(name)
         if table is None:
@@ -41,14 +60,24 @@
         if news.whole:
             there = {row.key for row in news.rows}
             for key, row in list(table.row_by_key.items()):
-                if key not in there and row.data is not None:
+                is_removed = key not in there and row.data is not None
+                if is_removed and row.revision <= news.revision:
                     table.row_by_key[key] = Row(
                         key=key, data=None, revision=news.revision
                     )
-        for row in news.rows:
+        fresh = [row for row in news.rows if not table.is_older(row)]
+        for row in fresh:
             table.row_by_key[row.key] = row
         table.revision = max(table.revision, news.revision)
+        taken = table.live_rows() if news.whole else fresh
         self._forget_removed(table)
+        return News(
+            rows=taken,
+            revision=table.revision,
+            whole=news.whole,
+            confirmed_at=news.confirmed_at,
+            made_at=news.made_at,
+        )
 
     def date(self, name, news, known_until, held_since):
         """Note from when the rows of an answer of the platform may date.
@@ -92,8 +121,7 @@
             return None
         rows = table.row_by_key.values()
         if after is None or after < table.complete_from:
-            kept = [row for row in rows if row.data is not None]
-            return News(rows=kept, revision=table.revision, whole=True)
+            return News(rows=table.live_rows(), revision=table.revision, whole=True)
         changed = [row for row in rows if row.revision > after]
         changed.sort(key=lambda row: row.revision)
         return News(rows=changed, revision=table.revision)
--- a/hawthornspoke/mirror/_watch.py
+++ b/hawthornspoke/mirror/_watch.py
@@ -156,7 +156,7 @@
             failed = False
             # A feed tells of every version of a row.
             news.rows = list({row.key: row for row in news.rows}.values())
-            self.mirror.take(table.name, news)
+            news = self.mirror.take(table.name, news)
             table.take(news)
             revision = max(revision or 0, news.revision)
             newest = max((row.revision for row in news.rows), default=0)
--- a/hawthornspoke/placing/_endpoint.py
+++ b/hawthornspoke/placing/_endpoint.py
@@ -1,5 +1,7 @@
 """What one entry host believes of one endpoint."""
 
+from hawthornspoke.placing._starts import Starts
+
 #: Weight of the newest outcome in the failure rate. Five outcomes in a row move it
 #: from 0 to two thirds: soon enough for an endpoint that gets several requests a
 #: second, and one failure by chance moves it by a fifth only.
@@ -15,6 +17,10 @@
 class Endpoint:
     """An endpoint, its reported load and what became of requests sent there.
 
+    All but the two words on it (``entry`` and ``state``) is of one start. A new
+    start under the same id has no requests and no failures: with those of the one
+    before it would be left alone, or filled beyond its slots.
+
     Parameters
     ----------
     entry : EndpointEntry
@@ -30,6 +36,8 @@
         "sent_since_report",
         "state",
         "heard_at",
+        "_starts",
+        "_has_restarted",
         "failure_rate",
         "avoid_deadline",
         "avoided",
@@ -40,17 +48,103 @@
         self.entry = entry
         self.gone = False
         self.doubtful_deadline = 0.0
+        self.state = None
+        self.heard_at = 0.0
+        self._starts = Starts()
+        self._starts.hear_list(entry.incarnation)
+        self._has_restarted = False
+        self._forget()
+
+    def _forget(self):
+        """Begin with nothing, as a new start does."""
         self.own_running = 0
         self.reported_load = 0
         self.reported_at = None
         self.sent_since_report = 0
-        self.state = None
-        self.heard_at = 0.0
         self.failure_rate = 0.0
         self.avoid_deadline = 0.0
         self.avoided = 0
         self.answer_time = ASSUMED_ANSWER_TIME
 
+    @property
+    def incarnation(self):
+        """The start that holds; what is remembered is of this one."""
+        return self._starts.current
+
+    def take_entry(self, entry):
+        """Take the platform's word.
+
+        Parameters
+        ----------
+        entry : EndpointEntry
+        """
+        if entry.address != self.entry.address:
+            # The word is of what is at the other address.
+            self.state = None
+        self.entry = entry
+        self.gone = False
+        self._take_start(self._starts.hear_list(entry.incarnation))
+
+    def take_state(self, state, now):
+        """Take an agent's word.
+
+        Parameters
+        ----------
+        state : EngineReported
+        now : float
+        """
+        self.state = state
+        self.heard_at = now
+        self._take_start(self._starts.hear_agent(state.incarnation))
+        if self.is_about(state.incarnation):
+            self.report(state.load, now)
+
+    def is_about(self, incarnation):
+        """Tell whether a word is about the start that holds.
+
+        Parameters
+        ----------
+        incarnation : Incarnation
+
+        Returns
+        -------
+        bool
+        """
+        return not self.incarnation.differs_from(incarnation)
+
+    def was_sent_to(self, incarnation):
+        """Tell whether a request was sent to the start that holds.
+
+        Parameters
+        ----------
+        incarnation : Incarnation
+            That of its Place; unknown if no start had been told by then. One that
+            was told since and replaced by another is over with its requests.
+
+        Returns
+        -------
+        bool
+        """
+        if not incarnation.is_known and self._has_restarted:
+            return False
+        return self.is_about(incarnation)
+
+    def _take_start(self, is_new):
+        if is_new:
+            self._has_restarted = True
+            self._forget()
+
+    @property
+    def agent_word(self):
+        """The agent's word if it is about the start that holds, else None."""
+        if self.state is None or not self.is_about(self.state.incarnation):
+            return None
+        return self.state
+
+    @property
+    def _list_holds(self):
+        return self.is_about(self.entry.incarnation)
+
     @property
     def load(self):
         """Requests that are there: reported, and sent by this host since."""
@@ -59,26 +153,30 @@
     @property
     def weights_version(self):
         """Version held, by the agent's word before the platform's list."""
-        if self.state is not None:
-            return self.state.weights_version
-        return self.entry.weights_version
+        word = self.agent_word
+        if word is not None:
+            return word.weights_version
+        return self.entry.weights_version if self._list_holds else None
 
     @property
     def layers(self):
         """Layers held, by the agent's word before the platform's list."""
-        if self.state is not None:
-            return self.state.layers
-        return self.entry.layers
+        word = self.agent_word
+        if word is not None:
+            return word.layers
+        return self.entry.layers if self._list_holds else None
 
     @property
     def loading(self):
         """Whether it is taking up new weights and starts nothing else."""
-        return self.state is not None and self.state.loading
+        word = self.agent_word
+        return word is not None and word.loading
 
     @property
     def pace(self):
         """How many times slower than usual its engine works."""
-        return self.state.pace if self.state is not None else 1.0
+        word = self.agent_word
+        return word.pace if word is not None else 1.0
 
     @property
     def link_delay(self):
@@ -87,7 +185,7 @@
 
     def accepts(self, now):
         """Tell whether new requests may go there as far as the list says."""
-        if self.entry.leaving:
+        if self.entry.leaving and self._list_holds:
             return False
         return not self.gone or now < self.doubtful_deadline
 
--- a/hawthornspoke/placing/_fleet.py
+++ b/hawthornspoke/placing/_fleet.py
@@ -176,8 +176,7 @@
             if endpoint is None:
                 self.endpoint_by_id[endpoint_id] = Endpoint(entry=entry)
                 continue
-            endpoint.entry = entry
-            endpoint.gone = False
+            endpoint.take_entry(entry)
         lapsed = now < message.contact_regained_at + LAPSE_WINDOW
         for endpoint_id, endpoint in list(self.endpoint_by_id.items()):
             if endpoint_id in entry_by_id:
@@ -199,9 +198,7 @@
         """Take an agent's word."""
         endpoint = self._at(message.address)
         if endpoint is not None:
-            endpoint.state = message
-            endpoint.heard_at = now
-            endpoint.report(message.load, now)
+            endpoint.take_state(message, now)
         if message.next_declared_at is not None:
             self.declared.hear(
                 message.model, message.next_version, at=message.next_declared_at
@@ -222,7 +219,7 @@
 
     def on_sent(self, message, *, now):
         """Count a request that was sent."""
-        endpoint = self.endpoint_by_id.get(message.endpoint_id)
+        endpoint = self._sent_to(message)
         if endpoint is not None:
             endpoint.own_running += 1
             endpoint.sent_since_report += 1
@@ -230,14 +227,14 @@
 
     def on_load_seen(self, message, *, now):
         """Take the load that a response told."""
-        endpoint = self.endpoint_by_id.get(message.endpoint_id)
+        endpoint = self._sent_to(message)
         if endpoint is not None:
             endpoint.report(message.load, now)
         return []
 
     def on_finished(self, message, *, now):
         """Count what became of a request."""
-        endpoint = self.endpoint_by_id.get(message.endpoint_id)
+        endpoint = self._sent_to(message)
         if endpoint is None:
             return []
         if message.outcome != "unreachable":
@@ -311,6 +308,7 @@
                 endpoint_id: {
                     "service": endpoint.entry.service,
                     "address": endpoint.entry.address,
+                    "started_ms": endpoint.incarnation.started_ms,
                     "leaving": endpoint.entry.leaving,
                     "gone": endpoint.gone,
                     "load": endpoint.load,
@@ -338,6 +336,18 @@
     def _at(self, address):
         return self.endpoint_by_id.get(self._id_by_address.get(address))
 
+    def _sent_to(self, message):
+        """Return the endpoint that a request was sent to, None if it is over.
+
+        A request ends up to its deadline after the start that it was sent to. Were
+        it counted for the next one, that one would be avoided for failures of
+        before, and filled beyond its slots as if its own requests had ended.
+        """
+        endpoint = self.endpoint_by_id.get(message.endpoint_id)
+        if endpoint is None or not endpoint.was_sent_to(message.incarnation):
+            return None
+        return endpoint
+
     def _of_service(self, name):
         return [self.endpoint_by_id[key] for key in self._ids_by_service.get(name, ())]
 
@@ -512,13 +522,15 @@
             report_age=_age(endpoint, now),
             expected=expected,
             weights_version=endpoint.weights_version,
+            incarnation=endpoint.incarnation,
         )
 
     def _decline_for_weights(self, message, endpoints, now):
         times = [
-            endpoint.state.next_ready_at
+            endpoint.agent_word.next_ready_at
             for endpoint in endpoints
-            if endpoint.state is not None and endpoint.state.next_ready_at is not None
+            if endpoint.agent_word is not None
+            and endpoint.agent_word.next_ready_at is not None
         ]
         soonest = max(0.0, min(times) - now) if times else 1.0
         return self._decline(message, "no_weights", soonest)
--- a/hawthornspoke/placing/_messages.py
+++ b/hawthornspoke/placing/_messages.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from hawthornspoke.catalog import UNKNOWN_START, Incarnation
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class EndpointsListed:
@@ -70,6 +72,8 @@
         that goes on while the host is suspended.
     link_delay : float
         Seconds that a message there and back waits on the link of its host.
+    incarnation : Incarnation
+        The start that the word is about.
     """
 
     address: str
@@ -83,6 +87,7 @@
     model: str = ""
     next_declared_at: float | None = None
     link_delay: float = 0.0
+    incarnation: Incarnation = UNKNOWN_START
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -109,17 +114,34 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Sent:
-    """A request was sent to an endpoint."""
+    """A request was sent to an endpoint.
+
+    Parameters
+    ----------
+    endpoint_id : str
+    incarnation : Incarnation
+        The start that was chosen for it.
+    """
 
     endpoint_id: str
+    incarnation: Incarnation = UNKNOWN_START
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class LoadSeen:
-    """A response told the endpoint's load."""
+    """A response told the endpoint's load.
+
+    Parameters
+    ----------
+    endpoint_id : str
+    load : int
+    incarnation : Incarnation
+        The start that was chosen for the request.
+    """
 
     endpoint_id: str
     load: int
+    incarnation: Incarnation = UNKNOWN_START
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -136,11 +158,14 @@
         endpoint has the address) or ``"left"`` (the caller left).
     seconds : float or None
         Time of a whole answer.
+    incarnation : Incarnation
+        The start that was chosen for it.
     """
 
     endpoint_id: str
     outcome: str
     seconds: float | None = None
+    incarnation: Incarnation = UNKNOWN_START
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -195,6 +220,8 @@
     begin_deadline : float or None
         When it must have begun, since its weights are too old soon after; None if
         no newer ones are declared.
+    incarnation : Incarnation
+        The start of the endpoint that was chosen.
     """
 
     endpoint_id: str
@@ -204,6 +231,7 @@
     expected: float
     weights_version: int | None = None
     begin_deadline: float | None = None
+    incarnation: Incarnation = UNKNOWN_START
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/hawthornspoke/relay/_process.py
+++ b/hawthornspoke/relay/_process.py
@@ -223,6 +223,7 @@
                     endpoint=endpoint_id,
                     service=entry.service,
                     address=entry.address,
+                    started_ms=entry.incarnation.started_ms,
                     leaving=entry.leaving,
                     weights_version=entry.weights_version,
                     layers=entry.layers,
--- a/hawthornspoke/relay/_try.py
+++ b/hawthornspoke/relay/_try.py
@@ -59,7 +59,7 @@
             ``UNREACHABLE`` if no byte of the request has left.
         """
         connection = await self._pool.acquire(
-            self.place.endpoint_id, self.place.address
+            self.place.endpoint_id, self.place.address, start=self.place.incarnation
         )
         if isinstance(connection, Failure):
             self._end("unreachable")
@@ -77,7 +77,9 @@
             body=request.body,
         )
         self.sent_at = monotonic()
-        self._tell(Sent(endpoint_id=self.place.endpoint_id))
+        self._tell(
+            Sent(endpoint_id=self.place.endpoint_id, incarnation=self.place.incarnation)
+        )
         self.exchange = self.connection.send(data, expected_id=work.request_id)
 
     async def read_head(self, *, patience):
@@ -146,8 +148,7 @@
         """The answer is complete; the connection can be used again."""
         seconds = monotonic() - self.sent_at
         self._end("done" if well else "failed", seconds=seconds if well else None)
-        self._pool.put_back(self.place.endpoint_id, self.connection)
-        self.connection = None
+        self._put_back()
 
     def fail(self):
         """The endpoint broke off or is silent."""
@@ -177,16 +178,26 @@
         if isinstance(body, Failure) or moved:
             self.abort()
         else:
-            self._pool.put_back(self.place.endpoint_id, self.connection)
-            self.connection = None
+            self._put_back()
         return NOT_RUN.because(f"status {head.status}")
 
+    def _put_back(self):
+        place = self.place
+        self._pool.put_back(place.endpoint_id, self.connection, start=place.incarnation)
+        self.connection = None
+
     def _note_load(self, head):
         load = head.get(self._dialect.load, "")
         parts = load.split(",")
         if len(parts) == 3 and parts[0].isdigit() and parts[1].isdigit():
             seen = int(parts[0]) + int(parts[1])
-            self._tell(LoadSeen(endpoint_id=self.place.endpoint_id, load=seen))
+            self._tell(
+                LoadSeen(
+                    endpoint_id=self.place.endpoint_id,
+                    load=seen,
+                    incarnation=self.place.incarnation,
+                )
+            )
 
     def _end(self, outcome, *, seconds=None):
         if self._ended:
@@ -195,7 +206,10 @@
         if outcome == "unreachable" or self.sent_at is not None:
             self._tell(
                 Finished(
-                    endpoint_id=self.place.endpoint_id, outcome=outcome, seconds=seconds
+                    endpoint_id=self.place.endpoint_id,
+                    outcome=outcome,
+                    seconds=seconds,
+                    incarnation=self.place.incarnation,
                 )
             )
 
--- a/hawthornspoke/spread/_ports.py
+++ b/hawthornspoke/spread/_ports.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from hawthornspoke.base import Failure
+from hawthornspoke.catalog import UNKNOWN_START, Incarnation
 
 #: The engine is in another state than the order expects.
 ENGINE_CHANGED = Failure(code="engine_changed")
@@ -24,10 +25,12 @@
         An order is in progress.
     sequence : int
         Orders that it has begun; the next one names it, so that an order of
-        another, older agent can't be taken up.
+        another, older agent can't be taken up. Each start counts anew.
     running, waiting : int
     pace : float
         How many times slower than usual it works.
+    incarnation : Incarnation
+        The start that all of this is about.
     """
 
     version: int | None
@@ -37,3 +40,4 @@
     running: int
     waiting: int
     pace: float
+    incarnation: Incarnation = UNKNOWN_START
