The agent begins anew with each start of its engine

Cause: what was believed staged, a running install and the number of orders were the engine's, not its start's. A restart during an install was waited for until its time was over; an order whose number happened to be right for the next start counted as a success; a restart while an install ended left the plan waiting for that end (new test, failed as predicted before the change). Ruled out: the number of orders as a sign of the start, since it is the same at each; it stays the sign where no start is told. Change: EngineState 15 tells the start; the agent compares its own looks in either direction and passes over a late one; the installer orders only the start at which it read the pieces back, and takes another one's answer for a failure.

--- a/hawthornspoke/protocol/_gen/ttypes.py
+++ b/hawthornspoke/protocol/_gen/ttypes.py
@@ -2389,6 +2389,7 @@
      - entry_hosts
      - link_delay_ms
      - next_version_age_ms
+     - started_ms
 
     """
 
@@ -2407,10 +2408,11 @@
         'entry_hosts',
         'link_delay_ms',
         'next_version_age_ms',
+        'started_ms',
     )
 
 
-    def __init__(self, endpoint_address=None, model=None, weights_version=None, layer_from=None, layer_to=None, running=None, waiting=None, loading=None, pace=None, next_ready_ms=None, next_version=None, entry_hosts=None, link_delay_ms=None, next_version_age_ms=None,):
+    def __init__(self, endpoint_address=None, model=None, weights_version=None, layer_from=None, layer_to=None, running=None, waiting=None, loading=None, pace=None, next_ready_ms=None, next_version=None, entry_hosts=None, link_delay_ms=None, next_version_age_ms=None, started_ms=None,):
         self.endpoint_address = endpoint_address
         self.model = model
         self.weights_version = weights_version
@@ -2425,6 +2427,7 @@
         self.entry_hosts = entry_hosts
         self.link_delay_ms = link_delay_ms
         self.next_version_age_ms = next_version_age_ms
+        self.started_ms = started_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2505,6 +2508,11 @@
                     self.next_version_age_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.I64:
+                    self.started_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2571,6 +2579,10 @@
             oprot.writeFieldBegin('next_version_age_ms', TType.I64, 14)
             oprot.writeI64(self.next_version_age_ms)
             oprot.writeFieldEnd()
+        if self.started_ms is not None:
+            oprot.writeFieldBegin('started_ms', TType.I64, 15)
+            oprot.writeI64(self.started_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3667,6 +3679,7 @@
     (12, TType.I32, 'entry_hosts', None, None, ),  # 12
     (13, TType.I32, 'link_delay_ms', None, None, ),  # 13
     (14, TType.I64, 'next_version_age_ms', None, None, ),  # 14
+    (15, TType.I64, 'started_ms', None, None, ),  # 15
 )
 all_structs.append(HoldingsAsk)
 HoldingsAsk.thrift_spec = (
--- a/hawthornspoke/relay/_agents.py
+++ b/hawthornspoke/relay/_agents.py
@@ -4,6 +4,7 @@
 import random
 
 from hawthornspoke.base import Failure, contact_clock, monotonic
+from hawthornspoke.catalog import Incarnation
 from hawthornspoke.peering import connect
 from hawthornspoke.placing import AgentLost, EngineReported
 from hawthornspoke.protocol import Frame
@@ -164,6 +165,7 @@
             model=state.model or "",
             next_declared_at=declared_at,
             link_delay=(state.link_delay_ms or 0) / 1000,
+            incarnation=Incarnation.told(state.started_ms),
         )
         self._fleet.step(report, now=now)
 
--- a/hawthornspoke/spread/_installer.py
+++ b/hawthornspoke/spread/_installer.py
@@ -29,6 +29,9 @@
 STAGE_FAILED = Failure(code="stage_failed")
 ORDER_FAILED = Failure(code="order_failed")
 
+#: What was staged or ordered was for a start of the engine that is over.
+RESTARTED = Failure(code="restarted", reason="the engine has started again")
+
 
 class Installer:
     """Speaks with the engine about weights.
@@ -42,7 +45,7 @@
         Called with True just before an order, with False when it has ended.
     """
 
-    __slots__ = ("_engine", "_log", "_on_notice", "_staged_name", "_staged")
+    __slots__ = ("_engine", "_log", "_on_notice", "_staged_name", "_staged", "_starts")
 
     def __init__(self, *, engine, log, on_notice):
         self._engine = engine
@@ -50,6 +53,17 @@
         self._on_notice = on_notice
         self._staged_name = None
         self._staged = set()
+        self._starts = 0
+
+    def forget(self):
+        """Take that the engine has started again: nothing counts as staged.
+
+        It may have lost what was staged, and an order for a version of which a piece
+        is missing takes up other bytes in its place.
+        """
+        self._starts += 1
+        self._staged_name = None
+        self._staged = set()
 
     async def recover(self, weights):
         """Take the pieces that lie at the engine already.
@@ -66,6 +80,7 @@
         held = await self._engine.held_pieces(weights.model)
         if is_failure(held):
             return 0
+        starts = self._starts
         found = foreign = 0
         for index in held:
             data = await self._engine.get_piece(weights.model, index)
@@ -76,7 +91,7 @@
             foreign += 1
             if foreign >= FOREIGN_IN_A_ROW and not found:
                 break
-        if found == len(weights.digests):
+        if found == len(weights.digests) and starts == self._starts:
             self._staged_name = weights.name
             self._staged = set(weights.held())
         return found
@@ -88,8 +103,9 @@
             self._staged = set()
         if index in self._staged:
             return
+        starts = self._starts
         result = await self._engine.put_piece(weights.model, index, weights.get(index))
-        if not is_failure(result):
+        if not is_failure(result) and starts == self._starts:
             self._staged.add(index)
 
     async def install(self, weights):
@@ -104,13 +120,16 @@
         -------
         None or Failure
         """
+        looked = await self._engine.snapshot()
+        if is_failure(looked):
+            return looked
         failure = await self._stage_all(weights)
         if failure is not None:
             return failure
         try:
             self._on_notice(True)
             await asyncio.sleep(NOTICE_TIME)
-            return await self._order(weights)
+            return await self._order(weights, looked)
         finally:
             self._on_notice(False)
 
@@ -135,10 +154,17 @@
             self._staged.discard(index)
             self._log.change("staged_piece_bad", weights=weights.name, piece=index)
 
-    async def _order(self, weights):
+    async def _order(self, weights, looked):
+        """Order the start whose pieces were read back; see ``install``.
+
+        The order itself names only how many came before it, and each start counts
+        from none: it can't tell two starts apart.
+        """
         before = await self._engine.snapshot()
         if is_failure(before):
             return before
+        if _has_restarted(looked, before):
+            return RESTARTED
         if before.busy:
             return ORDER_FAILED.because("another order is in progress")
         result = await self._engine.start(
@@ -161,6 +187,9 @@
         while loop.time() < deadline:
             seen = await self._engine.snapshot()
             if not is_failure(seen):
+                if _has_restarted(before, seen):
+                    # It may have taken up what its start had left of the pieces.
+                    return RESTARTED
                 if seen.version == weights.version and not seen.busy:
                     return None
                 begun = seen.busy or seen.sequence != before.sequence
@@ -179,3 +208,21 @@
                 await call(index)
 
         await asyncio.gather(*(one(index) for index in indices))
+
+
+def _has_restarted(before, after):
+    """Tell whether two looks at an engine are at two starts of it.
+
+    Parameters
+    ----------
+    before, after : EngineSnapshot
+        Asked for one after the other.
+
+    Returns
+    -------
+    bool
+    """
+    if after.incarnation.differs_from(before.incarnation):
+        return True
+    # Where no start is told, a count that goes back is the only sign of another.
+    return after.sequence < before.sequence
--- a/hawthornspoke/spread/_process.py
+++ b/hawthornspoke/spread/_process.py
@@ -6,6 +6,7 @@
 import signal
 
 from hawthornspoke.base import is_failure, monotonic
+from hawthornspoke.catalog import UNKNOWN_START
 from hawthornspoke.events import EventLog
 from hawthornspoke.httpio import HttpServer, OperatorPort
 from hawthornspoke.metrics import Metrics
@@ -17,6 +18,7 @@
 from hawthornspoke.spread._manifests import Manifests
 from hawthornspoke.spread._stock import Weights, weights_name
 from hawthornspoke.spread._upgrade import (
+    EngineRestarted,
     EngineSeen,
     Forget,
     Install,
@@ -84,6 +86,9 @@
         "model",
         "operator",
         "_snapshot",
+        "_incarnation",
+        "_looks_begun",
+        "_look_taken",
         "_noticed",
         "_weights_by_version",
         "_directive",
@@ -125,6 +130,9 @@
             on_broken=lambda error: self.log.change("failed", error=repr(error)),
         )
         self._snapshot = None
+        self._incarnation = UNKNOWN_START
+        self._looks_begun = 0
+        self._look_taken = 0
         self._noticed = False
         self._weights_by_version = {}
         self._directive = None
@@ -318,15 +326,45 @@
             await asyncio.sleep(LOOK_EVERY)
 
     async def _look(self):
+        self._looks_begun += 1
+        number = self._looks_begun
         seen = await self.engine.snapshot()
+        if number < self._look_taken:
+            # Answers on two connections overtake each other; the late one may be
+            # of an earlier start, which would then be taken for the next one.
+            return
+        self._look_taken = number
         down = is_failure(seen)
         if down != self._engine_down:
             self._engine_down = down
             self.log.change("engine_lost" if down else "engine_found")
         self._snapshot = None if down else seen
+        if not down:
+            self._take_start(seen.incarnation)
         self._step(self._engine_seen())
         self._tell()
 
+    def _take_start(self, incarnation):
+        """Begin anew if the engine has: its own word, so its times need no order.
+
+        What was staged may be gone, and the order that a running install waits for
+        is known to nobody; without this it is waited for as long as the slowest
+        engine may take to load.
+        """
+        if incarnation.differs_from(self._incarnation):
+            self.log.change(
+                "engine_restarted",
+                started_ms=incarnation.started_ms,
+                before=self._incarnation.started_ms,
+            )
+            self.installer.forget()
+            install = self._tasks.get("install")
+            if install is not None:
+                install.cancel()
+            self._step(EngineRestarted())
+        if incarnation.is_known:
+            self._incarnation = incarnation
+
     def _engine_seen(self):
         seen = self._snapshot
         if seen is None:
@@ -368,6 +406,7 @@
             state.waiting = seen.waiting
             state.loading = seen.busy or self._noticed
             state.pace = seen.pace
+            state.started_ms = seen.incarnation.started_ms
         return state
 
     def _on_notice(self, noticed):
@@ -454,9 +493,13 @@
                 failure = await self.installer.install(weights)
         finally:
             self.log.change("install_ended", version=version, failure=str(failure))
-            # The next plan must see what the engine holds now, not a moment ago.
-            await self._look()
-            self._step(InstallEnded(version=version))
+            try:
+                # The next plan must see what the engine holds now, not a moment ago.
+                await self._look()
+            finally:
+                # A restart of the engine may cancel the look. Were the end not told,
+                # no version would be installed any more.
+                self._step(InstallEnded(version=version))
 
     def _drop(self, version):
         task = self._tasks.get(f"get {version}")
--- a/hawthornspoke/spread/_upgrade.py
+++ b/hawthornspoke/spread/_upgrade.py
@@ -59,6 +59,11 @@
     busy: bool
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class EngineRestarted:
+    """The engine has started again: it holds nothing, and no order is in progress."""
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class PiecesHeld:
     """All pieces of a version are here and verified."""
@@ -176,6 +181,11 @@
         self._engine = message
         return self._plan(now)
 
+    def on_engine_restarted(self, message, *, now):
+        """Forget what the engine held; its own word on that is still to come."""
+        self._engine = EngineSeen(version=None, whole=False, busy=True)
+        return self._plan(now)
+
     def on_pieces_held(self, message, *, now):
         """Take that a version is here."""
         self._held_at_by_version.setdefault(message.version, now)
--- a/hawthornspoke/spread/tests/test_incarnations.py
+++ b/hawthornspoke/spread/tests/test_incarnations.py
@@ -250,6 +250,43 @@
     play(scenario, count=1)
 
 
+def test_restart_while_an_install_ends_does_not_stop_the_next_one():
+    """An engine was never ordered again.
+
+    Events: an install has failed, and the agent looks at the engine before it plans
+    the next; just then another look sees that the engine has started again. Cause:
+    the end of the install was called off with it, so that it seemed to run for ever.
+    """
+
+    async def scenario(hosts):
+        engine = RestartingEngine()
+        agent = hosts.agents[0]
+        hosts.engines[0] = engine
+        agent.engine = agent.installer._engine = engine
+        await asyncio.sleep(0.2)
+        looking = asyncio.Event()
+        look = agent._look
+
+        async def slow_look():
+            if asyncio.current_task() is agent._tasks.get("install"):
+                looking.set()
+                await asyncio.sleep(0.5)
+            await look()
+
+        class SlowLook(type(agent)):
+            __slots__ = ()
+            _look = staticmethod(slow_look)
+
+        agent.__class__ = SlowLook
+        engine.before_start = lambda: engine.restart(SECOND)
+        await hosts.name(1)
+        await asyncio.wait_for(looking.wait(), 4.0)
+        engine.restart(CLOCK_BACK)
+        await hosts.until_all_have(1, seconds=4.0)
+
+    play(scenario, count=1)
+
+
 def test_agent_tells_the_start_that_its_word_is_about():
     async def scenario(hosts):
         engine = RestartingEngine()
--- a/idl/hawthornspoke.thrift
+++ b/idl/hawthornspoke.thrift
@@ -207,6 +207,8 @@
   13: optional i32 link_delay_ms,
   // Milliseconds since the next version was declared, as far as the agent was told.
   14: optional i64 next_version_age_ms,
+  // Unix milliseconds of the engine's start, which all of this is about.
+  15: optional i64 started_ms,
 }
 
 struct HoldingsAsk {
