--- a/hawthornspoke/placing/_fleet.py
+++ b/hawthornspoke/placing/_fleet.py
@@ -207,9 +207,10 @@
 
     def on_agent_lost(self, message, *, now):
         """Go back to what the platform's list says."""
-        endpoint = self._at(message.address)
-        if endpoint is not None:
-            endpoint.state = None
+        # Also where the entry is gone: it may come back with another start.
+        for endpoint in self.endpoint_by_id.values():
+            if endpoint.entry.address == message.address:
+                endpoint.state = None
         return []
 
     def on_entry_hosts_seen(self, message, *, now):
--- a/hawthornspoke/placing/tests/test_incarnations.py
+++ b/hawthornspoke/placing/tests/test_incarnations.py
@@ -288,3 +288,19 @@
         assert one(machine).incarnation == SECOND
         assert one(machine).weights_version is None
         assert one(machine).load == 0
+
+
+def test_agents_word_ends_with_its_connection_also_while_the_entry_is_gone():
+    """An endpoint whose entry had lapsed came back with weights of before.
+
+    Events: the entry lapses, so that the connection to the agent is closed; the
+    endpoint restarts and registers itself, without telling its start. Cause: the
+    agent's word was looked for among the endpoints of the list only.
+    """
+    machine = fleet(entry("one"))
+    report(machine, "one", load=9, now=0.4)
+    machine.step(Sent(endpoint_id="one"), now=0.5)
+    listed(machine, now=1.0)
+    machine.step(AgentLost(address="one:1"), now=1.1)
+    listed(machine, bare(UNKNOWN_START), now=1.2)
+    assert one(machine).weights_version is None
--- a/hawthornspoke/spread/_process.py
+++ b/hawthornspoke/spread/_process.py
@@ -5,7 +5,7 @@
 import random
 import signal
 
-from hawthornspoke.base import is_failure, monotonic
+from hawthornspoke.base import Failure, is_failure, monotonic
 from hawthornspoke.catalog import UNKNOWN_START
 from hawthornspoke.events import EventLog
 from hawthornspoke.httpio import HttpServer, OperatorPort
@@ -54,6 +54,9 @@
 
 FLUSH_TIME = 0.2
 
+#: How an install ends whose engine has started again, or whose agent stops.
+INSTALL_CANCELLED = Failure(code="install_cancelled")
+
 
 class Agent:
     """Brings declared weights to the engine on this host.
@@ -487,7 +490,7 @@
 
     async def _install(self, version):
         weights = self._weights_by_version.get(version)
-        failure = None
+        failure = None if weights is None else INSTALL_CANCELLED
         try:
             if weights is not None:
                 failure = await self.installer.install(weights)
