Soak: engines start again under their id, some with a clock that was put back

Cause: the soak's engines came back under a new id each time, so nothing in it would have shown what is remembered of an earlier start. Change: every other crash keeps the id; of these every other one puts the engine's clock back by an hour and loses what was staged; rows and reports tell the start. Installer.recover counts a restart from its first call on.

--- a/hawthornspoke/spread/_installer.py
+++ b/hawthornspoke/spread/_installer.py
@@ -77,10 +77,10 @@
         int
             How many were right.
         """
+        starts = self._starts
         held = await self._engine.held_pieces(weights.model)
         if is_failure(held):
             return 0
-        starts = self._starts
         found = foreign = 0
         for index in held:
             data = await self._engine.get_piece(weights.model, index)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+import time
 from hashlib import sha256
 from urllib.parse import parse_qs, urlsplit
 
@@ -13,6 +14,10 @@
 PIECES, SIZE, LAYERS, SLOTS = 16, 2000, 8, 6
 MODEL, LLM, PLAIN, ORIGIN = "m1", "llm", "plain", "origin"
 STEP = 0.02
+
+#: Milliseconds by which an engine's clock is put back at times before it restarts.
+CLOCK_JUMP_MS = 3_600_000
+
 KINDS = {"/once/": "non_idempotent", "/again/": "idempotent", "/stream/": "streaming"}
 
 
@@ -46,6 +51,7 @@
         self.id = f"i-{number}-0"
         self.number, self.ip, self.port, self.service = number, ip, port, service
         self.generation = 0
+        self.born = int(time.time() * 1000)
         self.staged = {}
         self.loaded = {}
         self.version = None
@@ -65,10 +71,19 @@
         await self.server.start()
 
     def crash(self):
-        """Lose the weights and all connections, and come back as another one."""
+        """Lose the weights and all connections, and start again.
+
+        Every other time under the same id, at times with a clock that was put back
+        and without what was staged, as after a loss of power.
+        """
         self.server.close()
         self.generation += 1
-        self.id = f"i-{self.number}-{self.generation}"
+        self.born = int(time.time() * 1000)
+        if self.generation % 2 == 0:
+            self.id = f"i-{self.number}-{self.generation}"
+        if self.generation % 4 == 3:
+            self.born -= CLOCK_JUMP_MS
+            self.staged = {}
         self.version, self.loaded, self.busy, self.sequence = None, {}, False, 0
         self.running = 0
 
@@ -79,7 +94,7 @@
             "address": address,
             "zone": f"z{self.number % 2}",
         }
-        row |= {"version": "v1", "slots": SLOTS, "sequence": 1}
+        row |= {"version": "v1", "slots": SLOTS, "sequence": 1, "born": self.born}
         row["state"] = "draining" if self.leaving else "ready"
         if self.service == LLM:
             held = {"from": 0, "target": LAYERS, "version": self.version}
@@ -103,6 +118,7 @@
             "layers": held if self.version else None,
             "busy": self.busy,
             "sequence": self.sequence,
+            "born": self.born,
             "active": self.running,
             "queued": 0,
             "pace": 1.0,
