--- a/hawthornspoke/catalog/__init__.py
+++ b/hawthornspoke/catalog/__init__.py
@@ -6,6 +6,7 @@
     DeclaredVersions,
     age_of,
 )
+from hawthornspoke.catalog._incarnation import UNKNOWN_START, Incarnation
 from hawthornspoke.catalog._table import RouteTable, choose_share
 from hawthornspoke.catalog._types import (
     AT_MOST_ONCE,
@@ -28,12 +29,14 @@
     "IDEMPOTENT",
     "STREAM",
     "UNKNOWN",
+    "UNKNOWN_START",
     "CallerLimits",
     "Catalog",
     "DeclaredVersions",
     "DeclaredWeights",
     "EndpointEntry",
     "EngineProfile",
+    "Incarnation",
     "Organisation",
     "Route",
     "RouteTable",
--- a/hawthornspoke/mirror/_watch.py
+++ b/hawthornspoke/mirror/_watch.py
@@ -169,7 +169,7 @@
             failed = False
             # A feed tells of every version of a row.
             news.rows = list({row.key: row for row in news.rows}.values())
-            self.mirror.take(table.name, news)
+            news = self.mirror.take(table.name, news)
             table.take(news)
             if table.confirms:
                 # Only now: keys are trusted by this moment, and a configuration that
--- a/hawthornspoke/placing/_fleet.py
+++ b/hawthornspoke/placing/_fleet.py
@@ -180,8 +180,7 @@
             if endpoint is None:
                 self.endpoint_by_id[endpoint_id] = Endpoint(entry=entry)
                 continue
-            endpoint.entry = entry
-            endpoint.gone = False
+            endpoint.take_entry(entry)
         lapsed = now < message.contact_regained_at + LAPSE_WINDOW
         for endpoint_id, endpoint in list(self.endpoint_by_id.items()):
             if endpoint_id in entry_by_id:
@@ -205,18 +204,17 @@
         """Take an agent's word."""
         endpoint = self._at(message.address)
         if endpoint is not None:
-            endpoint.state = message
-            endpoint.heard_at = now
-            endpoint.report(message.load, now)
+            endpoint.take_state(message, now)
         for version, at in message.declared:
             self.declared.hear(message.model, version, at=at)
         return []
 
     def on_agent_lost(self, message, *, now):
         """Go back to what the platform's list says."""
-        endpoint = self._at(message.address)
-        if endpoint is not None:
-            endpoint.state = None
+        # Also where the entry is gone: it may come back with another start.
+        for endpoint in self.endpoint_by_id.values():
+            if endpoint.entry.address == message.address:
+                endpoint.state = None
         return []
 
     def on_entry_hosts_seen(self, message, *, now):
@@ -226,7 +224,7 @@
 
     def on_sent(self, message, *, now):
         """Count a request that was sent."""
-        endpoint = self.endpoint_by_id.get(message.endpoint_id)
+        endpoint = self._sent_to(message)
         if endpoint is not None:
             endpoint.own_running += 1
             endpoint.sent_since_report += 1
@@ -234,14 +232,14 @@
 
     def on_load_seen(self, message, *, now):
         """Take the load that a response told."""
-        endpoint = self.endpoint_by_id.get(message.endpoint_id)
+        endpoint = self._sent_to(message)
         if endpoint is not None:
             endpoint.report(message.load, now)
         return []
 
     def on_finished(self, message, *, now):
         """Count what became of a request."""
-        endpoint = self.endpoint_by_id.get(message.endpoint_id)
+        endpoint = self._sent_to(message)
         if endpoint is None:
             return []
         if message.outcome != "unreachable":
@@ -315,6 +313,9 @@
                 endpoint_id: {
                     "service": endpoint.entry.service,
                     "address": endpoint.entry.address,
+                    "started_ms": endpoint.incarnation.started_ms,
+                    "listed_started_ms": endpoint.entry.incarnation.started_ms,
+                    "told_started_ms": _told_start(endpoint),
                     "leaving": endpoint.entry.leaving,
                     "gone": endpoint.gone,
                     "load": endpoint.load,
@@ -342,6 +343,18 @@
     def _at(self, address):
         return self.endpoint_by_id.get(self._id_by_address.get(address))
 
+    def _sent_to(self, message):
+        """Return the endpoint that a request was sent to, None if it is over.
+
+        A request ends up to its deadline after the start that it was sent to. Were
+        it counted for the next one, that one would be avoided for failures of
+        before, and filled beyond its slots as if its own requests had ended.
+        """
+        endpoint = self.endpoint_by_id.get(message.endpoint_id)
+        if endpoint is None or not endpoint.was_sent_to(message.incarnation):
+            return None
+        return endpoint
+
     def _of_service(self, name):
         return [self.endpoint_by_id[key] for key in self._ids_by_service.get(name, ())]
 
@@ -517,13 +530,15 @@
             report_age=_age(endpoint, now),
             expected=expected,
             weights_version=endpoint.weights_version,
+            incarnation=endpoint.incarnation,
         )
 
     def _decline_for_weights(self, message, endpoints, now):
         times = [
-            endpoint.state.next_ready_at
+            endpoint.agent_word.next_ready_at
             for endpoint in endpoints
-            if endpoint.state is not None and endpoint.state.next_ready_at is not None
+            if endpoint.agent_word is not None
+            and endpoint.agent_word.next_ready_at is not None
         ]
         soonest = max(0.0, min(times) - now) if times else 1.0
         return self._decline(message, "no_weights", soonest)
@@ -537,6 +552,11 @@
         return Decline(reason=reason, retry_after=round(spread, 3))
 
 
+def _told_start(endpoint):
+    word = endpoint.state
+    return None if word is None else word.incarnation.started_ms
+
+
 def _age(endpoint, now):
     if endpoint.reported_at is None:
         return None
--- a/hawthornspoke/placing/_messages.py
+++ b/hawthornspoke/placing/_messages.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from hawthornspoke.catalog import UNKNOWN
+from hawthornspoke.catalog import UNKNOWN, UNKNOWN_START, Incarnation
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -75,6 +75,8 @@
         was told, on the clock that goes on while the host is suspended.
     link_delay : float
         Seconds that a message there and back waits on the link of its host.
+    incarnation : Incarnation
+        The start that the word is about.
     """
 
     address: str
@@ -88,6 +90,7 @@
     model: str = ""
     declared: tuple = ()
     link_delay: float = 0.0
+    incarnation: Incarnation = UNKNOWN_START
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -114,17 +117,34 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Sent:
-    """A request was sent to an endpoint."""
+    """A request was sent to an endpoint.
+
+    Parameters
+    ----------
+    endpoint_id : str
+    incarnation : Incarnation
+        The start that was chosen for it.
+    """
 
     endpoint_id: str
+    incarnation: Incarnation = UNKNOWN_START
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class LoadSeen:
-    """A response told the endpoint's load."""
+    """A response told the endpoint's load.
+
+    Parameters
+    ----------
+    endpoint_id : str
+    load : int
+    incarnation : Incarnation
+        The start that was chosen for the request.
+    """
 
     endpoint_id: str
     load: int
+    incarnation: Incarnation = UNKNOWN_START
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -141,11 +161,14 @@
         endpoint has the address) or ``"left"`` (the caller left).
     seconds : float or None
         Time of a whole answer.
+    incarnation : Incarnation
+        The start that was chosen for it.
     """
 
     endpoint_id: str
     outcome: str
     seconds: float | None = None
+    incarnation: Incarnation = UNKNOWN_START
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -200,6 +223,8 @@
     begin_deadline : float or None
         When it must have begun, since its weights are too old soon after; None if
         no newer ones are declared.
+    incarnation : Incarnation
+        The start of the endpoint that was chosen.
     """
 
     endpoint_id: str
@@ -209,6 +234,7 @@
     expected: float
     weights_version: int | None = None
     begin_deadline: float | None = None
+    incarnation: Incarnation = UNKNOWN_START
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/hawthornspoke/protocol/_gen/ttypes.py
+++ b/hawthornspoke/protocol/_gen/ttypes.py
@@ -2469,6 +2469,7 @@
      - entry_hosts
      - link_delay_ms
      - declared
+     - started_ms
 
     """
 
@@ -2487,10 +2488,11 @@
         'entry_hosts',
         'link_delay_ms',
         'declared',
+        'started_ms',
     )
 
 
-    def __init__(self, endpoint_address=None, model=None, weights_version=None, layer_from=None, layer_to=None, running=None, waiting=None, loading=None, pace=None, next_ready_ms=None, next_version=None, entry_hosts=None, link_delay_ms=None, declared=None,):
+    def __init__(self, endpoint_address=None, model=None, weights_version=None, layer_from=None, layer_to=None, running=None, waiting=None, loading=None, pace=None, next_ready_ms=None, next_version=None, entry_hosts=None, link_delay_ms=None, declared=None, started_ms=None,):
         self.endpoint_address = endpoint_address
         self.model = model
         self.weights_version = weights_version
@@ -2505,6 +2507,7 @@
         self.entry_hosts = entry_hosts
         self.link_delay_ms = link_delay_ms
         self.declared = declared
+        self.started_ms = started_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2591,6 +2594,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.I64:
+                    self.started_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2660,6 +2668,10 @@
                 iter79.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.started_ms is not None:
+            oprot.writeFieldBegin('started_ms', TType.I64, 15)
+            oprot.writeI64(self.started_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3762,6 +3774,7 @@
     (12, TType.I32, 'entry_hosts', None, None, ),  # 12
     (13, TType.I32, 'link_delay_ms', None, None, ),  # 13
     (14, TType.LIST, 'declared', (TType.STRUCT, [DeclaredAge, None], False), None, ),  # 14
+    (15, TType.I64, 'started_ms', None, None, ),  # 15
 )
 all_structs.append(HoldingsAsk)
 HoldingsAsk.thrift_spec = (
--- a/hawthornspoke/relay/_agents.py
+++ b/hawthornspoke/relay/_agents.py
@@ -5,6 +5,7 @@
 import random
 
 from hawthornspoke.base import Failure, contact_clock, monotonic
+from hawthornspoke.catalog import Incarnation
 from hawthornspoke.peering import connect
 from hawthornspoke.placing import AgentLost, EngineReported
 from hawthornspoke.protocol import Frame
@@ -162,6 +163,7 @@
             model=state.model or "",
             declared=_dated(state.declared or (), contact_clock()),
             link_delay=(state.link_delay_ms or 0) / 1000,
+            incarnation=Incarnation.told(state.started_ms),
         )
         self._fleet.step(report, now=now)
 
--- a/idl/hawthornspoke.thrift
+++ b/idl/hawthornspoke.thrift
@@ -213,6 +213,8 @@
   13: optional i32 link_delay_ms,
   // Versions that were declared lately, as far as the agent was told.
   14: optional list<DeclaredAge> declared,
+  // Unix milliseconds of the engine's start, which all of this is about.
+  15: optional i64 started_ms,
 }
 
 struct HoldingsAsk {
