Starts: the whole way from the agent's look to the fleet is tested

Cause: the test of what the agent tells passed also without any word of it, since nobody had asked for one; the entry host's side had none.

--- a/hawthornspoke/relay/tests/test_incarnations.py
+++ b/hawthornspoke/relay/tests/test_incarnations.py
@@ -4,7 +4,9 @@
 
 from hawthornspoke.base import monotonic
 from hawthornspoke.catalog import EndpointEntry, Incarnation
-from hawthornspoke.placing import EndpointsListed
+from hawthornspoke.placing import EndpointsListed, Fleet
+from hawthornspoke.protocol import EngineState, Frame
+from hawthornspoke.relay._agents import AgentLinks
 from hawthornspoke.relay.tests.endpoint import Endpoint, RelayHarness, answer, shed
 
 FIRST = Incarnation(started_ms=1_000_000)
@@ -102,6 +104,27 @@
     asyncio.run(scenario())
 
 
+def test_agents_word_carries_the_start_to_the_fleet():
+    """A restart that only the agent had seen was noticed by no entry host."""
+    fleet = Fleet(failure_domain="a")
+    entry = EndpointEntry(
+        endpoint_id="e0",
+        service="s",
+        address="127.0.0.1:9",
+        failure_domain="a",
+        slots=4,
+        incarnation=FIRST,
+    )
+    fleet.step(EndpointsListed(entries=(entry,)), now=monotonic())
+    links = AgentLinks(
+        port=1, fleet=fleet, log=None, directive_for=None, on_entry_hosts=None
+    )
+    state = EngineState(running=2, waiting=1, started_ms=SECOND.started_ms)
+    links._take(entry.address, None, Frame(engine_state=state))
+    assert fleet.endpoint_by_id["e0"].incarnation == SECOND
+    assert fleet.endpoint_by_id["e0"].load == 3
+
+
 async def _until(condition):
     async with asyncio.timeout(2.0):
         while not condition():
--- a/hawthornspoke/spread/tests/test_incarnations.py
+++ b/hawthornspoke/spread/tests/test_incarnations.py
@@ -7,7 +7,8 @@
 from hawthornspoke.base import digest_of, is_failure, monotonic
 from hawthornspoke.catalog import UNKNOWN_START, Incarnation
 from hawthornspoke.events import EventLog
-from hawthornspoke.peering import connect
+from hawthornspoke.peering import connect, directive
+from hawthornspoke.protocol import Frame
 from hawthornspoke.spread import ENGINE_CHANGED, EngineSnapshot, Upgrade
 from hawthornspoke.spread._installer import Installer
 from hawthornspoke.spread._stock import Weights
@@ -20,6 +21,7 @@
     PiecesHeld,
 )
 from hawthornspoke.spread.tests.test_agents import (
+    ENGINE,
     LAYERS,
     PIECES,
     PORT,
@@ -366,13 +368,22 @@
             hosts.ips[0], PORT, on_frame=take, on_closed=lambda _: None, timeout=1.0
         )
         hosts.links.append(link)
+        await asyncio.sleep(0.2)
         await hosts.name(1)
+        told = directive(
+            engine=ENGINE, version=1, age=None, peers=None, origin=None, bound=8.0
+        )
+        link.send(Frame(directive=told))
         await hosts.until_all_have(1)
+        await asyncio.sleep(0.3)
+        assert {state.started_ms for state in states} == {FIRST.started_ms}
+        states.clear()
         engine.restart(SECOND)
         await hosts.until_all_have(1)
         await asyncio.sleep(0.3)
-        told = [state.started_ms for state in states if state.started_ms]
-        assert set(told) <= {FIRST.started_ms, SECOND.started_ms}
+        assert states[-1].started_ms == SECOND.started_ms
+        starts = [state.started_ms for state in states]
+        assert starts == sorted(starts)
 
     play(scenario, count=1)
 
