Failing tests: what an entry host sends after it stood still

Cause: deadline, caller, key, route, endpoint and weights are looked at when an endpoint is chosen, not when the request is written. A process that stands still between the two, or waits for a connection, sends on an old decision.

--- a/hawthornspoke/relay/tests/endpoint.py
+++ b/hawthornspoke/relay/tests/endpoint.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import contextlib
+import socket
 
-from hawthornspoke.base import monotonic
+from hawthornspoke.base import contact_clock, monotonic
 from hawthornspoke.catalog import (
     AT_MOST_ONCE,
     IDEMPOTENT,
@@ -206,25 +207,70 @@
 )
 
 
+class StallingPool(ConnectionPool):
+    """Runs an action where a process may stand still: a connection is there.
+
+    What an action does happens between the choice of an endpoint and the send, and
+    the loop turns no more before the send. So the time that passes, the close of a
+    caller and news that came meanwhile are those of a process that was frozen.
+
+    Parameters
+    ----------
+    id_header : str
+    """
+
+    __slots__ = ("actions", "last")
+
+    def __init__(self, *, id_header):
+        super().__init__(id_header=id_header)
+        self.actions = []
+        self.last = None
+
+    async def acquire(self, key, address, **options):
+        """Return a connection; run the next action, None for none, before that."""
+        connection = await super().acquire(key, address, **options)
+        self.last = connection
+        action = self.actions.pop(0) if self.actions else None
+        if action is not None:
+            action()
+        return connection
+
+
+class SuspendedClock:
+    """The clock that goes on while the host is suspended; the steady one doesn't."""
+
+    def __init__(self):
+        self.suspended = 0.0
+
+    def __call__(self):
+        return contact_clock() + self.suspended
+
+    def suspend(self, seconds):
+        """Let a host be suspended for some time."""
+        self.suspended += seconds
+
+
 class RelayHarness:
     """Endpoints, a relay's handler, and callers, on one event loop."""
 
     def __init__(self, *endpoints, timeout=0.6, keys=None, confirmed=True, fleet=None):
         self.endpoints = endpoints
+        self.contact_clock = SuspendedClock()
         self.timeout = timeout
         self.keys = keys or {}
         self.dialect = Dialect()
         self.fleet = fleet or Fleet(failure_domain="a")
         self.contact = Contact()
         if confirmed:
-            self.contact.step(Confirmed(at=monotonic()), now=monotonic())
+            now = self.contact_clock()
+            self.contact.step(Confirmed(at=now), now=now)
         self.budget = RetryBudget()
-        self.pool = ConnectionPool(id_header=self.dialect.request_id)
+        self.pool = StallingPool(id_header=self.dialect.request_id)
         self.metrics = Metrics()
         self.server = None
 
     async def __aenter__(self):
-        addresses = [await endpoint.start() for endpoint in self.endpoints]
+        self.addresses = [await endpoint.start() for endpoint in self.endpoints]
         forwarder = Forwarder(
             fleet=self.fleet,
             pool=self.pool,
@@ -236,16 +282,16 @@
             forwarder=forwarder,
             dialect=self.dialect,
             contact=self.contact,
-            contact_clock=monotonic,
+            contact_clock=self.contact_clock,
             log=EventLog(node="test"),
             metrics=self.metrics,
         )
-        self.handler.use(self._catalog())
+        self.handler.use(self.make_catalog())
         self.fleet.step(
             CatalogChanged(service_by_name=self.handler.catalog.service_by_name),
             now=0.0,
         )
-        self.fleet.step(EndpointsListed(entries=self._entries(addresses)), now=0.0)
+        self.fleet.step(EndpointsListed(entries=self.entries()), now=0.0)
         self.broken = []
         self.server = HttpServer(
             host="127.0.0.1", port=0, handler=self.handler, on_broken=self.broken.append
@@ -266,16 +312,7 @@
         reader, writer = await asyncio.open_connection(
             "127.0.0.1", self.server.bound_port
         )
-        lines = [
-            f"POST /{prefix}/x?q=1 HTTP/1.1",
-            "Host: svc.example",
-            "X-Request-Id: r1",
-            "X-Deadline-Ms: 3000",
-            "Content-Length: 2",
-            "Connection: close",
-            *extra,
-        ]
-        writer.write("\r\n".join(lines).encode() + b"\r\n\r\nhi")
+        writer.write(_request(prefix, extra))
         async with asyncio.timeout(read_time):
             raw = await reader.read()
         writer.close()
@@ -287,14 +324,33 @@
             return status, text, unchunk(body), whole
         return status, text, body, bool(text)
 
-    def _catalog(self):
+    def call(self, prefix, *, extra=()):
+        """Make one request and return its socket, which can be closed at any time."""
+        caller = socket.create_connection(("127.0.0.1", self.server.bound_port))
+        caller.sendall(_request(prefix, extra))
+        return caller
+
+    def make_catalog(self, *, revision=1, service="s", keys=None, without=()):
+        """Return a configuration.
+
+        Parameters
+        ----------
+        revision : int, default=1
+        service : str, default="s"
+            That all routes lead to.
+        keys : dict of str to str or None, default=None
+            Organisations by key, if others than the harness was made with.
+        without : collection of str
+            Names of routes that are left out.
+        """
+        keys = self.keys if keys is None else keys
         routes = tuple(
             Route(
                 name=name,
                 host="svc.example",
                 prefix=f"/{name}/",
                 kind=kind,
-                shares=(Share(service="s", weight=1.0),),
+                shares=(Share(service=service, weight=1.0),),
                 timeout=self.timeout,
                 objective=self.timeout,
                 attempts=attempts,
@@ -304,17 +360,29 @@
                 event_patience=self.timeout if kind == STREAM else None,
             )
             for name, kind, attempts in ROUTES
+            if name not in without
         )
         return Catalog(
-            revision=1,
+            revision=revision,
             routes=routes,
-            service_by_name={"s": Service(name="s", engine=ENGINE)},
+            service_by_name={
+                name: Service(name=name, engine=ENGINE) for name in {"s", service}
+            },
             organisation_by_key={
-                key: Organisation(name=name) for key, name in self.keys.items()
+                key: Organisation(name=name) for key, name in keys.items()
             },
         )
 
-    def _entries(self, addresses):
+    def entries(self, *, leaving=(), gone=()):
+        """Return the list of endpoints.
+
+        Parameters
+        ----------
+        leaving : collection of int
+            Numbers of those that leave.
+        gone : collection of int
+            Numbers of those that it has no longer.
+        """
         return tuple(
             EndpointEntry(
                 endpoint_id=f"e{number}",
@@ -324,11 +392,26 @@
                 slots=4,
                 weights_version=1,
                 layers=(0, 16),
+                leaving=number in leaving,
             )
-            for number, address in enumerate(addresses)
+            for number, address in enumerate(self.addresses)
+            if number not in gone
         )
 
 
+def _request(prefix, extra):
+    lines = [
+        f"POST /{prefix}/x?q=1 HTTP/1.1",
+        "Host: svc.example",
+        "X-Request-Id: r1",
+        "X-Deadline-Ms: 3000",
+        "Content-Length: 2",
+        "Connection: close",
+        *extra,
+    ]
+    return "\r\n".join(lines).encode() + b"\r\n\r\nhi"
+
+
 def unchunk(body):
     """Return the data of a chunked body, as far as it came."""
     data = b""
