One look at all that a request needs, directly before each send

Cause: an entry host that stood still between the choice of an endpoint and the write, or waited for a connection, sent on the decision of before. On waking the task goes on before the timer of the deadline, the caller's close and the platform's news are seen; the steady clock doesn't count a suspension at all.

Ruled out: letting the loop turn once before the write (the process can stand still in that turn, and a close needs two turns to cancel the task).

Change: relay/_admission.py looks at key, route, endpoint, weights, caller and deadline; first sends, retries and resumes go through one function that calls it with nothing waited for before the write. Deadlines of requests are on the clock that goes on while the host is suspended, and so is the time that endpoints are told.

--- a/hawthornspoke/httpio/_client.py
+++ b/hawthornspoke/httpio/_client.py
@@ -145,6 +145,11 @@
         self._idle_time = UNANNOUNCED_IDLE
         self._keep_alive = True
 
+    @property
+    def is_open(self):
+        """Whether a request can be sent, as far as the loop has seen."""
+        return self.transport is not None and not self.transport.is_closing()
+
     def connection_made(self, transport):
         """Set what detects a silent peer."""
         self.transport = transport
@@ -213,7 +218,7 @@
         bool
         """
         self.exchange = None
-        if not self.reusable or self.transport is None or self.transport.is_closing():
+        if not self.reusable or not self.is_open:
             self.abort()
             return False
         self.idle_deadline = monotonic() + self._idle_time * IDLE_SHARE
--- a/hawthornspoke/httpio/_message.py
+++ b/hawthornspoke/httpio/_message.py
@@ -94,15 +94,27 @@
     body : bytes
     arrived_at : float
         Monotonic time of its first byte.
+    contact_arrived_at : float
+        The same on the clock that goes on while the host is suspended.
     """
 
-    __slots__ = ("method", "target", "arrived_at")
-
-    def __init__(self, *, method, target, headers, body=b"", arrived_at=0.0):
+    __slots__ = ("method", "target", "arrived_at", "contact_arrived_at")
+
+    def __init__(
+        self,
+        *,
+        method,
+        target,
+        headers,
+        body=b"",
+        arrived_at=0.0,
+        contact_arrived_at=0.0,
+    ):
         super().__init__(headers=headers, body=body)
         self.method = method
         self.target = target
         self.arrived_at = arrived_at
+        self.contact_arrived_at = contact_arrived_at
 
 
 class Response(Message):
--- a/hawthornspoke/httpio/_server.py
+++ b/hawthornspoke/httpio/_server.py
@@ -10,7 +10,7 @@
 
 import httptools
 
-from hawthornspoke.base import monotonic
+from hawthornspoke.base import contact_clock, has_hung_up, monotonic
 from hawthornspoke.httpio._message import Request, encode_head, status_line
 
 #: Bytes of further requests on a connection that are kept while one is answered.
@@ -93,6 +93,10 @@
         self.finished = True
         self._connection.write(b"0\r\n\r\n")
 
+    def caller_gone(self):
+        """Tell whether the caller has closed, also if the loop has yet to see it."""
+        return self._connection.caller_gone()
+
     def abort(self):
         """Close the connection, so that the answer can't look complete."""
         self.finished = True
@@ -174,6 +178,12 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def caller_gone(self):
+        """Tell whether the caller has closed, also if the loop has yet to see it."""
+        if self.transport is None or self.transport.is_closing():
+            return True
+        return has_hung_up(self.transport.get_extra_info("socket"))
+
     def close(self):
         """Close after what was written has been sent."""
         if self.transport is not None:
@@ -197,6 +207,7 @@
     def on_message_begin(self):
         self._reset_message()
         self._began_at = monotonic()
+        self._contact_began_at = contact_clock()
         self.idle_deadline = self._began_at + self.server.limits.header_time
 
     def on_url(self, url):
@@ -236,6 +247,7 @@
         self._keep_alive = True
         self._complete = False
         self._began_at = 0.0
+        self._contact_began_at = 0.0
 
     def _count_header(self, size):
         self._header_bytes += size
@@ -270,6 +282,7 @@
             headers=self._headers,
             body=bytes(self._body),
             arrived_at=self._began_at,
+            contact_arrived_at=self._contact_began_at,
         )
         self._parser = None
         reply = Reply(connection=self, keep_alive=self._keep_alive)
--- a/hawthornspoke/placing/__init__.py
+++ b/hawthornspoke/placing/__init__.py
@@ -12,6 +12,7 @@
     Finished,
     LoadSeen,
     Place,
+    Recheck,
     Sent,
     WeightsDeclared,
 )
@@ -31,6 +32,7 @@
     "Fleet",
     "LoadSeen",
     "Place",
+    "Recheck",
     "Sent",
     "WeightsDeclared",
     "age_of",
--- a/hawthornspoke/placing/_fleet.py
+++ b/hawthornspoke/placing/_fleet.py
@@ -17,6 +17,7 @@
     Finished,
     LoadSeen,
     Place,
+    Recheck,
     Sent,
     WeightsDeclared,
 )
@@ -33,6 +34,7 @@
     EntryHostsSeen,
     Finished,
     LoadSeen,
+    Recheck,
     Sent,
     WeightsDeclared,
 )
@@ -297,6 +299,36 @@
             answer = self._with_deadline(answer, service.engine, contact_now - now)
         return [answer]
 
+    def on_recheck(self, message, *, now):
+        """Look once more at a place just before the request is sent there.
+
+        Parameters
+        ----------
+        message : Recheck
+        now : float
+
+        Returns
+        -------
+        list of Place or Decline
+        """
+        ask, place = message.ask, message.place
+        contact_now = now if ask.contact_now is None else ask.contact_now
+        service = self.service_by_name.get(ask.service)
+        endpoint = self.endpoint_by_id.get(place.endpoint_id)
+        is_there = endpoint is not None and endpoint.accepts(now)
+        if service is None or not is_there or endpoint.entry.address != place.address:
+            return [self._decline(ask, "no_endpoint", 0.5)]
+        engine = service.engine
+        if engine is None:
+            return [place]
+        if not (
+            self._has_weights(endpoint, engine, ask, contact_now)
+            and self._begins_in_time(endpoint, engine, ask, contact_now)
+        ):
+            return [self._decline_for_weights(ask, [endpoint], now)]
+        place = replace(place, weights_version=endpoint.weights_version)
+        return [self._with_deadline(place, engine, contact_now - now)]
+
     def floor_version(self, model, contact_now):
         """Return the oldest version that may still begin to answer."""
         return self.declared.floor(
--- a/hawthornspoke/placing/_messages.py
+++ b/hawthornspoke/placing/_messages.py
@@ -206,6 +206,21 @@
     begin_deadline: float | None = None
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Recheck:
+    """Does a place that was chosen a moment ago still hold?
+
+    Parameters
+    ----------
+    ask : Ask
+        As it would be asked now.
+    place : Place
+    """
+
+    ask: Ask
+    place: Place
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Decline:
     """Nowhere now.
--- /dev/null
+++ b/hawthornspoke/relay/_admission.py
@@ -0,0 +1,168 @@
+"""Whether a request may run now: asked when it comes, and again before each send."""
+
+from hawthornspoke.base import Failure, monotonic
+from hawthornspoke.catalog import RouteTable
+from hawthornspoke.placing import Decline, Recheck
+
+#: Seconds after which callers return to a host that knows no configuration yet,
+#: or can't tell whether their key is still valid: the time of a short outage.
+UNINFORMED_RETRY_AFTER = 0.5
+
+#: Seconds after which a caller returns whose route or key changed on the way: at
+#: once, since what is in force now is known here.
+CHANGED_RETRY_AFTER = 0.05
+
+CALLER_LEFT = Failure(code="caller_left")
+DEADLINE_PASSED = Failure(code="deadline_passed")
+KEY_NOT_CONFIRMED = Failure(
+    code="key_not_confirmed", retry_after=UNINFORMED_RETRY_AFTER
+)
+CHANGED = Failure(code="configuration_changed")
+
+#: Only this endpoint can't have it; another one may.
+ENDPOINT_CHANGED = Failure(code="endpoint_changed")
+
+
+class Admission:
+    """Holds the configuration in force, and says what stands against a request.
+
+    Parameters
+    ----------
+    dialect : Dialect
+    fleet : Fleet
+    contact : Contact
+    clock : callable
+        Goes on while the host is suspended; deadlines of requests are on it.
+    """
+
+    __slots__ = ("catalog", "clock", "_routes", "_dialect", "_fleet", "_contact")
+
+    def __init__(self, *, dialect, fleet, contact, clock):
+        self.catalog = None
+        self.clock = clock
+        self._routes = None
+        self._dialect = dialect
+        self._fleet = fleet
+        self._contact = contact
+
+    def use(self, catalog):
+        """Put a configuration in force; the switch is one assignment each."""
+        self._routes = RouteTable(routes=catalog.routes)
+        self.catalog = catalog
+
+    def contact_age(self):
+        """Return the age of the platform's word in seconds, None if none."""
+        return self._contact.age(now=self.clock())
+
+    def identify(self, work):
+        """Find a request's route and organisation.
+
+        Parameters
+        ----------
+        work : Work
+            Gets both.
+
+        Returns
+        -------
+        None or tuple of (int, str, float or None)
+            Status, reason and seconds to come back after, of a refusal.
+        """
+        work.catalog = self.catalog
+        work.route = self._find_route(work)
+        if work.route is None:
+            return self._deny(404, "no_route")
+        if not self._needs_key(work.route):
+            return None
+        work.organisation = self._find_organisation(work)
+        if work.organisation is None:
+            return self._deny(401, "unknown_key")
+        if not self._contact.keys_trusted(now=self.clock()):
+            return 503, "key_not_confirmed", UNINFORMED_RETRY_AFTER
+        return None
+
+    def recheck(self, work, *, ask, place):
+        """Say whether a request may be sent to a place at this moment.
+
+        The process can have stood still since the place was chosen, or a connection
+        was waited for. Then the task goes on before the loop has seen the caller's
+        close, the timer of its deadline, or the time without the platform's word;
+        an endpoint would run what nobody waits for, or what is no longer allowed.
+        So this is called directly before the bytes are written, with nothing waited
+        for in between; what passes fastest is looked at last.
+
+        Parameters
+        ----------
+        work : Work
+            Gets an ``objection`` if no endpoint may have it any more.
+        ask : Ask
+        place : Place
+
+        Returns
+        -------
+        Place or Failure
+            The place as it is now; ``ENDPOINT_CHANGED`` if another may do.
+        """
+        failure = self._changed(work)
+        if failure is None:
+            message = Recheck(ask=ask, place=place)
+            (answer,) = self._fleet.step(message, now=monotonic())
+            if isinstance(answer, Decline):
+                return ENDPOINT_CHANGED.because(answer.reason)
+            failure = self._too_late(work)
+        if failure is None:
+            return answer
+        work.objection = failure
+        work.retry_after = failure.retry_after
+        return failure
+
+    def _too_late(self, work):
+        if work.reply.caller_gone():
+            return CALLER_LEFT
+        if self.clock() >= work.deadline:
+            return DEADLINE_PASSED
+        return None
+
+    def _changed(self, work):
+        """Return a Failure if what was in force for a request is so no longer."""
+        is_keyed = work.organisation is not None
+        if is_keyed and not self._contact.keys_trusted(now=self.clock()):
+            return KEY_NOT_CONFIRMED
+        if work.catalog is self.catalog:
+            return None
+        route = self._find_route(work)
+        if route is None or route.kind != work.route.kind:
+            return _changed_in("route")
+        if not any(item.service == work.service for item in route.shares):
+            return _changed_in(f"service {work.service}")
+        organisation = self._find_organisation(work) if self._needs_key(route) else None
+        if self._needs_key(route) and organisation is None:
+            return _changed_in("key")
+        if _name(organisation) != _name(work.organisation):
+            return _changed_in("organisation")
+        work.catalog = self.catalog
+        return None
+
+    def _find_route(self, work):
+        request = work.request
+        return self._routes.find(host=request.get("host", ""), target=request.target)
+
+    def _find_organisation(self, work):
+        key = work.request.get(self._dialect.key, "")
+        return self.catalog.organisation_by_key.get(key)
+
+    def _needs_key(self, route):
+        return not route.public and bool(self.catalog.organisation_by_key)
+
+    def _deny(self, status, reason):
+        """Return a refusal for good, or one for now if the configuration is old."""
+        if self._contact.may_deny(now=self.clock()):
+            return status, reason, None
+        return 503, f"{reason}_not_confirmed", UNINFORMED_RETRY_AFTER
+
+
+def _changed_in(what):
+    return CHANGED.because(what, retry_after=CHANGED_RETRY_AFTER)
+
+
+def _name(organisation):
+    return None if organisation is None else organisation.name
--- a/hawthornspoke/relay/_forward.py
+++ b/hawthornspoke/relay/_forward.py
@@ -2,8 +2,9 @@
 
 import asyncio
 
-from hawthornspoke.base import Failure, contact_clock, monotonic
+from hawthornspoke.base import Failure, monotonic
 from hawthornspoke.catalog import STREAM
+from hawthornspoke.httpio import encode_request
 from hawthornspoke.placing import Ask, Decline
 from hawthornspoke.relay._events import EventSplitter
 from hawthornspoke.relay._try import NOT_RUN, Try
@@ -40,6 +41,7 @@
 
     Parameters
     ----------
+    admission : Admission
     fleet : Fleet
     pool : ConnectionPool
     dialect : Dialect
@@ -48,9 +50,10 @@
     log : EventLog
     """
 
-    __slots__ = ("_fleet", "_pool", "_dialect", "_budget_for", "_log")
+    __slots__ = ("_admission", "_fleet", "_pool", "_dialect", "_budget_for", "_log")
 
-    def __init__(self, *, fleet, pool, dialect, budget_for, log):
+    def __init__(self, *, admission, fleet, pool, dialect, budget_for, log):
+        self._admission = admission
         self._fleet = fleet
         self._pool = pool
         self._dialect = dialect
@@ -91,22 +94,15 @@
                 attempt.leave()
 
     def _choose(self, work, connects):
+        if work.objection is not None:
+            return None
         if connects >= MOST_CONNECTS + work.route.attempts:
             work.retry_after = work.retry_after or 0.5
             return None
         if work.sent and not self._may_retry(work):
             return None
-        now = monotonic()
-        ask = Ask(
-            service=work.service,
-            prompt_tokens=work.prompt_tokens,
-            on_time_left=work.objective_deadline - now,
-            time_left=work.deadline - now,
-            returned=work.returned or work.sent > 0,
-            tried=frozenset(work.tried),
-            contact_now=contact_clock(),
-        )
-        (answer,) = self._fleet.step(ask, now=now)
+        ask = self._ask(work)
+        (answer,) = self._fleet.step(ask, now=monotonic())
         if isinstance(answer, Decline):
             work.last_reason = work.last_reason or answer.reason
             work.retry_after = answer.retry_after
@@ -116,6 +112,28 @@
         work.tried.append(answer.endpoint_id)
         return answer
 
+    def _ask(self, work, *, same_version=None):
+        """Return the question for an endpoint, as it is at this moment.
+
+        Parameters
+        ----------
+        work : Work
+        same_version : int or None, default=None
+            Of the weights that began the stream that is to go on.
+        """
+        now = self._admission.clock()
+        begun = same_version is not None
+        return Ask(
+            service=work.service,
+            prompt_tokens=work.prompt_tokens,
+            on_time_left=1.0 if begun else work.objective_deadline - now,
+            time_left=work.deadline - now,
+            returned=begun or work.returned or work.sent > 0,
+            tried=frozenset(work.tried),
+            same_version=same_version,
+            contact_now=now,
+        )
+
     def _log_placed(self, work, ask, place):
         self._log.decision(
             "placed",
@@ -142,19 +160,21 @@
         )
 
     def _may_retry(self, work):
-        if work.sent >= work.route.attempts:
+        if work.objection is not None or work.sent >= work.route.attempts:
             return False
-        if not work.reply.started and monotonic() > work.resend_deadline:
+        left = work.deadline - self._admission.clock()
+        if not work.reply.started and left < work.deadline - work.resend_deadline:
             # The caller will have left before a first event can come; an endpoint
             # would read the prompt for nobody.
             work.last_reason = f"{work.last_reason}; no time for a first event"
             return False
+        now = monotonic()
         message = AskRetry(
             repeatable=work.route.repeatable,
             was_run=work.may_have_run,
-            deadline=work.deadline - ANSWER_TIME,
+            deadline=now + left - ANSWER_TIME,
         )
-        (verdict,) = self._budget_for(work.service).step(message, now=monotonic())
+        (verdict,) = self._budget_for(work.service).step(message, now=now)
         if isinstance(verdict, RetryAllowed):
             return True
         work.last_reason = f"{work.last_reason}; {verdict.failure.code}"
@@ -162,16 +182,11 @@
 
     async def _try(self, work, attempt):
         """Return whether the request needs no further try."""
-        failure = await attempt.connect()
+        ran_before = work.may_have_run
+        failure = await self._connect_and_send(work, attempt)
         if failure is not None:
             work.last_reason = f"{failure.code}: {failure.reason}"
             return False
-        ran_before = work.may_have_run
-        attempt.send(work, headers=self._headers(work, attempt.place))
-        work.sent += 1
-        # From here on the endpoint may run it, also when nothing is heard any more
-        # before the request's time is over; only its own word takes that back.
-        work.may_have_run = True
         head = await attempt.read_head(patience=self._patience(work, attempt.place))
         if isinstance(head, Failure):
             work.last_reason = f"{head.code}: {head.reason}"
@@ -186,8 +201,56 @@
             return await self._pass_stream(work, attempt, head)
         return await self._take_whole(work, attempt)
 
+    async def _connect_and_send(self, work, attempt, *, last_event=None, version=None):
+        """Send a request, the first time, once more, or for the rest of a stream.
+
+        Parameters
+        ----------
+        work : Work
+        attempt : Try
+        last_event, version : int or None, default=None
+            After which event a stream goes on, and of which weights.
+
+        Returns
+        -------
+        None or Failure
+            If not a byte of it has left.
+        """
+        failure = await attempt.connect()
+        if failure is not None:
+            return failure
+        # Nothing is waited for from here to the write, and all that takes time but
+        # decides nothing comes before the last look.
+        data = self._encode(work, attempt.place, last_event, version)
+        ask = self._ask(work, same_version=version)
+        place = self._admission.recheck(work, ask=ask, place=attempt.place)
+        if not isinstance(place, Failure):
+            attempt.place = place
+            failure = attempt.send(data, expected_id=work.request_id)
+        else:
+            failure = place
+        if failure is not None:
+            self._log_not_sent(work, attempt, failure)
+            return failure
+        work.sent += 1
+        # From here on the endpoint may run it, also when nothing is heard any more
+        # before the request's time is over; only its own word takes that back.
+        work.may_have_run = True
+        return None
+
+    def _log_not_sent(self, work, attempt, failure):
+        self._log.change(
+            "not_sent",
+            request=work.request_id,
+            endpoint=attempt.place.endpoint_id,
+            reason=f"{failure.code}: {failure.reason}",
+            time_left=round(work.deadline - self._admission.clock(), 3),
+            contact_age=self._admission.contact_age(),
+        )
+
     async def _take_whole(self, work, attempt):
-        answer = await attempt.read_whole(patience=work.deadline - monotonic())
+        patience = work.deadline - self._admission.clock()
+        answer = await attempt.read_whole(patience=patience)
         if isinstance(answer, Failure):
             work.last_reason = f"{answer.code}: {answer.reason}"
             return False
@@ -259,18 +322,8 @@
         if not (work.route.repeatable and version.isdigit()):
             return None
         while self._may_retry(work):
-            now = monotonic()
-            ask = Ask(
-                service=work.service,
-                prompt_tokens=work.prompt_tokens,
-                on_time_left=1.0,
-                time_left=work.deadline - now,
-                returned=True,
-                tried=frozenset(work.tried),
-                same_version=int(version),
-                contact_now=contact_clock(),
-            )
-            (place,) = self._fleet.step(ask, now=now)
+            ask = self._ask(work, same_version=int(version))
+            (place,) = self._fleet.step(ask, now=monotonic())
             if isinstance(place, Decline):
                 work.last_reason += f"; no endpoint to go on: {place.reason}"
                 self._log_declined(work, ask, place)
@@ -288,12 +341,12 @@
         )
         kept = False
         try:
-            if await attempt.connect() is not None:
+            failure = await self._connect_and_send(
+                work, attempt, last_event=splitter.last_id, version=int(version)
+            )
+            if failure is not None:
+                work.last_reason += f"; {failure.code}: {failure.reason}"
                 return None
-            headers = self._headers(work, place, last_event=splitter.last_id)
-            headers.append((self._dialect.expected_version, version))
-            attempt.send(work, headers=headers)
-            work.sent += 1
             work.resumed += 1
             head = await attempt.read_head(patience=LEAST_PATIENCE)
             if isinstance(head, Failure):
@@ -316,7 +369,7 @@
         self._budget_for(work.service).step(Succeeded(), now=monotonic())
 
     def _patience(self, work, place):
-        left = work.deadline - monotonic()
+        left = work.deadline - self._admission.clock()
         if not work.route.repeatable:
             return max(0.0, left)
         if work.route.kind == STREAM:
@@ -325,13 +378,25 @@
             wanted = left * PLAIN_PATIENCE_SHARE if work.sent == 1 else left
         return max(0.0, min(left, wanted))
 
+    def _encode(self, work, place, last_event, version):
+        request = work.request
+        headers = self._headers(work, place, last_event=last_event)
+        if version is not None:
+            headers.append((self._dialect.expected_version, str(version)))
+        return encode_request(
+            method=request.method,
+            target=request.target,
+            headers=headers,
+            body=request.body,
+        )
+
     def _headers(self, work, place, *, last_event=None):
         dialect = self._dialect
         without = set(dialect.set_here())
         if last_event is not None:
             without.add(dialect.last_event.lower())
         headers = work.request.end_to_end(without=without)
-        left = work.deadline - ANSWER_TIME - monotonic()
+        left = work.deadline - ANSWER_TIME - self._admission.clock()
         headers.append((dialect.deadline_ms, str(max(1, int(left * 1000)))))
         headers.append((dialect.expected_endpoint, place.endpoint_id))
         if work.organisation is not None:
@@ -347,7 +412,8 @@
             own = work.organisation.priority
         # A caller that is late already gains nothing by going first, and one that
         # is not would become late behind it.
-        late = work.returned or monotonic() > work.objective_deadline
+        now = self._admission.clock()
+        late = work.returned or now > work.objective_deadline
         return min(LEAST_URGENT, own * PRIORITY_STEP + int(late))
 
     def answer_headers(self, response):
--- a/hawthornspoke/relay/_handler.py
+++ b/hawthornspoke/relay/_handler.py
@@ -3,7 +3,8 @@
 import asyncio
 
 from hawthornspoke.base import monotonic
-from hawthornspoke.catalog import RouteTable, choose_share
+from hawthornspoke.catalog import choose_share
+from hawthornspoke.relay._admission import CALLER_LEFT, UNINFORMED_RETRY_AFTER
 from hawthornspoke.relay._work import Work
 
 #: Milliseconds by which a caller's first deadline varies. One that has less time
@@ -18,10 +19,6 @@
 #: first event takes some 0.2 s.
 RESEND_TIME = 0.7
 
-#: Seconds after which callers return to a host that knows no configuration yet,
-#: or can't tell whether their key is still valid: the time of a short outage.
-UNINFORMED_RETRY_AFTER = 0.5
-
 #: Seconds after which a caller returns to another host when this one stops.
 LEAVING_RETRY_AFTER = 0.05
 
@@ -32,43 +29,39 @@
     Parameters
     ----------
     forwarder : Forwarder
+    admission : Admission
     dialect : Dialect
-    contact : Contact
-    contact_clock : callable
-        The clock of the contact machine; it goes on while a host is suspended.
     log : EventLog
     metrics : Metrics
     """
 
     __slots__ = (
-        "catalog",
         "refusing",
-        "_routes",
         "_forwarder",
+        "_admission",
         "_dialect",
-        "_contact",
-        "_contact_clock",
         "_log",
         "_metrics",
         "_longest_by_route",
     )
 
-    def __init__(self, *, forwarder, dialect, contact, contact_clock, log, metrics):
-        self.catalog = None
+    def __init__(self, *, forwarder, admission, dialect, log, metrics):
         self.refusing = False
-        self._routes = None
         self._forwarder = forwarder
+        self._admission = admission
         self._dialect = dialect
-        self._contact = contact
-        self._contact_clock = contact_clock
         self._log = log
         self._metrics = metrics
         self._longest_by_route = {}
 
+    @property
+    def catalog(self):
+        """The configuration in force, None before the first."""
+        return self._admission.catalog
+
     def use(self, catalog):
-        """Put a configuration in force; the switch is one assignment each."""
-        self._routes = RouteTable(routes=catalog.routes)
-        self.catalog = catalog
+        """Put a configuration in force."""
+        self._admission.use(catalog)
 
     async def __call__(self, request, reply):
         """Handle one request."""
@@ -96,42 +89,17 @@
             return 503, "no_configuration", UNINFORMED_RETRY_AFTER
         if self.refusing:
             return 503, "stopping", LEAVING_RETRY_AFTER
-        request = work.request
-        work.route = self._routes.find(
-            host=request.get("host", ""), target=request.target
-        )
-        if work.route is None:
-            return self._deny(404, "no_route")
-        refusal = self._identify(work)
+        refusal = self._admission.identify(work)
         if refusal is not None:
             return refusal
         work.service = choose_share(work.route, work.request_id)
         self._set_deadlines(work)
-        if work.deadline <= monotonic():
+        if work.deadline <= self._admission.clock():
             return 503, "no_time", None
         return None
 
-    def _identify(self, work):
-        organisation_by_key = self.catalog.organisation_by_key
-        if work.route.public or not organisation_by_key:
-            return None
-        work.organisation = organisation_by_key.get(
-            work.request.get(self._dialect.key, "")
-        )
-        if work.organisation is None:
-            return self._deny(401, "unknown_key")
-        if not self._contact.keys_trusted(now=self._contact_clock()):
-            return 503, "key_not_confirmed", UNINFORMED_RETRY_AFTER
-        return None
-
-    def _deny(self, status, reason):
-        """Return a refusal for good, or one for now if the configuration is old."""
-        if self._contact.may_deny(now=self._contact_clock()):
-            return status, reason, None
-        return 503, f"{reason}_not_confirmed", UNINFORMED_RETRY_AFTER
-
     def _set_deadlines(self, work):
-        arrived = work.request.arrived_at
+        arrived = work.request.contact_arrived_at
         value = work.request.get(self._dialect.deadline_ms, "")
         given = float(value) if value.isdigit() else ASSUMED_DEADLINE * 1000
         longest = self._longest_by_route.get(work.route.name, 0.0)
@@ -150,18 +118,22 @@
 
     async def _forward(self, work):
         try:
-            async with asyncio.timeout(work.deadline - monotonic()):
+            async with asyncio.timeout(work.deadline - self._admission.clock()):
                 await self._forwarder.run(work)
         except TimeoutError:
             work.last_reason = work.last_reason or "deadline"
             self._give_up(work, timed_out=True)
             return
+        if work.objection == CALLER_LEFT:
+            work.reply.abort()
+            work.outcome = "caller_left"
+            return
         if work.reply.finished or work.reply.started:
             return
         if work.last_response is not None:
             self._pass_on(work)
             return
-        self._give_up(work, timed_out=False)
+        self._give_up(work, timed_out=self._admission.clock() >= work.deadline)
 
     def _pass_on(self, work):
         response = work.last_response
@@ -210,7 +182,7 @@
             service=work.service,
             organisation=work.organisation.name if work.organisation else None,
             revision=self.catalog.revision if self.catalog else None,
-            contact_age=self._contact.age(now=self._contact_clock()),
+            contact_age=self._admission.contact_age(),
             returned=work.returned,
             endpoints=work.tried,
             first_byte=first,
--- a/hawthornspoke/relay/_process.py
+++ b/hawthornspoke/relay/_process.py
@@ -23,6 +23,7 @@
     WeightsDeclared,
     age_of,
 )
+from hawthornspoke.relay._admission import Admission
 from hawthornspoke.relay._agents import AgentLinks
 from hawthornspoke.relay._contact import Confirmed, Contact, ContactLost, Lost
 from hawthornspoke.relay._dialect import Dialect
@@ -111,17 +112,23 @@
         self._budget_by_service = {}
         self._stop_deadline = None
         self._stopped = None
+        admission = Admission(
+            dialect=self.dialect,
+            fleet=self.fleet,
+            contact=self.contact,
+            clock=contact_clock,
+        )
         self.handler = Handler(
             forwarder=Forwarder(
+                admission=admission,
                 fleet=self.fleet,
                 pool=self.pool,
                 dialect=self.dialect,
                 budget_for=self._budget_for,
                 log=self.log,
             ),
+            admission=admission,
             dialect=self.dialect,
-            contact=self.contact,
-            contact_clock=contact_clock,
             log=self.log,
             metrics=self.metrics,
         )
--- a/hawthornspoke/relay/_try.py
+++ b/hawthornspoke/relay/_try.py
@@ -3,13 +3,13 @@
 import asyncio
 
 from hawthornspoke.base import Failure, monotonic
-from hawthornspoke.httpio import encode_request
 from hawthornspoke.placing import Finished, LoadSeen, Sent
 
 #: Statuses by which an endpoint may say that it has not run a request.
 MISDIRECTED = 421
 
 UNREACHABLE = Failure(code="unreachable")
+CONNECTION_LOST = Failure(code="connection_lost")
 NOT_RUN = Failure(code="not_run")
 MAY_HAVE_RUN = Failure(code="may_have_run")
 SILENT = Failure(code="silent")
@@ -67,18 +67,28 @@
         self.connection = connection
         return None
 
-    def send(self, work, *, headers):
-        """Send the request."""
-        request = work.request
-        data = encode_request(
-            method=request.method,
-            target=request.target,
-            headers=headers,
-            body=request.body,
-        )
+    def send(self, data, *, expected_id):
+        """Send the request.
+
+        Parameters
+        ----------
+        data : bytes
+        expected_id : str
+
+        Returns
+        -------
+        None or Failure
+            ``CONNECTION_LOST`` if no byte of the request has left.
+        """
+        if not self.connection.is_open:
+            # It was closed after it was there; the loop has seen that and this task
+            # goes on only now. Bytes written to it would count as sent.
+            self.abort()
+            return CONNECTION_LOST
         self.sent_at = monotonic()
+        self.exchange = self.connection.send(data, expected_id=expected_id)
         self._tell(Sent(endpoint_id=self.place.endpoint_id))
-        self.exchange = self.connection.send(data, expected_id=work.request_id)
+        return None
 
     async def read_head(self, *, patience):
         """Wait for the head of the answer.
--- a/hawthornspoke/relay/_work.py
+++ b/hawthornspoke/relay/_work.py
@@ -9,12 +9,23 @@
     request : Request
     reply : Reply
     request_id : str
+
+    Attributes
+    ----------
+    catalog : Catalog or None
+        The configuration by which it was last found to be allowed.
+    deadline, objective_deadline, resend_deadline : float
+        On the clock that goes on while the host is suspended: callers don't wait
+        longer for a host that was.
+    objection : Failure or None
+        Why it may not be sent to any endpoint any more.
     """
 
     __slots__ = (
         "request",
         "reply",
         "request_id",
+        "catalog",
         "route",
         "service",
         "organisation",
@@ -26,6 +37,7 @@
         "tried",
         "sent",
         "may_have_run",
+        "objection",
         "last_response",
         "last_reason",
         "retry_after",
@@ -38,6 +50,7 @@
         self.request = request
         self.reply = reply
         self.request_id = request_id
+        self.catalog = None
         self.route = None
         self.service = ""
         self.organisation = None
@@ -49,6 +62,7 @@
         self.tried = []
         self.sent = 0
         self.may_have_run = False
+        self.objection = None
         self.last_response = None
         self.last_reason = ""
         self.retry_after = None
--- a/hawthornspoke/relay/tests/endpoint.py
+++ b/hawthornspoke/relay/tests/endpoint.py
@@ -22,6 +22,7 @@
 from hawthornspoke.metrics import Metrics
 from hawthornspoke.placing import CatalogChanged, EndpointsListed, Fleet
 from hawthornspoke.relay import Confirmed, Contact, Dialect
+from hawthornspoke.relay._admission import Admission
 from hawthornspoke.relay._forward import Forwarder
 from hawthornspoke.relay._handler import Handler
 from hawthornspoke.retries import RetryBudget
@@ -271,7 +272,14 @@
 
     async def __aenter__(self):
         self.addresses = [await endpoint.start() for endpoint in self.endpoints]
+        admission = Admission(
+            dialect=self.dialect,
+            fleet=self.fleet,
+            contact=self.contact,
+            clock=self.contact_clock,
+        )
         forwarder = Forwarder(
+            admission=admission,
             fleet=self.fleet,
             pool=self.pool,
             dialect=self.dialect,
@@ -280,9 +288,8 @@
         )
         self.handler = Handler(
             forwarder=forwarder,
+            admission=admission,
             dialect=self.dialect,
-            contact=self.contact,
-            contact_clock=self.contact_clock,
             log=EventLog(node="test"),
             metrics=self.metrics,
         )
