Failing tests: what an agent orders, tells and sends after it stood still

Cause: an order, a state, a piece and a small call go out on what was known before the wait; times are counted on the clock that stands still with a suspended host.

--- /dev/null
+++ b/hawthornspoke/spread/tests/test_after_a_wait.py
@@ -0,0 +1,246 @@
+"""An agent orders, tells and sends nothing on what a wait has made old.
+
+Symptom: an engine took up weights that were too old to answer by then.
+Events: an install is decided; the host stands still, or the engine is slow to answer;
+meanwhile a newer version is declared and the bound of this one passes. On waking the
+order goes out. Cause: what an order needs was looked at when it was decided.
+"""
+
+import asyncio
+import contextlib
+import time
+
+import pytest
+
+from hawthornspoke.catalog import EngineProfile
+from hawthornspoke.peering import connect, directive
+from hawthornspoke.protocol import Chunk, Frame
+from hawthornspoke.spread._uploads import Uploads
+from hawthornspoke.spread.tests.test_agents import (
+    ENGINE,
+    PORT,
+    SIZE,
+    FakeEngine,
+    Hosts,
+)
+
+
+class StallingEngine(FakeEngine):
+    """Runs something between the decision to order and the order."""
+
+    def __init__(self):
+        super().__init__()
+        self.agent = None
+        self.before_order = None
+        self.running = 0
+
+    async def snapshot(self):
+        if self.agent is not None and self.agent._noticed and self.before_order:
+            action, self.before_order = self.before_order, None
+            await action()
+        seen = await super().snapshot()
+        return type(seen)(
+            version=seen.version,
+            layers=seen.layers,
+            busy=seen.busy,
+            sequence=seen.sequence,
+            running=self.running,
+            waiting=0,
+            pace=1.0,
+        )
+
+
+@contextlib.asynccontextmanager
+async def one_host():
+    """Start an agent before an engine that can stall it."""
+    hosts = Hosts(1)
+    engine = hosts.engines[0] = StallingEngine()
+    async with hosts:
+        engine.agent = hosts.agents[0]
+        yield hosts, engine
+
+
+class Suspension:
+    """Lets the host be suspended: only the clock that goes on counts it."""
+
+    def __init__(self, monkeypatch):
+        self.seconds = 0.0
+        real = time.clock_gettime
+        monkeypatch.setattr(
+            time, "clock_gettime", lambda clock: real(clock) + self.seconds
+        )
+
+
+@pytest.fixture
+def suspension(monkeypatch):
+    return Suspension(monkeypatch)
+
+
+def test_version_that_became_too_old_is_not_ordered():
+    async def scenario():
+        async with one_host() as (hosts, engine):
+
+            async def stall():
+                await hosts.name(2, age=20.0)
+                await asyncio.sleep(0.05)
+
+            engine.before_order = stall
+            await hosts.name(1)
+            await hosts.until_all_have(2)
+            assert engine.orders == [2]
+
+    asyncio.run(scenario())
+
+
+def test_version_that_became_too_old_while_the_host_was_suspended(suspension):
+    """The newer version was named before, and only its bound passes meanwhile."""
+
+    async def scenario():
+        async with one_host() as (hosts, engine):
+
+            async def stall():
+                await hosts.name(2)
+                await asyncio.sleep(0.05)
+                suspension.seconds += 20.0
+
+            engine.before_order = stall
+            await hosts.name(1)
+            await hosts.until_all_have(2)
+            assert engine.orders == [2]
+
+    asyncio.run(scenario())
+
+
+def test_piece_that_turned_bad_while_the_process_stood_still():
+    """Symptom: an engine loaded bytes that have no digest of the list.
+
+    Events: all pieces are read back and right; the process stands still for longer
+    than the order may take; a piece turns bad where it lies. Cause: a check that was
+    made before the wait.
+    """
+
+    async def scenario():
+        async with one_host() as (hosts, engine):
+
+            async def stall():
+                engine.staged[3] = b"?" * SIZE
+                time.sleep(1.6)
+
+            engine.before_order = stall
+            await hosts.name(1)
+            await hosts.until_all_have(1, seconds=4.0)
+            assert engine.orders == [1]
+
+    asyncio.run(scenario())
+
+
+async def states_of(hosts, *, age):
+    """Connect as an entry host; return the link and the states it is told."""
+    states = []
+
+    def take(link, frame):
+        if frame.engine_state is not None:
+            states.append(frame.engine_state)
+
+    link = await connect(
+        hosts.ips[0], PORT, on_frame=take, on_closed=lambda _: None, timeout=1.0
+    )
+    hosts.links.append(link)
+    return link, states, Frame(directive=told(hosts, age))
+
+
+def told(hosts, age, engine: EngineProfile = ENGINE):
+    """Return what an entry host tells of version 1."""
+    return directive(
+        engine=engine,
+        version=1,
+        age=age,
+        peers=hosts.entries(),
+        origin="origin:1",
+        bound=8.0,
+        failure_domain="a",
+    )
+
+
+def test_age_of_a_version_counts_the_suspension(suspension):
+    """Symptom: an entry host that restarted sent to old weights for 5 s too long.
+
+    Events: an agent hears of a version, its host is suspended for 5 s, and it tells
+    the age. Cause: the age was counted on the clock that stands still.
+    """
+
+    async def scenario():
+        async with one_host() as (hosts, _):
+            link, states, frame = await states_of(hosts, age=1.0)
+            link.send(frame)
+            await asyncio.sleep(0.1)
+            suspension.seconds += 5.0
+            await asyncio.sleep(0.5)
+            assert states[-1].next_version_age_ms >= 6000
+
+    asyncio.run(scenario())
+
+
+def test_state_of_before_is_not_told_after_standing_still():
+    """Symptom: entry hosts sent to a full engine that had told them it was empty.
+
+    Events: the process stands still for 1.5 s while the engine fills; what an entry
+    host said meanwhile is read first on waking, and is answered with the state that
+    was seen before. Cause: the state had no age.
+    """
+
+    async def scenario():
+        async with one_host() as (hosts, engine):
+            link, states, frame = await states_of(hosts, age=1.0)
+            link.send(frame)
+            await asyncio.sleep(0.3)
+            before = len(states)
+            assert before > 0
+            link.send(frame)
+            engine.running = 4
+            time.sleep(1.5)
+            await asyncio.sleep(0.5)
+            assert [state.running for state in states[before:]][:1] == [4]
+
+    asyncio.run(scenario())
+
+
+class FakeLink:
+    """Takes what is uploaded."""
+
+    def __init__(self):
+        self.is_open = True
+        self.written = 0
+
+    @staticmethod
+    def encode(frame):
+        return frame.chunk.data
+
+    def write(self, data):
+        self.written += len(data)
+
+    def unsent(self):
+        return 0
+
+    def close(self):
+        self.is_open = False
+
+
+def test_piece_that_nobody_waits_for_is_not_sent():
+    """Symptom: pieces that were asked for 9 s before filled a link on waking.
+
+    Events: pieces wait to be sent one after the other; the process stands still for
+    longer than peers wait for a piece. Cause: what waits had no deadline.
+    """
+
+    async def scenario():
+        uploads = Uploads(link_rate=1e9, is_serving=lambda: False)
+        link = FakeLink()
+        uploads.put(link, Frame(call=-1, chunk=Chunk(data=b"p" * 1000)))
+        uploads.put(link, Frame(call=-2, chunk=Chunk(data=b"p" * 1000)))
+        time.sleep(2.1)
+        uploads.put(link, Frame(call=-3, chunk=Chunk(data=b"p" * 10)))
+        await asyncio.sleep(0.1)
+        assert link.written == 10
+
+    asyncio.run(scenario())
