An agent looks once more before an order, a state, a piece and a small call go out

Cause: an install, the engine's state, pieces that wait and small calls went out on what was known before the process stood still; the age of a declaration, limits of calls and idle connections were counted on the clock that a suspension stops.

Change: an order is sent only if its version is still due and its pieces were found right within 1.2 s, else they are read back once more; a state older than 1.2 s is not told; a piece is not sent 2 s after it was asked for, nor asked for once its version is dropped; a small call whose time is over, or whose connection is lost, returns NOT_SENT. Declarations, limits and idle times are on the clock that goes on.

--- a/hawthornspoke/httpio/_client.py
+++ b/hawthornspoke/httpio/_client.py
@@ -7,7 +7,7 @@
 
 import httptools
 
-from hawthornspoke.base import Failure, monotonic
+from hawthornspoke.base import Failure, contact_clock
 from hawthornspoke.httpio._message import HOP_BY_HOP, Response, encode_head
 
 #: Milliseconds that sent bytes may stay unacknowledged. A connection can go silent
@@ -34,6 +34,7 @@
 
 CONNECT_FAILED = Failure(code="connect_failed")
 BROKEN = Failure(code="connection_broken")
+NOT_SENT = Failure(code="not_sent")
 NOT_HTTP = Failure(code="not_http")
 
 _END = object()
@@ -221,7 +222,7 @@
         if not self.reusable or not self.is_open:
             self.abort()
             return False
-        self.idle_deadline = monotonic() + self._idle_time * IDLE_SHARE
+        self.idle_deadline = contact_clock() + self._idle_time * IDLE_SHARE
         return True
 
     def abort(self):
--- a/hawthornspoke/httpio/_pool.py
+++ b/hawthornspoke/httpio/_pool.py
@@ -2,9 +2,10 @@
 
 import asyncio
 
-from hawthornspoke.base import Failure, monotonic
+from hawthornspoke.base import Failure, contact_clock
 from hawthornspoke.httpio._client import (
     BROKEN,
+    NOT_SENT,
     ClientConnection,
     encode_request,
     open_connection,
@@ -49,10 +50,10 @@
         ClientConnection or Failure
         """
         idle = self._idle_by_key.get(key)
-        now = monotonic()
+        now = contact_clock()
         while idle and not fresh:
             connection = idle.pop()
-            if now < connection.idle_deadline and connection.transport is not None:
+            if now < connection.idle_deadline and connection.is_open:
                 return connection
             connection.abort()
         self.opened += 1
@@ -72,7 +73,7 @@
 
     def sweep(self):
         """Close connections that are idle for too long to be used again."""
-        now = monotonic()
+        now = contact_clock()
         for idle in self._idle_by_key.values():
             for connection in [item for item in idle if now >= item.idle_deadline]:
                 idle.remove(connection)
@@ -101,7 +102,9 @@
     Returns
     -------
     Response or Failure
+        ``NOT_SENT`` if not a byte has left.
     """
+    deadline = contact_clock() + timeout
     connection = None
     complete = False
     data = encode_request(
@@ -115,6 +118,11 @@
             connection = await pool.acquire(address, address)
             if isinstance(connection, Failure):
                 return connection
+            if contact_clock() >= deadline or not connection.is_open:
+                # The process stood still since: this task goes on before the timer
+                # of its limit, and an order would be carried out that was decided
+                # on what was true seconds ago.
+                return NOT_SENT.because(f"{method} {target}: too late")
             answer = await connection.send(data, expected_id=None).read_whole()
             complete = not isinstance(answer, Failure)
             return answer
--- a/hawthornspoke/spread/_exchange.py
+++ b/hawthornspoke/spread/_exchange.py
@@ -14,7 +14,7 @@
     HoldingsAsk,
 )
 from hawthornspoke.spread._ports import ORIGIN_FAILED
-from hawthornspoke.spread._uploads import Uploads
+from hawthornspoke.spread._uploads import PIECE_TIMEOUT, Uploads
 from hawthornspoke.swarm import (
     AnnounceChunks,
     Announced,
@@ -34,10 +34,6 @@
 
 CONNECT_TIMEOUT = 0.6
 
-#: Seconds for one piece. On a link of 450 KB/s, shared by some dozen hosts with two
-#: fetches each, a piece of 24 KB takes 1.5 s at the worst.
-PIECE_TIMEOUT = 2.0
-
 #: Seconds for one piece from the origin, whose link all hosts share.
 ORIGIN_TIMEOUT = 3.0
 
@@ -303,6 +299,10 @@
         if isinstance(link, Failure):
             self._fail(fetch, "unreachable")
             return
+        if fetch.digest not in self.swarm.by_digest:
+            # Dropped while the connection was waited for: a peer's link would carry
+            # a piece that nobody needs.
+            return
         ask = ChunkAsk(
             digest=fetch.digest, index=fetch.index, node=self._settings.engine_address
         )
--- a/hawthornspoke/spread/_installer.py
+++ b/hawthornspoke/spread/_installer.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from hawthornspoke.base import Failure, is_failure
+from hawthornspoke.base import Failure, contact_clock, is_failure
 
 #: Calls to the engine at once; it is on the same host.
 PARALLEL_CALLS = 4
@@ -14,6 +14,11 @@
 #: just sent is taken up before the engine takes nothing new.
 NOTICE_TIME = 0.03
 
+#: Seconds after all pieces were found right in which the order must be sent. What
+#: lies between is the notice and one call to the engine, of a second at most; more
+#: means that this process stood still, and pieces can have turned bad meanwhile.
+CHECK_VALID = 1.2
+
 #: Seconds for an order to show in the engine's state.
 ORDER_TIMEOUT = 1.0
 
@@ -28,6 +33,7 @@
 
 STAGE_FAILED = Failure(code="stage_failed")
 ORDER_FAILED = Failure(code="order_failed")
+STOOD_STILL = Failure(code="stood_still")
 
 
 class Installer:
@@ -92,27 +98,35 @@
         if not is_failure(result):
             self._staged.add(index)
 
-    async def install(self, weights):
+    async def install(self, weights, *, is_due):
         """Stage all pieces, read all back, and order the engine to load them.
 
         Parameters
         ----------
         weights : Weights
             Whole.
+        is_due : callable
+            Tells whether the order would still be right at the moment of the call.
 
         Returns
         -------
         None or Failure
         """
-        failure = await self._stage_all(weights)
-        if failure is not None:
-            return failure
-        try:
-            self._on_notice(True)
-            await asyncio.sleep(NOTICE_TIME)
-            return await self._order(weights)
-        finally:
-            self._on_notice(False)
+        result = STOOD_STILL
+        for _ in range(MOST_ROUNDS):
+            failure = await self._stage_all(weights)
+            if failure is not None:
+                return failure
+            checked_deadline = contact_clock() + CHECK_VALID
+            try:
+                self._on_notice(True)
+                await asyncio.sleep(NOTICE_TIME)
+                result = await self._order(weights, is_due, checked_deadline)
+            finally:
+                self._on_notice(False)
+            if result != STOOD_STILL:
+                break
+        return result
 
     async def _stage_all(self, weights):
         indices = range(len(weights.digests))
@@ -135,12 +149,18 @@
             self._staged.discard(index)
             self._log.change("staged_piece_bad", weights=weights.name, piece=index)
 
-    async def _order(self, weights):
+    async def _order(self, weights, is_due, checked_deadline):
         before = await self._engine.snapshot()
         if is_failure(before):
             return before
         if before.busy:
             return ORDER_FAILED.because("another order is in progress")
+        failure = self._objection(is_due, checked_deadline)
+        if failure is not None:
+            self._log.change(
+                "order_not_sent", weights=weights.name, reason=str(failure)
+            )
+            return failure
         result = await self._engine.start(
             weights.model, weights.version, sequence=before.sequence
         )
@@ -153,6 +173,16 @@
         )
         return await self._wait(weights, before, result)
 
+    def _objection(self, is_due, checked_deadline):
+        # Looked at directly before the order: the host can have stood still since
+        # the install was decided, and an engine that takes up what is too old by
+        # now answers nothing for the time of a change.
+        if not is_due():
+            return ORDER_FAILED.because("the version is no longer due")
+        if contact_clock() >= checked_deadline:
+            return STOOD_STILL.because("the pieces must be read back once more")
+        return None
+
     async def _wait(self, weights, before, result):
         """Wait until the engine has the weights; its state is the only proof."""
         loop = asyncio.get_running_loop()
--- a/hawthornspoke/spread/_process.py
+++ b/hawthornspoke/spread/_process.py
@@ -5,7 +5,7 @@
 import random
 import signal
 
-from hawthornspoke.base import is_failure, monotonic
+from hawthornspoke.base import contact_clock, is_failure, monotonic
 from hawthornspoke.events import EventLog
 from hawthornspoke.httpio import HttpServer, OperatorPort
 from hawthornspoke.metrics import Metrics
@@ -31,6 +31,11 @@
 #: Seconds between two looks at the engine, which is on the same host.
 LOOK_EVERY = 0.1
 
+#: Seconds after the engine was asked for its state in which that is told to entry
+#: hosts: one call to it, of a second at most, and the pause between two looks. What
+#: is older was seen before this process stood still.
+STATE_VALID = 1.2
+
 #: Seconds without an entry host after which the agent reads the platform itself.
 ALONE_AFTER = 2.0
 READ_ALONE_EVERY = 2.0
@@ -84,6 +89,7 @@
         "model",
         "operator",
         "_snapshot",
+        "_asked_at",
         "_noticed",
         "_weights_by_version",
         "_directive",
@@ -125,6 +131,7 @@
             on_broken=lambda error: self.log.change("failed", error=repr(error)),
         )
         self._snapshot = None
+        self._asked_at = float("-inf")
         self._noticed = False
         self._weights_by_version = {}
         self._directive = None
@@ -212,7 +219,7 @@
         self._take_version(directive)
 
     def _take_version(self, directive):
-        now = monotonic()
+        now = contact_clock()
         is_dated = directive.age_ms is not None
         age = directive.age_ms / 1000 if is_dated else 0.0
         before = self.upgrade.next_version()
@@ -306,7 +313,7 @@
         known = copy.copy(self._directive)
         if known is not None:
             known.weights_version = self.upgrade.next_version()
-            known.age_ms = self._newest_age_ms(monotonic())
+            known.age_ms = self._newest_age_ms()
             known.peers = None
         link.send(Frame(call=-frame.call, directive=known))
 
@@ -318,7 +325,9 @@
             await asyncio.sleep(LOOK_EVERY)
 
     async def _look(self):
+        asked_at = contact_clock()
         seen = await self.engine.snapshot()
+        self._asked_at = asked_at
         down = is_failure(seen)
         if down != self._engine_down:
             self._engine_down = down
@@ -334,27 +343,35 @@
         whole = seen.layers is not None and seen.layers[0] == 0
         return EngineSeen(version=seen.version, whole=whole, busy=seen.busy)
 
-    def _newest_age_ms(self, now):
-        age = self.upgrade.age_of_newest(now)
+    def _newest_age_ms(self):
+        age = self.upgrade.age_of_newest(contact_clock())
         return None if age is None else int(1000 * age)
 
     def _is_serving(self):
         return self._snapshot is not None and self._snapshot.running > 0
 
     def _tell(self):
+        if contact_clock() >= self._asked_at + STATE_VALID:
+            # On waking, what entry hosts sent meanwhile is read before the engine is
+            # asked again. They would take the load and the weights of before for
+            # those of now; the next look tells them the truth.
+            return
         now = monotonic()
         self.entry_links.tell(self._state(now), now)
 
     def _state(self, now):
         seen = self._snapshot
-        ready_at = self.upgrade.ready_at(now)
+        contact_now = contact_clock()
+        ready_at = self.upgrade.ready_at(contact_now)
         link_delay = int(self.entry_links.link.delay(now) * 1000)
-        age = self._newest_age_ms(now)
+        age = self._newest_age_ms()
         state = EngineState(
             endpoint_address=self.settings.engine_address,
             model=self.model,
             next_version=self.upgrade.next_version(),
-            next_ready_ms=-1 if ready_at is None else int((ready_at - now) * 1000),
+            next_ready_ms=-1
+            if ready_at is None
+            else int((ready_at - contact_now) * 1000),
             loading=True,
             entry_hosts=len(self.entry_links),
             link_delay_ms=link_delay,
@@ -377,7 +394,8 @@
     # Weights.
 
     def _step(self, message):
-        for outcome in self.upgrade.step(message, now=monotonic()):
+        # A declaration binds also while this host is suspended.
+        for outcome in self.upgrade.step(message, now=contact_clock()):
             if isinstance(outcome, Transfer):
                 self._begin(f"get {outcome.version}", self._get(outcome))
             elif isinstance(outcome, Forget):
@@ -451,13 +469,18 @@
         failure = None
         try:
             if weights is not None:
-                failure = await self.installer.install(weights)
+                failure = await self.installer.install(
+                    weights, is_due=lambda: self._is_due(version)
+                )
         finally:
             self.log.change("install_ended", version=version, failure=str(failure))
             # The next plan must see what the engine holds now, not a moment ago.
             await self._look()
             self._step(InstallEnded(version=version))
 
+    def _is_due(self, version):
+        return self.upgrade.is_due(version, now=contact_clock())
+
     def _drop(self, version):
         task = self._tasks.get(f"get {version}")
         if task is not None:
@@ -485,7 +508,7 @@
             "node": self.settings.node,
             "engine": str(self._snapshot),
             "entry_hosts": len(self.entry_links),
-            "upgrade": self.upgrade.dump(now=now),
+            "upgrade": self.upgrade.dump(now=contact_clock()),
             "link": self.entry_links.link.dump(now=now),
             "swarm": self.exchange.swarm.dump(now=now),
             "metrics": self.metrics.dump(),
--- a/hawthornspoke/spread/_upgrade.py
+++ b/hawthornspoke/spread/_upgrade.py
@@ -191,6 +191,24 @@
         self._position = message.position
         return []
 
+    def is_due(self, version, *, now):
+        """Tell whether an order for a version would still be right.
+
+        Parameters
+        ----------
+        version : int
+        now : float
+
+        Returns
+        -------
+        bool
+            False once another version made it needless, or its bound has passed.
+        """
+        current = self._engine.version or 0
+        is_held = version <= current and self._engine.whole
+        is_wanted = version in self.targets() and not is_held
+        return is_wanted and not self._is_expired(version, now)
+
     def next_version(self):
         """Return the newest version named, None if none was."""
         return self._named[-1].version if self._named else None
--- a/hawthornspoke/spread/_uploads.py
+++ b/hawthornspoke/spread/_uploads.py
@@ -3,6 +3,8 @@
 import asyncio
 import collections
 
+from hawthornspoke.base import contact_clock
+
 #: Bytes written at once. On the narrowest link we know (456 KB/s) this is 9 ms, the
 #: longest that an event of a live stream then waits behind a piece.
 SLICE_BYTES = 4096
@@ -28,6 +30,11 @@
 #: Seconds without progress after which a peer is left to its own devices.
 STUCK_AFTER = 2.0
 
+#: Seconds for one piece, after which a peer asks elsewhere. On a link of 450 KB/s,
+#: shared by some dozen hosts with two fetches each, a piece of 24 KB takes 1.5 s at
+#: the worst.
+PIECE_TIMEOUT = 2.0
+
 #: Pieces that may wait here; a peer that asks for more is told to ask elsewhere.
 MOST_WAITING = 6
 
@@ -58,7 +65,7 @@
 
     def put(self, link, frame):
         """Take a piece for a peer."""
-        self._waiting.append((link, frame))
+        self._waiting.append((link, frame, contact_clock() + PIECE_TIMEOUT))
         if self._task is None or self._task.done():
             self._task = asyncio.get_running_loop().create_task(self._send_all())
 
@@ -72,7 +79,10 @@
         loop = asyncio.get_running_loop()
         due = loop.time()
         while self._waiting:
-            link, frame = self._waiting.popleft()
+            link, frame, deadline = self._waiting.popleft()
+            if contact_clock() >= deadline:
+                # Sent now, it would only delay what is still waited for.
+                continue
             data = memoryview(link.encode(frame))
             while data and link.is_open:
                 link.write(data[:SLICE_BYTES])
