The own interface looks once more before a submit and before an engine is called

The entry host looked at caller and key only before it chose an endpoint.

Change: an engine is called only if the run is not cancelled, its entry host is still connected and its time is not over on either clock, looked at in the driver directly before the call. An attempt asks the control actor for key, service and endpoint, then looks at caller and time, once the connection is open and directly before the submit.

Left: the driver's own connect to the engine (0.5 s at most, same host) lies behind that look.

--- a/hawthornspoke/agent/_engines.py
+++ b/hawthornspoke/agent/_engines.py
@@ -45,14 +45,31 @@
         self.url = url.rstrip("/")
         self.pool = urllib3.PoolManager(maxsize=64)
 
-    def open(self, method, path, *, body, headers, timeout):
+    def open(self, method, path, *, body, headers, timeout, objection=None):
         """Return an open answer, ``ENGINE_DOWN`` if nothing was sent.
 
+        Parameters
+        ----------
+        method, path : str
+        body : bytes or None
+        headers : dict of str to str or None
+        timeout : float
+            Seconds.
+        objection : callable or None, default=None
+            Looked at last; returns a Failure if nothing may be sent any more.
+
+        Returns
+        -------
+        urllib3.response.BaseHTTPResponse or Failure
+
         Raises
         ------
         CutAnswer
             If bytes left and no answer came.
         """
+        failure = objection() if objection is not None else None
+        if failure is not None:
+            return failure
         try:
             return self.pool.request(
                 method,
@@ -166,6 +183,7 @@
             body=json.dumps(tree).encode(),
             headers=headers,
             timeout=timeout,
+            objection=run.objection,
         )
         if isinstance(answer, Failure):
             yield answer
@@ -351,6 +369,7 @@
             body=submit.body or None,
             headers=headers,
             timeout=timeout,
+            objection=run.objection,
         )
         if isinstance(answer, Failure):
             yield answer
--- a/hawthornspoke/agent/_process.py
+++ b/hawthornspoke/agent/_process.py
@@ -7,7 +7,7 @@
 from hawthornspoke.agent._engines import ENGINES
 from hawthornspoke.agent._fetch_actor import MANIFEST_INDEX, pack_bitmap
 from hawthornspoke.agent._runs import Run
-from hawthornspoke.base import monotonic
+from hawthornspoke.base import contact_clock, monotonic
 from hawthornspoke.node import NodeHandler, NodeProcess
 from hawthornspoke.protocol import (
     PROTOCOL_VERSION,
@@ -51,8 +51,13 @@
 
     def submit(self, request):
         """Pass a request to the gate and return its first events."""
-        deadline = monotonic() + (request.remaining_ms or 0) / 1000
-        run = Run(submit=request, deadline=deadline)
+        remaining = (request.remaining_ms or 0) / 1000
+        run = Run(
+            submit=request,
+            deadline=monotonic() + remaining,
+            contact_deadline=contact_clock() + remaining,
+            caller_gone=RpcServer.look_at_caller(),
+        )
         if RpcServer.caller_gone():
             # This process was paused between the arrival of the request and
             # now, and the entry host has given it up meanwhile. Run now, it
--- a/hawthornspoke/agent/_runs.py
+++ b/hawthornspoke/agent/_runs.py
@@ -3,9 +3,12 @@
 import queue
 import threading
 
-from hawthornspoke.base import monotonic
+from hawthornspoke.base import Failure, contact_clock, monotonic
 from hawthornspoke.protocol import Event, EventKind
 
+CALLER_GONE = Failure(code="busy", reason="caller is gone")
+DEADLINE_PASSED = Failure(code="deadline_passed", reason="not started in time")
+
 #: Events that wait for the entry host at most. When it does not read, because
 #: its caller is slow, the engine's stream is not read either.
 MAX_EVENTS = 256
@@ -25,11 +28,17 @@
     submit : hawthornspoke.protocol.Submit
     deadline : float
         On this process's clock.
+    contact_deadline : float or None, default=None
+        The same on the clock that goes on while the host is suspended.
+    caller_gone : callable or None, default=None
+        Tells whether the entry host has closed its connection.
     """
 
     __slots__ = (
         "submit",
         "deadline",
+        "contact_deadline",
+        "caller_gone",
         "read_at",
         "ended",
         "cancelled",
@@ -38,9 +47,11 @@
         "_lock",
     )
 
-    def __init__(self, *, submit, deadline):
+    def __init__(self, *, submit, deadline, contact_deadline=None, caller_gone=None):
         self.submit = submit
         self.deadline = deadline
+        self.contact_deadline = contact_deadline
+        self.caller_gone = caller_gone
         self.read_at = monotonic()
         self.ended = False
         self.cancelled = threading.Event()
@@ -48,6 +59,26 @@
         self._call = None
         self._lock = threading.Lock()
 
+    def objection(self):
+        """Say what stands against calling the engine at this moment.
+
+        Between the request's arrival and the engine lie the gate and the start of a
+        thread. A host that stood still there would run what its entry host has given
+        up, and told the caller to be not run.
+
+        Returns
+        -------
+        None or Failure
+        """
+        if self.cancelled.is_set():
+            return CALLER_GONE
+        if self.caller_gone is not None and self.caller_gone():
+            return CALLER_GONE
+        is_over = monotonic() >= self.deadline
+        if self.contact_deadline is not None:
+            is_over = is_over or contact_clock() >= self.contact_deadline
+        return DEADLINE_PASSED if is_over else None
+
     def push(self, event):
         """Add an event; wait while the entry host does not read.
 
--- a/hawthornspoke/entry/_attempt.py
+++ b/hawthornspoke/entry/_attempt.py
@@ -70,6 +70,8 @@
         Highest revision that this host has heard of.
     resume_from : int, default=0
         Tokens that the caller has already.
+    recheck : callable or None, default=None
+        Returns a Failure if the request may not go to that endpoint any more.
 
     Attributes
     ----------
@@ -85,25 +87,31 @@
         "pool",
         "revision",
         "resume_from",
+        "recheck",
         "ended",
         "first_byte",
         "revision_heard",
         "_attempt_id",
+        "_objection",
         "_sent_at",
         "_connection",
     )
 
-    def __init__(self, *, context, endpoint, pool, revision, resume_from=0):
+    def __init__(
+        self, *, context, endpoint, pool, revision, resume_from=0, recheck=None
+    ):
         self.context = context
         self.endpoint = endpoint
         self.pool = pool
         self.revision = revision
         self.resume_from = resume_from
+        self.recheck = recheck
         self.ended = None
         self.first_byte = None
         self.revision_heard = 0
         context.attempts += 1
         self._attempt_id = f"{context.request_id}-{context.attempts}"
+        self._objection = None
         self._sent_at = monotonic()
         self._connection = None
 
@@ -152,7 +160,7 @@
 
     def _submit(self):
         context = self.context
-        remaining = context.deadline - monotonic()
+        remaining = context.remaining()
         if remaining <= 0:
             return TOO_LATE.because("no time left")
         submit = Submit(
@@ -173,9 +181,26 @@
         self._sent_at = monotonic()
         limit = self._sent_at + READ_WAIT + READ_SLACK
         return self._connection.call(
-            "submit", submit, deadline=min(context.deadline, limit)
+            "submit",
+            submit,
+            deadline=min(context.deadline, limit),
+            objection=self._object,
         )
 
+    def _object(self):
+        """Say what stands against sending at this moment.
+
+        The connection may have taken time, or the process have stood still. The
+        actor that knows keys and endpoints is asked first, since that is a wait too.
+        """
+        failure = self.recheck() if self.recheck is not None else None
+        if failure is None and self.context.request.caller_gone():
+            failure = CALLER_GONE
+        if failure is None and self.context.remaining() <= 0:
+            failure = TOO_LATE.because("no time left")
+        self._objection = failure
+        return failure
+
     def _read(self):
         wait = min(READ_WAIT, max(0.0, self.context.deadline - monotonic()))
         return self._connection.call(
@@ -194,7 +219,7 @@
 
     def _lost(self, failure):
         """Return the end for a call that got no reply."""
-        if failure in (NOT_SENT, TOO_LATE):
+        if failure in (NOT_SENT, TOO_LATE) or self._objection is not None:
             if self.first_byte is None:
                 return Ended(done=False, was_run=False, failure=failure)
             return self._run_failed(CUT_OFF.because(failure.reason))
--- a/hawthornspoke/entry/_client.py
+++ b/hawthornspoke/entry/_client.py
@@ -33,6 +33,10 @@
         """See :meth:`EntryControl.choose`."""
         return self._ask("choose", arguments)
 
+    def recheck(self, **arguments):
+        """See :meth:`EntryControl.recheck`."""
+        return self._ask("recheck", arguments)
+
     def ask_retry(self, **arguments):
         """See :meth:`EntryControl.ask_retry`."""
         return self._ask("ask_retry", arguments)
--- a/hawthornspoke/entry/_context.py
+++ b/hawthornspoke/entry/_context.py
@@ -2,7 +2,7 @@
 
 import uuid
 
-from hawthornspoke.base import Failure, digest_of, monotonic
+from hawthornspoke.base import Failure, contact_clock, digest_of, monotonic
 
 BAD_REQUEST = Failure(code="bad_request")
 
@@ -35,6 +35,7 @@
         "request",
         "request_id",
         "arrived_at",
+        "contact_arrived_at",
         "deadline",
         "urgency",
         "key",
@@ -56,6 +57,7 @@
         self.request = request
         self.request_id = uuid.uuid4().hex
         self.arrived_at = monotonic()
+        self.contact_arrived_at = contact_clock()
         self.deadline = self.arrived_at + default_timeout
         self.urgency = DEFAULT_URGENCY
         self.key = ""
@@ -72,6 +74,19 @@
         self.claim = None
         self.attempts = 0
 
+    def remaining(self):
+        """Return the seconds that the caller will still wait.
+
+        Returns
+        -------
+        float
+            Counted on both clocks: one of them stands still with a suspended host,
+            and its caller waits no longer for that.
+        """
+        given = self.deadline - self.arrived_at
+        contact_left = self.contact_arrived_at + given - contact_clock()
+        return min(contact_left, self.deadline - monotonic())
+
     def fingerprint(self):
         """Return a digest of what the request asks for.
 
--- a/hawthornspoke/entry/_control.py
+++ b/hawthornspoke/entry/_control.py
@@ -29,6 +29,7 @@
 FORBIDDEN = Failure(code="forbidden")
 NO_SUCH_SERVICE = Failure(code="no_such_service")
 NOT_READY = Failure(code="not_ready")
+DRAINING = Failure(code="draining")
 
 #: Endpoints of one service that a failure domain's summary tells the others of.
 SUMMARY_PER_SERVICE = 4
@@ -138,6 +139,49 @@
         -------
         Admission or Failure
         """
+        organisation = self._allow(authorization, service_name, now)
+        if is_failure(organisation):
+            return organisation
+        service = self.service_by_name[service_name]
+        (limit,) = self.limits.step(Request(organisation=organisation), now=now)
+        if not isinstance(limit, Admitted):
+            return limit.failure
+        return Admission(
+            organisation=organisation,
+            service=service,
+            lowest_urgency=self.organisations[organisation].get("lowest_urgency", 0),
+        )
+
+    def recheck(self, *, authorization, organisation, service_name, node, now):
+        """Look once more at what a request needs, just before it is sent.
+
+        Parameters
+        ----------
+        authorization : str
+        organisation : str
+            As it was admitted.
+        service_name : str
+        node : str
+            The endpoint's.
+        now : float
+
+        Returns
+        -------
+        None or Failure
+        """
+        allowed = self._allow(authorization, service_name, now)
+        if is_failure(allowed):
+            return allowed
+        if allowed != organisation:
+            return UNAUTHENTICATED.because("the key is another organisation's now")
+        view = self.core.membership.by_id.get(node)
+        is_known = view is not None and view.member is not None
+        if not is_known or view.status == "leaving" or view.member.leaving:
+            return DRAINING.because(f"{node} leaves")
+        return None
+
+    def _allow(self, authorization, service_name, now):
+        """Return the organisation that may use a service, or a Failure."""
         if not self.core.holder.confirmed(now=now):
             reason = "no configuration is in force here yet"
             return NOT_READY.because(reason, retry_after=1.0)
@@ -151,14 +195,7 @@
             return FORBIDDEN.because(
                 f"{service_name!r} is not open to {organisation!r}"
             )
-        (limit,) = self.limits.step(Request(organisation=organisation), now=now)
-        if not isinstance(limit, Admitted):
-            return limit.failure
-        return Admission(
-            organisation=organisation,
-            service=service,
-            lowest_urgency=self.organisations[organisation].get("lowest_urgency", 0),
-        )
+        return organisation
 
     def choose(self, *, service, adapter, prefix, digest, excluded, now):
         """Choose an endpoint.
--- a/hawthornspoke/entry/_forward.py
+++ b/hawthornspoke/entry/_forward.py
@@ -1,7 +1,7 @@
 """Attempts after attempts, until there is an answer or a final failure."""
 
 from hawthornspoke.base import is_failure, monotonic
-from hawthornspoke.entry._answers import NOT_RUN, UNKNOWN
+from hawthornspoke.entry._answers import FINAL_CODES, NOT_RUN, UNKNOWN
 from hawthornspoke.entry._attempt import (
     CALLER_GONE,
     CUT_OFF,
@@ -139,6 +139,7 @@
             pool=self.pool,
             revision=self.control.revision_seen(),
             resume_from=self._sent_tokens,
+            recheck=lambda: self._recheck(endpoint),
         )
         self._attempt = attempt
         for event in attempt.events():
@@ -156,6 +157,15 @@
                 yield event.data
         return self._after(attempt, endpoint)
 
+    def _recheck(self, endpoint):
+        context = self.context
+        return self.control.recheck(
+            authorization=context.request.headers.get("authorization", ""),
+            organisation=context.organisation,
+            service_name=context.service_name,
+            node=endpoint.node,
+        )
+
     def _is_right(self, event, endpoint):
         """Tell whether the answer is by the weights it was asked of."""
         if not self.context.is_model:
@@ -206,7 +216,8 @@
 
     def _may_retry(self, ended):
         failure = ended.failure
-        if failure == CALLER_GONE or not self._can_go_on(ended):
+        is_final = failure == CALLER_GONE or failure.code in FINAL_CODES
+        if is_final or not self._can_go_on(ended):
             self._give_up(failure)
             return False
         if self.context.attempts >= MAX_ATTEMPTS:
--- a/hawthornspoke/protocol/_connection.py
+++ b/hawthornspoke/protocol/_connection.py
@@ -35,7 +35,7 @@
         self._socket = None
         self._client = None
 
-    def call(self, method, *arguments, deadline):
+    def call(self, method, *arguments, deadline, objection=None):
         """Call a method of the node.
 
         Parameters
@@ -45,12 +45,15 @@
         *arguments : Thrift structs or plain values
         deadline : float
             On the monotonic clock.
+        objection : callable or None, default=None
+            Looked at once the connection is open; returns a Failure if nothing may
+            be sent any more.
 
         Returns
         -------
         Thrift struct or Failure
-            ``TOO_LATE`` and ``NOT_SENT`` prove that the node got nothing;
-            ``REPLY_LOST`` says that nobody here can know.
+            ``TOO_LATE``, ``NOT_SENT`` and an objection prove that the node got
+            nothing; ``REPLY_LOST`` says that nobody here can know.
         """
         remaining = deadline - monotonic()
         if remaining <= 0:
@@ -64,6 +67,9 @@
         # The connection may have taken time, or the process may have been
         # paused; a call sent after its deadline would act for a caller who has
         # already been told otherwise, so the clock is read again.
+        failure = objection() if objection is not None else None
+        if failure is not None:
+            return failure
         remaining = deadline - monotonic()
         if remaining <= 0:
             return TOO_LATE.because(f"no time left to call {method}")
--- a/hawthornspoke/protocol/_server.py
+++ b/hawthornspoke/protocol/_server.py
@@ -86,6 +86,18 @@
         connection = getattr(_task, "connection", None)
         return connection is not None and has_hung_up(connection)
 
+    @staticmethod
+    def look_at_caller():
+        """Return, inside a handler, a look at its caller for other threads.
+
+        Returns
+        -------
+        callable
+            Tells whether the calling process has hung up.
+        """
+        connection = getattr(_task, "connection", None)
+        return lambda: connection is not None and has_hung_up(connection)
+
     def _accept(self):
         while True:
             listener = self._listener
