--- a/hawthornspoke/spread/tests/test_after_a_wait.py
+++ b/hawthornspoke/spread/tests/test_after_a_wait.py
@@ -21,7 +21,9 @@
     PORT,
     SIZE,
     FakeEngine,
+    FakeOrigin,
     Hosts,
+    piece,
 )
 
 
@@ -51,10 +53,11 @@
 
 
 @contextlib.asynccontextmanager
-async def one_host():
+async def one_host(engine=None, origin=None):
     """Start an agent before an engine that can stall it."""
     hosts = Hosts(1)
-    engine = hosts.engines[0] = StallingEngine()
+    engine = hosts.engines[0] = engine or StallingEngine()
+    hosts.origin = origin or hosts.origin
     async with hosts:
         engine.agent = hosts.agents[0]
         yield hosts, engine
@@ -244,3 +247,46 @@
         assert link.written == 10
 
     asyncio.run(scenario())
+
+
+class SlowEngine(StallingEngine):
+    """Takes one piece of version 1 in only when an order is about to come."""
+
+    def __init__(self):
+        super().__init__()
+        self.asked = asyncio.Event()
+
+    async def put_piece(self, model, index, data):
+        if data == piece(1, 3):
+            self.asked.set()
+            while not self.agent._noticed:
+                await asyncio.sleep(0.005)
+        return await super().put_piece(model, index, data)
+
+
+class SlowOrigin(FakeOrigin):
+    """Takes long for one piece of version 1, so that this is never whole."""
+
+    async def piece(self, address, model, version, index):
+        if (version, index) == (1, 5):
+            await asyncio.sleep(2.0)
+        return await super().piece(address, model, version, index)
+
+
+def test_piece_of_another_version_that_is_still_on_its_way_to_the_engine():
+    """Symptom: an engine loaded pieces of two versions.
+
+    Events: a piece of version 1 is on its way to a slow engine; version 2 is named, got
+    and staged; all its pieces are read back and right; the old piece arrives; the
+    order follows. Cause: what was begun for the version before went on.
+    """
+
+    async def scenario():
+        async with one_host(SlowEngine(), SlowOrigin()) as (hosts, engine):
+            await hosts.name(1)
+            await asyncio.wait_for(engine.asked.wait(), 3.0)
+            await hosts.name(2)
+            await hosts.until_all_have(2, seconds=4.0)
+            assert engine.orders == [2]
+
+    asyncio.run(scenario())
