Nothing of the version before reaches an engine once an install has begun

Cause: a piece that a slow engine had not taken in yet arrived after all pieces of the next version were read back, and was loaded with them (the test loads two versions without this). Change: what is still being staged is ended before the pieces are read back; a piece counts as staged only under the version it was staged for; a dropped version is not read from the origin any more.

--- a/hawthornspoke/spread/_exchange.py
+++ b/hawthornspoke/spread/_exchange.py
@@ -337,6 +337,8 @@
 
     async def _fetch_from_origin(self, fetch):
         weights = self.weights_by_name.get(fetch.digest)
+        if fetch.digest not in self.swarm.by_digest:
+            return
         if weights is None or self.origin_address is None:
             self._fail(fetch, "failed")
             return
--- a/hawthornspoke/spread/_installer.py
+++ b/hawthornspoke/spread/_installer.py
@@ -48,7 +48,7 @@
         Called with True just before an order, with False when it has ended.
     """
 
-    __slots__ = ("_engine", "_log", "_on_notice", "_staged_name", "_staged")
+    __slots__ = ("_engine", "_log", "_on_notice", "_staged_name", "_staged", "_puts")
 
     def __init__(self, *, engine, log, on_notice):
         self._engine = engine
@@ -56,6 +56,7 @@
         self._on_notice = on_notice
         self._staged_name = None
         self._staged = set()
+        self._puts = set()
 
     async def recover(self, weights):
         """Take the pieces that lie at the engine already.
@@ -94,10 +95,24 @@
             self._staged = set()
         if index in self._staged:
             return
-        result = await self._engine.put_piece(weights.model, index, weights.get(index))
-        if not is_failure(result):
+        task = asyncio.current_task()
+        self._puts.add(task)
+        try:
+            data = weights.get(index)
+            result = await self._engine.put_piece(weights.model, index, data)
+        finally:
+            self._puts.discard(task)
+        if not is_failure(result) and self._staged_name == weights.name:
             self._staged.add(index)
 
+    async def _stop_puts(self):
+        # A piece of the version before that a slow engine has not taken in yet would
+        # replace one of this version after that was read back and found right.
+        puts = list(self._puts)
+        for task in puts:
+            task.cancel()
+        await asyncio.gather(*puts, return_exceptions=True)
+
     async def install(self, weights, *, is_due):
         """Stage all pieces, read all back, and order the engine to load them.
 
@@ -113,6 +128,7 @@
         None or Failure
         """
         result = STOOD_STILL
+        await self._stop_puts()
         for _ in range(MOST_ROUNDS):
             failure = await self._stage_all(weights)
             if failure is not None:
