A second request in the bytes of the first doesn't take its place

Cause: the parser went on to the second message before the task of the first had begun; the first was neither run nor answered, and the second's answer was read as its own. Seen in a trial on loopback. Ruled out: serving both from the same bytes, since the parser doesn't tell where the first one ends.

Change: only the first is run, and the connection ends behind its answer. A request that waits behind another one counts as come when its bytes came.

--- a/hawthornspoke/httpio/_server.py
+++ b/hawthornspoke/httpio/_server.py
@@ -125,6 +125,8 @@
         self.idle_deadline = monotonic() + server.limits.idle_time
         self._parser = None
         self._pending = bytearray()
+        self._pending_since = None
+        self._came_at = None
         self._writable = None
         self._reset_message()
 
@@ -192,6 +194,8 @@
     def data_received(self, data):
         """Read; further requests wait until this one is answered."""
         if self.task is not None:
+            if not self._pending:
+                self._pending_since = _now()
             self._pending += data
             if len(self._pending) > PIPELINED_BYTES:
                 self.abort()
@@ -205,20 +209,33 @@
     # Callbacks of the parser.
 
     def on_message_begin(self):
+        if self._complete:
+            # The next request, in the bytes of this one. It would take this one's
+            # place, and its answer be read as this one's. It is not looked at, and
+            # the connection ends behind this one's answer: the caller then knows
+            # that the rest has not run.
+            self._overrun = True
+            return
         self._reset_message()
-        self._began_at = monotonic()
-        self._contact_began_at = contact_clock()
-        self.idle_deadline = self._began_at + self.server.limits.header_time
+        self._began_at, self._contact_began_at = self._came_at or _now()
+        self.idle_deadline = monotonic() + self.server.limits.header_time
 
     def on_url(self, url):
+        if self._overrun:
+            return
         self._target += url
         self._count_header(len(url))
 
     def on_header(self, name, value):
+        if self._overrun:
+            return
         self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
         self._count_header(len(name) + len(value) + 4)
 
     def on_headers_complete(self):
+        if self._overrun:
+            return
+        self._method = self._parser.get_method().decode("latin-1")
         names = [name.lower() for name, _ in self._headers]
         # Two lengths, or two hosts, are read differently by different programs;
         # a request hidden in the difference would reach an endpoint unseen.
@@ -231,6 +248,8 @@
         self.idle_deadline = monotonic() + self.server.limits.idle_time
 
     def on_body(self, body):
+        if self._overrun:
+            return
         self._body += body
         if len(self._body) > self.server.limits.body_bytes:
             self._refusal = self._refusal or 413
@@ -239,6 +258,7 @@
         self._complete = True
 
     def _reset_message(self):
+        self._method = ""
         self._target = b""
         self._headers = []
         self._header_bytes = 0
@@ -246,6 +266,7 @@
         self._refusal = None
         self._keep_alive = True
         self._complete = False
+        self._overrun = False
         self._began_at = 0.0
         self._contact_began_at = 0.0
 
@@ -255,9 +276,9 @@
             self._refusal = self._refusal or 431
 
     def _feed(self, data):
-        # One parser a request: what follows the first complete request in the same
-        # bytes is fed to the next parser once the first is answered.
+        # One parser a request; bytes that come while it is answered wait for the next.
         if self._parser is None:
+            self._reset_message()
             self._parser = httptools.HttpRequestParser(self)
         try:
             self._parser.feed_data(data)
@@ -277,7 +298,7 @@
 
     def _begin_task(self):
         request = Request(
-            method=self._parser.get_method().decode("latin-1"),
+            method=self._method,
             target=self._target.decode("latin-1"),
             headers=self._headers,
             body=bytes(self._body),
@@ -285,7 +306,8 @@
             contact_arrived_at=self._contact_began_at,
         )
         self._parser = None
-        reply = Reply(connection=self, keep_alive=self._keep_alive)
+        keep_alive = self._keep_alive and not self._overrun
+        reply = Reply(connection=self, keep_alive=keep_alive)
         loop = asyncio.get_running_loop()
         self.task = loop.create_task(self.server.handler(request, reply))
         self.task.add_done_callback(lambda task: self._end_task(task, reply))
@@ -303,7 +325,16 @@
             self.close()
         elif self._pending:
             data, self._pending = bytes(self._pending), bytearray()
+            # They came while this request was answered, and their caller has waited
+            # since then.
+            self._came_at = self._pending_since
             self.data_received(data)
+            self._came_at = None
+
+
+def _now():
+    """Return this moment on the steady clock and on the one that goes on."""
+    return monotonic(), contact_clock()
 
 
 class HttpServer:
