--- a/hawthornspoke/base/_clock.py
+++ b/hawthornspoke/base/_clock.py
@@ -23,7 +23,8 @@
     Returns
     -------
     float
-        Only for the age of what was heard, never for deadlines of requests.
+        For the age of what was heard, and for deadlines of others, who don't wait
+        longer for a host that was suspended. Event loops' timers are not on it.
     """
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
--- a/hawthornspoke/base/_sockets.py
+++ b/hawthornspoke/base/_sockets.py
@@ -7,7 +7,15 @@
 #: Errors of a look that say nothing of the other side: there is nothing to read, or
 #: the system has no such look.
 NO_WORD = frozenset(
-    (errno.EAGAIN, errno.EINTR, errno.EINVAL, errno.ENOSYS, errno.EOPNOTSUPP)
+    (
+        errno.EACCES,
+        errno.EAGAIN,
+        errno.EINTR,
+        errno.EINVAL,
+        errno.ENOSYS,
+        errno.EOPNOTSUPP,
+        errno.EPERM,
+    )
 )
 
 
--- a/hawthornspoke/base/tests/test_sockets.py
+++ b/hawthornspoke/base/tests/test_sockets.py
@@ -1,6 +1,8 @@
 """A look at a connection that nobody has read from since the other side closed."""
 
 import asyncio
+import errno
+import select
 import socket
 import struct
 import time
@@ -85,3 +87,16 @@
         transport.close()
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("number", [errno.ENOSYS, errno.EPERM, errno.EINVAL])
+def test_system_without_such_a_look(pair, monkeypatch, number):
+    """Symptom: a host refuses all callers as gone. It only can't tell."""
+
+    class NoPoll:
+        def register(self, connection, events):
+            raise OSError(number, "no such call")
+
+    monkeypatch.setattr(select, "poll", NoPoll)
+    near, _ = pair
+    assert not has_hung_up(near)
--- /dev/null
+++ b/hawthornspoke/placing/tests/test_recheck.py
@@ -0,0 +1,105 @@
+"""A place that was chosen a moment ago, looked at once more before the send."""
+
+import pytest
+
+from hawthornspoke.catalog import DeclaredWeights, EndpointEntry, EngineProfile, Service
+from hawthornspoke.placing import (
+    Ask,
+    CatalogChanged,
+    Decline,
+    EndpointsListed,
+    Fleet,
+    Place,
+    Recheck,
+    WeightsDeclared,
+)
+
+ENGINE = EngineProfile(
+    model="m",
+    slots=4,
+    step=0.007,
+    step_per_request=0.00002,
+    steps_per_pass=6,
+    read_rate=30000.0,
+    usual_prompt=900.0,
+    usual_answer=120.0,
+    layers=16,
+)
+
+
+def entry(**changes):
+    """Return the list's entry of the one endpoint."""
+    fields = {
+        "endpoint_id": "e",
+        "service": "s",
+        "address": "10.0.0.1:1",
+        "failure_domain": "a",
+        "slots": 4,
+        "weights_version": 1,
+        "layers": (0, 16),
+    }
+    return EndpointEntry(**fields | changes)
+
+
+def fleet(engine):
+    """Return a fleet with one endpoint of a plain service, or with an engine."""
+    machine = Fleet(failure_domain="a")
+    services = {"s": Service(name="s", engine=engine)}
+    machine.step(CatalogChanged(service_by_name=services), now=0.0)
+    machine.step(EndpointsListed(entries=(entry(),)), now=0.0)
+    return machine
+
+
+def choose(machine, now=0.0):
+    """Return the place that is chosen."""
+    (place,) = machine.step(Ask(service="s"), now=now)
+    assert isinstance(place, Place)
+    return place
+
+
+def recheck(machine, place, now=0.0):
+    """Return the answer to a second look."""
+    (answer,) = machine.step(Recheck(ask=Ask(service="s"), place=place), now=now)
+    return answer
+
+
+@pytest.fixture(params=[None, ENGINE], ids=["plain", "engine"])
+def machine(request):
+    return fleet(request.param)
+
+
+def test_nothing_changed(machine):
+    place = choose(machine)
+    assert recheck(machine, place) == place
+
+
+@pytest.mark.parametrize(
+    "entries",
+    [(), (entry(leaving=True),), (entry(address="10.0.0.2:1"),)],
+    ids=["gone", "leaving", "moved"],
+)
+def test_endpoint_changed(machine, entries):
+    place = choose(machine)
+    machine.step(EndpointsListed(entries=entries), now=1.0)
+    assert isinstance(recheck(machine, place, now=1.0), Decline)
+
+
+def test_service_is_gone(machine):
+    place = choose(machine)
+    machine.step(CatalogChanged(service_by_name={}), now=1.0)
+    assert isinstance(recheck(machine, place, now=1.0), Decline)
+
+
+def test_declaration_between_both_looks_bounds_the_begin():
+    """Symptom: a request that was placed just before a declaration was not withdrawn.
+
+    Cause: until when it must have begun was computed once, when it was placed.
+    """
+    machine = fleet(ENGINE)
+    place = choose(machine)
+    assert place.begin_deadline is None
+    declared = DeclaredWeights(model="m", version=2)
+    machine.step(WeightsDeclared(declared=declared, at=1.0), now=1.0)
+    again = recheck(machine, place, now=1.0)
+    assert again.begin_deadline == pytest.approx(1.0 + 8.0 - 0.4)
+    assert isinstance(recheck(machine, place, now=8.5), Decline)
