--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -200,6 +200,62 @@
         new="        if True:",
         test="tests/test_traces.py -k paused_observer",
     ),
+    Mutation(
+        name="after a wait: caller and time not looked at",
+        file="relay/_admission.py",
+        old="            failure = self._too_late(work)\n",
+        new="            failure = None\n",
+        test="hawthornspoke/relay/tests/test_after_a_wait.py -k process_stood_still",
+    ),
+    Mutation(
+        name="after a wait: configuration not looked at",
+        file="relay/_admission.py",
+        old="        failure = self._changed(work)\n",
+        new="        failure = None\n",
+        test="hawthornspoke/relay/tests/test_after_a_wait.py -k taken_away",
+    ),
+    Mutation(
+        name="after a wait: endpoint not looked at",
+        file="relay/_admission.py",
+        old="            if isinstance(answer, Decline):",
+        new="            if False:",
+        test="hawthornspoke/relay/tests/test_after_a_wait.py -k endpoint_that",
+    ),
+    Mutation(
+        name="after a wait: orders are not looked at",
+        file="spread/_installer.py",
+        old="        failure = self._objection(is_due, checked_deadline)\n",
+        new="        failure = None\n",
+        test="hawthornspoke/spread/tests/test_after_a_wait.py -k became_too_old",
+    ),
+    Mutation(
+        name="after a wait: old puts go on",
+        file="spread/_installer.py",
+        old="        await self._stop_puts()\n",
+        new="",
+        test="hawthornspoke/spread/tests/test_after_a_wait.py -k on_its_way",
+    ),
+    Mutation(
+        name="after a wait: engines are called unseen",
+        file="agent/_engines.py",
+        old="        failure = objection() if objection is not None else None\n",
+        new="        failure = None\n",
+        test="hawthornspoke/agent/tests/test_after_a_wait.py -k stood_still",
+    ),
+    Mutation(
+        name="after a wait: submits are sent unseen",
+        file="protocol/_connection.py",
+        old="        failure = objection() if objection is not None else None\n",
+        new="        failure = None\n",
+        test="hawthornspoke/entry/tests/test_after_a_wait.py -k caller_that_left",
+    ),
+    Mutation(
+        name="after a wait: small calls are sent late",
+        file="httpio/_pool.py",
+        old="            if contact_clock() >= deadline or not connection.is_open:",
+        new="            if not connection.is_open:",
+        test="hawthornspoke/httpio/tests/test_after_a_wait.py -k time_is_over",
+    ),
 ]
 
 
