--- a/hawthornspoke/placing/__init__.py
+++ b/hawthornspoke/placing/__init__.py
@@ -12,6 +12,7 @@
     Finished,
     LoadSeen,
     Place,
+    Recheck,
     Sent,
     WeightsDeclared,
 )
@@ -28,6 +29,7 @@
     "Fleet",
     "LoadSeen",
     "Place",
+    "Recheck",
     "Sent",
     "WeightsDeclared",
 ]
--- a/hawthornspoke/placing/_messages.py
+++ b/hawthornspoke/placing/_messages.py
@@ -237,6 +237,21 @@
     incarnation: Incarnation = UNKNOWN_START
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Recheck:
+    """Does a place that was chosen a moment ago still hold?
+
+    Parameters
+    ----------
+    ask : Ask
+        As it would be asked now.
+    place : Place
+    """
+
+    ask: Ask
+    place: Place
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Decline:
     """Nowhere now.
--- a/hawthornspoke/spread/_process.py
+++ b/hawthornspoke/spread/_process.py
@@ -39,6 +39,11 @@
 #: Seconds between two looks at the engine, which is on the same host.
 LOOK_EVERY = 0.1
 
+#: Seconds after the engine was asked for its state in which that is told to entry
+#: hosts: one call to it, of a second at most, and the pause between two looks. What
+#: is older was seen before this process stood still.
+STATE_VALID = 1.2
+
 #: Seconds without an entry host after which the agent reads the platform itself.
 ALONE_AFTER = 2.0
 READ_ALONE_EVERY = 2.0
@@ -102,6 +107,7 @@
         "_incarnation",
         "_looks_begun",
         "_look_taken",
+        "_asked_at",
         "_noticed",
         "_weights_by_version",
         "_directive",
@@ -147,6 +153,7 @@
         self._incarnation = UNKNOWN_START
         self._looks_begun = 0
         self._look_taken = 0
+        self._asked_at = float("-inf")
         self._noticed = False
         self._weights_by_version = {}
         self._directive = None
@@ -237,13 +244,13 @@
         self._take_version(directive)
 
     def _take_version(self, directive):
-        now = monotonic()
+        now = contact_clock()
         version = directive.weights_version
         age = None if directive.age_ms is None else directive.age_ms / 1000
         before = self.upgrade.next_version()
         self.declared.add(
             DeclaredWeights(model=directive.model, version=version),
-            at=UNKNOWN if age is None else contact_clock() - age - self._link_delay(),
+            at=UNKNOWN if age is None else now - age - self._link_delay(),
         )
         named = Named(version=version, at=now - (age or 0.0), is_dated=age is not None)
         self._step(named)
@@ -346,12 +353,14 @@
     async def _look(self):
         self._looks_begun += 1
         number = self._looks_begun
+        asked_at = contact_clock()
         seen = await self.engine.snapshot()
         if number < self._look_taken:
             # Answers on two connections overtake each other; the late one may be
             # of an earlier start, which would then be taken for the next one.
             return
         self._look_taken = number
+        self._asked_at = asked_at
         down = is_failure(seen)
         if down != self._engine_down:
             self._engine_down = down
@@ -412,17 +421,25 @@
         return self._snapshot is not None and self._snapshot.running > 0
 
     def _tell(self):
+        if contact_clock() >= self._asked_at + STATE_VALID:
+            # On waking, what entry hosts sent meanwhile is read before the engine is
+            # asked again. They would take the load and the weights of before for
+            # those of now; the next look tells them the truth.
+            return
         now = monotonic()
         self.entry_links.tell(self._state(now), now)
 
     def _state(self, now):
         seen = self._snapshot
-        ready_at = self.upgrade.ready_at(now)
+        contact_now = contact_clock()
+        ready_at = self.upgrade.ready_at(contact_now)
         state = EngineState(
             endpoint_address=self.settings.engine_address,
             model=self.model,
             next_version=self.upgrade.next_version(),
-            next_ready_ms=-1 if ready_at is None else int((ready_at - now) * 1000),
+            next_ready_ms=-1
+            if ready_at is None
+            else int((ready_at - contact_now) * 1000),
             loading=True,
             entry_hosts=len(self.entry_links),
             link_delay_ms=int(self._link_delay() * 1000),
@@ -445,7 +462,8 @@
     # Weights.
 
     def _step(self, message):
-        for outcome in self.upgrade.step(message, now=monotonic()):
+        # A declaration binds also while this host is suspended.
+        for outcome in self.upgrade.step(message, now=contact_clock()):
             if isinstance(outcome, Transfer):
                 self._begin(f"get {outcome.version}", self._get(outcome))
             elif isinstance(outcome, Forget):
@@ -519,7 +537,9 @@
         failure = None if weights is None else INSTALL_CANCELLED
         try:
             if weights is not None:
-                failure = await self.installer.install(weights)
+                failure = await self.installer.install(
+                    weights, is_due=lambda: self._is_due(version)
+                )
         finally:
             self.log.change("install_ended", version=version, failure=str(failure))
             try:
@@ -530,6 +550,9 @@
                 # no version would be installed any more.
                 self._step(InstallEnded(version=version))
 
+    def _is_due(self, version):
+        return self.upgrade.is_due(version, now=contact_clock())
+
     def _drop(self, version):
         task = self._tasks.get(f"get {version}")
         if task is not None:
@@ -557,7 +580,7 @@
             "node": self.settings.node,
             "engine": str(self._snapshot),
             "entry_hosts": len(self.entry_links),
-            "upgrade": self.upgrade.dump(now=now),
+            "upgrade": self.upgrade.dump(now=contact_clock()),
             "link": self.entry_links.link.dump(now=now),
             "swarm": self.exchange.swarm.dump(now=now),
             "metrics": self.metrics.dump(),
--- a/hawthornspoke/spread/tests/test_incarnations.py
+++ b/hawthornspoke/spread/tests/test_incarnations.py
@@ -125,7 +125,9 @@
     async def run():
         engine = RestartingEngine()
         engine.before_start = lambda: engine.restart(SECOND)
-        failure = await installer_for(engine).install(whole_weights())
+        failure = await installer_for(engine).install(
+            whole_weights(), is_due=lambda: True
+        )
         assert is_failure(failure)
         assert "started again" in failure.reason
 
@@ -149,7 +151,7 @@
                 engine.restart(then)
 
         installer = installer_for(engine, on_notice=on_notice)
-        failure = await installer.install(whole_weights())
+        failure = await installer.install(whole_weights(), is_due=lambda: True)
         assert is_failure(failure)
         assert engine.ordered_from == []
 
@@ -163,7 +165,9 @@
         engine = RestartingEngine(incarnation=UNKNOWN_START)
         engine.sequence = 3
         engine.before_start = lambda: engine.restart(UNKNOWN_START)
-        failure = await installer_for(engine).install(whole_weights())
+        failure = await installer_for(engine).install(
+            whole_weights(), is_due=lambda: True
+        )
         assert is_failure(failure)
         assert "started again" in failure.reason
 
