--- a/platform/adapter/fields.py
+++ b/hawthornspoke/fields/_fields.py
@@ -127,6 +127,25 @@
     return True
 
 
+def one_of(tree, name, value_by_word):
+    """Return what one of a few words stands for.
+
+    Parameters
+    ----------
+    tree : dict
+    name : str
+    value_by_word : dict of str to object
+
+    Returns
+    -------
+    object
+    """
+    word = text(tree, name)
+    if word not in value_by_word:
+        raise FieldError(f"{name}: not one of {list(value_by_word)}: {_shown(word)}")
+    return value_by_word[word]
+
+
 def address(tree, name):
     """Return an ``IP:PORT`` that can be connected to."""
     value = text(tree, name)
@@ -220,28 +239,6 @@
     return [text({name: value}, name) for value in items(tree, name, default)]
 
 
-def held_layers(tree):
-    """Return which weights an engine holds, from ``layers``.
-
-    Parameters
-    ----------
-    tree : dict
-
-    Returns
-    -------
-    version : int or None
-        None if it holds none.
-    layers : tuple of (int, int) or None
-        First layer, and the one after the last.
-    """
-    held = child(tree, "layers")
-    if not held:
-        return None, None
-    first = whole_number(held, "from")
-    past = whole_number(held, "target", low=first)
-    return whole_number(held, "version", high=LARGEST_VERSION), (first, past)
-
-
 def _default(name, default):
     if default is REQUIRED:
         raise FieldError(f"{name}: missing")
--- /dev/null
+++ b/hawthornspoke/fields/tests/test_fields.py
@@ -0,0 +1,83 @@
+"""Each reader returns what a field says, or says what is wrong with it."""
+
+import pytest
+
+from hawthornspoke import fields
+from hawthornspoke.base import is_failure
+
+
+@pytest.mark.parametrize(
+    ("read", "value", "expected"),
+    [
+        (fields.text, "a", "a"),
+        (fields.number, 1.5, 1.5),
+        (fields.whole_number, 12.0, 12),
+        (fields.whole_number, 0, 0),
+        (fields.flag, False, False),
+        (fields.child, None, {}),
+        (fields.items, [1, "a"], [1, "a"]),
+        (fields.children, [{}], [{}]),
+        (fields.texts, ["a"], ["a"]),
+        (fields.address, "10.0.0.1:80", "10.0.0.1:80"),
+    ],
+)
+def test_field_of_the_right_type_is_read(read, value, expected):
+    assert read({"x": value}, "x") == expected
+
+
+@pytest.mark.parametrize(
+    ("read", "value"),
+    [
+        (fields.text, 1),
+        (fields.text, "\ud800"),
+        (fields.text, "a" * (fields.LONGEST_TEXT + 1)),
+        (fields.number, True),
+        (fields.number, "1"),
+        (fields.number, float("nan")),
+        (fields.number, float("inf")),
+        (fields.number, -1),
+        (fields.whole_number, 1.5),
+        (fields.whole_number, 10**400),
+        (fields.whole_number, False),
+        (fields.flag, 0),
+        (fields.child, []),
+        (fields.items, {}),
+        (fields.items, "ab"),
+        (fields.children, [1]),
+        (fields.texts, ["a", 1]),
+        (fields.address, "10.0.0.1"),
+        (fields.address, "10.0.0.1:0"),
+        (fields.address, "10.0.0.1:65536"),
+        (fields.address, "10.0.0.1:\u0661"),
+        (fields.address, "10.0.0.01:80"),
+        (fields.address, ":80"),
+    ],
+)
+def test_field_of_another_type_is_named(read, value):
+    with pytest.raises(fields.FieldError, match="^x: "):
+        read({"x": value}, "x")
+
+
+def test_missing_field_is_its_default_or_named():
+    assert fields.text({"x": None}, "x", "usual") == "usual"
+    assert fields.whole_number({}, "x", None) is None
+    with pytest.raises(fields.FieldError, match="x: missing"):
+        fields.text({}, "x")
+
+
+def test_words_are_looked_up():
+    assert fields.one_of({"x": "on"}, "x", {"on": 1}) == 1
+    with pytest.raises(fields.FieldError, match="not one of"):
+        fields.one_of({"x": "off"}, "x", {"on": 1})
+
+
+def test_decoder_returns_a_failure_with_the_reason():
+    @fields.as_value
+    def decode(data):
+        return fields.text(fields.object_of(data), "x")
+
+    assert decode(b'{"x": "a"}') == "a"
+    for data in (b"", b"[]", b"\xff", b"[" * 100_000, b'{"x": 1}'):
+        outcome = decode(data)
+        assert is_failure(outcome) and outcome == fields.UNUSABLE
+        assert len(outcome.reason) < 200
--- a/hawthornspoke/mirror/__init__.py
+++ b/hawthornspoke/mirror/__init__.py
@@ -1,13 +1,25 @@
 """What the platform's tables hold, read once for the hosts of a failure domain."""
 
+from hawthornspoke.mirror._intake import Intake
 from hawthornspoke.mirror._neighbours import Neighbours
 from hawthornspoke.mirror._readers import NeighboursTold, ReaderFailed, Readers
 from hawthornspoke.mirror._tables import Mirror
 from hawthornspoke.mirror._types import HISTORY_GONE, News, Row
+from hawthornspoke.mirror._unusable import (
+    CONFIGURATION,
+    ENDPOINT,
+    WEIGHTS,
+    UnusableRows,
+    sort_out,
+)
 from hawthornspoke.mirror._watch import Table, Watch
 
 __all__ = [
+    "CONFIGURATION",
+    "ENDPOINT",
     "HISTORY_GONE",
+    "WEIGHTS",
+    "Intake",
     "Mirror",
     "Neighbours",
     "NeighboursTold",
@@ -16,5 +28,7 @@
     "Readers",
     "Row",
     "Table",
+    "UnusableRows",
     "Watch",
+    "sort_out",
 ]
--- a/platform/adapter/tables.py
+++ b/hawthornspoke/mirror/_intake.py
@@ -1,30 +1,34 @@
 """What the rows of the platform's tables say, told to a sink."""
 
-from adapter.decode import (
-    CONFIG_KEY,
-    VERSION_PREFIX,
-    decode_catalog,
-    decode_declared,
-    decode_entry,
-)
-from adapter.fields import UNUSABLE
-from adapter.store import UNNAMED
-from adapter.unusable import CONFIGURATION, ENDPOINT, WEIGHTS, UnusableRows
-
 from hawthornspoke.base import is_failure
+from hawthornspoke.fields import UNUSABLE
+from hawthornspoke.mirror._unusable import (
+    CONFIGURATION,
+    ENDPOINT,
+    WEIGHTS,
+    UnusableRows,
+)
 
 
-class Tables:
+class Intake:
     """Decodes rows one by one, so that a bad one takes nothing else with it.
 
     Parameters
     ----------
     sink : object
         ``on_catalog``, ``on_entries``, ``on_declared``, ``log`` and ``metrics``.
+    decode_entry : callable
+        Given an endpoint's id and a row's data, returns an EndpointEntry or a Failure.
+    operators_decoder : callable
+        Given the key of a row of the operators, returns its kind, ``CONFIGURATION``,
+        ``WEIGHTS`` or None, and what decodes its data, to a Catalog, DeclaredWeights
+        or a Failure.
     """
 
     __slots__ = (
         "_sink",
+        "_decode_entry",
+        "_operators_decoder",
         "_unusable",
         "_outcome_by_id",
         "_services",
@@ -32,8 +36,10 @@
         "_reason_by_key_by_kind",
     )
 
-    def __init__(self, *, sink):
+    def __init__(self, *, sink, decode_entry, operators_decoder):
         self._sink = sink
+        self._decode_entry = decode_entry
+        self._operators_decoder = operators_decoder
         self._unusable = UnusableRows(log=sink.log, metrics=sink.metrics)
         # An EndpointEntry or a Failure for each row that is there.
         self._outcome_by_id = {}
@@ -74,15 +80,12 @@
             if row.data is None:
                 self._outcome_by_id.pop(row.key, None)
             else:
-                self._outcome_by_id[row.key] = decode_entry(row.key, row.data)
+                self._outcome_by_id[row.key] = self._decode_entry(row.key, row.data)
         self._tell_entries()
 
     def _take_operators_row(self, row):
-        if row.key in (CONFIG_KEY, UNNAMED):
-            kind, decode, use = CONFIGURATION, decode_catalog, self._use_catalog
-        elif row.key.startswith(VERSION_PREFIX):
-            kind, decode, use = WEIGHTS, decode_declared, self._sink.on_declared
-        else:
+        kind, decode = self._operators_decoder(row.key)
+        if kind is None:
             return
         reason_by_key = self._reason_by_key_by_kind[kind]
         reason_by_key.pop(row.key, None)
@@ -91,10 +94,12 @@
         outcome = decode(row.data)
         if is_failure(outcome):
             reason_by_key[row.key] = outcome.reason
+        elif kind == CONFIGURATION:
+            self._use_catalog(outcome)
         else:
-            use(outcome, written_at=row.written_at)
+            self._sink.on_declared(outcome, written_at=row.written_at)
 
-    def _use_catalog(self, catalog, *, written_at):
+    def _use_catalog(self, catalog):
         self._sink.on_catalog(catalog)
         if catalog.revision < self._revision:
             return
