--- a/hawthornspoke/relay/tests/endpoint.py
+++ b/hawthornspoke/relay/tests/endpoint.py
@@ -21,7 +21,7 @@
 from hawthornspoke.httpio import ConnectionPool, HttpServer
 from hawthornspoke.metrics import Metrics
 from hawthornspoke.placing import CatalogChanged, EndpointsListed, Fleet
-from hawthornspoke.relay import Confirmed, Contact, Dialect
+from hawthornspoke.relay import Confirmed, Contact, Dialect, Relay, RelaySettings
 from hawthornspoke.relay._admission import Admission
 from hawthornspoke.relay._forward import Forwarder
 from hawthornspoke.relay._handler import Handler
@@ -201,6 +201,21 @@
     return step
 
 
+def lone_relay(*, source=None):
+    """Return a relay's process that listens on any ports of loopback."""
+    return Relay(
+        settings=RelaySettings(
+            node="n",
+            failure_domain="a",
+            front="127.0.0.1:0",
+            ready="127.0.0.1:0",
+            operator_port=0,
+            agent_port=0,
+        ),
+        source=source,
+    )
+
+
 ROUTES = (
     ("once", AT_MOST_ONCE, 1),
     ("again", IDEMPOTENT, 2),
--- a/hawthornspoke/relay/tests/test_old_weights.py
+++ b/hawthornspoke/relay/tests/test_old_weights.py
@@ -5,13 +5,13 @@
 from hawthornspoke.base import contact_clock, monotonic
 from hawthornspoke.catalog import Catalog, DeclaredWeights, EndpointEntry, Service
 from hawthornspoke.placing import Ask, Decline, Fleet, WeightsDeclared
-from hawthornspoke.relay import Relay, RelaySettings
 from hawthornspoke.relay.tests.endpoint import (
     ENGINE,
     Endpoint,
     RelayHarness,
     begins_late,
     events,
+    lone_relay,
 )
 
 BOUND = 0.8
@@ -121,15 +121,7 @@
     """
 
     async def scenario():
-        relay = Relay(
-            settings=RelaySettings(
-                node="n",
-                failure_domain="a",
-                front="127.0.0.1:0",
-                ready="127.0.0.1:0",
-            ),
-            source=None,
-        )
+        relay = lone_relay()
         old = EndpointEntry(
             endpoint_id="e0",
             service="s",
--- a/hawthornspoke/relay/tests/test_reading.py
+++ b/hawthornspoke/relay/tests/test_reading.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from hawthornspoke.relay import Relay, RelaySettings
+from hawthornspoke.relay.tests.endpoint import lone_relay
 
 
 class FailingSource:
@@ -44,17 +44,7 @@
 
     async def scenario():
         source = FailingSource()
-        relay = Relay(
-            settings=RelaySettings(
-                node="n",
-                failure_domain="a",
-                front="127.0.0.1:0",
-                ready="127.0.0.1:0",
-                operator_port=0,
-                agent_port=0,
-            ),
-            source=source,
-        )
+        relay = lone_relay(source=source)
         log = relay.log = Log()
         running = asyncio.create_task(relay.run())
         try:
