--- a/hawthornspoke/catalog/_declared.py
+++ b/hawthornspoke/catalog/_declared.py
@@ -70,7 +70,7 @@
         known = self._declared_by_model.setdefault(declared.model, [])
         last = known[-1].version if known else FIRST_VERSION - 1
         if last >= declared.version:
-            if last == declared.version:
+            if known and last == declared.version:
                 known[-1].at = max(known[-1].at, at)
             return False
         if last < declared.version - 1:
--- a/hawthornspoke/placing/tests/test_declared.py
+++ b/hawthornspoke/placing/tests/test_declared.py
@@ -141,3 +141,10 @@
     machine = fleet(entry("far", domain="b"))
     declare(machine, TWO, at=10.0, now=10.0)
     assert place(machine, now=12.0).begin_deadline == 18.0 - WITHDRAW_MARGIN_FAR
+
+
+def test_version_below_the_first_declares_nothing():
+    """A message with version 0 raised at the agent that took it."""
+    declared = DeclaredVersions()
+    assert not declared.add(DeclaredWeights(model="m", version=0), at=1.0)
+    assert declared.latest("m") is None
