What a mirror takes keeps until when the table was known

Cause: found by reading the joined parts. Mirror.take makes a new answer and left the moment out, so that a version missed between two answers had no earliest moment: all hosts would have refused the oldest weights at once. The test fails without the line.

--- a/hawthornspoke/mirror/_tables.py
+++ b/hawthornspoke/mirror/_tables.py
@@ -77,6 +77,7 @@
             whole=news.whole,
             confirmed_at=news.confirmed_at,
             made_at=news.made_at,
+            known_until=news.known_until,
         )
 
     def date(self, name, news, written_after):
--- a/hawthornspoke/mirror/_types.py
+++ b/hawthornspoke/mirror/_types.py
@@ -49,10 +49,7 @@
     made_at : float or None, default=None
         When the platform made the answer, in seconds on its own steady clock; None
         if it did not say.
-
-    Attributes
-    ----------
-    known_until : float
+    known_until : float, default=-inf
         A moment until which this process knew all of the table before; minus
         infinity if it did not.
     """
@@ -66,10 +63,19 @@
         "known_until",
     )
 
-    def __init__(self, *, rows, revision, whole=False, confirmed_at=None, made_at=None):
+    def __init__(
+        self,
+        *,
+        rows,
+        revision,
+        whole=False,
+        confirmed_at=None,
+        made_at=None,
+        known_until=float("-inf"),
+    ):
         self.rows = rows
         self.revision = revision
         self.whole = whole
         self.confirmed_at = confirmed_at
         self.made_at = made_at
-        self.known_until = float("-inf")
+        self.known_until = known_until
--- a/hawthornspoke/mirror/tests/test_dating.py
+++ b/hawthornspoke/mirror/tests/test_dating.py
@@ -129,3 +129,43 @@
             assert back_at - 0.7 < row.written_at <= contact_clock()
 
     play(scenario)
+
+
+def test_what_is_taken_tells_until_when_the_table_was_known():
+    """All hosts refused the oldest weights at once when they missed a version.
+
+    Events: two versions are declared between two answers, so that only the second is
+    heard of. Cause: the moment until which all was known was lost on the way, and the
+    version that was missed had no earliest moment.
+    """
+
+    async def scenario(reader, asker):
+        await until(lambda: asker.seen)
+        for host in (reader, asker):
+            host.news = []
+            taken = host.watch.mirror.take
+            host.watch.mirror = Keeping(taken, host.news)
+        changed_at = contact_clock()
+        reader.store.put(b"2")
+        await until(lambda: reader.seen[-1] == asker.seen[-1] == b"2")
+        for host in (reader, asker):
+            news = next(item for item in host.news if item.rows)
+            assert changed_at - 2 * NEIGHBOUR_WAIT < news.known_until <= contact_clock()
+
+    play(scenario)
+
+
+class Keeping:
+    """A mirror that keeps what it told of each answer."""
+
+    def __init__(self, take, kept):
+        self._mirror = take.__self__
+        self._kept = kept
+
+    def take(self, name, news):
+        taken = self._mirror.take(name, news)
+        self._kept.append(taken)
+        return taken
+
+    def __getattr__(self, name):
+        return getattr(self._mirror, name)
