Contact: the three looks at the word's age share one comparison

Read of the whole change: keys_trusted, may_deny and steady repeated the same check of an unknown moment and the same comparison. Behaviour as before; formatter, linter, the tests of relay and of the boundaries pass.

--- a/hawthornspoke/relay/_contact.py
+++ b/hawthornspoke/relay/_contact.py
@@ -117,9 +117,7 @@
         -------
         bool
         """
-        if self.confirmed_at is None:
-            return False
-        return now < self.confirmed_at + self.keys_valid_for
+        return self._heard_within(self.keys_valid_for, now)
 
     def may_deny(self, *, now):
         """Tell whether what is not in the configuration may be refused for good.
@@ -136,9 +134,7 @@
         -------
         bool
         """
-        if self.confirmed_at is None:
-            return False
-        return now < self.confirmed_at + self.changes_bind_after
+        return self._heard_within(self.changes_bind_after, now)
 
     def steady(self, *, now):
         """Tell whether callers had better stay at this host.
@@ -153,9 +149,10 @@
             False some time before keys are no longer trusted: the balancer needs
             two seconds to send new callers elsewhere.
         """
-        if self.confirmed_at is None:
-            return False
-        return now < self.confirmed_at + self.keys_valid_for * STEADY_SHARE
+        return self._heard_within(self.keys_valid_for * STEADY_SHARE, now)
+
+    def _heard_within(self, seconds, now):
+        return self.confirmed_at is not None and now < self.confirmed_at + seconds
 
     def age(self, *, now):
         """Return the age of the platform's word in seconds, None if none."""
