--- a/hawthornspoke/fields/_fields.py
+++ b/hawthornspoke/fields/_fields.py
@@ -228,6 +228,8 @@
 def children(tree, name, default=REQUIRED):
     """Return a list of objects."""
     values = items(tree, name, default)
+    if values is default:
+        return values
     for value in values:
         if not isinstance(value, dict):
             raise _unexpected(name, "a list of objects", value)
@@ -236,7 +238,10 @@
 
 def texts(tree, name, default=REQUIRED):
     """Return a list of texts."""
-    return [text({name: value}, name) for value in items(tree, name, default)]
+    values = items(tree, name, default)
+    if values is default:
+        return values
+    return [text({name: value}, name) for value in values]
 
 
 def _default(name, default):
--- a/hawthornspoke/fields/tests/test_fields.py
+++ b/hawthornspoke/fields/tests/test_fields.py
@@ -65,6 +65,14 @@
         fields.text({}, "x")
 
 
+@pytest.mark.parametrize("read", [fields.items, fields.children, fields.texts])
+@pytest.mark.parametrize("default", [None, ()])
+def test_missing_list_is_its_default(read, default):
+    assert read({"x": None}, "x", default) is default
+    with pytest.raises(fields.FieldError, match="x: missing"):
+        read({}, "x")
+
+
 def test_words_are_looked_up():
     assert fields.one_of({"x": "on"}, "x", {"on": 1}) == 1
     with pytest.raises(fields.FieldError, match="not one of"):
