Placing: one module each for list, choice, validity, avoidance, refusal

Ruled out: passing the bound at construction; a reload sets the fleet's, so what may answer is made for each question from it.

--- /dev/null
+++ b/hawthornspoke/placing/_directory.py
@@ -0,0 +1,100 @@
+"""The endpoints that are known, by the platform's list."""
+
+from hawthornspoke.placing._endpoint import Endpoint
+
+#: Seconds an entry that vanished just as the platform came back is still used.
+#: Lapsed entries return within two seconds, and an endpoint that left goes on
+#: serving for at least two.
+LAPSE_TIME = 1.5
+LAPSE_WINDOW = 2.5
+
+
+class Directory:
+    """Finds endpoints by id, service and address."""
+
+    __slots__ = ("endpoint_by_id", "_ids_by_service", "_id_by_address")
+
+    def __init__(self):
+        self.endpoint_by_id = {}
+        self._ids_by_service = {}
+        self._id_by_address = {}
+
+    def take_list(self, message, now):
+        """Take the platform's list.
+
+        Parameters
+        ----------
+        message : EndpointsListed
+        now : float
+        """
+        entry_by_id = {entry.endpoint_id: entry for entry in message.entries}
+        for endpoint_id, entry in entry_by_id.items():
+            endpoint = self.endpoint_by_id.get(endpoint_id)
+            if endpoint is None:
+                self.endpoint_by_id[endpoint_id] = Endpoint(entry=entry)
+                continue
+            endpoint.take_entry(entry)
+        lapsed = now < message.contact_regained_at + LAPSE_WINDOW
+        self._drop_unlisted(entry_by_id, lapsed=lapsed, now=now)
+        self._index()
+
+    def at(self, address):
+        """Return the endpoint that is listed at an address, None if none is."""
+        return self.endpoint_by_id.get(self._id_by_address.get(address))
+
+    def of_service(self, name):
+        """Return the endpoints of a service."""
+        return [self.endpoint_by_id[key] for key in self._ids_by_service.get(name, ())]
+
+    def sent_to(self, message):
+        """Return the endpoint that a request was sent to, None if it is over.
+
+        A request ends up to its deadline after the start that it was sent to. Were
+        it counted for the next one, that one would be avoided for failures of
+        before, and filled beyond its slots as if its own requests had ended.
+
+        Parameters
+        ----------
+        message : Sent, LoadSeen or Finished
+
+        Returns
+        -------
+        Endpoint or None
+        """
+        endpoint = self.endpoint_by_id.get(message.endpoint_id)
+        if endpoint is None or not endpoint.was_sent_to(message.incarnation):
+            return None
+        return endpoint
+
+    def forget_agent(self, address):
+        """Go back to what the platform's list says of an address."""
+        # Also where the entry is gone: it may come back with another start.
+        for endpoint in self.endpoint_by_id.values():
+            if endpoint.entry.address == address:
+                endpoint.state = None
+
+    def dump(self, *, now):
+        """Return the state as plain data."""
+        return {
+            endpoint_id: endpoint.dump(now=now)
+            for endpoint_id, endpoint in self.endpoint_by_id.items()
+        }
+
+    def _drop_unlisted(self, entry_by_id, *, lapsed, now):
+        for endpoint_id, endpoint in list(self.endpoint_by_id.items()):
+            if endpoint_id in entry_by_id:
+                continue
+            if not endpoint.gone:
+                endpoint.gone = True
+                endpoint.doubtful_deadline = now + LAPSE_TIME if lapsed else now
+            if endpoint.own_running == 0 and now >= endpoint.doubtful_deadline:
+                del self.endpoint_by_id[endpoint_id]
+
+    def _index(self):
+        self._ids_by_service = {}
+        self._id_by_address = {}
+        for endpoint_id, endpoint in self.endpoint_by_id.items():
+            ids = self._ids_by_service.setdefault(endpoint.entry.service, [])
+            ids.append(endpoint_id)
+            if not endpoint.gone:
+                self._id_by_address[endpoint.entry.address] = endpoint_id
--- a/hawthornspoke/placing/_endpoint.py
+++ b/hawthornspoke/placing/_endpoint.py
@@ -183,6 +183,16 @@
         """Seconds that a message there and back waits on the way."""
         return self.state.link_delay if self.state is not None else 0.0
 
+    def is_in(self, failure_domain):
+        """Tell whether it is in a failure domain."""
+        return self.entry.failure_domain == failure_domain
+
+    def report_age(self, now):
+        """Return the seconds since its load was told, None if it never was."""
+        if self.reported_at is None:
+            return None
+        return round(now - self.reported_at, 3)
+
     def accepts(self, now):
         """Tell whether new requests may go there as far as the list says."""
         if self.entry.leaving and self._list_holds:
@@ -210,3 +220,25 @@
     def note_time(self, seconds):
         """Count the time of one whole answer."""
         self.answer_time += TIME_WEIGHT * (seconds - self.answer_time)
+
+    def dump(self, *, now):
+        """Return the state as plain data."""
+        return {
+            "service": self.entry.service,
+            "address": self.entry.address,
+            "started_ms": self.incarnation.started_ms,
+            "listed_started_ms": self.entry.incarnation.started_ms,
+            "told_started_ms": (
+                None if self.state is None else self.state.incarnation.started_ms
+            ),
+            "leaving": self.entry.leaving,
+            "gone": self.gone,
+            "load": self.load,
+            "own_running": self.own_running,
+            "report_age": self.report_age(now),
+            "weights_version": self.weights_version,
+            "layers": self.layers,
+            "loading": self.loading,
+            "failure_rate": round(self.failure_rate, 3),
+            "avoided_for": round(max(0.0, self.avoid_deadline - now), 3),
+        }
--- a/hawthornspoke/placing/_predict.py
+++ b/hawthornspoke/placing/_predict.py
@@ -39,6 +39,30 @@
     return pace * (waiting + PASSES * one_pass + reading) + OVERHEAD
 
 
+def first_token_at(endpoint, profile, ask, *, load):
+    """Return the expected time to a request's first token at an endpoint.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+    profile : EngineProfile
+    ask : Ask
+    load : float
+        Requests that are there already.
+
+    Returns
+    -------
+    float
+        Seconds.
+    """
+    return first_token(
+        profile,
+        load=load,
+        prompt_tokens=ask.prompt_tokens,
+        pace=endpoint.pace,
+    )
+
+
 def slot_release(profile):
     """Return the mean time between two slots of a full engine becoming free.
 
--- a/hawthornspoke/placing/tests/test_declared.py
+++ b/hawthornspoke/placing/tests/test_declared.py
@@ -8,7 +8,7 @@
     Place,
     WeightsDeclared,
 )
-from hawthornspoke.placing._fleet import WITHDRAW_MARGIN, WITHDRAW_MARGIN_FAR
+from hawthornspoke.placing._validity import WITHDRAW_MARGIN, WITHDRAW_MARGIN_FAR
 from hawthornspoke.placing.tests.test_fleet import entry, fleet
 
 TWO = DeclaredWeights(model="m", version=2)
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -209,7 +209,7 @@
     ),
     Mutation(
         name="a request's end counts for any start",
-        file="placing/_fleet.py",
+        file="placing/_directory.py",
         old="if endpoint is None or not endpoint.was_sent_to(message.incarnation):",
         new="if endpoint is None:",
         test="hawthornspoke/placing/tests/test_incarnations.py -k sent_to_the_earlier",
