--- a/hawthornspoke/spread/_directives.py
+++ b/hawthornspoke/spread/_directives.py
@@ -8,7 +8,7 @@
 from hawthornspoke.catalog import UNKNOWN, DeclaredVersions, DeclaredWeights, age_of
 from hawthornspoke.peering import is_usable
 from hawthornspoke.protocol import DeclaredAge, DirectiveAsk, Frame
-from hawthornspoke.spread._exchange import Peer
+from hawthornspoke.spread._peers import Peer
 from hawthornspoke.spread._upgrade import Named, Placed
 
 #: Seconds without an entry host after which the agent reads the platform itself.
--- /dev/null
+++ b/hawthornspoke/spread/_peers.py
@@ -0,0 +1,44 @@
+"""Who exchanges the same weights, and how far away each is."""
+
+
+class Peer:
+    """A host of the same weights, as the swarm machine wants it."""
+
+    __slots__ = ("failure_domain", "address", "port")
+
+    def __init__(self, *, failure_domain, address, port):
+        self.failure_domain = failure_domain
+        self.address = address
+        self.port = port
+
+
+class Peers:
+    """The hosts that take part, this one too.
+
+    Parameters
+    ----------
+    settings : SpreadSettings
+
+    Attributes
+    ----------
+    peer_by_name : dict of str to Peer
+    """
+
+    __slots__ = ("peer_by_name", "_settings")
+
+    def __init__(self, *, settings):
+        self.peer_by_name = {}
+        self._settings = settings
+
+    def source_of(self, node):
+        """Return how metrics name a peer's distance: ``"region"`` or ``"far"``."""
+        region_by_domain = self._settings.region_by_failure_domain
+        peer = self.peer_by_name.get(node)
+        own = region_by_domain.get(self._settings.failure_domain)
+        if peer is None or region_by_domain.get(peer.failure_domain) == own:
+            return "region"
+        return "far"
+
+    def region_nodes(self):
+        """Return the hosts of the own region, this one too."""
+        return [node for node in self.peer_by_name if self.source_of(node) == "region"]
