Test that fails: an agent that stood still takes a declaration for a younger one

Cause: Agent._take_version counts a directive's age from when it is read, and DeclaredVersions.add keeps the later of two moments, so one late reading spreads. Ruled out: the link's delay, which is taken off, is of a message in flight, not of one that waits unread. Conclusion: not mended here.

--- a/hawthornspoke/spread/tests/test_after_a_wait.py
+++ b/hawthornspoke/spread/tests/test_after_a_wait.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from hawthornspoke.base import contact_clock
 from hawthornspoke.catalog import EngineProfile
 from hawthornspoke.peering import connect, directive
 from hawthornspoke.protocol import Chunk, Frame
@@ -184,6 +185,36 @@
     asyncio.run(scenario())
 
 
+def test_directive_that_waited_unread_makes_a_declaration_no_younger():
+    """Entry hosts that had restarted sent to old weights beyond their bound.
+
+    Events: an agent knows since when a version is declared; its process stands still
+    for 1 s while another entry host tells the same; on waking it reads that the
+    version is a second old, and counts this from now. It tells the later moment to
+    all entry hosts, and those that have no word of the platform's own on it take the
+    latest that any agent tells.
+    Cause: the age in a message counts from when it is read. It was true when it was
+    sent, and of two moments before which nothing was declared the later one wins.
+    """
+
+    async def scenario():
+        async with one_host() as (hosts, _):
+            agent = hosts.agents[0]
+            link, _, frame = await states_of(hosts, age=1.0)
+            link.send(frame)
+            await asyncio.sleep(0.1)
+            known = agent.declared.since("m")
+            other, _, frame = await states_of(hosts, age=1.0)
+            sent_at = contact_clock()
+            assert known <= sent_at - 1.0
+            other.send(frame)
+            time.sleep(1.0)
+            await asyncio.sleep(0.1)
+            assert agent.declared.since("m") <= sent_at - 1.0
+
+    asyncio.run(scenario())
+
+
 def test_state_of_before_is_not_told_after_standing_still():
     """Symptom: entry hosts sent to a full engine that had told them it was empty.
 
