Tests that fail: an agent's word of a version that the platform has not told is dropped

Cause: DeclaredVersions.hear changes only versions that are known, so a host that the platform turns away neither stops at a bound that all agents tell, nor later sees that its own date (OUTAGE) lies behind the first word of that version. Ruled out: keys that are refused after 4.6 s; requests without a key go on. Conclusion: not mended here; a date later than the first word of a version is false, and that settles it also beside the outage of test_dating.py.

--- a/hawthornspoke/placing/tests/test_declared.py
+++ b/hawthornspoke/placing/tests/test_declared.py
@@ -172,3 +172,32 @@
     answer = ask(machine, now=16.75, on_time_left=1.0)
     is_sent = isinstance(answer, Place)
     assert not is_sent or answer.expected <= answer.begin_deadline - 16.75
+
+
+def test_declaration_is_no_younger_than_the_first_word_of_it():
+    """One host sent to old weights for 7 s after all others had stopped.
+
+    Events: the platform turns some hosts away for 9 s; version 2 is declared in the
+    first second; the agents hear of it from others and tell it to all entry hosts;
+    a host that was turned away reads it on its return and dates it from there, since
+    it takes the platform to have been away for all.
+    Cause: an agent's word of a version that the platform has not told yet is dropped,
+    and with it the proof that it was declared before that word came.
+    """
+    machine = fleet(entry("one"))
+    agent_says(machine, declared_at=10.5, now=11.0)
+    declare(machine, TWO, at=19.0, now=19.1)
+    agent_says(machine, declared_at=10.5, now=19.2)
+    assert isinstance(place(machine, now=19.3), Decline)
+
+
+def test_version_that_only_agents_tell_binds_as_well():
+    """A host that the platform turned away sent to old weights until it returned.
+
+    Events: as above, and the bound passes before the host is heard again; requests
+    without a key are still served there. Cause: the same word is dropped.
+    """
+    machine = fleet(entry("one"))
+    for now in (11.0, 15.0, 19.0):
+        agent_says(machine, declared_at=10.5, now=now)
+    assert isinstance(place(machine, now=19.0), Decline)
