Test that fails: an install cancelled before its first step is never ended

Cause: Agent._take_start cancels the task; Agent._install's finally is not reached if its first step has not run, so Upgrade._installing stays set and no version is installed. Run: not loaded within 3 s. Conclusion: not mended here.

--- a/hawthornspoke/spread/tests/test_after_a_wait.py
+++ b/hawthornspoke/spread/tests/test_after_a_wait.py
@@ -13,9 +13,10 @@
 import pytest
 
 from hawthornspoke.base import contact_clock
-from hawthornspoke.catalog import EngineProfile
+from hawthornspoke.catalog import EngineProfile, Incarnation
 from hawthornspoke.peering import connect, directive
 from hawthornspoke.protocol import Chunk, Frame
+from hawthornspoke.spread._upgrade import PiecesHeld
 from hawthornspoke.spread._uploads import Uploads
 from hawthornspoke.spread.tests.test_agents import (
     ENGINE,
@@ -323,3 +324,35 @@
             assert engine.orders == [2]
 
     asyncio.run(scenario())
+
+
+def test_install_that_is_cancelled_before_it_has_begun():
+    """An engine that had started again got no weights any more.
+
+    Events: the process stands still while the last piece comes and the engine starts
+    again; on waking both are read in one turn of the loop: the install is planned, and
+    the new start cancels it before its first step.
+    Cause: a task that is cancelled before its first step runs none of it, not the end
+    either that tells the plan that the engine can be ordered again.
+    """
+
+    async def scenario():
+        async with one_host() as (hosts, engine):
+            agent = hosts.agents[0]
+            start, step = asyncio.Event(), agent._step
+
+            def step_and_restart(message):
+                step(message)
+                if "install" in agent._tasks and not start.is_set():
+                    start.set()
+                    agent._take_start(Incarnation(started_ms=2_000))
+
+            agent._take_start(Incarnation(started_ms=1_000))
+            agent.exchange._on_whole = lambda weights: step_and_restart(
+                PiecesHeld(version=weights.version)
+            )
+            await hosts.name(1)
+            await asyncio.wait_for(start.wait(), 3.0)
+            await hosts.until_all_have(1, seconds=3.0)
+
+    asyncio.run(scenario())
