Test that fails: the number of entry hosts that a lost agent told is kept

Cause: AgentLinks._forget leaves _entry_hosts_by_agent, and entry_hosts() takes the most. Ruled out: the neighbours of that agent, which are forgotten. Conclusion: not mended here.

--- a/hawthornspoke/relay/tests/test_agent_frames.py
+++ b/hawthornspoke/relay/tests/test_agent_frames.py
@@ -66,3 +66,19 @@
         state = EngineState(running=0, waiting=0, pace=pace, weights_version=1)
         made._take(ADDRESSES[0], Link(), Frame(engine_state=state))
         assert fleet.endpoint_by_id[ADDRESSES[0]].pace == 1.0
+
+
+def test_agent_that_is_gone_tells_no_number_of_entry_hosts():
+    """Requests were refused a retry though the budget of all hosts had room.
+
+    Events: agents see twelve entry hosts; three of these leave, and one engine with
+    its agent is gone for good; the other agents tell nine. Cause: what an agent told
+    last is kept when its connection ends, and the most that any told counts.
+    """
+    made, _ = links()
+    for address, seen in zip(ADDRESSES, (12, 9), strict=True):
+        state = EngineState(endpoint_address=address, entry_hosts=seen)
+        made._take(address, Link(), Frame(engine_state=state))
+    assert made.entry_hosts() == 12
+    made._forget(ADDRESSES[0])
+    assert made.entry_hosts() == 9
