Test that fails: a list of digests is written into a piece that is half sent

Cause: Uploads writes a frame in slices with waits between them; Manifests._answer and Agent._answer_directive write theirs to the same connection at once. Run: the connection is closed, neither question is answered. Conclusion: not mended here.

--- a/hawthornspoke/spread/tests/test_agents.py
+++ b/hawthornspoke/spread/tests/test_agents.py
@@ -3,10 +3,10 @@
 import asyncio
 import random
 
-from hawthornspoke.base import digest_of
+from hawthornspoke.base import digest_of, is_failure
 from hawthornspoke.catalog import EndpointEntry, EngineProfile
 from hawthornspoke.peering import connect, directive, peer_endpoints
-from hawthornspoke.protocol import Frame
+from hawthornspoke.protocol import ChunkAsk, Frame, ManifestAsk
 from hawthornspoke.spread import (
     ENGINE_CHANGED,
     ORIGIN_FAILED,
@@ -15,6 +15,7 @@
     EngineSnapshot,
     SpreadSettings,
 )
+from hawthornspoke.spread._stock import Weights
 
 PIECES = 24
 SIZE = 2000
@@ -480,3 +481,44 @@
         assert hosts.ips == known
 
     play(scenario)
+
+
+def test_list_of_digests_that_is_asked_for_while_a_piece_is_sent():
+    """Pieces of one version stopped coming when the next one was declared.
+
+    Symptom: a connection between two agents ends, or brings nothing any more, and what
+    was asked for on it is not answered.
+    Events: a host is sending a piece, a slice at a time, to another; a version is
+    declared; the other one asks on the same connection for its list of digests, which
+    is there and is answered at once.
+    Cause: the answer is written between two slices, so that it is read as bytes of the
+    piece, and what follows as the length of the next frame.
+    """
+
+    async def scenario():
+        async with Hosts(1) as hosts:
+            (agent,) = hosts.agents
+            data = random.Random(1).randbytes(32768)
+            weights = Weights(model="m", version=1, digests=(digest_of(data),))
+            assert weights.put(0, data)
+            agent.exchange.weights_by_name[weights.name] = weights
+            agent.manifests._digests_by_name["m@2"] = (digest_of(b"2"),)
+            link = await connect(
+                hosts.ips[0],
+                PORT,
+                on_frame=lambda *_: None,
+                on_closed=lambda _: None,
+                timeout=1.0,
+            )
+            hosts.links.append(link)
+            ask = ChunkAsk(digest=weights.name, index=0, node="n")
+            piece = asyncio.create_task(link.ask(Frame(chunk_ask=ask), timeout=2.0))
+            await asyncio.sleep(0.01)
+            ask = ManifestAsk(weights="m@2")
+            listed = await link.ask(Frame(manifest_ask=ask), timeout=2.0)
+            assert not is_failure(listed)
+            answer = await piece
+            assert not is_failure(answer)
+            assert answer.chunk.data == data
+
+    asyncio.run(scenario())
