Test that fails: a kept connection that its endpoint closed unseen counts as sent on

Cause: Try.send asks is_open, which is what the loop has seen; Admission.recheck looks at the caller's socket itself (has_hung_up), nothing at the endpoint's. Ruled out: a close that the loop has seen, which the test before this one covers. Run: 502 'may_have_run' for a request at most once, no byte of which was read. Conclusion: not mended here.

--- a/hawthornspoke/relay/tests/test_after_a_wait.py
+++ b/hawthornspoke/relay/tests/test_after_a_wait.py
@@ -13,6 +13,7 @@
 """
 
 import asyncio
+import socket
 import time
 
 import pytest
@@ -338,6 +339,34 @@
     asyncio.run(scenario())
 
 
+def test_endpoint_that_closed_the_connection_unseen():
+    """The same, and the loop has yet to see it, as with callers.
+
+    Events: a connection is kept; the process stands still; the endpoint closes it for
+    its idleness; on waking the task goes on before the loop reads the end of it.
+    Cause: the caller's socket is looked at directly before the write, the endpoint's
+    is not.
+    """
+
+    async def scenario():
+        kept = []
+
+        async def keeps(endpoint, head, writer):
+            kept.append(writer.get_extra_info("socket"))
+            await answer()(endpoint, head, writer)
+
+        first, second = Endpoint(keeps), Endpoint()
+        async with RelayHarness(first, second) as harness:
+            harness.fleet.endpoint_by_id["e1"].own_running = 1
+            assert (await harness.ask("once"))[0] == 200
+            harness.pool.actions.append(lambda: kept[0].shutdown(socket.SHUT_RDWR))
+            status, _, _, _ = await harness.ask("once")
+            assert (len(first.requests), len(second.requests)) == (1, 1)
+            assert status == 200
+
+    asyncio.run(scenario())
+
+
 def test_time_that_an_endpoint_is_given_counts_the_suspension():
     """Symptom: endpoints were told that callers wait for seconds longer than they do.
 
