--- a/hawthornspoke/placing/_choice.py
+++ b/hawthornspoke/placing/_choice.py
@@ -79,7 +79,7 @@
         best = min(ranked, key=lambda pair: pair[0])[1]
         return _place(best, whole_answer(best), now)
 
-    def on_engine(self, ask, endpoints, engine, now):
+    def on_engine(self, ask, endpoints, engine, validity):
         """Return a Place at one of the engines, or a Decline.
 
         Parameters
@@ -88,20 +88,30 @@
         endpoints : list of Endpoint
             Those whose weights may answer.
         engine : EngineProfile
-        now : float
+        validity : Validity
+            What may answer at this moment.
 
         Returns
         -------
         Place or Decline
         """
+        now = validity.now
         herd = self._herd_of(ask.service)
         herd.count_asked(now)
         candidates = self._candidates(ask, endpoints, engine, herd, now)
-        on_time = [item for item in candidates if item.expected <= ask.on_time_left]
+        # Of the load that others will have added, not of the one that was told: just
+        # before a bound requests would be sent only to be withdrawn, and answered
+        # with an outcome that nobody knows.
+        valid = [
+            item
+            for item in candidates
+            if validity.begins_in_time(item.endpoint, engine, item.expected)
+        ]
+        on_time = [item for item in valid if item.expected <= ask.on_time_left]
         if not on_time or not self._is_near(on_time[0].endpoint):
             herd.count_overflowed(now)
         if not on_time and ask.returned:
-            on_time = _still_useful(candidates, ask, engine)
+            on_time = _still_useful(valid, ask, engine)
         if on_time:
             chosen = self._less_loaded_of_two(on_time)
             return _place(chosen.endpoint, chosen.expected, now)
--- a/hawthornspoke/placing/_predict.py
+++ b/hawthornspoke/placing/_predict.py
@@ -55,7 +55,9 @@
     float
         Seconds.
     """
-    return first_token(
+    # Where pieces fill all links none can be left alone for it, and requests that
+    # can't be on time would reach engines after their callers had left.
+    return endpoint.link_delay + first_token(
         profile,
         load=load,
         prompt_tokens=ask.prompt_tokens,
--- a/hawthornspoke/placing/_validity.py
+++ b/hawthornspoke/placing/_validity.py
@@ -26,6 +26,9 @@
 #: and configurations too, and nobody measures how long a message waits there.
 WITHDRAW_MARGIN_FAR = 0.6
 
+#: Seconds by which a busy process notices a time late.
+TIMER_LATE = 0.15
+
 #: Times the expected time to the first token after which a request is taken to have
 #: begun. On an engine four times slower than usual 1.05 s were seen for 0.4 s.
 BEGIN_SHARE = 2.0
@@ -70,11 +73,33 @@
         -------
         bool
         """
-        return self._has_weights(endpoint, engine, ask) and self._begins_in_time(
-            endpoint, engine, ask
-        )
+        if not self._has_weights(endpoint, engine, ask):
+            return False
+        expected = first_token_at(endpoint, engine, ask, load=endpoint.load)
+        return self.begins_in_time(endpoint, engine, expected)
+
+    def begins_in_time(self, endpoint, engine, expected):
+        """Tell whether a request begins before an engine's weights are too old.
+
+        One that is full, or slow, begins it later than the margin allows for.
+
+        Parameters
+        ----------
+        endpoint : Endpoint
+        engine : EngineProfile
+        expected : float
+            Seconds to the first token.
+
+        Returns
+        -------
+        bool
+        """
+        if not engine.layers or endpoint.weights_version is None:
+            return True
+        begins = self.contact_now + BEGIN_SHARE * expected
+        return endpoint.weights_version >= self._floor(engine.model, begins)
 
-    def with_deadline(self, place, engine, *, near):
+    def with_deadline(self, place, engine, *, near, link_delay):
         """Return a place with the moment at which a request must have begun there.
 
         Parameters
@@ -83,6 +108,8 @@
         engine : EngineProfile
         near : bool
             Whether it is in the failure domain of this host.
+        link_delay : float
+            Seconds that a message waits on the way there.
 
         Returns
         -------
@@ -98,6 +125,10 @@
         # Seconds by which the clock of declarations is ahead of that of deadlines.
         suspended = self.contact_now - self.now
         margin = WITHDRAW_MARGIN if near else WITHDRAW_MARGIN_FAR
+        # What is taken back crosses the same link as the pieces that fill it. Where
+        # its agent tells of 1 s, an engine began a request 0.6 s after that was
+        # logged as withdrawn.
+        margin = max(margin, link_delay + TIMER_LATE)
         return replace(place, begin_deadline=too_old_at - suspended - margin)
 
     def _floor(self, model, contact_now):
@@ -119,14 +150,3 @@
         if version is None:
             return False
         return version >= self._floor(engine.model, self.contact_now)
-
-    def _begins_in_time(self, endpoint, engine, ask):
-        """Tell whether a request begins there before its weights are too old.
-
-        An engine that is full, or slow, begins later than the margin allows for.
-        """
-        if not engine.layers or endpoint.weights_version is None:
-            return True
-        expected = first_token_at(endpoint, engine, ask, load=endpoint.load)
-        begins = self.contact_now + BEGIN_SHARE * expected
-        return endpoint.weights_version >= self._floor(engine.model, begins)
