--- /dev/null
+++ b/hawthornspoke/relay/_sink.py
@@ -0,0 +1,224 @@
+"""What the platform's reader tells, and what follows from it."""
+
+from hawthornspoke.base import contact_clock, monotonic
+from hawthornspoke.catalog import UNKNOWN, age_of
+from hawthornspoke.httpio import ServerLimits
+from hawthornspoke.peering import directive
+from hawthornspoke.placing import CatalogChanged, EndpointsListed, WeightsDeclared
+from hawthornspoke.relay._agents import AgentLinks
+from hawthornspoke.relay._contact import Confirmed, ContactLost, Lost
+
+
+class Sink:
+    """Takes the platform's word and passes it on to all that decide by it.
+
+    Parameters
+    ----------
+    settings : RelaySettings
+    fleet : Fleet
+    contact : Contact
+    pool : ConnectionPool
+    handler : Handler
+    front : HttpServer
+        Takes callers' requests.
+    neighbours : Neighbours
+    log : EventLog
+    metrics : Metrics
+
+    Attributes
+    ----------
+    settings : RelaySettings
+        Replaced when they are read again.
+    entries : tuple of EndpointEntry
+    agents : AgentLinks
+    """
+
+    __slots__ = (
+        "settings",
+        "log",
+        "metrics",
+        "entries",
+        "agents",
+        "_fleet",
+        "_contact",
+        "_pool",
+        "_handler",
+        "_front",
+        "_neighbours",
+    )
+
+    def __init__(
+        self,
+        *,
+        settings,
+        fleet,
+        contact,
+        pool,
+        handler,
+        front,
+        neighbours,
+        log,
+        metrics,
+    ):
+        self.settings = settings
+        self.log = log
+        self.metrics = metrics
+        self.entries = ()
+        self.agents = AgentLinks(
+            port=settings.agent_port,
+            fleet=fleet,
+            log=log,
+            directive_for=self.directive_for,
+            on_entry_hosts=neighbours.told,
+        )
+        self._fleet = fleet
+        self._contact = contact
+        self._pool = pool
+        self._handler = handler
+        self._front = front
+        self._neighbours = neighbours
+
+    def on_catalog(self, catalog):
+        """Take a configuration; one that is not newer changes nothing."""
+        known = self._handler.catalog
+        if known is not None and catalog.revision <= known.revision:
+            return
+        changed = CatalogChanged(service_by_name=catalog.service_by_name)
+        self._fleet.step(changed, now=monotonic())
+        self._handler.use(catalog)
+        limits = catalog.limits
+        self._front.limits = ServerLimits(
+            header_bytes=limits.header_bytes,
+            body_bytes=limits.body_bytes,
+            header_time=limits.header_time,
+            idle_time=limits.idle_time,
+        )
+        self.log.change(
+            "configuration",
+            revision=catalog.revision,
+            routes=len(catalog.routes),
+            organisations=len(set(catalog.organisation_by_key.values())),
+        )
+        self._follow_agents()
+
+    def on_entries(self, entries):
+        """Take the platform's whole list of endpoints."""
+        listed = EndpointsListed(
+            entries=tuple(entries),
+            contact_regained_at=monotonic()
+            - (contact_clock() - self._contact.regained_at),
+        )
+        before = {entry.endpoint_id: entry for entry in self.entries}
+        self.entries = listed.entries
+        self._fleet.step(listed, now=monotonic())
+        now_there = {entry.endpoint_id: entry for entry in self.entries}
+        for endpoint_id in before.keys() - now_there.keys():
+            self._pool.drop(endpoint_id)
+            self.log.change("endpoint_gone", endpoint=endpoint_id)
+        for endpoint_id, entry in now_there.items():
+            if before.get(endpoint_id) != entry:
+                self.log.change(
+                    "endpoint",
+                    endpoint=endpoint_id,
+                    service=entry.service,
+                    address=entry.address,
+                    started_ms=entry.incarnation.started_ms,
+                    leaving=entry.leaving,
+                    weights_version=entry.weights_version,
+                    layers=entry.layers,
+                )
+        self._follow_agents()
+
+    def on_declared(self, declared, *, written_at=UNKNOWN, known_until=UNKNOWN):
+        """Take declared weights.
+
+        Parameters
+        ----------
+        declared : DeclaredWeights
+        written_at : float, default=UNKNOWN
+            A moment on the contact clock before which they were not declared.
+        known_until : float, default=UNKNOWN
+            A moment on it until which all declarations were known.
+        """
+        before = self._fleet.declared.latest(declared.model)
+        message = WeightsDeclared(
+            declared=declared, at=written_at, known_until=known_until
+        )
+        self._fleet.step(message, now=monotonic())
+        if self._fleet.declared.latest(declared.model) == before:
+            return
+        self.log.change(
+            "weights",
+            model=declared.model,
+            version=declared.version,
+            age=age_of(written_at, contact_clock()),
+            before=before,
+        )
+        self.agents.tell_all()
+
+    def on_confirmed(self, at):
+        """Take that the platform answered; ``at`` is on the contact clock."""
+        self._note_contact(
+            self._contact.step(Confirmed(at=at), now=contact_clock()), "regained"
+        )
+
+    def on_contact_lost(self, reason):
+        """Take that the platform could not be read."""
+        self._note_contact(
+            self._contact.step(Lost(reason=reason), now=contact_clock()), "lost"
+        )
+
+    def directive_for(self, address):
+        """Return what the agent at an endpoint's address is told, None if nothing."""
+        engines = self._engine_services()
+        service = next(
+            (item.service for item in self.entries if item.address == address), None
+        )
+        engine = engines.get(service)
+        if engine is None:
+            return None
+        catalog = self._handler.catalog
+        origins = [item.origin for item in catalog.service_by_name.values()]
+        declared = self._fleet.declared
+        return directive(
+            engine=engine,
+            version=declared.latest(engine.model),
+            age=age_of(declared.since(engine.model), contact_clock()),
+            peers=self._peers(service),
+            origin=next((origin for origin in origins if origin), None),
+            bound=self.settings.version_bound,
+            failure_domain=self.settings.failure_domain,
+        )
+
+    def _note_contact(self, outcomes, what):
+        for outcome in outcomes:
+            reason = outcome.reason if isinstance(outcome, ContactLost) else ""
+            self.log.change(f"platform_{what}", reason=reason)
+
+    def _engine_services(self):
+        catalog = self._handler.catalog
+        if catalog is None:
+            return {}
+        return {
+            name: service.engine
+            for name, service in catalog.service_by_name.items()
+            if service.engine is not None and service.engine.layers
+        }
+
+    def _follow_agents(self):
+        engines = self._engine_services()
+        self.agents.follow(
+            entry.address for entry in self.entries if entry.service in engines
+        )
+        self.agents.tell_all()
+
+    def _peers(self, service):
+        """Return the endpoints of a service that agents are told of.
+
+        Each entry host tells each agent. Were the list in all of these messages,
+        34 hosts would send 110 KB to each agent for one endpoint that came or went,
+        a quarter of a second of its link; so only hosts that read the platform do.
+        """
+        if self._neighbours.reader() is not None:
+            return None
+        return [item for item in self.entries if item.service == service]
--- a/hawthornspoke/relay/tests/test_old_weights.py
+++ b/hawthornspoke/relay/tests/test_old_weights.py
@@ -132,9 +132,9 @@
             layers=(0, 16),
         )
         services = {"s": Service(name="s", engine=ENGINE)}
-        relay.on_catalog(Catalog(revision=1, routes=(), service_by_name=services))
-        relay.on_entries((old,))
-        relay.on_declared(DeclaredWeights(model="m", version=2))
+        relay.sink.on_catalog(Catalog(revision=1, routes=(), service_by_name=services))
+        relay.sink.on_entries((old,))
+        relay.sink.on_declared(DeclaredWeights(model="m", version=2))
         now = monotonic()
         (answer,) = relay.fleet.step(Ask(service="s", prompt_tokens=10), now=now)
         relay.agents.close()
