Relay: choosing, sending, encoding and streams leave the forwarder

Change: _choosing, _sending, _encoding, _streams; _forward keeps the order of tries and whole answers.

--- /dev/null
+++ b/hawthornspoke/relay/_sending.py
@@ -0,0 +1,93 @@
+"""Connecting to an endpoint and sending a request there, after one last look."""
+
+from hawthornspoke.base import Failure
+from hawthornspoke.relay._try import Try
+
+
+class Sender:
+    """Sends requests.
+
+    Parameters
+    ----------
+    admission : Admission
+    chooser : Chooser
+    encoder : Encoder
+    fleet : Fleet
+    pool : ConnectionPool
+    dialect : Dialect
+    log : EventLog
+    """
+
+    __slots__ = (
+        "_admission",
+        "_chooser",
+        "_encoder",
+        "_fleet",
+        "_pool",
+        "_dialect",
+        "_log",
+    )
+
+    def __init__(self, *, admission, chooser, encoder, fleet, pool, dialect, log):
+        self._admission = admission
+        self._chooser = chooser
+        self._encoder = encoder
+        self._fleet = fleet
+        self._pool = pool
+        self._dialect = dialect
+        self._log = log
+
+    def attempt_at(self, place):
+        """Return a Try of a place."""
+        return Try(
+            place=place, pool=self._pool, fleet=self._fleet, dialect=self._dialect
+        )
+
+    async def send(self, work, attempt, *, last_event=None, version=None):
+        """Send a request, the first time, once more, or for the rest of a stream.
+
+        Parameters
+        ----------
+        work : Work
+        attempt : Try
+        last_event, version : int or None, default=None
+            After which event a stream goes on, and of which weights.
+
+        Returns
+        -------
+        None or Failure
+            If not a byte of it has left.
+        """
+        failure = await attempt.connect()
+        if failure is not None:
+            return failure
+        # Nothing is waited for from here to the write, and all that takes time but
+        # decides nothing comes before the last look.
+        data = self._encoder.encode(
+            work, attempt.place, last_event=last_event, version=version
+        )
+        ask = self._chooser.ask(work, same_version=version)
+        place = self._admission.recheck(work, ask=ask, place=attempt.place)
+        if not isinstance(place, Failure):
+            attempt.place = place
+            failure = attempt.send(data, expected_id=work.request_id)
+        else:
+            failure = place
+        if failure is not None:
+            self._log_not_sent(work, attempt, failure)
+            return failure
+        work.sent += 1
+        # From here on the endpoint may run it, also when nothing is heard any more
+        # before the request's time is over; only its own word takes that back.
+        work.may_have_run = True
+        return None
+
+    def _log_not_sent(self, work, attempt, failure):
+        self._log.change(
+            "not_sent",
+            request=work.request_id,
+            endpoint=attempt.place.endpoint_id,
+            reason=f"{failure.code}: {failure.reason}",
+            time_left=round(work.deadline - self._admission.clock(), 3),
+            contact_age=self._admission.contact_age(),
+        )
