Tests: one factory of engine profiles

Cause: the profile of an engine stood five times in tests, ten lines each.

Ruled out: the other pairs that share lines. They are signatures, numpydoc sections and small containers of like shape, or tables of cases; no two are the same logic.

Change: catalog/tests/profiles.py; each test names what matters to it.

Figures: the five profiles are equal to the letter before and after.

Conclusion: no assertion changed.

--- /dev/null
+++ b/hawthornspoke/catalog/tests/profiles.py
@@ -0,0 +1,29 @@
+"""Engine profiles for tests."""
+
+from hawthornspoke.catalog import EngineProfile
+
+
+def engine_profile(**changes):
+    """Return the profile of a small engine, with changes.
+
+    Parameters
+    ----------
+    **changes
+        Fields of EngineProfile that matter to the test.
+
+    Returns
+    -------
+    EngineProfile
+    """
+    fields = {
+        "model": "m",
+        "slots": 4,
+        "step": 0.007,
+        "step_per_request": 0.00002,
+        "steps_per_pass": 6,
+        "read_rate": 30000.0,
+        "usual_prompt": 900.0,
+        "usual_answer": 120.0,
+        "layers": 16,
+    }
+    return EngineProfile(**{**fields, **changes})
--- a/hawthornspoke/placing/tests/test_fleet.py
+++ b/hawthornspoke/placing/tests/test_fleet.py
@@ -8,9 +8,9 @@
 from hawthornspoke.catalog import (
     DeclaredWeights,
     EndpointEntry,
-    EngineProfile,
     Service,
 )
+from hawthornspoke.catalog.tests.profiles import engine_profile
 from hawthornspoke.placing import (
     AgentLost,
     Ask,
@@ -26,16 +26,13 @@
     WeightsDeclared,
 )
 
-ENGINE = EngineProfile(
-    model="m",
+ENGINE = engine_profile(
     slots=16,
     step=0.00673,
     step_per_request=0.0000219,
-    steps_per_pass=6,
     read_rate=30600.0,
     usual_prompt=964.0,
     usual_answer=119.0,
-    layers=16,
 )
 
 
--- a/hawthornspoke/placing/tests/test_herd.py
+++ b/hawthornspoke/placing/tests/test_herd.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from hawthornspoke.catalog import EndpointEntry, EngineProfile, Service
+from hawthornspoke.catalog import EndpointEntry, Service
+from hawthornspoke.catalog.tests.profiles import engine_profile
 from hawthornspoke.placing import (
     Ask,
     CatalogChanged,
@@ -18,15 +19,14 @@
 from hawthornspoke.placing._herd import Rate, added_load
 
 SLOTS = 12
-ENGINE = EngineProfile(
-    model="m",
+ENGINE = engine_profile(
     slots=SLOTS,
     step=0.00673,
     step_per_request=0.0000219,
     steps_per_pass=7,
     read_rate=30600.0,
-    usual_prompt=900.0,
     usual_answer=130.0,
+    layers=0,
 )
 HOSTS = 34
 REQUESTS_A_SECOND = 12.0
--- a/hawthornspoke/placing/tests/test_recheck.py
+++ b/hawthornspoke/placing/tests/test_recheck.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from hawthornspoke.catalog import DeclaredWeights, EndpointEntry, EngineProfile, Service
+from hawthornspoke.catalog import DeclaredWeights, EndpointEntry, Service
+from hawthornspoke.catalog.tests.profiles import engine_profile
 from hawthornspoke.placing import (
     Ask,
     CatalogChanged,
@@ -14,17 +15,7 @@
     WeightsDeclared,
 )
 
-ENGINE = EngineProfile(
-    model="m",
-    slots=4,
-    step=0.007,
-    step_per_request=0.00002,
-    steps_per_pass=6,
-    read_rate=30000.0,
-    usual_prompt=900.0,
-    usual_answer=120.0,
-    layers=16,
-)
+ENGINE = engine_profile()
 
 
 def entry(**changes):
--- a/hawthornspoke/relay/tests/endpoint.py
+++ b/hawthornspoke/relay/tests/endpoint.py
@@ -11,12 +11,12 @@
     STREAM,
     Catalog,
     EndpointEntry,
-    EngineProfile,
     Organisation,
     Route,
     Service,
     Share,
 )
+from hawthornspoke.catalog.tests.profiles import engine_profile
 from hawthornspoke.events import EventLog
 from hawthornspoke.httpio import ConnectionPool, HttpServer
 from hawthornspoke.metrics import Metrics
@@ -27,17 +27,7 @@
 from hawthornspoke.relay._handler import Handler
 from hawthornspoke.retries import RetryBudget
 
-ENGINE = EngineProfile(
-    model="m",
-    slots=4,
-    step=0.007,
-    step_per_request=0.00002,
-    steps_per_pass=6,
-    read_rate=30000.0,
-    usual_prompt=900.0,
-    usual_answer=120.0,
-    layers=16,
-)
+ENGINE = engine_profile()
 
 
 class Endpoint:
--- a/hawthornspoke/spread/tests/test_agents.py
+++ b/hawthornspoke/spread/tests/test_agents.py
@@ -4,7 +4,8 @@
 import random
 
 from hawthornspoke.base import digest_of
-from hawthornspoke.catalog import EndpointEntry, EngineProfile
+from hawthornspoke.catalog import EndpointEntry
+from hawthornspoke.catalog.tests.profiles import engine_profile
 from hawthornspoke.peering import connect, directive, peer_endpoints
 from hawthornspoke.protocol import Frame
 from hawthornspoke.spread import (
@@ -19,18 +20,8 @@
 PIECES = 24
 SIZE = 2000
 LAYERS = 8
-ENGINE = EngineProfile(
-    model="m",
-    slots=4,
-    step=0.007,
-    step_per_request=0.0,
-    steps_per_pass=6,
-    read_rate=30000.0,
-    usual_prompt=900.0,
-    usual_answer=120.0,
-    layers=LAYERS,
-    pieces=PIECES,
-    piece_bytes=SIZE,
+ENGINE = engine_profile(
+    step_per_request=0.0, layers=LAYERS, pieces=PIECES, piece_bytes=SIZE
 )
 PORT = random.randrange(21000, 25000)
 
