Mirror: a moment of which nothing is known has one name

Cause: minus infinity stood for an unknown moment in mirror/, beside UNKNOWN in catalog/.

Ruled out: the places where it means never or lowest (due, confirmed, offset, revision); and one date in the agent in place of two. The plan's date is an estimate, the moment of hearing where nobody told one; the other is a bound from below, less the link's delay, and unknown then. One for both would call orders off at once, or let old weights answer.

Conclusion: no change of behaviour.

--- a/hawthornspoke/mirror/_dating.py
+++ b/hawthornspoke/mirror/_dating.py
@@ -2,6 +2,8 @@
 
 import collections
 
+from hawthornspoke.catalog import UNKNOWN
+
 #: Answers that are remembered: those of some ten seconds at three a second.
 KEPT = 32
 
@@ -70,9 +72,9 @@
         Returns
         -------
         float
-            Minus infinity if no answer was made before the row was written.
+            ``UNKNOWN`` if no answer was made before the row was written.
         """
         before = [made_at for seen, made_at in self._answers if seen < revision]
         if not before:
-            return float("-inf")
+            return UNKNOWN
         return self.earliest(max(before), received_at=received_at)
--- a/hawthornspoke/mirror/_neighbours.py
+++ b/hawthornspoke/mirror/_neighbours.py
@@ -5,6 +5,7 @@
 import zlib
 
 from hawthornspoke.base import Failure, contact_clock, is_failure, monotonic
+from hawthornspoke.catalog import UNKNOWN
 from hawthornspoke.mirror._readers import NeighboursTold, ReaderFailed, Readers
 from hawthornspoke.mirror._types import NOT_READING, News, Row
 from hawthornspoke.peering import connect, listen
@@ -234,7 +235,7 @@
 
     def _dated(self, table, row, now):
         packed = copy.copy(self._packed(table, row))
-        if row.written_at != float("-inf"):
+        if row.written_at != UNKNOWN:
             packed.written_age_ms = int((now - row.written_at) * 1000) + 1
         return packed
 
@@ -289,7 +290,7 @@
 
 
 def _row(row, answered_at):
-    written_at = float("-inf")
+    written_at = UNKNOWN
     if row.written_age_ms is not None:
         written_at = answered_at - row.written_age_ms / 1000
     return Row(
--- a/hawthornspoke/mirror/_types.py
+++ b/hawthornspoke/mirror/_types.py
@@ -1,6 +1,7 @@
 """Rows of the platform's tables, and answers to what changed in one."""
 
 from hawthornspoke.base import Failure
+from hawthornspoke.catalog import UNKNOWN
 
 #: The answer if what changed since a revision is no longer known.
 HISTORY_GONE = Failure(code="history_gone")
@@ -19,14 +20,14 @@
         None if the row was removed.
     revision : int
         Of the transaction that wrote it.
-    written_at : float, default=-inf
+    written_at : float, default=UNKNOWN
         A moment before which it was not written, on the clock that goes on while a
-        host is suspended; minus infinity if there is none.
+        host is suspended; ``UNKNOWN`` if there is none.
     """
 
     __slots__ = ("key", "data", "revision", "written_at")
 
-    def __init__(self, *, key, data, revision, written_at=float("-inf")):
+    def __init__(self, *, key, data, revision, written_at=UNKNOWN):
         self.key = key
         self.data = data
         self.revision = revision
@@ -49,9 +50,9 @@
     made_at : float or None, default=None
         When the platform made the answer, in seconds on its own steady clock; None
         if it did not say.
-    known_until : float, default=-inf
-        A moment until which this process knew all of the table before; minus
-        infinity if it did not.
+    known_until : float, default=UNKNOWN
+        A moment until which this process knew all of the table before;
+        ``UNKNOWN`` if it did not.
     """
 
     __slots__ = (
@@ -71,7 +72,7 @@
         whole=False,
         confirmed_at=None,
         made_at=None,
-        known_until=float("-inf"),
+        known_until=UNKNOWN,
     ):
         self.rows = rows
         self.revision = revision
--- a/hawthornspoke/mirror/_watch.py
+++ b/hawthornspoke/mirror/_watch.py
@@ -4,6 +4,7 @@
 import random
 
 from hawthornspoke.base import contact_clock, is_failure
+from hawthornspoke.catalog import UNKNOWN
 from hawthornspoke.mirror._dating import PlatformClock
 from hawthornspoke.mirror._tables import Mirror
 from hawthornspoke.mirror._types import HISTORY_GONE, NOT_READING
@@ -247,7 +248,7 @@
         self._known_until_by_table[table.name] = confirmed_at
 
     def _known_until(self, table):
-        return self._known_until_by_table.get(table.name, float("-inf"))
+        return self._known_until_by_table.get(table.name, UNKNOWN)
 
     def _lose(self, table, failure):
         """Take that the platform failed; return whether nobody else can be asked."""
--- a/hawthornspoke/mirror/tests/test_dating.py
+++ b/hawthornspoke/mirror/tests/test_dating.py
@@ -3,13 +3,12 @@
 import asyncio
 
 from hawthornspoke.base import contact_clock
+from hawthornspoke.catalog import UNKNOWN
 from hawthornspoke.mirror import Mirror, News, Row
 from hawthornspoke.mirror._dating import PlatformClock
 from hawthornspoke.mirror._watch import NEIGHBOUR_WAIT, OUTAGE
 from hawthornspoke.mirror.tests.test_watch import play, until
 
-UNKNOWN = float("-inf")
-
 
 def test_answer_that_was_long_on_its_way_is_not_new():
     """Old weights got the time that the news of the next version took.
