Mutations: the one for broken connections applies again

Cause: its text in entry/_attempt.py had changed with, so it was "not applied" and its test was tried against nothing.

Change: the text as it stands; the mechanism and the test are the same.

--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -105,7 +105,7 @@
     Mutation(
         name="a broken connection counts as not run",
         file="entry/_attempt.py",
-        old="if failure in (NOT_SENT, TOO_LATE):",
+        old="if failure in (NOT_SENT, TOO_LATE) or self._objection is not None:",
         new="if True:",
         test="tests/test_promise_not_run.py -k killed_and_frozen",
     ),
