A date behind the first word of a version moves no order

Cause: of two dates of a declaration the plan took the later one, also from a host that reached the platform again 1.4 s after others and dated the version from then. Run: the test failed before; spread/tests/test_upgrade.py and the machines' tests pass.

--- a/hawthornspoke/spread/_upgrade.py
+++ b/hawthornspoke/spread/_upgrade.py
@@ -132,6 +132,7 @@
         "version_bound",
         "stagger",
         "_named",
+        "_newest_heard_at",
         "_wanted",
         "_engine",
         "_installing",
@@ -149,6 +150,7 @@
         self.version_bound = version_bound
         self.stagger = stagger
         self._named = []
+        self._newest_heard_at = float("-inf")
         self._wanted = {}
         self._engine = EngineSeen(version=None, whole=False, busy=True)
         self._installing = None
@@ -166,6 +168,7 @@
             self._date_newest(message)
             return []
         self._named.append(message)
+        self._newest_heard_at = now
         del self._named[:-KEPT]
         return self._plan(now)
 
@@ -270,6 +273,10 @@
         newest = self._named[-1]
         if message.version != newest.version or not message.is_dated:
             return
+        if message.at > self._newest_heard_at:
+            # False: a host that reached the platform again later than others dates
+            # from then what it finds, and an order would wait beyond the bound.
+            return
         if not newest.is_dated or message.at > newest.at:
             self._named[-1] = message
 
--- a/hawthornspoke/spread/tests/test_upgrade.py
+++ b/hawthornspoke/spread/tests/test_upgrade.py
@@ -6,6 +6,7 @@
     Install,
     Named,
     PiecesHeld,
+    Placed,
     Transfer,
     Upgrade,
 )
@@ -106,3 +107,34 @@
     upgrade.step(Named(version=3, at=0.0), now=0.0)
     assert upgrade.step(Named(version=2, at=1.0), now=1.0) == []
     assert upgrade.next_version() == 3
+
+
+def test_date_behind_the_first_word_of_a_version_moves_no_order():
+    """Engines were ordered 0.8 s late, when their old weights could answer no more.
+
+    Symptom: after an outage of the platform half of the engines of a failure domain
+    wait with their orders, all pieces being there, and the bound passes meanwhile.
+    Events: a version is found when the platform is back; 1.4 s later one more entry
+    host reaches it and tells that the version is from just then.
+    Cause: of two moments the later one was taken, also where it is behind the moment
+    at which the version was heard of, so that the order seemed to have time.
+    """
+    upgrade = Upgrade(transfer_time=T, version_bound=BOUND, stagger=0.8)
+    upgrade.step(Named(version=1, at=-100.0), now=-100.0)
+    upgrade.step(EngineSeen(version=1, whole=True, busy=False), now=0.0)
+    upgrade.step(Placed(position=1), now=0.0)
+    upgrade.step(Named(version=2, at=0.0), now=0.1)
+    upgrade.step(Named(version=2, at=1.4), now=1.4)
+    outcomes = upgrade.step(PiecesHeld(version=2), now=6.6)
+    assert installs(outcomes) == [Install(version=2)]
+
+
+def test_later_date_that_can_be_true_is_taken():
+    """An entry host that has just started tells an earlier moment than others do."""
+    upgrade = Upgrade(transfer_time=T, version_bound=BOUND, stagger=0.8)
+    upgrade.step(Named(version=1, at=-100.0), now=-100.0)
+    upgrade.step(EngineSeen(version=1, whole=True, busy=False), now=0.0)
+    upgrade.step(Placed(position=1), now=0.0)
+    upgrade.step(Named(version=2, at=-6.0), now=0.1)
+    upgrade.step(Named(version=2, at=0.0), now=0.2)
+    assert installs(upgrade.step(PiecesHeld(version=2), now=5.0)) == []
