The moment of a declaration outlives all processes

Cause: a version binds from its declaration, and only processes knew when that was. Once all were killed at once, each that started took the bound of the old weights for passed and refused them until the new ones were loaded. Ruled out: agents' word (they are killed too); the operators' row (it has no time); the time of day (it jumps, and hosts differ). Change: a host that reads the platform and can date a declaration writes the moment, on the platform's own clock, into a row of ours, one for each model with the last four versions, under the condition that the row is as it was. A process that finds a declaration without a moment reads it once. A row is refused whole if a moment in it is in the future or after the version was heard of, if it is older than what it tells of, or of another transaction; refused, old weights are, as before.

--- a/hawthornspoke/mirror/__init__.py
+++ b/hawthornspoke/mirror/__init__.py
@@ -3,8 +3,9 @@
 from hawthornspoke.mirror._intake import Intake
 from hawthornspoke.mirror._neighbours import Neighbours
 from hawthornspoke.mirror._readers import NeighboursTold, ReaderFailed, Readers
+from hawthornspoke.mirror._record_keeper import RecordKeeper
 from hawthornspoke.mirror._tables import Mirror
-from hawthornspoke.mirror._types import HISTORY_GONE, News, Row
+from hawthornspoke.mirror._types import HISTORY_GONE, News, Row, Written
 from hawthornspoke.mirror._unusable import (
     CONFIGURATION,
     ENDPOINT,
@@ -26,9 +27,11 @@
     "News",
     "ReaderFailed",
     "Readers",
+    "RecordKeeper",
     "Row",
     "Table",
     "UnusableRows",
     "Watch",
+    "Written",
     "sort_out",
 ]
--- a/hawthornspoke/mirror/_dating.py
+++ b/hawthornspoke/mirror/_dating.py
@@ -57,6 +57,22 @@
         """
         return min(made_at + self._offset, received_at)
 
+    def last_without(self, revision):
+        """Return when the platform last answered before a row was written.
+
+        Parameters
+        ----------
+        revision : int
+            Of the transaction that wrote the row.
+
+        Returns
+        -------
+        float or None
+            On the platform's own clock; None if there was no such answer.
+        """
+        before = [made_at for seen, made_at in self._answers if seen < revision]
+        return max(before, default=None)
+
     def written_after(self, revision, *, received_at):
         """Return a moment on this host's clock before which a row was not written.
 
@@ -72,7 +88,7 @@
         float
             Minus infinity if no answer was made before the row was written.
         """
-        before = [made_at for seen, made_at in self._answers if seen < revision]
-        if not before:
+        made_at = self.last_without(revision)
+        if made_at is None:
             return float("-inf")
-        return self.earliest(max(before), received_at=received_at)
+        return self.earliest(made_at, received_at=received_at)
--- a/hawthornspoke/mirror/_intake.py
+++ b/hawthornspoke/mirror/_intake.py
@@ -17,6 +17,7 @@
     ----------
     sink : object
         ``on_catalog``, ``on_entries``, ``on_declared``, ``log`` and ``metrics``.
+    record : RecordKeeper
     decode_entry : callable
         Given an endpoint's id and a row's data, returns an EndpointEntry or a Failure.
     operators_decoder : callable
@@ -27,6 +28,7 @@
 
     __slots__ = (
         "_sink",
+        "_record",
         "_decode_entry",
         "_operators_decoder",
         "_unusable",
@@ -36,8 +38,9 @@
         "_reason_by_key_by_kind",
     )
 
-    def __init__(self, *, sink, decode_entry, operators_decoder):
+    def __init__(self, *, sink, record, decode_entry, operators_decoder):
         self._sink = sink
+        self._record = record
         self._decode_entry = decode_entry
         self._operators_decoder = operators_decoder
         self._unusable = UnusableRows(log=sink.log, metrics=sink.metrics)
@@ -100,6 +103,7 @@
             self._sink.on_declared(
                 outcome, written_at=row.written_at, known_until=known_until
             )
+            self._record.take(outcome, row)
 
     def _use_catalog(self, catalog):
         self._sink.on_catalog(catalog)
--- a/hawthornspoke/mirror/_types.py
+++ b/hawthornspoke/mirror/_types.py
@@ -33,6 +33,21 @@
         self.written_at = written_at
 
 
+class Written:
+    """A row was written as asked.
+
+    Parameters
+    ----------
+    revision : int
+        Of the newest transaction, which may be a later one.
+    """
+
+    __slots__ = ("revision",)
+
+    def __init__(self, *, revision):
+        self.revision = revision
+
+
 class News:
     """What changed in a table.
 
--- a/hawthornspoke/mirror/_watch.py
+++ b/hawthornspoke/mirror/_watch.py
@@ -80,16 +80,22 @@
         word is known.
     on_lost : callable
         Called with the reason why the platform can't be read, by neighbours either.
+
+    Attributes
+    ----------
+    mirror : Mirror
+    confirmed_at : float
+    clock : PlatformClock
     """
 
     __slots__ = (
         "mirror",
         "confirmed_at",
+        "clock",
         "_store",
         "_neighbours",
         "_on_confirmed",
         "_on_lost",
-        "_clock",
         "_due_at",
         "_is_reading",
         "_known_until_by_table",
@@ -103,7 +109,7 @@
         self._neighbours = neighbours
         self._on_confirmed = on_confirmed
         self._on_lost = on_lost
-        self._clock = PlatformClock()
+        self.clock = PlatformClock()
         self._due_at = float("-inf")
         self._is_reading = False
         self._known_until_by_table = {}
@@ -127,18 +133,22 @@
         """
         return self._is_reading and self._due_at == float("-inf")
 
-    async def run(self, tables):
+    async def run(self, tables, *, beside=()):
         """Follow some tables until cancelled.
 
         Parameters
         ----------
         tables : iterable of Table
+        beside : iterable of coroutine functions, default=()
+            Run and cancelled together with it.
         """
         # A group, so that where one ends with an error the others end as well: left
         # over they would go on telling of a mirror that nobody keeps any more.
         async with asyncio.TaskGroup() as group:
             for table in tables:
                 group.create_task(self._follow(table))
+            for work in beside:
+                group.create_task(work())
 
     async def _follow(self, table):
         revision = None
@@ -229,7 +239,7 @@
 
     def _date(self, table, news, asked_at, confirmed_at):
         """Note from when the rows of the platform's answer may date."""
-        clock, now = self._clock, contact_clock()
+        clock, now = self.clock, contact_clock()
         news.known_until = self._known_until(table)
         if table.name in self._unread and asked_at - news.known_until >= OUTAGE:
             news.known_until = asked_at
--- /dev/null
+++ b/hawthornspoke/mirror/tests/test_record.py
@@ -0,0 +1,216 @@
+"""What a row of our own may tell of declarations, whoever wrote it."""
+
+import asyncio
+import json
+
+from hypothesis import example, given, settings, strategies as st
+
+from hawthornspoke.base import Failure, contact_clock, is_failure
+from hawthornspoke.catalog import DeclaredWeights
+from hawthornspoke.mirror import News, RecordKeeper, Row, Written
+from hawthornspoke.mirror._dating import PlatformClock
+from hawthornspoke.mirror._record import (
+    KEPT,
+    RECORD_TABLE,
+    Dating,
+    add_dating,
+    encode_record,
+    read_record,
+)
+
+MADE_AT = 50.0
+REVISION = 40
+TWO = {"version": 2, "revision": 20, "not_before_ms": 21000}
+THREE = {"version": 3, "revision": 30, "not_before_ms": 25000}
+
+VALUES = st.recursive(
+    st.one_of(st.none(), st.integers(), st.floats(), st.text(max_size=4)),
+    lambda inner: st.lists(inner, max_size=3),
+    max_leaves=4,
+)
+ITEMS = st.one_of(
+    VALUES,
+    st.fixed_dictionaries(
+        {
+            "version": st.one_of(st.integers(0, 5), VALUES),
+            "revision": st.one_of(st.integers(0, 50), VALUES),
+            "not_before_ms": st.one_of(st.integers(0, 90_000), VALUES),
+        }
+    ),
+)
+
+
+def row(*items):
+    return Row(
+        key="m", data=json.dumps({"versions": items}).encode(), revision=REVISION
+    )
+
+
+def read(*items):
+    return read_record(row(*items), made_at=MADE_AT)
+
+
+def test_row_tells_what_was_written():
+    datings = [Dating(version=2, revision=20, not_before=21.0019)]
+    told = Row(key="m", data=encode_record(datings), revision=REVISION)
+    (dating,) = read_record(told, made_at=MADE_AT)
+    # Cut down: a moment that is later than the known one would be no bound.
+    assert (dating.version, dating.revision, dating.not_before) == (2, 20, 21.001)
+
+
+def test_row_with_a_moment_that_cant_be_true_is_refused_whole():
+    assert len(read(TWO, THREE)) == 2
+    assert is_failure(read(TWO, {**THREE, "not_before_ms": 50001}))
+    assert is_failure(read(TWO, {**THREE, "not_before_ms": 20999}))
+    assert is_failure(read(TWO, {**THREE, "revision": REVISION}))
+    assert is_failure(read(TWO, {**THREE, "revision": 20}))
+    assert is_failure(read(THREE, TWO))
+    assert is_failure(read(TWO, {**TWO, "revision": 21}))
+    assert is_failure(read_record(row(TWO), made_at=None))
+
+
+@settings(max_examples=300, deadline=None)
+@given(st.lists(ITEMS, max_size=3))
+@example([TWO, THREE])
+def test_whatever_a_row_holds_it_tells_nothing_of_the_future(items):
+    datings = read(*items)
+    if is_failure(datings):
+        return
+    for dating in datings:
+        assert 0 <= dating.not_before <= MADE_AT
+        assert dating.revision < REVISION
+
+
+def test_row_of_any_bytes_is_a_failure():
+    for data in (b"", b"\xff", b"7", b"[" * 100_000):
+        told = Row(key="m", data=data, revision=REVISION)
+        assert is_failure(read_record(told, made_at=MADE_AT))
+
+
+def test_only_the_last_versions_are_kept_and_none_dates_before_the_one_before():
+    datings = []
+    for version in range(2, 10):
+        added = Dating(version=version, revision=10 * version, not_before=90.0)
+        datings = add_dating(datings, added)
+    assert [item.version for item in datings] == list(range(10 - KEPT, 10))
+    late = Dating(version=10, revision=100, not_before=80.0)
+    assert add_dating(datings, late)[-1].not_before == 90.0
+
+
+class Store:
+    """Answers from a list, and remembers what it was asked."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.written = []
+
+    async def read(self, table, *, first, past):
+        assert (table, first) == (RECORD_TABLE, "m")
+        return self.answers.pop(0)
+
+    async def write(self, table, key, data, *, expected):
+        assert (table, key) == (RECORD_TABLE, "m")
+        self.written.append((expected, json.loads(data)["versions"]))
+        return self.answers.pop(0)
+
+
+class Log:
+    def __init__(self):
+        self.events = []
+
+    def change(self, event, **fields):
+        self.events.append(event)
+
+
+def keep(store, *, declared_at, clock=None, version=2, seconds=0.1):
+    """Tell a keeper of a version of revision 20; return what it dates and logs."""
+
+    async def run():
+        dated, log = [], Log()
+        keeper = RecordKeeper(
+            store=store,
+            clock=clock or PlatformClock(),
+            on_dated=lambda model, moments: dated.append((model, moments)),
+            log=log,
+        )
+        declared = DeclaredWeights(model="m", version=version)
+        told = Row(key="version", data=b"", revision=20, written_at=declared_at)
+        task = asyncio.create_task(keeper.run())
+        keeper.take(declared, told)
+        await asyncio.sleep(seconds)
+        task.cancel()
+        return dated, log.events
+
+    return asyncio.run(run())
+
+
+def clock_that_saw(revision, *, made_at):
+    clock = PlatformClock()
+    clock.note(asked_at=contact_clock(), made_at=made_at, revision=revision)
+    return clock
+
+
+def news(*rows):
+    return News(rows=list(rows), revision=REVISION, made_at=MADE_AT)
+
+
+def test_writer_that_was_second_leaves_the_row_as_it_is():
+    store = Store(news(row(TWO)))
+    keep(store, declared_at=1.0, clock=clock_that_saw(19, made_at=20.5))
+    assert len(store.written) == 1
+
+
+def test_writer_that_finds_an_older_version_adds_to_it():
+    store = Store(
+        news(row({**TWO, "version": 1, "revision": 10})), Written(revision=41)
+    )
+    keep(store, declared_at=1.0, clock=clock_that_saw(19, made_at=22.5))
+    (_, first), (expected, second) = store.written
+    assert [item["version"] for item in first] == [2]
+    assert expected == REVISION
+    assert [item["version"] for item in second] == [1, 2]
+
+
+def test_writer_that_finds_an_untrue_row_writes_over_it():
+    untrue = row({**TWO, "not_before_ms": 10**9})
+    store = Store(news(untrue), Written(revision=41))
+    _, events = keep(store, declared_at=1.0, clock=clock_that_saw(19, made_at=20.5))
+    assert store.written[-1] == (REVISION, [{**TWO, "not_before_ms": 20500}])
+    assert events == ["record_refused"]
+
+
+def test_row_that_was_removed_meanwhile_is_written_anew():
+    """A write that was refused, with no row to tell of, was taken for done."""
+    store = Store(
+        news(row(TWO | {"revision": 10, "version": 1})), news(), Written(revision=41)
+    )
+    keep(store, declared_at=1.0, clock=clock_that_saw(19, made_at=22.5))
+    assert [expected for expected, _ in store.written] == [0, REVISION, 0]
+
+
+def test_version_that_a_neighbour_has_dated_costs_no_call():
+    store = Store()
+    assert keep(store, declared_at=1.0) == ([], [])
+
+
+def test_moment_after_the_version_was_heard_of_is_refused():
+    """Another writer's row would have begun the bound of old weights anew.
+
+    Events: a process that has just started hears of a version; some seconds later it
+    can read our row, whose moment lies in between. Cause: a moment that is not in the
+    future can still be later than the declaration.
+    """
+    down = Failure(code="down")
+    late = {**TWO, "not_before_ms": int(1000 * MADE_AT)}
+    store = Store(down, news(row(late)))
+    dated, events = keep(store, declared_at=float("-inf"), seconds=1.4)
+    assert dated == []
+    assert events == ["record_failed", "record_refused"]
+
+
+def test_calls_end_when_the_moment_is_of_no_more_use():
+    """The platform stays away, and is asked for ever. Calls are priced."""
+    down = Failure(code="down")
+    store = Store(*[down] * 100)
+    keep(store, declared_at=float("-inf"), seconds=12.0)
+    assert 10 <= 100 - len(store.answers) <= 22
--- a/hawthornspoke/placing/__init__.py
+++ b/hawthornspoke/placing/__init__.py
@@ -14,6 +14,7 @@
     Place,
     Recheck,
     Sent,
+    WeightsDated,
     WeightsDeclared,
 )
 
@@ -31,5 +32,6 @@
     "Place",
     "Recheck",
     "Sent",
+    "WeightsDated",
     "WeightsDeclared",
 ]
--- a/hawthornspoke/placing/_fleet.py
+++ b/hawthornspoke/placing/_fleet.py
@@ -20,6 +20,7 @@
     Place,
     Recheck,
     Sent,
+    WeightsDated,
     WeightsDeclared,
 )
 from hawthornspoke.placing._predict import first_token, slot_release, whole_answer
@@ -36,6 +37,7 @@
     LoadSeen,
     Recheck,
     Sent,
+    WeightsDated,
     WeightsDeclared,
 )
 
@@ -202,6 +204,12 @@
         )
         return []
 
+    def on_weights_dated(self, message, *, now):
+        """Take when versions were declared that this process found declared."""
+        for version, at in message.moments:
+            self.declared.hear(message.model, version, at=at)
+        return []
+
     def on_engine_reported(self, message, *, now):
         """Take an agent's word."""
         endpoint = self._at(message.address)
--- a/hawthornspoke/placing/_messages.py
+++ b/hawthornspoke/placing/_messages.py
@@ -52,6 +52,22 @@
     known_until: float = UNKNOWN
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class WeightsDated:
+    """It was found out when versions of a model were declared.
+
+    Parameters
+    ----------
+    model : str
+    moments : tuple of (int, float)
+        Versions and moments before which they were not declared, on the clock that
+        goes on while the host is suspended.
+    """
+
+    model: str
+    moments: tuple
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class EngineReported:
     """An agent told the state of its engine.
--- a/hawthornspoke/relay/_process.py
+++ b/hawthornspoke/relay/_process.py
@@ -21,6 +21,7 @@
     EndpointsListed,
     EntryHostsSeen,
     Fleet,
+    WeightsDated,
     WeightsDeclared,
 )
 from hawthornspoke.relay._admission import Admission
@@ -64,8 +65,8 @@
     settings : RelaySettings
     source : object
         Reads the platform: ``await source.run(relay, neighbours)`` calls
-        ``on_catalog``, ``on_entries``, ``on_declared``, ``on_confirmed`` and
-        ``on_contact_lost``.
+        ``on_catalog``, ``on_entries``, ``on_declared``, ``on_dated``,
+        ``on_confirmed`` and ``on_contact_lost``.
     dialect : Dialect or None, default=None
     reload_settings : callable or None, default=None
         Returns fresh RelaySettings on SIGHUP.
@@ -268,6 +269,25 @@
         )
         self.agents.tell_all()
 
+    def on_dated(self, model, moments):
+        """Take when versions were declared that were found without a moment.
+
+        Parameters
+        ----------
+        model : str
+        moments : tuple of (int, float)
+            Versions and moments on the contact clock before which they were not
+            declared.
+        """
+        self.fleet.step(WeightsDated(model=model, moments=moments), now=monotonic())
+        now = contact_clock()
+        for version, at in moments:
+            self.log.change(
+                "weights_dated", model=model, version=version, age=age_of(at, now)
+            )
+        # Agents plan by the moment, and tell it to hosts that start later.
+        self.agents.tell_all()
+
     def on_confirmed(self, at):
         """Take that the platform answered; ``at`` is on the contact clock."""
         self._note_contact(
