--- a/tests/test_promise_config.py
+++ b/tests/test_promise_config.py
@@ -1,5 +1,6 @@
 """Promise: an accepted configuration is in force in seconds and never reverts."""
 
+import json
 import random
 import threading
 import time
@@ -169,3 +170,55 @@
     fleet.start_node("entry-0")
     fleet.wait_for(lambda: fleet.ready("entry-0"))
     assert revisions(fleet, ["entry-0"]) == {"entry-0": wanted}
+
+
+def refused_key(fleet, entry):
+    """Return the answer to a key that no configuration has."""
+    answer = fleet.ask(entry, headers={"Authorization": "Bearer none-of-ours"})
+    return answer.status, json.loads(answer.data)["error"]["code"]
+
+
+def test_entry_host_that_is_cut_off_refuses_no_key_for_good(fleet):
+    """Symptom: a caller whose key had just been added was refused for good.
+
+    Events: an entry host loses the table; a key may be added meanwhile; its caller is
+    told 401 and does not return. Cause: whether the host knows the newest
+    configuration was asked once, at its start.
+    """
+    names = fleet.names("entry")
+    for name in names:
+        fleet.wait_for(
+            lambda name=name: refused_key(fleet, name) == (401, "unauthenticated"), 5.0
+        )
+    fleet.faults(table_down=True)
+    try:
+        time.sleep(LIMIT + 1.0)
+        for name in names:
+            assert refused_key(fleet, name) == (503, "not_ready")
+            assert fleet.ask(name).status == 200
+    finally:
+        fleet.faults(table_down=False)
+    for name in names:
+        fleet.wait_for(
+            lambda name=name: refused_key(fleet, name) == (401, "unauthenticated"), 5.0
+        )
+
+
+def test_host_that_reads_the_table_rarely_denies_after_one_more_read(fresh_fleet):
+    """Symptom: wrong keys were told to come back for half a minute.
+
+    Events: an entry host that leaves the table to others meets a key that it doesn't
+    know, 30 s after its last read. Cause: it waited for its own turn to read.
+    """
+    fleet = fresh_fleet
+    name = fleet.names("entry")[0]
+    often = fleet.platform_toml()
+    fleet.platform_toml = lambda: often + "poll_every = 30.0\n"
+    fleet.kill(name)
+    fleet.start_node(name)
+    fleet.wait_ready([name])
+    time.sleep(LIMIT + 1.0)
+    seconds = fleet.wait_for(
+        lambda: refused_key(fleet, name) == (401, "unauthenticated"), LIMIT
+    )
+    assert seconds < 3.0
