401, 403 and 404 ask for the age of the table's word

Cause: an entry host that had read the table once, or heard peers for 3 s, refused for good by its document however old it was; a caller whose key was added meanwhile didn't return. Ruled out: the age on each message between nodes (bytes on all of them, and younger by the time a datagram lies unread). Change: the holder keeps when the table's last word was asked for, on the clock that goes on while the host is suspended; a refusal by a word older than 5 s, or while a newer revision is heard of, is `not_ready` (503, not run), and the host reads the table, once a second at the most. No bearer key at all stays a final 401. Refusals with 400 (adapter, wrong path) rest on the document of any age still: docs/FINDINGS.md.

--- a/hawthornspoke/entry/_control.py
+++ b/hawthornspoke/entry/_control.py
@@ -2,7 +2,7 @@
 
 import hashlib
 
-from hawthornspoke.base import Failure, is_failure, monotonic
+from hawthornspoke.base import Failure, contact_clock, is_failure, monotonic
 from hawthornspoke.config import ServiceView
 from hawthornspoke.limits import (
     Admitted,
@@ -47,6 +47,10 @@
 #: Heartbeats that a fresh entry host waits for before it is ready.
 FIRST_HEARTBEATS = 3
 
+#: Seconds within which an accepted revision has to be in force on every host
+#: (docs/PROMISES.md). Pollers of the table hear from it each second.
+CHANGES_BIND_AFTER = 5.0
+
 DOMAIN_CLAIMANT = "domain:"
 BEARER = "bearer "
 
@@ -173,7 +177,8 @@
         if is_failure(allowed):
             return allowed
         if allowed != organisation:
-            return UNAUTHENTICATED.because("the key is another organisation's now")
+            reason = "the key is another organisation's now"
+            return self._denied(UNAUTHENTICATED.because(reason), now)
         view = self.core.membership.by_id.get(node)
         is_known = view is not None and view.member is not None
         if not is_known or view.status == "leaving" or view.member.leaving:
@@ -185,18 +190,37 @@
         if not self.core.holder.confirmed(now=now):
             reason = "no configuration is in force here yet"
             return NOT_READY.because(reason, retry_after=1.0)
+        if not authorization.lower().startswith(BEARER):
+            # No configuration allows that.
+            return UNAUTHENTICATED.because("no bearer key in Authorization")
         organisation = self._authenticate(authorization)
         if is_failure(organisation):
-            return organisation
+            return self._denied(organisation, now)
         service = self.service_by_name.get(service_name)
         if service is None:
-            return NO_SUCH_SERVICE.because(f"no service {service_name!r}")
+            missing = NO_SUCH_SERVICE.because(f"no service {service_name!r}")
+            return self._denied(missing, now)
         if not service.serves(organisation):
-            return FORBIDDEN.because(
-                f"{service_name!r} is not open to {organisation!r}"
-            )
+            reason = f"{service_name!r} is not open to {organisation!r}"
+            return self._denied(FORBIDDEN.because(reason), now)
         return organisation
 
+    def _denied(self, failure, now):
+        """Return a refusal, for good only if the configuration is known to be new.
+
+        A caller that is told so does not return. On a host that was cut off while
+        its key was added it would be told so for nothing; one would notice 401 on
+        some hosts only. Told that the host can't tell, it goes to another one.
+        """
+        may_deny = self.core.holder.may_deny(
+            binds_after=CHANGES_BIND_AFTER, contact_now=contact_clock()
+        )
+        if may_deny:
+            return failure
+        self.core.hasten_table(now=now)
+        reason = f"{failure.code}, by a configuration that may be old"
+        return NOT_READY.because(reason, retry_after=1.0)
+
     def choose(self, *, service, adapter, prefix, digest, excluded, now):
         """Choose an endpoint.
 
@@ -382,8 +406,6 @@
         return DOMAIN_CLAIMANT + failure_domain
 
     def _authenticate(self, authorization):
-        if not authorization.lower().startswith(BEARER):
-            return UNAUTHENTICATED.because("no bearer key in Authorization")
         key = authorization[len(BEARER) :].strip()
         name = self.organisation_by_key.get(hashlib.sha256(key.encode()).hexdigest())
         if name is None:
--- a/hawthornspoke/node/_control.py
+++ b/hawthornspoke/node/_control.py
@@ -5,7 +5,7 @@
 import pykka
 from loguru import logger
 
-from hawthornspoke.base import monotonic
+from hawthornspoke.base import contact_clock, monotonic
 from hawthornspoke.membership import MemberChanged
 from hawthornspoke.node._core import NodeCore
 from hawthornspoke.node._messages import (
@@ -66,6 +66,8 @@
         # One read of each kind at a time: while the platform is slow, asking
         # again and again would queue reads that are all stale when they end.
         self.reading_table = False
+        # On the clock that goes on while the host is suspended.
+        self.table_asked_at = float("-inf")
         self.reading_hosts = False
         self.reading_document = False
 
@@ -102,7 +104,10 @@
             self.reading_table = False
             interval = self._vary(self.core.poll_interval())
             self.core.table_deadline = now + interval
-            self._act(self.core.take_table_row(message.row, now=now), now)
+            taken = self.core.take_table_row(
+                message.row, contact_asked_at=self.table_asked_at, now=now
+            )
+            self._act(taken, now)
         elif isinstance(message, HostsRead):
             self.reading_hosts = False
             every = self.settings.platform["hosts_every"]
@@ -219,6 +224,7 @@
             self._act(core.tick(now=now), now)
         if now >= core.table_deadline and not self.reading_table:
             self.reading_table = True
+            self.table_asked_at = contact_clock()
             self.platform.tell(ReadTable())
         if now >= core.hosts_deadline and not self.reading_hosts:
             self.reading_hosts = True
--- a/hawthornspoke/node/_core.py
+++ b/hawthornspoke/node/_core.py
@@ -17,6 +17,10 @@
 #: Entry hosts of a failure domain that read the table at the short interval.
 POLLERS = 2
 
+#: Seconds after a read of the table at which a node that leaves it to others may
+#: read it again because of a request that it can't judge: as often as a poller.
+HASTENED_EVERY = 1.0
+
 #: Seconds between two tries to get a document that is known of.
 FETCH_EVERY = 0.5
 
@@ -118,12 +122,29 @@
         heard = Heard(revision=revision, digest=digest, source=source)
         return self.holder.step(heard, now=now)
 
-    def take_table_row(self, row, *, now):
+    def hasten_table(self, *, now):
+        """Read the table soon, but not more often than the pollers do.
+
+        A node that leaves the table to others knows its age by no other means.
+
+        Parameters
+        ----------
+        now : float
+        """
+        earliest = now
+        if self.table_read_at is not None:
+            earliest = max(now, self.table_read_at + HASTENED_EVERY)
+        self.table_deadline = min(self.table_deadline, earliest)
+
+    def take_table_row(self, row, *, contact_asked_at, now):
         """Take the configuration's row, or a failure to read it.
 
         Parameters
         ----------
         row : dict or Failure
+        contact_asked_at : float
+            When it was asked for, on the clock that goes on while the host is
+            suspended.
         now : float
 
         Returns
@@ -132,12 +153,17 @@
         """
         if row == NOT_FOUND:
             self.table_read_at = now
-            return self.holder.step(TableRead(revision=0, digest=""), now=now)
+            read = TableRead(revision=0, digest="", contact_asked_at=contact_asked_at)
+            return self.holder.step(read, now=now)
         if is_failure(row):
             self.table_failures += 1
             return []
         self.table_read_at = now
-        read = TableRead(revision=row["revision"], digest=row["digest"])
+        read = TableRead(
+            revision=row["revision"],
+            digest=row["digest"],
+            contact_asked_at=contact_asked_at,
+        )
         return self.holder.step(read, now=now)
 
     def take_hosts(self, entries, *, now):
--- a/hawthornspoke/revision/_holder.py
+++ b/hawthornspoke/revision/_holder.py
@@ -32,10 +32,13 @@
     revision : int
         0 if nothing was ever accepted.
     digest : str
+    contact_asked_at : float, default=-inf
+        When it was asked for, on the clock that goes on while the host is suspended.
     """
 
     revision: int
     digest: str
+    contact_asked_at: float = float("-inf")
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -89,6 +92,10 @@
     source, and :meth:`confirmed` stays false until the table was read or the
     grace has passed, in which the best of all peers has been heard.
 
+    A node that is cut off goes on by what it holds. But what it doesn't find there
+    may have been added since, so :meth:`may_deny` asks for the age of the table's
+    word each time.
+
     The highest revision *heard* rides on every message the node sends, even
     before its document is here: a peer then learns of it from any message.
     This is the "causal" middle level of the related paper: after a node has
@@ -110,6 +117,7 @@
         "heard_digest",
         "refused_lower",
         "_confirmed",
+        "_confirmed_at",
         "_grace_deadline",
     )
     PARAMS = {"start_grace": Bounds(kind=(int, float), low=0)}
@@ -123,6 +131,7 @@
         self.heard_digest = ""
         self.refused_lower = 0
         self._confirmed = False
+        self._confirmed_at = float("-inf")
         self._grace_deadline = None
 
     def on_heard(self, message, *, now):
@@ -161,6 +170,7 @@
             # A table restored from an old backup must not turn the fleet back.
             self.refused_lower += 1
             return []
+        self._confirmed_at = max(self._confirmed_at, message.contact_asked_at)
         return self._consider(message.revision, message.digest, "")
 
     def on_document_read(self, message, *, now):
@@ -215,6 +225,25 @@
         grace_passed = self._grace_deadline is not None and now >= self._grace_deadline
         return self._confirmed or grace_passed
 
+    def may_deny(self, *, binds_after, contact_now):
+        """Tell whether what the document lacks may be refused for good.
+
+        Parameters
+        ----------
+        binds_after : float
+            Seconds within which an accepted revision has to be in force.
+        contact_now : float
+            On the clock that goes on while the host is suspended.
+
+        Returns
+        -------
+        bool
+            False if the table was not read for so long that a revision may have been
+            accepted and be due, or one was heard of whose document is not here.
+        """
+        is_newest = self.document is not None and self.revision == self.heard_revision
+        return is_newest and contact_now < self._confirmed_at + binds_after
+
     def dump(self, *, now):
         """Return the state as plain data.
 
--- a/hawthornspoke/revision/tests/test_may_deny.py
+++ b/hawthornspoke/revision/tests/test_may_deny.py
@@ -49,7 +49,7 @@
 
 
 def test_newer_revision_whose_document_is_not_here_denies_nothing():
-    """A revision is heard of that may have added the key; its document is on its way."""
+    """A revision is heard of that may have added the key, but not read yet."""
     made = holder()
     made.step(Heard(revision=4, digest="d4", source="p"), now=0.2)
     assert not may_deny(made, 101.0)
