Failing test: an agent makes its state into bytes once for each entry host

Cause: a link is handed the message, so one state is encoded 34 times at first and 12 times at each change of the load (both counted by the test).

--- /dev/null
+++ b/hawthornspoke/spread/tests/test_entry_links.py
@@ -0,0 +1,133 @@
+"""What an agent's word to entry hosts costs, and that all of them hear the same."""
+
+import hawthornspoke.peering._connection as peer_connection
+from hawthornspoke.peering import PeerConnection
+from hawthornspoke.protocol import Directive, EngineState, Frame, decode
+from hawthornspoke.spread._entry_links import EntryLinks
+
+NEAR_HOSTS = 12
+FAR_HOSTS = 22
+
+
+class Transport:
+    """Takes the bytes that are written."""
+
+    def __init__(self):
+        self.closing = False
+        self.waiting = 0
+        self.written = []
+
+    def is_closing(self):
+        return self.closing
+
+    def get_write_buffer_size(self):
+        return self.waiting
+
+    def write(self, data):
+        self.written.append(bytes(data))
+
+    def abort(self):
+        self.closing = True
+
+
+def connection():
+    """Return a connection that is open."""
+    made = PeerConnection(on_frame=None, on_closed=None)
+    made.transport = Transport()
+    return made
+
+
+def entry_links(hosts):
+    """Return the links of an agent whose entry hosts have introduced themselves."""
+    made = EntryLinks(failure_domain="a", spawn=None)
+    for number, link in enumerate(hosts):
+        domain = "a" if number < NEAR_HOSTS else "b"
+        made.take(link, Directive(failure_domain=domain, weights_version=1))
+    for link in hosts:
+        link.transport.written.clear()
+    return made
+
+
+def state(running):
+    """Return an engine's state."""
+    return EngineState(endpoint_address="e:1", running=running, weights_version=1)
+
+
+def count_encoded(monkeypatch):
+    """Return a list that grows by each frame that is made into bytes."""
+    encoded = []
+    real = peer_connection.encode
+
+    def counting(message):
+        encoded.append(message)
+        return real(message)
+
+    monkeypatch.setattr(peer_connection, "encode", counting)
+    return encoded
+
+
+def heard(link):
+    """Return the loads that one entry host was told."""
+    return [
+        decode(Frame, data[4:]).engine_state.running for data in link.transport.written
+    ]
+
+
+def test_state_is_encoded_once_for_all_entry_hosts(monkeypatch):
+    """An agent's processor time grows with the entry hosts of its failure domain.
+
+    Symptom: one agent makes 113 frames a second into bytes, most of them alike.
+    Sequence: an engine's load changes at each look, ten times a second; each entry
+    host is due, and the state is made into bytes for each. Cause: a link is handed
+    the message and not its bytes. Figure: 34 frames encoded for the first state and
+    12 for the next before, 1 each after.
+    """
+    hosts = [connection() for _ in range(NEAR_HOSTS + FAR_HOSTS)]
+    links = entry_links(hosts)
+    encoded = count_encoded(monkeypatch)
+    links.tell(state(1), now=10.0)
+    first = len(encoded)
+    links.tell(state(2), now=10.1)
+    assert all(heard(link) == [1, 2] for link in hosts[:NEAR_HOSTS])
+    assert all(heard(link) == [1] for link in hosts[NEAR_HOSTS:])
+    assert (first, len(encoded) - first) == (1, 1)
+
+
+def test_nothing_is_encoded_while_nobody_is_due(monkeypatch):
+    hosts = [connection() for _ in range(NEAR_HOSTS)]
+    links = entry_links(hosts)
+    links.tell(state(1), now=10.0)
+    encoded = count_encoded(monkeypatch)
+    links.tell(state(1), now=10.1)
+    assert encoded == []
+    assert all(heard(link) == [1] for link in hosts)
+
+
+def test_host_that_reads_nothing_is_cut_and_the_others_hear():
+    """One entry host stands still, and its frames would fill the agent's memory.
+
+    Sequence: its connection stays open and takes no bytes; each state is put behind
+    those that wait. Cause: a write without a look at what waits already.
+    """
+    hosts = [connection() for _ in range(3)]
+    links = entry_links(hosts)
+    hosts[1].transport.waiting = peer_connection.MOST_WAITING + 1
+    links.tell(state(1), now=10.0)
+    assert hosts[1].transport.closing
+    assert [heard(link) for link in hosts] == [[1], [], [1]]
+
+
+def test_closed_link_takes_nothing():
+    hosts = [connection() for _ in range(2)]
+    links = entry_links(hosts)
+    hosts[0].transport.closing = True
+    hosts[1].transport = None
+    links.tell(state(1), now=10.0)
+    assert hosts[0].transport.written == []
+
+
+def test_state_is_no_question():
+    """The shared bytes carry no call number: no host may answer them."""
+    host = connection()
+    entry_links([host]).tell(state(1), now=10.0)
+    assert decode(Frame, host.transport.written[0][4:]).call is None
