An agent encodes its state once for all entry hosts

Cause: each link was handed the message. Change: the links that are due get the same bytes; what is looked at before a write (open, not too much waiting) is unchanged.

--- a/hawthornspoke/peering/_connection.py
+++ b/hawthornspoke/peering/_connection.py
@@ -111,13 +111,26 @@
         bool
             False if the connection is closed, or its peer reads nothing.
         """
-        transport = self.transport
-        if transport is None or transport.is_closing():
+        return self.send_encoded(self.encode(frame))
+
+    def send_encoded(self, data):
+        """Send a whole frame that is encoded already; see ``send``.
+
+        Parameters
+        ----------
+        data : bytes
+            What ``encode`` returned. One message to many peers is encoded once.
+
+        Returns
+        -------
+        bool
+        """
+        if not self.is_open:
             return False
-        if transport.get_write_buffer_size() > MOST_WAITING:
+        if self.transport.get_write_buffer_size() > MOST_WAITING:
             self.close()
             return False
-        transport.write(self.encode(frame))
+        self.transport.write(data)
         return True
 
     @property
--- a/hawthornspoke/spread/_entry_links.py
+++ b/hawthornspoke/spread/_entry_links.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from hawthornspoke.base import is_failure, monotonic
+from hawthornspoke.peering import PeerConnection
 from hawthornspoke.protocol import EntryHosts, Frame
 from hawthornspoke.spread._link import Link, ProbeEnded, ProbeSent
 
@@ -85,11 +86,20 @@
 
     def tell(self, state, now):
         """Send the engine's state to the hosts for which it is due."""
-        for link, host in self._host_by_link.items():
-            if _is_due(host, state, now):
-                host.told = state
-                host.told_at = now
-                link.send(Frame(engine_state=state))
+        due = [
+            (link, host)
+            for link, host in self._host_by_link.items()
+            if _is_due(host, state, now)
+        ]
+        if not due:
+            return
+        # All hear the same, up to ten times a second; encoding it for each is a cost
+        # that grows with the entry hosts.
+        data = PeerConnection.encode(Frame(engine_state=state))
+        for link, host in due:
+            host.told = state
+            host.told_at = now
+            link.send_encoded(data)
 
     async def probe(self):
         """Probe the own link until cancelled."""
