--- a/hawthornspoke/peering/_connection.py
+++ b/hawthornspoke/peering/_connection.py
@@ -56,6 +56,8 @@
         self._buffer = bytearray()
         self._next_call = 0
         self._waiter_by_call = {}
+        self._is_in_parts = False
+        self._behind = bytearray()
 
     def connection_made(self, transport):
         """Take the connection."""
@@ -127,10 +129,15 @@
         """
         if not self.is_open:
             return False
-        if self.transport.get_write_buffer_size() > MOST_WAITING:
+        if self.transport.get_write_buffer_size() + len(self._behind) > MOST_WAITING:
             self.close()
             return False
-        self.transport.write(data)
+        if self._is_in_parts:
+            # Between two parts of a frame it would be read as bytes of that one, and
+            # what follows as the length of the next: the connection would end.
+            self._behind += data
+        else:
+            self.transport.write(data)
         return True
 
     @property
@@ -148,10 +155,22 @@
         body = encode(frame)
         return LENGTH.pack(len(body)) + body
 
-    def write(self, data):
-        """Write a part of an encoded frame; no other may come between its parts."""
-        if self.is_open:
-            self.transport.write(data)
+    def write_part(self, data, *, is_last):
+        """Write a part of an encoded frame; what is sent meanwhile goes behind it.
+
+        Parameters
+        ----------
+        data : bytes-like
+        is_last : bool
+            Whether the frame is complete with it.
+        """
+        if not self.is_open:
+            return
+        self.transport.write(data)
+        self._is_in_parts = not is_last
+        if is_last and self._behind:
+            self.transport.write(bytes(self._behind))
+            self._behind.clear()
 
     async def ask(self, frame, *, timeout):
         """Send a question and wait for its answer.
--- a/hawthornspoke/spread/tests/test_after_a_wait.py
+++ b/hawthornspoke/spread/tests/test_after_a_wait.py
@@ -12,9 +12,11 @@
 
 import pytest
 
-from hawthornspoke.catalog import EngineProfile
+from hawthornspoke.base import contact_clock
+from hawthornspoke.catalog import EngineProfile, Incarnation
 from hawthornspoke.peering import connect, directive
 from hawthornspoke.protocol import Chunk, Frame
+from hawthornspoke.spread._upgrade import PiecesHeld
 from hawthornspoke.spread._uploads import Uploads
 from hawthornspoke.spread.tests.test_agents import (
     ENGINE,
@@ -184,6 +186,38 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("is_known", [True, False])
+def test_directive_that_waited_unread_makes_a_declaration_no_younger(is_known):
+    """Entry hosts that had restarted sent to old weights beyond their bound.
+
+    Events: a host with an agent stands still for 4 s; a version is declared meanwhile,
+    or told by one more entry host; on waking the agent reads that this was just now,
+    and counts from here. It tells the later moment to all entry hosts. Those that have
+    just started have no word of the platform's own on it and take the latest that any
+    agent tells; and the engine beside that agent is the one that is late with the
+    version.
+    Cause: the age in a message counts from when it is read. It was true when it was
+    sent, and of two moments before which nothing was declared the later one wins.
+    """
+
+    async def scenario():
+        async with one_host() as (hosts, _):
+            agent = hosts.agents[0]
+            if is_known:
+                link, _, frame = await states_of(hosts, age=1.0)
+                link.send(frame)
+                await asyncio.sleep(0.1)
+            other, _, frame = await states_of(hosts, age=1.0)
+            sent_at = contact_clock()
+            other.send(frame)
+            time.sleep(1.0)
+            await asyncio.sleep(0.1)
+            assert agent.declared.latest("m") == 1
+            assert agent.declared.since("m") <= sent_at - 1.0
+
+    asyncio.run(scenario())
+
+
 def test_state_of_before_is_not_told_after_standing_still():
     """Symptom: entry hosts sent to a full engine that had told them it was empty.
 
@@ -219,7 +253,7 @@
     def encode(frame):
         return frame.chunk.data
 
-    def write(self, data):
+    def write_part(self, data, *, is_last):
         self.written += len(data)
 
     def unsent(self):
@@ -290,3 +324,35 @@
             assert engine.orders == [2]
 
     asyncio.run(scenario())
+
+
+def test_install_that_is_cancelled_before_it_has_begun():
+    """An engine that had started again got no weights any more.
+
+    Events: the process stands still while the last piece comes and the engine starts
+    again; on waking both are read in one turn of the loop: the install is planned, and
+    the new start cancels it before its first step.
+    Cause: a task that is cancelled before its first step runs none of it, not the end
+    either that tells the plan that the engine can be ordered again.
+    """
+
+    async def scenario():
+        async with one_host() as (hosts, engine):
+            agent = hosts.agents[0]
+            start, step = asyncio.Event(), agent.delivery.step
+
+            def step_and_restart(message):
+                step(message)
+                if agent.delivery.install is not None and not start.is_set():
+                    start.set()
+                    agent._take_start(Incarnation(started_ms=2_000))
+
+            agent._take_start(Incarnation(started_ms=1_000))
+            agent.exchange._on_whole = lambda weights: step_and_restart(
+                PiecesHeld(version=weights.version)
+            )
+            await hosts.name(1)
+            await asyncio.wait_for(start.wait(), 3.0)
+            await hosts.until_all_have(1, seconds=3.0)
+
+    asyncio.run(scenario())
--- a/hawthornspoke/spread/tests/test_frames.py
+++ b/hawthornspoke/spread/tests/test_frames.py
@@ -33,7 +33,7 @@
     def send(self, frame):
         return True
 
-    def write(self, data):
+    def write_part(self, data, *, is_last):
         pass
 
     def unsent(self):
@@ -112,8 +112,7 @@
 
 async def close(made):
     """End what an agent began."""
-    for task in made._tasks.values():
-        task.cancel()
+    made.delivery.close()
     made.exchange.close()
 
 
