A choice finds what is true of an endpoint once a word, not once a look

Cause: the start that holds, and the oldest valid version, were found anew at each look. Change: an endpoint keeps what its two words say and finds it when a word comes; the floor is found once a question, and not at all for engines with the newest version.

--- a/hawthornspoke/placing/_endpoint.py
+++ b/hawthornspoke/placing/_endpoint.py
@@ -24,18 +24,36 @@
     Parameters
     ----------
     entry : EndpointEntry
+
+    Attributes
+    ----------
+    agent_word : EngineReported or None
+        The agent's word if it is about the start that holds.
+    weights_version : int or None
+        Version held, by the agent's word before the platform's list.
+    layers : tuple of (int, int) or None
+        Layers held, likewise.
+    loading : bool
+        Whether it is taking up new weights and starts nothing else.
+    pace : float
+        How many times slower than usual its engine works.
     """
 
     __slots__ = (
-        "entry",
+        "agent_word",
+        "weights_version",
+        "layers",
+        "loading",
+        "pace",
         "gone",
         "doubtful_deadline",
         "own_running",
         "reported_load",
         "reported_at",
         "sent_since_report",
-        "state",
         "heard_at",
+        "_entry",
+        "_state",
         "_starts",
         "_has_restarted",
         "failure_rate",
@@ -45,15 +63,16 @@
     )
 
     def __init__(self, *, entry):
-        self.entry = entry
+        self._entry = entry
+        self._state = None
         self.gone = False
         self.doubtful_deadline = 0.0
-        self.state = None
         self.heard_at = 0.0
         self._starts = Starts()
         self._starts.hear_list(entry.incarnation)
         self._has_restarted = False
         self._forget()
+        self._settle()
 
     def _forget(self):
         """Begin with nothing, as a new start does."""
@@ -66,6 +85,26 @@
         self.avoided = 0
         self.answer_time = ASSUMED_ANSWER_TIME
 
+    @property
+    def entry(self):
+        """The platform's word."""
+        return self._entry
+
+    @entry.setter
+    def entry(self, entry):
+        self._entry = entry
+        self._settle()
+
+    @property
+    def state(self):
+        """The agent's word, None if there is none."""
+        return self._state
+
+    @state.setter
+    def state(self, state):
+        self._state = state
+        self._settle()
+
     @property
     def incarnation(self):
         """The start that holds; what is remembered is of this one."""
@@ -80,8 +119,8 @@
         """
         if entry.address != self.entry.address:
             # The word is of what is at the other address.
-            self.state = None
-        self.entry = entry
+            self._state = None
+        self._entry = entry
         self.gone = False
         self._take_start(self._starts.hear_list(entry.incarnation))
 
@@ -93,7 +132,7 @@
         state : EngineReported
         now : float
         """
-        self.state = state
+        self._state = state
         self.heard_at = now
         self._take_start(self._starts.hear_agent(state.incarnation))
         if self.is_about(state.incarnation):
@@ -133,13 +172,25 @@
         if is_new:
             self._has_restarted = True
             self._forget()
+        self._settle()
 
-    @property
-    def agent_word(self):
-        """The agent's word if it is about the start that holds, else None."""
+    def _settle(self):
+        """Find what the two words say now.
+
+        Each choice looks at all of this for each endpoint; found there, it was a
+        third of the time of a choice, and only a word can change it.
+        """
         if self.state is None or not self.is_about(self.state.incarnation):
-            return None
-        return self.state
+            self.agent_word = None
+            held = self.entry if self._list_holds else None
+            self.loading = False
+            self.pace = 1.0
+        else:
+            self.agent_word = held = self.state
+            self.loading = held.loading
+            self.pace = held.pace
+        self.weights_version = None if held is None else held.weights_version
+        self.layers = None if held is None else held.layers
 
     @property
     def _list_holds(self):
@@ -150,34 +201,6 @@
         """Requests that are there: reported, and sent by this host since."""
         return max(self.own_running, self.reported_load + self.sent_since_report)
 
-    @property
-    def weights_version(self):
-        """Version held, by the agent's word before the platform's list."""
-        word = self.agent_word
-        if word is not None:
-            return word.weights_version
-        return self.entry.weights_version if self._list_holds else None
-
-    @property
-    def layers(self):
-        """Layers held, by the agent's word before the platform's list."""
-        word = self.agent_word
-        if word is not None:
-            return word.layers
-        return self.entry.layers if self._list_holds else None
-
-    @property
-    def loading(self):
-        """Whether it is taking up new weights and starts nothing else."""
-        word = self.agent_word
-        return word is not None and word.loading
-
-    @property
-    def pace(self):
-        """How many times slower than usual its engine works."""
-        word = self.agent_word
-        return word.pace if word is not None else 1.0
-
     @property
     def link_delay(self):
         """Seconds that a message there and back waits on the way."""
--- a/hawthornspoke/placing/_validity.py
+++ b/hawthornspoke/placing/_validity.py
@@ -48,7 +48,14 @@
         The same on the clock of deadlines.
     """
 
-    __slots__ = ("declared", "version_bound", "version_margin", "contact_now", "now")
+    __slots__ = (
+        "declared",
+        "version_bound",
+        "version_margin",
+        "contact_now",
+        "now",
+        "_floor_by_model",
+    )
 
     def __init__(self, *, declared, version_bound, version_margin, contact_now, now):
         self.declared = declared
@@ -56,6 +63,7 @@
         self.version_margin = version_margin
         self.contact_now = contact_now
         self.now = now
+        self._floor_by_model = {}
 
     def allows(self, endpoint, engine, ask):
         """Tell whether an engine has the weights for a request and begins in time.
@@ -106,6 +114,14 @@
             model, bound=self.version_bound - self.version_margin, now=contact_now
         )
 
+    def _floor_now(self, model):
+        """Return the same for the moment of the question, found once for it."""
+        floor = self._floor_by_model.get(model)
+        if floor is None:
+            floor = self._floor(model, self.contact_now)
+            self._floor_by_model[model] = floor
+        return floor
+
     def _has_weights(self, endpoint, engine, ask):
         if endpoint.loading:
             return False
@@ -118,15 +134,20 @@
             return True
         if version is None:
             return False
-        return version >= self._floor(engine.model, self.contact_now)
+        return version >= self._floor_now(engine.model)
 
     def _begins_in_time(self, endpoint, engine, ask):
         """Tell whether a request begins there before its weights are too old.
 
         An engine that is full, or slow, begins later than the margin allows for.
         """
-        if not engine.layers or endpoint.weights_version is None:
+        version = endpoint.weights_version
+        if not engine.layers or version is None:
+            return True
+        if version >= (self.declared.latest(engine.model) or 0):
+            # Nothing newer is declared, so it is never too old. That is so for all
+            # engines but for the seconds in which a version spreads.
             return True
         expected = first_token_at(endpoint, engine, ask, load=endpoint.load)
         begins = self.contact_now + BEGIN_SHARE * expected
-        return endpoint.weights_version >= self._floor(engine.model, begins)
+        return version >= self._floor(engine.model, begins)
