--- a/hawthornspoke/placing/_validity.py
+++ b/hawthornspoke/placing/_validity.py
@@ -26,6 +26,9 @@
 #: and configurations too, and nobody measures how long a message waits there.
 WITHDRAW_MARGIN_FAR = 0.6
 
+#: Seconds by which a busy process notices a time late.
+TIMER_LATE = 0.15
+
 #: Times the expected time to the first token after which a request is taken to have
 #: begun. On an engine four times slower than usual 1.05 s were seen for 0.4 s.
 BEGIN_SHARE = 2.0
@@ -55,6 +58,7 @@
         "contact_now",
         "now",
         "_floor_by_model",
+        "_is_newest_by_version",
     )
 
     def __init__(self, *, declared, version_bound, version_margin, contact_now, now):
@@ -64,6 +68,7 @@
         self.contact_now = contact_now
         self.now = now
         self._floor_by_model = {}
+        self._is_newest_by_version = {}
 
     def allows(self, endpoint, engine, ask):
         """Tell whether an engine has the weights for a request and begins in time.
@@ -78,11 +83,35 @@
         -------
         bool
         """
-        return self._has_weights(endpoint, engine, ask) and self._begins_in_time(
-            endpoint, engine, ask
-        )
+        if not self._has_weights(endpoint, engine, ask):
+            return False
+        if self._is_newest(endpoint, engine):
+            return True
+        expected = first_token_at(endpoint, engine, ask, load=endpoint.load)
+        return self.begins_in_time(endpoint, engine, expected)
+
+    def begins_in_time(self, endpoint, engine, expected):
+        """Tell whether a request begins before an engine's weights are too old.
+
+        One that is full, or slow, begins it later than the margin allows for.
+
+        Parameters
+        ----------
+        endpoint : Endpoint
+        engine : EngineProfile
+        expected : float
+            Seconds to the first token.
+
+        Returns
+        -------
+        bool
+        """
+        if self._is_newest(endpoint, engine):
+            return True
+        begins = self.contact_now + BEGIN_SHARE * expected
+        return endpoint.weights_version >= self._floor(engine.model, begins)
 
-    def with_deadline(self, place, engine, *, near):
+    def with_deadline(self, place, engine, *, near, link_delay):
         """Return a place with the moment at which a request must have begun there.
 
         Parameters
@@ -91,6 +120,8 @@
         engine : EngineProfile
         near : bool
             Whether it is in the failure domain of this host.
+        link_delay : float
+            Seconds that a message waits on the way there.
 
         Returns
         -------
@@ -106,8 +137,30 @@
         # Seconds by which the clock of declarations is ahead of that of deadlines.
         suspended = self.contact_now - self.now
         margin = WITHDRAW_MARGIN if near else WITHDRAW_MARGIN_FAR
+        # What is taken back crosses the same link as the pieces that fill it. Where
+        # its agent tells of 1 s, an engine began a request 0.6 s after that was
+        # logged as withdrawn.
+        margin = max(margin, link_delay + TIMER_LATE)
         return replace(place, begin_deadline=too_old_at - suspended - margin)
 
+    def _is_newest(self, endpoint, engine):
+        """Tell whether nothing is known that makes an engine's weights too old.
+
+        That is so for all engines but in the seconds in which a version spreads, so
+        it is looked at before a time to the first token is worked out. What only
+        agents told counts as well: it binds from the same moment.
+        """
+        version = endpoint.weights_version
+        if not engine.layers or version is None:
+            return True
+        key = engine.model, version
+        if key not in self._is_newest_by_version:
+            too_old_at = self.declared.too_old_at(
+                engine.model, version, bound=self.version_bound
+            )
+            self._is_newest_by_version[key] = too_old_at is None
+        return self._is_newest_by_version[key]
+
     def _floor(self, model, contact_now):
         """Return the oldest version to which something may be sent at a moment."""
         return self.declared.floor(
@@ -135,19 +188,3 @@
         if version is None:
             return False
         return version >= self._floor_now(engine.model)
-
-    def _begins_in_time(self, endpoint, engine, ask):
-        """Tell whether a request begins there before its weights are too old.
-
-        An engine that is full, or slow, begins later than the margin allows for.
-        """
-        version = endpoint.weights_version
-        if not engine.layers or version is None:
-            return True
-        if version >= (self.declared.latest(engine.model) or 0):
-            # Nothing newer is declared, so it is never too old. That is so for all
-            # engines but for the seconds in which a version spreads.
-            return True
-        expected = first_token_at(endpoint, engine, ask, load=endpoint.load)
-        begins = self.contact_now + BEGIN_SHARE * expected
-        return version >= self._floor(engine.model, begins)
