Failing test: one changed entry costs a part of a message for each pair of endpoints

Cause: what agents are told is made for each agent though it is the same for all of a service. 3600 parts at 60 endpoints (counted by the test). Time of one change on a host that reads the platform, process time: 5.5 ms at 60 endpoints, 76 ms at 240, 1.2 s at 960.

--- /dev/null
+++ b/hawthornspoke/relay/tests/test_telling_agents.py
@@ -0,0 +1,117 @@
+"""What it costs to tell all agents, and that each hears what matters to it."""
+
+from types import SimpleNamespace
+
+from hawthornspoke.catalog import Service
+from hawthornspoke.placing.tests.test_fleet import ENGINE, entry
+from hawthornspoke.protocol import Frame, PeerEndpoint, decode
+from hawthornspoke.relay.tests.endpoint import lone_relay
+
+ENDPOINTS = 60
+
+
+class Link:
+    """Takes frames, as an open connection does."""
+
+    def __init__(self):
+        self.heard = []
+
+    def send(self, frame):
+        self.heard.append(frame.directive)
+        return True
+
+    def send_encoded(self, data):
+        self.heard.append(decode(Frame, data[4:]).directive)
+        return True
+
+
+def listed(*, version=1, leaving=False, service="llm", count=ENDPOINTS):
+    """Return the platform's list; only its first endpoint differs."""
+    entries = [entry(f"e{number}") for number in range(count)]
+    first = entry("e0", weights_version=version, leaving=leaving, service=service)
+    return [first, *entries[1:]]
+
+
+def connected_sink():
+    """Return the sink of an entry host that reads the platform, and its links."""
+    sink = lone_relay().sink
+    catalog = SimpleNamespace(
+        revision=1,
+        service_by_name={
+            "llm": Service(name="llm", engine=ENGINE),
+            "other": Service(name="other", engine=ENGINE),
+            "plain": Service(name="plain"),
+        },
+    )
+    sink._handler._admission.catalog = catalog
+    links = {f"e{number}:1": Link() for number in range(ENDPOINTS)}
+    task = SimpleNamespace(cancel=lambda: None)
+    sink.agents._task_by_address.update(dict.fromkeys(links, task))
+    sink.agents._link_by_address.update(links)
+    sink.on_entries(listed())
+    return sink, links
+
+
+def count_peers(monkeypatch):
+    """Return a list that grows by each endpoint that is made into a message."""
+    made = []
+    real = PeerEndpoint.__init__
+
+    def counting(self, *args, **kwargs):
+        made.append(1)
+        real(self, *args, **kwargs)
+
+    monkeypatch.setattr(PeerEndpoint, "__init__", counting)
+    return made
+
+
+def test_change_of_one_endpoint_costs_in_step_with_their_number(monkeypatch):
+    """An entry host that reads the platform stands still as a version spreads.
+
+    Symptom: 1.2 s in which it serves nothing for each change of the list, at 960
+    endpoints; 5.5 ms at 60. Sequence: an engine takes up weights and its entry
+    changes; what all agents are told is made for each agent, with a part for each
+    endpoint, and thrown away, since no agent acts on this change. Cause: it was made
+    per agent, though it is the same for all of a service. Figure: 3600 parts at 60
+    endpoints before, 60 after.
+    """
+    sink, links = connected_sink()
+    for link in links.values():
+        link.heard.clear()
+    made = count_peers(monkeypatch)
+    sink.on_entries(listed(version=2))
+    assert all(link.heard == [] for link in links.values())
+    assert len(made) <= ENDPOINTS
+
+
+def test_each_agent_hears_who_leaves():
+    sink, links = connected_sink()
+    assert all(len(link.heard) == 1 for link in links.values())
+    sink.on_entries(listed(leaving=True))
+    for link in links.values():
+        assert [peer.leaving for peer in link.heard[-1].peers][:2] == [True, False]
+    sink.on_entries(listed())
+    assert all(len(link.heard) == 3 for link in links.values())
+    assert not links["e5:1"].heard[-1].peers[0].leaving
+
+
+def test_agents_of_two_services_hear_of_their_own():
+    sink, links = connected_sink()
+    sink.on_entries(listed(service="other"))
+    addresses = [peer.address for peer in links["e0:1"].heard[-1].peers]
+    assert addresses == ["e0:1"]
+    assert len(links["e1:1"].heard[-1].peers) == ENDPOINTS - 1
+
+
+def test_agent_that_connects_late_hears_it_too():
+    sink, links = connected_sink()
+    late = Link()
+    sink.agents._told_by_address.pop("e7:1")
+    sink.agents._tell("e7:1", late)
+    assert len(late.heard[0].peers) == ENDPOINTS
+
+
+def test_agent_whose_endpoint_left_the_list_hears_nothing():
+    sink, links = connected_sink()
+    sink.on_entries(listed(count=ENDPOINTS - 1))
+    assert len(links[f"e{ENDPOINTS - 1}:1"].heard) == 1
