What agents are told is made once a service, not once an agent

Cause: each agent's directive was made anew, with a part for each endpoint, and mostly thrown away. Change: one is made and encoded for all agents of a service, and kept as the one object where it matters as before. Where two entries have one address the first one's service still counts. Parts of messages at one changed entry of 60: 3600 before, 60 after (test). Process time of one change on a host that reads the platform, four changes each, and this: 60 endpoints 5.7 to 6.9 and 0.7 to 1.4 ms, 240 endpoints 67 to 94 and 2.9 to 4.1 ms, 960 endpoints 1027 to 1472 and 12 to 16 ms.

--- a/hawthornspoke/relay/_agents.py
+++ b/hawthornspoke/relay/_agents.py
@@ -6,7 +6,7 @@
 
 from hawthornspoke.base import Failure, contact_clock, monotonic
 from hawthornspoke.catalog import Incarnation
-from hawthornspoke.peering import connect
+from hawthornspoke.peering import PeerConnection, connect
 from hawthornspoke.placing import AgentLost, EngineReported
 from hawthornspoke.protocol import Frame
 
@@ -17,6 +17,23 @@
 RECONNECT_PAUSE = (0.3, 0.9)
 
 
+class _Word:
+    """What all agents of a service are told, and its bytes once they are needed."""
+
+    __slots__ = ("directive", "matters", "_encoded")
+
+    def __init__(self, *, directive, matters):
+        self.directive = directive
+        self.matters = matters
+        self._encoded = None
+
+    def encoded(self):
+        """Return it as the bytes that are sent."""
+        if self._encoded is None:
+            self._encoded = PeerConnection.encode(Frame(directive=self.directive))
+        return self._encoded
+
+
 class AgentLinks:
     """Keeps one connection to each agent: directives out, engine states in.
 
@@ -27,7 +44,7 @@
     fleet : Fleet
     log : EventLog
     directive_for : callable
-        Returns the Directive for the agent of an endpoint's address, None if there
+        Returns the Directive for the agents of a service's endpoints, None if there
         is nothing to tell yet.
     on_entry_hosts : callable
         Called with an agent's address and the entry hosts that it sees.
@@ -44,7 +61,9 @@
         "_directive_for",
         "_on_entry_hosts",
         "_arrived_after",
+        "_service_by_address",
         "_told_by_address",
+        "_matters_by_service",
         "_entry_hosts_by_agent",
     )
 
@@ -66,18 +85,20 @@
         self._arrived_after = arrived_after
         self._task_by_address = {}
         self._link_by_address = {}
+        self._service_by_address = {}
         self._told_by_address = {}
+        self._matters_by_service = {}
         self._entry_hosts_by_agent = {}
 
-    def follow(self, addresses):
+    def follow(self, service_by_address):
         """Keep links to exactly the agents of these endpoints.
 
         Parameters
         ----------
-        addresses : iterable of str
-            ``IP:PORT`` of endpoints that have an agent.
+        service_by_address : dict of str to str
+            By ``IP:PORT`` of the endpoints that have an agent.
         """
-        wanted = set(addresses)
+        self._service_by_address = wanted = service_by_address
         for address in list(self._task_by_address):
             if address not in wanted:
                 self._task_by_address.pop(address).cancel()
@@ -98,8 +119,12 @@
 
     def tell_all(self):
         """Send every agent what it has to know now."""
+        word_by_service = {}
         for address, link in self._link_by_address.items():
-            self._tell(address, link)
+            service = self._service_by_address.get(address)
+            if service not in word_by_service:
+                word_by_service[service] = self._word(service)
+            self._send(address, link, word_by_service[service])
 
     def close(self):
         """End all links."""
@@ -107,15 +132,33 @@
             task.cancel()
 
     def _tell(self, address, link):
-        directive = self._directive_for(address)
+        self._send(address, link, self._word(self._service_by_address.get(address)))
+
+    def _word(self, service):
+        """Return what the agents of a service have to know now, None if nothing.
+
+        It is made once for all of them. Made for each, with a part for each
+        endpoint, one change of the list held up all requests for 1.2 s at 960
+        endpoints, as measured.
+        """
+        directive = self._directive_for(service)
         if directive is None:
-            return
+            return None
         # The list of endpoints changes with each load of weights; agents need to
         # hear only of changes of what they act on, and links are narrow.
-        told = _what_matters(directive)
-        if self._told_by_address.get(address) != told:
-            self._told_by_address[address] = told
-            link.send(Frame(directive=directive))
+        matters = _what_matters(directive)
+        known = self._matters_by_service.get(service)
+        if known == matters:
+            # The one object, so that comparing it for each agent takes no time.
+            matters = known
+        self._matters_by_service[service] = matters
+        return _Word(directive=directive, matters=matters)
+
+    def _send(self, address, link, word):
+        if word is None or self._told_by_address.get(address) is word.matters:
+            return
+        self._told_by_address[address] = word.matters
+        link.send_encoded(word.encoded())
 
     async def _keep(self, address):
         ip = address.rpartition(":")[0]
--- a/hawthornspoke/relay/_sink.py
+++ b/hawthornspoke/relay/_sink.py
@@ -172,13 +172,9 @@
             self._contact.step(Lost(reason=reason), now=contact_clock()), "lost"
         )
 
-    def directive_for(self, address):
-        """Return what the agent at an endpoint's address is told, None if nothing."""
-        engines = self._engine_services()
-        service = next(
-            (item.service for item in self.entries if item.address == address), None
-        )
-        engine = engines.get(service)
+    def directive_for(self, service):
+        """Return what the agents of a service are told, None if nothing."""
+        engine = self._engine_services().get(service)
         if engine is None:
             return None
         catalog = self._handler.catalog
@@ -211,8 +207,17 @@
 
     def _follow_agents(self):
         engines = self._engine_services()
+        service_by_address = {}
+        for entry in self.entries:
+            # Where two entries have one address, the agent there is told what the
+            # first one's service needs.
+            service_by_address.setdefault(entry.address, entry.service)
         self.agents.follow(
-            entry.address for entry in self.entries if entry.service in engines
+            {
+                entry.address: service_by_address[entry.address]
+                for entry in self.entries
+                if entry.service in engines
+            }
         )
         self.agents.tell_all()
 
