--- a/hawthornspoke/placing/_validity.py
+++ b/hawthornspoke/placing/_validity.py
@@ -51,7 +51,15 @@
         The same on the clock of deadlines.
     """
 
-    __slots__ = ("declared", "version_bound", "version_margin", "contact_now", "now")
+    __slots__ = (
+        "declared",
+        "version_bound",
+        "version_margin",
+        "contact_now",
+        "now",
+        "_floor_by_model",
+        "_is_newest_by_version",
+    )
 
     def __init__(self, *, declared, version_bound, version_margin, contact_now, now):
         self.declared = declared
@@ -59,6 +67,8 @@
         self.version_margin = version_margin
         self.contact_now = contact_now
         self.now = now
+        self._floor_by_model = {}
+        self._is_newest_by_version = {}
 
     def allows(self, endpoint, engine, ask):
         """Tell whether an engine has the weights for a request and begins in time.
@@ -75,6 +85,8 @@
         """
         if not self._has_weights(endpoint, engine, ask):
             return False
+        if self._is_newest(endpoint, engine):
+            return True
         expected = first_token_at(endpoint, engine, ask, load=endpoint.load)
         return self.begins_in_time(endpoint, engine, expected)
 
@@ -94,7 +106,7 @@
         -------
         bool
         """
-        if not engine.layers or endpoint.weights_version is None:
+        if self._is_newest(endpoint, engine):
             return True
         begins = self.contact_now + BEGIN_SHARE * expected
         return endpoint.weights_version >= self._floor(engine.model, begins)
@@ -131,12 +143,38 @@
         margin = max(margin, link_delay + TIMER_LATE)
         return replace(place, begin_deadline=too_old_at - suspended - margin)
 
+    def _is_newest(self, endpoint, engine):
+        """Tell whether nothing is known that makes an engine's weights too old.
+
+        That is so for all engines but in the seconds in which a version spreads, so
+        it is looked at before a time to the first token is worked out. What only
+        agents told counts as well: it binds from the same moment.
+        """
+        version = endpoint.weights_version
+        if not engine.layers or version is None:
+            return True
+        key = engine.model, version
+        if key not in self._is_newest_by_version:
+            too_old_at = self.declared.too_old_at(
+                engine.model, version, bound=self.version_bound
+            )
+            self._is_newest_by_version[key] = too_old_at is None
+        return self._is_newest_by_version[key]
+
     def _floor(self, model, contact_now):
         """Return the oldest version to which something may be sent at a moment."""
         return self.declared.floor(
             model, bound=self.version_bound - self.version_margin, now=contact_now
         )
 
+    def _floor_now(self, model):
+        """Return the same for the moment of the question, found once for it."""
+        floor = self._floor_by_model.get(model)
+        if floor is None:
+            floor = self._floor(model, self.contact_now)
+            self._floor_by_model[model] = floor
+        return floor
+
     def _has_weights(self, endpoint, engine, ask):
         if endpoint.loading:
             return False
@@ -149,4 +187,4 @@
             return True
         if version is None:
             return False
-        return version >= self._floor(engine.model, self.contact_now)
+        return version >= self._floor_now(engine.model)
