--- a/hawthornspoke/mirror/_watch.py
+++ b/hawthornspoke/mirror/_watch.py
@@ -155,7 +155,7 @@
         revision = None
         failed = False
         seen = 0
-        changed_at = float("-inf")
+        changed_at = gone_at = float("-inf")
         while True:
             in_a_storm = table.confirms and contact_clock() < changed_at + STORM_GAP
             reader = None if failed else self._neighbours.reader()
@@ -165,6 +165,11 @@
                 news = await self._ask_store(table, revision, failed, in_a_storm)
             if news == HISTORY_GONE:
                 revision = None
+                # At once the first time, since a change may be waiting for it. A
+                # platform that says so each time would be asked without end.
+                if contact_clock() < gone_at + RETRY_PAUSE[1]:
+                    await asyncio.sleep(random.uniform(*RETRY_PAUSE))
+                gone_at = contact_clock()
                 continue
             if is_failure(news):
                 # A neighbour that is silent may not be the only one, so the platform
--- a/hawthornspoke/mirror/tests/test_watch.py
+++ b/hawthornspoke/mirror/tests/test_watch.py
@@ -4,9 +4,9 @@
 import socket
 
 from hawthornspoke.base import Failure, contact_clock
-from hawthornspoke.mirror import Neighbours, News, Row, Table, Watch
+from hawthornspoke.mirror import HISTORY_GONE, Neighbours, News, Row, Table, Watch
 from hawthornspoke.mirror._neighbours import ANSWER_TIME, LOOK_EVERY
-from hawthornspoke.mirror._watch import NEIGHBOUR_WAIT, OVERDUE_AFTER
+from hawthornspoke.mirror._watch import NEIGHBOUR_WAIT, OVERDUE_AFTER, RETRY_PAUSE
 
 READER = "127.0.0.1"
 ASKER = "127.0.0.2"
@@ -246,3 +246,34 @@
             third.stop()
 
     play(scenario)
+
+
+def test_history_that_is_gone_again_and_again_floods_nobody():
+    """All hosts that read the platform asked it hundreds of times a second.
+
+    Events: the platform has dropped its history and says so to each question for what
+    is new; the table is read whole, which it answers; the next question for what is
+    new is answered likewise. Cause: the table was read anew at once, each time.
+    """
+
+    async def run():
+        host = Host(READER, 1, Store())
+        whole_reads = []
+
+        async def gone(table, *, after, wait):
+            await asyncio.sleep(0.002)
+            return HISTORY_GONE
+
+        async def read(table, original=host.store.read):
+            whole_reads.append(contact_clock())
+            return await original(table)
+
+        host.store.follow, host.store.read = gone, read
+        table = Table(name="t", wait=0.5, pause=0.0, take=host.seen.append)
+        following = asyncio.create_task(host.watch.run([table]))
+        await asyncio.sleep(1.0)
+        following.cancel()
+        # The second one comes at once, since a change may be waiting for it.
+        assert 2 <= len(whole_reads) <= 2 + 1.0 / RETRY_PAUSE[0]
+
+    asyncio.run(run())
