--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -207,6 +207,20 @@
         new="            pass\n        self._settle()",
         test="hawthornspoke/placing/tests/test_incarnations.py -k new_start_in_the",
     ),
+    Mutation(
+        name="agents are told what they know already",
+        file="relay/_agents.py",
+        old="if word is None or self._told_by_address.get(address) is word.matters:",
+        new="if word is None:",
+        test="hawthornspoke/relay/tests/test_telling_agents.py -k in_step",
+    ),
+    Mutation(
+        name="what agents are told is made once an agent",
+        file="relay/_agents.py",
+        old="            if service not in word_by_service:\n    ",
+        new="",
+        test="hawthornspoke/relay/tests/test_telling_agents.py -k in_step",
+    ),
     Mutation(
         name="a word changes nothing of what is kept of an endpoint",
         file="placing/_endpoint.py",
