--- a/hawthornspoke/relay/_sink.py
+++ b/hawthornspoke/relay/_sink.py
@@ -4,7 +4,12 @@
 from hawthornspoke.catalog import UNKNOWN, age_of
 from hawthornspoke.httpio import ServerLimits
 from hawthornspoke.peering import directive
-from hawthornspoke.placing import CatalogChanged, EndpointsListed, WeightsDeclared
+from hawthornspoke.placing import (
+    CatalogChanged,
+    EndpointsListed,
+    WeightsDated,
+    WeightsDeclared,
+)
 from hawthornspoke.relay._agents import AgentLinks
 from hawthornspoke.relay._contact import Confirmed, ContactLost, Lost
 
@@ -160,6 +165,25 @@
         )
         self.agents.tell_all()
 
+    def on_dated(self, model, moments):
+        """Take when versions were declared that were found without a moment.
+
+        Parameters
+        ----------
+        model : str
+        moments : tuple of (int, float)
+            Versions and moments on the contact clock before which they were not
+            declared.
+        """
+        self._fleet.step(WeightsDated(model=model, moments=moments), now=monotonic())
+        now = contact_clock()
+        for version, at in moments:
+            self.log.change(
+                "weights_dated", model=model, version=version, age=age_of(at, now)
+            )
+        # Agents plan by the moment, and tell it to hosts that start later.
+        self.agents.tell_all()
+
     def on_confirmed(self, at):
         """Take that the platform answered; ``at`` is on the contact clock."""
         self._note_contact(
