--- /dev/null
+++ b/hawthornspoke/relay/tests/test_suspended.py
@@ -0,0 +1,94 @@
+"""Waits end by the time of others also if the host was suspended meanwhile."""
+
+import asyncio
+
+from hawthornspoke.base import contact_clock, monotonic
+from hawthornspoke.catalog import DeclaredWeights
+from hawthornspoke.placing import Fleet, WeightsDeclared
+from hawthornspoke.relay.tests.endpoint import (
+    Endpoint,
+    RelayHarness,
+    answer,
+    begins_late,
+    events,
+    silent,
+)
+
+#: Seconds within which a host that woke notices that a time is over.
+NOTICED = 0.4
+
+
+def test_request_whose_time_passed_in_a_suspension_ends_on_waking():
+    """A caller waited 5 s beyond its deadline for the answer that its time was up.
+
+    Events: a request waits at an endpoint; the host is suspended for 5 s and wakes.
+    Cause: the timer of the request's end runs on the clock that stands still then.
+    """
+
+    async def scenario():
+        async with RelayHarness(Endpoint(silent()), timeout=5.2) as harness:
+            asking = asyncio.create_task(harness.ask("once", read_time=8.0))
+            await asyncio.sleep(0.2)
+            harness.contact_clock.suspend(5.0)
+            woke_at = monotonic()
+            status, _, _, _ = await asking
+            assert status == 504
+            assert monotonic() - woke_at < NOTICED
+
+    asyncio.run(scenario())
+
+
+def test_request_is_withdrawn_on_waking_after_its_bound():
+    """A request began on old weights after their bound.
+
+    Events: version 2 is declared; a request waits at an engine with version 1; the
+    entry host is suspended, and wakes 0.4 s before the request must have begun; it
+    begins 0.3 s after that. Cause: the withdrawal came later by the suspension.
+    """
+
+    async def scenario():
+        begun = []
+        engine = Endpoint(begins_late(0.9, begun))
+        fleet = Fleet(failure_domain="a", version_bound=3.0, version_margin=0.3)
+        async with RelayHarness(engine, timeout=4.0, fleet=fleet) as harness:
+            declared = DeclaredWeights(model="m", version=2)
+            message = WeightsDeclared(declared=declared, at=contact_clock())
+            harness.fleet.step(message, now=monotonic())
+            asking = asyncio.create_task(harness.ask("stream"))
+            await asyncio.sleep(0.2)
+            harness.contact_clock.suspend(2.0)
+            status, _, _, _ = await asking
+            assert status == 502
+            await asyncio.sleep(0.5)
+            assert begun == []
+
+    asyncio.run(scenario())
+
+
+def test_suspension_that_leaves_time_ends_nothing():
+    async def scenario():
+        engine = Endpoint(begins_late(0.5, []))
+        async with RelayHarness(engine, timeout=4.0) as harness:
+            asking = asyncio.create_task(harness.ask("stream"))
+            await asyncio.sleep(0.1)
+            harness.contact_clock.suspend(2.0)
+            status, _, body, whole = await asking
+            assert (status, whole) == (200, True)
+            assert body.count(b"id: ") == 2
+
+    asyncio.run(scenario())
+
+
+def test_answer_that_is_there_on_waking_is_passed_on():
+    """The host wakes after a caller's answer has come, and within its time."""
+
+    async def scenario():
+        async with RelayHarness(Endpoint(events([1])), timeout=2.0) as harness:
+            harness.contact_clock.suspend(1.5)
+            status, _, _, whole = await harness.ask("stream")
+            assert (status, whole) == (200, True)
+        async with RelayHarness(Endpoint(answer()), timeout=2.0) as harness:
+            harness.contact_clock.suspend(1.5)
+            assert (await harness.ask("once"))[0] == 200
+
+    asyncio.run(scenario())
