Waits end by the time of others also after a suspension

Cause: the event loop's timers run on the clock that stands still while a host is suspended; a request's end and its withdrawal from old weights came later by that time. Ruled out: timers of the system on the other clock (not in this version of Python); silence of an endpoint, which stays on the steady clock: a host that was suspended heard nothing, and a test shows an endpoint that would be given up wrongly. Change: Timers keep what waits and its moments; ten times a second they look whether the clocks have parted, and set the waits anew.

--- a/hawthornspoke/relay/_forward.py
+++ b/hawthornspoke/relay/_forward.py
@@ -42,6 +42,7 @@
     Parameters
     ----------
     admission : Admission
+    timers : Timers
     fleet : Fleet
     pool : ConnectionPool
     dialect : Dialect
@@ -50,10 +51,19 @@
     log : EventLog
     """
 
-    __slots__ = ("_admission", "_fleet", "_pool", "_dialect", "_budget_for", "_log")
-
-    def __init__(self, *, admission, fleet, pool, dialect, budget_for, log):
+    __slots__ = (
+        "_admission",
+        "_timers",
+        "_fleet",
+        "_pool",
+        "_dialect",
+        "_budget_for",
+        "_log",
+    )
+
+    def __init__(self, *, admission, timers, fleet, pool, dialect, budget_for, log):
         self._admission = admission
+        self._timers = timers
         self._fleet = fleet
         self._pool = pool
         self._dialect = dialect
@@ -75,7 +85,11 @@
             if place is None:
                 return
             attempt = Try(
-                place=place, pool=self._pool, fleet=self._fleet, dialect=self._dialect
+                place=place,
+                pool=self._pool,
+                fleet=self._fleet,
+                dialect=self._dialect,
+                timers=self._timers,
             )
             connects += 1
             try:
@@ -338,7 +352,11 @@
 
     async def _try_to_resume(self, work, place, splitter, version):
         attempt = Try(
-            place=place, pool=self._pool, fleet=self._fleet, dialect=self._dialect
+            place=place,
+            pool=self._pool,
+            fleet=self._fleet,
+            dialect=self._dialect,
+            timers=self._timers,
         )
         kept = False
         try:
--- a/hawthornspoke/relay/_handler.py
+++ b/hawthornspoke/relay/_handler.py
@@ -30,6 +30,7 @@
     ----------
     forwarder : Forwarder
     admission : Admission
+    timers : Timers
     dialect : Dialect
     log : EventLog
     metrics : Metrics
@@ -39,16 +40,18 @@
         "refusing",
         "_forwarder",
         "_admission",
+        "_timers",
         "_dialect",
         "_log",
         "_metrics",
         "_longest_by_route",
     )
 
-    def __init__(self, *, forwarder, admission, dialect, log, metrics):
+    def __init__(self, *, forwarder, admission, timers, dialect, log, metrics):
         self.refusing = False
         self._forwarder = forwarder
         self._admission = admission
+        self._timers = timers
         self._dialect = dialect
         self._log = log
         self._metrics = metrics
@@ -118,7 +121,7 @@
 
     async def _forward(self, work):
         try:
-            async with asyncio.timeout(work.deadline - self._admission.clock()):
+            async with self._timers.until(work.deadline):
                 await self._forwarder.run(work)
         except TimeoutError:
             work.last_reason = work.last_reason or "deadline"
--- a/hawthornspoke/relay/_process.py
+++ b/hawthornspoke/relay/_process.py
@@ -30,6 +30,7 @@
 from hawthornspoke.relay._dialect import Dialect
 from hawthornspoke.relay._forward import Forwarder
 from hawthornspoke.relay._handler import Handler
+from hawthornspoke.relay._timers import Timers
 from hawthornspoke.retries import RetryBudget
 
 #: Seconds after SIGTERM during which new requests are still served: the balancer
@@ -84,6 +85,7 @@
         "entries",
         "stopping",
         "pool",
+        "timers",
         "handler",
         "agents",
         "neighbours",
@@ -114,6 +116,7 @@
         self.entries = ()
         self.stopping = False
         self.pool = ConnectionPool(id_header=self.dialect.request_id)
+        self.timers = Timers(clock=contact_clock)
         self._budget_by_service = {}
         self._stop_deadline = None
         self._stopped = None
@@ -126,6 +129,7 @@
         self.handler = Handler(
             forwarder=Forwarder(
                 admission=admission,
+                timers=self.timers,
                 fleet=self.fleet,
                 pool=self.pool,
                 dialect=self.dialect,
@@ -133,6 +137,7 @@
                 log=self.log,
             ),
             admission=admission,
+            timers=self.timers,
             dialect=self.dialect,
             log=self.log,
             metrics=self.metrics,
@@ -173,6 +178,7 @@
             loop.create_task(self._keep("platform", self._read_platform)),
             loop.create_task(self._keep("housekeeping", self._housekeeping)),
             loop.create_task(self._keep("summaries", self._summaries)),
+            loop.create_task(self._keep("timers", self.timers.run)),
         ]
         self.log.change("started", role="entry", failure_domain=self._domain)
         try:
--- a/hawthornspoke/relay/_try.py
+++ b/hawthornspoke/relay/_try.py
@@ -25,6 +25,7 @@
     pool : ConnectionPool
     fleet : Fleet
     dialect : Dialect
+    timers : Timers
     """
 
     __slots__ = (
@@ -36,10 +37,11 @@
         "_pool",
         "_fleet",
         "_dialect",
+        "_timers",
         "_ended",
     )
 
-    def __init__(self, *, place, pool, fleet, dialect):
+    def __init__(self, *, place, pool, fleet, dialect, timers):
         self.place = place
         self.connection = None
         self.exchange = None
@@ -48,6 +50,7 @@
         self._pool = pool
         self._fleet = fleet
         self._dialect = dialect
+        self._timers = timers
         self._ended = False
 
     async def connect(self):
@@ -105,12 +108,14 @@
         Response or Failure
             ``NOT_RUN`` is a promise; the other failures are none.
         """
-        withdraws, patience = self._until_withdrawn(patience)
+        # Silence is judged on the steady clock: a host that was suspended could hear
+        # nothing, and has to give an endpoint time to send again.
+        withdrawal = self._timers.until(self._withdrawn_at())
         try:
-            async with asyncio.timeout(patience):
+            async with withdrawal, asyncio.timeout(patience):
                 head = await self.exchange.read_head()
         except TimeoutError:
-            if withdraws:
+            if withdrawal.expired():
                 return self._withdraw()
             self._end("silent")
             self.abort()
@@ -124,12 +129,12 @@
             return await self._refused(head)
         return head
 
-    def _until_withdrawn(self, patience):
-        """Return whether the begin deadline comes first, and the shorter time."""
+    def _withdrawn_at(self):
+        """Return when the request must have begun, None if there is no such time."""
         if self.place.begin_deadline is None:
-            return False, patience
-        left = max(0.0, self.place.begin_deadline - monotonic())
-        return left < patience, min(left, patience)
+            return None
+        # The place was looked at just before the send, on the steady clock.
+        return self._timers.clock() + self.place.begin_deadline - monotonic()
 
     def _withdraw(self):
         # That the request begins in time was expected when it was sent. An engine
--- a/hawthornspoke/relay/tests/endpoint.py
+++ b/hawthornspoke/relay/tests/endpoint.py
@@ -25,6 +25,7 @@
 from hawthornspoke.relay._admission import Admission
 from hawthornspoke.relay._forward import Forwarder
 from hawthornspoke.relay._handler import Handler
+from hawthornspoke.relay._timers import Timers
 from hawthornspoke.retries import RetryBudget
 
 ENGINE = EngineProfile(
@@ -293,8 +294,11 @@
             contact=self.contact,
             clock=self.contact_clock,
         )
+        self.timers = Timers(clock=self.contact_clock)
+        self.looking = asyncio.create_task(self.timers.run())
         forwarder = Forwarder(
             admission=admission,
+            timers=self.timers,
             fleet=self.fleet,
             pool=self.pool,
             dialect=self.dialect,
@@ -304,6 +308,7 @@
         self.handler = Handler(
             forwarder=forwarder,
             admission=admission,
+            timers=self.timers,
             dialect=self.dialect,
             log=EventLog(node="test"),
             metrics=self.metrics,
@@ -322,6 +327,7 @@
         return self
 
     async def __aexit__(self, *exc):
+        self.looking.cancel()
         self.server.close()
         self.pool.close()
         for endpoint in self.endpoints:
