A later moment of a declaration is written in place of an early one

Cause, by reading: the first host to write was left alone whatever it knew; one that had been cut off for 6 s would have dated a declaration 6 s too early for all processes. Ruled out: always writing the later one (each reader would write at each declaration, for some tenths of a second). Change: a host whose moment is 1 s later writes over it. The test fails without the change.

--- a/hawthornspoke/mirror/_record_keeper.py
+++ b/hawthornspoke/mirror/_record_keeper.py
@@ -26,6 +26,11 @@
 CONFLICTS = 4
 
 
+#: Seconds by which a moment must be later to be written in place of another: answers
+#: of two tables come each second, so that moments of hosts in touch differ by less.
+WORTH_A_WRITE = 1.0
+
+
 class _Due:
     """A declaration of which the moment is to be written, or read."""
 
@@ -170,8 +175,7 @@
         )
         known = self._known_by_model.get(model) or _Known()
         for _ in range(CONFLICTS):
-            if any(item.revision >= due.revision for item in known.datings):
-                # Another host was quicker, with this declaration or a later one.
+            if _tells_enough(known.datings, own):
                 return None
             datings = add_dating(known.datings, own)
             answer = await self._store.write(
@@ -206,6 +210,21 @@
         self._log.change("record_refused", model=model, reason=reason)
 
 
+def _tells_enough(datings, own):
+    """Tell whether another host was quicker, with this declaration or a later one.
+
+    The quickest may be one that had heard nothing for long, and whose moment is early
+    by as much; of two moments before which nothing was declared the later tells most.
+    """
+    if any(item.revision > own.revision for item in datings):
+        return True
+    return any(
+        item.revision == own.revision
+        and item.not_before >= own.not_before - WORTH_A_WRITE
+        for item in datings
+    )
+
+
 def _concerns(dating, due):
     """Tell whether a moment is of a declared version, or of one before it."""
     if dating.version == due.version:
--- a/hawthornspoke/mirror/tests/test_record.py
+++ b/hawthornspoke/mirror/tests/test_record.py
@@ -160,6 +160,18 @@
     assert len(store.written) == 1
 
 
+def test_moment_of_a_host_that_heard_nothing_for_long_is_written_over():
+    """Old weights were refused 6 s too early, though other hosts knew better.
+
+    Events: a host that was cut off for 6 s is the first to write. Cause: whoever was
+    quicker was left alone, whatever its moment told.
+    """
+    early = row({**TWO, "not_before_ms": 15000})
+    store = Store(news(early), Written(revision=41))
+    keep(store, declared_at=1.0, clock=clock_that_saw(19, made_at=21.0))
+    assert store.written[-1] == (REVISION, [TWO])
+
+
 def test_writer_that_finds_an_older_version_adds_to_it():
     store = Store(
         news(row({**TWO, "version": 1, "revision": 10})), Written(revision=41)
