--- a/hawthornspoke/relay/_forward.py
+++ b/hawthornspoke/relay/_forward.py
@@ -22,6 +22,7 @@
     Parameters
     ----------
     admission : Admission
+    timers : Timers
     fleet : Fleet
     pool : ConnectionPool
     dialect : Dialect
@@ -40,7 +41,7 @@
         "_streams",
     )
 
-    def __init__(self, *, admission, fleet, pool, dialect, budget_for, log):
+    def __init__(self, *, admission, timers, fleet, pool, dialect, budget_for, log):
         self._admission = admission
         self._dialect = dialect
         self._log = log
@@ -50,6 +51,7 @@
         )
         self._sender = Sender(
             admission=admission,
+            timers=timers,
             chooser=self._chooser,
             encoder=self._encoder,
             fleet=fleet,
--- a/hawthornspoke/relay/_process.py
+++ b/hawthornspoke/relay/_process.py
@@ -17,6 +17,7 @@
 from hawthornspoke.relay._forward import Forwarder
 from hawthornspoke.relay._handler import Handler
 from hawthornspoke.relay._sink import Sink
+from hawthornspoke.relay._timers import Timers
 
 #: Seconds after SIGTERM during which new requests are still served: the balancer
 #: asks once a second and needs two refusals, and callers come a little later.
@@ -65,6 +66,7 @@
         "stopping",
         "pool",
         "budgets",
+        "timers",
         "handler",
         "standstill",
         "neighbours",
@@ -98,6 +100,7 @@
             settings=settings,
             told_entry_hosts=lambda: self.agents.entry_hosts(),
         )
+        self.timers = Timers(clock=contact_clock)
         self._stop_deadline = None
         self._stopped = None
         admission = Admission(
@@ -109,6 +112,7 @@
         self.handler = Handler(
             forwarder=Forwarder(
                 admission=admission,
+                timers=self.timers,
                 fleet=self.fleet,
                 pool=self.pool,
                 dialect=self.dialect,
@@ -116,6 +120,7 @@
                 log=self.log,
             ),
             admission=admission,
+            timers=self.timers,
             dialect=self.dialect,
             log=self.log,
             metrics=self.metrics,
@@ -170,6 +175,7 @@
             loop.create_task(self._keep("housekeeping", self._housekeeping)),
             loop.create_task(self._keep("summaries", self._summaries)),
             loop.create_task(self._keep("standstill", self.standstill.run)),
+            loop.create_task(self._keep("timers", self.timers.run)),
         ]
         self.log.change("started", role="entry", failure_domain=self._domain)
         try:
--- a/hawthornspoke/relay/_sending.py
+++ b/hawthornspoke/relay/_sending.py
@@ -10,6 +10,7 @@
     Parameters
     ----------
     admission : Admission
+    timers : Timers
     chooser : Chooser
     encoder : Encoder
     fleet : Fleet
@@ -20,6 +21,7 @@
 
     __slots__ = (
         "_admission",
+        "_timers",
         "_chooser",
         "_encoder",
         "_fleet",
@@ -28,8 +30,11 @@
         "_log",
     )
 
-    def __init__(self, *, admission, chooser, encoder, fleet, pool, dialect, log):
+    def __init__(
+        self, *, admission, timers, chooser, encoder, fleet, pool, dialect, log
+    ):
         self._admission = admission
+        self._timers = timers
         self._chooser = chooser
         self._encoder = encoder
         self._fleet = fleet
@@ -40,7 +45,11 @@
     def attempt_at(self, place):
         """Return a Try of a place."""
         return Try(
-            place=place, pool=self._pool, fleet=self._fleet, dialect=self._dialect
+            place=place,
+            pool=self._pool,
+            fleet=self._fleet,
+            dialect=self._dialect,
+            timers=self._timers,
         )
 
     async def send(self, work, attempt, *, last_event=None, version=None):
