Connections to the origin of weights are closed once they rest

The origin takes 48 connections and went on to count those of hosts without power, which were open though they had been idle for too long to be used again; it reset 242 new ones, 225 pieces failed.

Change: a pool may close what rests by itself; that of the origin does.

--- a/hawthornspoke/httpio/_pool.py
+++ b/hawthornspoke/httpio/_pool.py
@@ -31,13 +31,24 @@
     connect_timeout : float, default=0.3
         Seconds. A round trip between regions is some milliseconds, and 0.2 s where
         a link is full; an endpoint that is dark doesn't answer at all.
+    closes_idle : bool, default=False
+        Whether connections are closed by themselves once they are idle for too long
+        to be used again. Without it whoever holds the pool calls ``sweep``; a pool
+        of many requests a second does so for all of them at once.
     """
 
-    __slots__ = ("id_header", "connect_timeout", "opened", "_idle_by_key")
+    __slots__ = (
+        "id_header",
+        "connect_timeout",
+        "closes_idle",
+        "opened",
+        "_idle_by_key",
+    )
 
-    def __init__(self, *, id_header=None, connect_timeout=0.3):
+    def __init__(self, *, id_header=None, connect_timeout=0.3, closes_idle=False):
         self.id_header = id_header
         self.connect_timeout = connect_timeout
+        self.closes_idle = closes_idle
         self.opened = 0
         self._idle_by_key = {}
 
@@ -80,6 +91,9 @@
         if connection.release():
             kept = _Idle(connection=connection, start=start)
             self._idle_by_key.setdefault(key, []).append(kept)
+            if self.closes_idle:
+                delay = max(0.0, connection.idle_deadline - contact_clock())
+                asyncio.get_running_loop().call_later(delay, self.sweep)
 
     def drop(self, key):
         """Close the idle connections of an endpoint that is gone."""
