--- a/hawthornspoke/swarm/tests/test_exchange.py
+++ b/hawthornspoke/swarm/tests/test_exchange.py
@@ -51,6 +51,8 @@
         }
         self.held = {name: set() for name in self.names}
         self.dead = set()
+        self.refused = set()
+        self.readers = set()
         self.complete = set()
         self.origin_reads = 0
         self.now = 0.0
@@ -90,8 +92,12 @@
     def act(self, name, outcome):
         if isinstance(outcome, Complete):
             self.complete.add(name)
+        elif isinstance(outcome, FetchFromOrigin) and name in self.refused:
+            failed = ChunkFailed(digest="d", index=outcome.index, cause="failed")
+            self.later(NEWS_SECONDS, name, failed)
         elif isinstance(outcome, FetchFromOrigin):
             self.origin_reads += 1
+            self.readers.add(name)
             start = max(self.now, self.origin_free_at)
             self.origin_free_at = start + CHUNK_SECONDS / 2
             done = ChunkVerified(digest="d", index=outcome.index)
@@ -206,3 +212,23 @@
         "north": 6,
         "south": 6,
     }
+
+
+def test_readers_that_the_origin_refuses_give_way():
+    """After all hosts had lost power a version came to no engine for 20 s.
+
+    Events: the origin resets the connections of 5 of its 12 readers, each of which
+    goes on to ask for one chunk; the others bring all that is theirs and are idle.
+    Cause: the time after which an owner gives way was reckoned as if all 51 hosts
+    read from the origin, and so grew faster than time passed.
+    """
+    sound = Network(51, 96, strategy="regional")
+    sound.run(60)
+    assert len(sound.readers) == 12
+
+    network = Network(51, 96, strategy="regional")
+    network.refused = set(sorted(sound.readers)[:5])
+    network.run(30)
+    assert network.complete == set(network.names)
+    # The chunks of the 5, 8 each, are read by at most two others.
+    assert network.origin_reads <= 96 + 5 * 8
