--- a/hawthornspoke/catalog/__init__.py
+++ b/hawthornspoke/catalog/__init__.py
@@ -21,6 +21,7 @@
     Route,
     Service,
     Share,
+    event_patience,
 )
 
 __all__ = [
@@ -44,4 +45,5 @@
     "Share",
     "age_of",
     "choose_share",
+    "event_patience",
 ]
--- a/hawthornspoke/catalog/_types.py
+++ b/hawthornspoke/catalog/_types.py
@@ -10,6 +10,28 @@
 STREAM = "stream"
 
 
+#: Seconds that callers of streams wait for an event at the least.
+LEAST_EVENT_PATIENCE = 2.0
+
+
+def event_patience(*, objective, pause):
+    """Return how long callers of a stream wait for an event before they leave.
+
+    Parameters
+    ----------
+    objective : float
+        Seconds until the first event with which a stream is on time.
+    pause : float
+        Seconds between two events with which it still is.
+
+    Returns
+    -------
+    float
+        Seconds.
+    """
+    return max(LEAST_EVENT_PATIENCE, 4 * objective, 8 * pause)
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Share:
     """One part of a route's traffic.
