--- a/hawthornspoke/catalog/_declared.py
+++ b/hawthornspoke/catalog/_declared.py
@@ -113,7 +113,7 @@
 
         A version that the platform has not told yet binds as well. A host that is
         turned away would otherwise send to old weights until it returns, and then
-        date the version from its return: 8.5 s beyond the bound in a test.
+        date the version from its return, in a test 8.5 s too late.
 
         Parameters
         ----------
--- a/hawthornspoke/mirror/_record_keeper.py
+++ b/hawthornspoke/mirror/_record_keeper.py
@@ -4,6 +4,7 @@
 import random
 
 from hawthornspoke.base import contact_clock, is_failure
+from hawthornspoke.catalog import UNKNOWN
 from hawthornspoke.mirror._record import (
     RECORD_TABLE,
     Dating,
@@ -111,7 +112,7 @@
             return
         self._taken_by_model[declared.model] = row.revision
         not_before = self._clock.last_without(row.revision)
-        if not_before is None and row.written_at != float("-inf"):
+        if not_before is None and row.written_at != UNKNOWN:
             # A neighbour told the moment, and has written it.
             return
         self._due_by_model[declared.model] = _Due(
--- a/hawthornspoke/placing/_validity.py
+++ b/hawthornspoke/placing/_validity.py
@@ -138,8 +138,8 @@
         suspended = self.contact_now - self.now
         margin = WITHDRAW_MARGIN if near else WITHDRAW_MARGIN_FAR
         # What is taken back crosses the same link as the pieces that fill it. Where
-        # its agent tells of 1 s, an engine began a request 0.6 s after that was
-        # logged as withdrawn.
+        # that takes longer than is kept for it, the engine begins the request on
+        # weights that are too old, and the log says that it was withdrawn.
         margin = max(margin, link_delay + TIMER_LATE)
         return replace(place, begin_deadline=too_old_at - suspended - margin)
 
