--- a/hawthornspoke/mirror/_readers.py
+++ b/hawthornspoke/mirror/_readers.py
@@ -99,6 +99,10 @@
         """Return how many hosts this failure domain has, this one too."""
         return len(self._known())
 
+    def position(self):
+        """Return the place of this host among them, from 0."""
+        return sorted(self._known()).index(self.address)
+
     def _known(self):
         return {self.address}.union(*self._addresses_by_agent.values())
 
--- a/hawthornspoke/placing/_avoidance.py
+++ b/hawthornspoke/placing/_avoidance.py
@@ -16,9 +16,16 @@
 AVOID_SHARE = 0.5
 
 #: Seconds without an agent's word after which its engine is left alone: almost three
-#: of the times after which it speaks again, in the own failure domain and in others.
+#: of the times after which it speaks again, in the own failure domain and in others,
+#: to a host that keeps to its engine, and to one that does not.
 QUIET_NEAR = 0.7
 QUIET_FAR = 5.0
+QUIET_NEAR_RARE = 2.8
+QUIET_FAR_RARE = 8.0
+
+#: Seconds after which an agent has surely been told that a host keeps to its engine,
+#: and has spoken since; before, its silence is no sign.
+SETTLING_TIME = 1.5
 
 #: Seconds that messages wait on the way to an engine and back from which it is left
 #: alone: as long as first events may take. Beside a spread of weights 0.1 s are usual.
@@ -46,7 +53,7 @@
         _avoid(endpoint, now)
 
 
-def without_avoided(endpoints, *, failure_domain, now):
+def without_avoided(endpoints, *, failure_domain, subset, now):
     """Return the endpoints that are not left alone; all if most of them would be.
 
     Parameters
@@ -54,6 +61,7 @@
     endpoints : list of Endpoint
     failure_domain : str
         Of this host.
+    subset : Subset
     now : float
 
     Returns
@@ -63,7 +71,8 @@
     kept = [
         item
         for item in endpoints
-        if now >= item.avoid_deadline and not _is_quiet(item, failure_domain, now)
+        if now >= item.avoid_deadline
+        and not _is_quiet(item, failure_domain, subset, now)
     ]
     if len(kept) < len(endpoints) * (1 - AVOID_SHARE) or not kept:
         return endpoints
@@ -79,7 +88,7 @@
     endpoint.failure_rate = RETURN_RATE
 
 
-def _is_quiet(endpoint, failure_domain, now):
+def _is_quiet(endpoint, failure_domain, subset, now):
     """Tell whether the agent beside an engine has said nothing for too long.
 
     The connection of a host that stands still, or is cut off, stays open; the
@@ -89,5 +98,14 @@
         return False
     if endpoint.link_delay >= LINK_FULL:
         return True
-    quiet = QUIET_NEAR if endpoint.is_in(failure_domain) else QUIET_FAR
-    return now >= endpoint.heard_at + quiet
+    near = endpoint.is_in(failure_domain)
+    if now < endpoint.heard_at + (QUIET_NEAR if near else QUIET_FAR):
+        return False
+    return now >= endpoint.heard_at + _quiet_time(endpoint, subset, near, now)
+
+
+def _quiet_time(endpoint, subset, near, now):
+    since = subset.since_by_id.get(endpoint.endpoint_id)
+    if subset.is_known and (since is None or now < since + SETTLING_TIME):
+        return QUIET_NEAR_RARE if near else QUIET_FAR_RARE
+    return QUIET_NEAR if near else QUIET_FAR
--- a/hawthornspoke/placing/_choice.py
+++ b/hawthornspoke/placing/_choice.py
@@ -3,6 +3,7 @@
 from hawthornspoke.placing._herd import Herd, added_load
 from hawthornspoke.placing._messages import Place
 from hawthornspoke.placing._predict import first_token_at, slot_release, whole_answer
+from hawthornspoke.placing._subset import Subset
 
 #: Requests over its slots that an engine may have when it is given one of a caller
 #: that is late already. With six, returned callers took every slot as it came free:
@@ -28,23 +29,51 @@
 
 
 class _Group:
-    """The engines of the own failure domain, or of all others, for one request.
+    """Some of the engines, for one request.
 
     Attributes
     ----------
     near : bool
+        Whether they are in the own failure domain.
     candidates : list of _Candidate
         All whose weights may answer.
     valid : list of _Candidate
         Those that begin before their weights are too old.
+    on_time : list of _Candidate
+        Those of them that answer in time.
     """
 
-    __slots__ = ("near", "candidates", "valid")
+    __slots__ = ("near", "candidates", "valid", "on_time")
 
-    def __init__(self, *, near, candidates, valid):
+    def __init__(self, *, near, candidates, valid, on_time):
         self.near = near
         self.candidates = candidates
         self.valid = valid
+        self.on_time = on_time
+
+
+class _Search:
+    """One request that looks for an engine.
+
+    Attributes
+    ----------
+    ask : Ask
+    engine : EngineProfile
+    validity : Validity
+    known : list of Endpoint
+        All that may be chosen.
+    groups : list of _Group
+        Those that were looked at.
+    """
+
+    __slots__ = ("ask", "engine", "validity", "known", "groups")
+
+    def __init__(self, *, ask, engine, validity, known):
+        self.ask = ask
+        self.engine = engine
+        self.validity = validity
+        self.known = known
+        self.groups = []
 
 
 class Choice:
@@ -54,24 +83,30 @@
     ----------
     failure_domain : str
         Of this host.
+    host : str
+        Its name.
     refusal : Refusal
     chance : random.Random
     """
 
     __slots__ = (
         "failure_domain",
+        "host",
         "entry_hosts",
         "_refusal",
         "_chance",
         "_herd_by_service",
+        "subset_by_service",
     )
 
-    def __init__(self, *, failure_domain, refusal, chance):
+    def __init__(self, *, failure_domain, host, refusal, chance):
         self.failure_domain = failure_domain
+        self.host = host
         self.entry_hosts = (1, 1)
         self._refusal = refusal
         self._chance = chance
         self._herd_by_service = {}
+        self.subset_by_service = {}
 
     def plain(self, ask, endpoints, now):
         """Return a Place at one of a plain service's endpoints, or a Decline.
@@ -104,9 +139,9 @@
     def on_engine(self, ask, endpoints, engine, validity):
         """Return a Place at one of the engines, or a Decline.
 
-        The engines of the own failure domain are looked at first, and the others only
-        if none of these answers in time: one domain of five has a fifth of them, and
-        a choice among all was a third of an entry host's processor time.
+        Those that this host keeps to are looked at first, and the others only if
+        none of these answers in time: a choice among all was a third of an entry
+        host's processor time.
 
         Parameters
         ----------
@@ -124,28 +159,81 @@
         now = validity.now
         herd = self._herd_of(ask.service)
         herd.count_asked(now)
-        groups = []
-        for near in (True, False):
-            group = self._group(ask, endpoints, engine, validity, near=near)
-            groups.append(group)
-            on_time = [
-                item for item in group.valid if item.expected <= ask.on_time_left
-            ]
-            if on_time:
-                if not near:
-                    herd.count_overflowed(now)
-                return self._less_loaded_of_two(on_time, now)
-        herd.count_overflowed(now)
-        return self._late(ask, groups, engine, now)
-
-    def _group(self, ask, endpoints, engine, validity, *, near):
-        """Return the engines near or far whose weights may answer."""
+        search = _Search(ask=ask, engine=engine, validity=validity, known=endpoints)
+        placed = self._near(search)
+        if placed is None:
+            herd.count_overflowed(now)
+            placed = self._far(search)
+        return placed or self._late(search)
+
+    def _near(self, search):
+        """Return a Place in the own failure domain, None if none answers in time."""
+        now = search.validity.now
+        subset = self.subset(search.ask.service)
+        kept = self._group(search, near=True, followed=True)
+        if subset.share[True] < 1.0:
+            # With a request waiting before it no engine is better than those that
+            # this host doesn't keep to: all of the failure domain are looked at.
+            free = [item for item in kept.on_time if item.load < search.engine.slots]
+        else:
+            free = kept.on_time
+        subset.count(spilled=not free, now=now)
+        if free:
+            return self._less_loaded_of_two(free, now)
+        others = self._group(search, near=True, followed=False)
+        on_time = kept.on_time + others.on_time
+        return self._less_loaded_of_two(on_time, now) if on_time else None
+
+    def _far(self, search):
+        """Return a Place in another failure domain, None if none answers in time."""
+        for followed in (True, False):
+            group = self._group(search, near=False, followed=followed)
+            if group.on_time:
+                return self._less_loaded_of_two(group.on_time, search.validity.now)
+        return None
+
+    def _late(self, search):
+        """Return what becomes of a request that no engine answers in time."""
+        ask, now = search.ask, search.validity.now
+        if ask.returned:
+            for near in (True, False):
+                groups = [item for item in search.groups if item.near is near]
+                valid = [item for group in groups for item in group.valid]
+                useful = _still_useful(valid, ask, search.engine)
+                if useful:
+                    return self._less_loaded_of_two(useful, now)
+        times = [item.expected for group in search.groups for item in group.candidates]
+        if not times:
+            return None
+        excess = max(0.0, min(times) - max(0.0, ask.on_time_left))
+        return self._refusal.full(ask, max(excess, slot_release(search.engine)))
+
+    def subset(self, service):
+        """Return the Subset of a service's engines."""
+        subset = self.subset_by_service.get(service)
+        if subset is None:
+            subset = self.subset_by_service[service] = Subset(host=self.host)
+        return subset
+
+    def dump_subsets(self, *, now):
+        """Return the engines that this host keeps to as plain data."""
+        return {
+            service: subset.dump(now=now)
+            for service, subset in self.subset_by_service.items()
+        }
+
+    def _group(self, search, *, near, followed):
+        """Return the engines near or far that this host keeps to, or all others."""
+        ask, engine, validity = search.ask, search.engine, search.validity
+        kept = self.subset(ask.service).since_by_id
         usable = [
             item
-            for item in endpoints
-            if self._is_near(item) is near and validity.allows(item, engine, ask)
+            for item in search.known
+            if self._is_near(item) is near
+            and (item.endpoint_id in kept) is followed
+            and validity.allows(item, engine, ask)
         ]
-        candidates = self._candidates(ask, usable, engine, validity.now, near=near)
+        candidates = self._candidates(search, usable, near=near, followed=followed)
         # Of the load that others will have added, not of the one that was told: just
         # before a bound requests would be sent only to be withdrawn, and answered
         # with an outcome that nobody knows.
@@ -154,27 +242,21 @@
             for item in candidates
             if validity.begins_in_time(item.endpoint, engine, item.expected)
         ]
-        return _Group(near=near, candidates=candidates, valid=valid)
-
-    def _late(self, ask, groups, engine, now):
-        """Return what becomes of a request that no engine answers in time."""
-        if ask.returned:
-            for group in groups:
-                useful = _still_useful(group.valid, ask, engine)
-                if useful:
-                    return self._less_loaded_of_two(useful, now)
-        times = [item.expected for group in groups for item in group.candidates]
-        if not times:
-            return None
-        excess = max(0.0, min(times) - max(0.0, ask.on_time_left))
-        return self._refusal.full(ask, max(excess, slot_release(engine)))
+        on_time = [item for item in valid if item.expected <= ask.on_time_left]
+        group = _Group(near=near, candidates=candidates, valid=valid, on_time=on_time)
+        search.groups.append(group)
+        return group
 
-    def _candidates(self, ask, endpoints, engine, now, *, near):
+    def _candidates(self, search, endpoints, *, near, followed):
         """Return a candidate for each endpoint."""
         if not endpoints:
             return []
+        ask, engine, now = search.ask, search.engine, search.validity.now
         holding = slot_release(engine) * engine.slots
         arrivals = self._herd_of(ask.service).arrivals(near=near, now=now)
+        if followed:
+            # The other hosts keep to other engines as well as to these.
+            arrivals *= self.subset(ask.service).share[near]
         loads = [item.load for item in endpoints]
         sharing = sum(load < engine.slots for load in loads)
         candidates = []
--- a/hawthornspoke/placing/_endpoint.py
+++ b/hawthornspoke/placing/_endpoint.py
@@ -95,6 +95,11 @@
         self._entry = entry
         self._settle()
 
+    @property
+    def endpoint_id(self):
+        """Its id, by the platform's list."""
+        return self._entry.endpoint_id
+
     @property
     def state(self):
         """The agent's word, None if there is none."""
--- a/hawthornspoke/placing/_fleet.py
+++ b/hawthornspoke/placing/_fleet.py
@@ -71,6 +71,7 @@
         "_random",
         "_refusal",
         "_choice",
+        "_position",
     )
     PARAMS = {
         "failure_domain": Bounds(kind=str),
@@ -97,8 +98,12 @@
         self._random = random.Random(seed)
         self._refusal = Refusal(chance=self._random)
         self._choice = Choice(
-            failure_domain=failure_domain, refusal=self._refusal, chance=self._random
+            failure_domain=failure_domain,
+            host=str(seed),
+            refusal=self._refusal,
+            chance=self._random,
         )
+        self._position = 0
 
     @property
     def endpoint_by_id(self):
@@ -108,11 +113,13 @@
     def on_catalog_changed(self, message, *, now):
         """Take the services of a newer configuration."""
         self.service_by_name = message.service_by_name
+        self._arrange(now)
         return []
 
     def on_endpoints_listed(self, message, *, now):
         """Take the platform's list."""
         self._directory.take_list(message, now)
+        self._arrange(now)
         return []
 
     def on_weights_declared(self, message, *, now):
@@ -147,6 +154,8 @@
         """Take how many entry hosts there are."""
         near = max(1, message.near)
         self._choice.entry_hosts = (near, max(near, message.all))
+        self._position = message.position
+        self._arrange(now)
         return []
 
     def on_sent(self, message, *, now):
@@ -199,7 +208,12 @@
         ]
         if service is None or not known:
             return [self._refusal.no_endpoint(message)]
-        known = without_avoided(known, failure_domain=self.failure_domain, now=now)
+        known = without_avoided(
+            known,
+            failure_domain=self.failure_domain,
+            subset=self._choice.subset(message.service),
+            now=now,
+        )
         if service.engine is None:
             return [self._choice.plain(message, known, now)]
         return [self._on_engine(message, known, service.engine, now)]
@@ -231,13 +245,49 @@
         place = replace(place, weights_version=endpoint.weights_version)
         return [self._with_deadline(place, engine, validity)]
 
+    def followed(self):
+        """Return the addresses of the engines that this host has to hear of often.
+
+        Returns
+        -------
+        frozenset of str
+        """
+        return frozenset(
+            self.endpoint_by_id[endpoint_id].entry.address
+            for subset in self._choice.subset_by_service.values()
+            for endpoint_id in subset.since_by_id
+            if endpoint_id in self.endpoint_by_id
+        )
+
     def dump(self, *, now):
         """Return the state as plain data."""
         return {
             "declared": self.declared.dump(now=now),
+            "subset_by_service": self._choice.dump_subsets(now=now),
             "endpoint_by_id": self._directory.dump(now=now),
         }
 
+    def _arrange(self, now):
+        """Choose the engines to keep to among those that are there now."""
+        for name, service in self.service_by_name.items():
+            if service.engine is None:
+                continue
+            here = [
+                item
+                for item in self._directory.of_service(name)
+                if not item.gone and not item.entry.leaving
+            ]
+            near = [item for item in here if item.is_in(self.failure_domain)]
+            far = [item for item in here if not item.is_in(self.failure_domain)]
+            subset = self._choice.subset(name)
+            hosts, _ = self._choice.entry_hosts
+            subset.place(position=self._position, hosts=hosts, now=now)
+            subset.take(
+                near=[item.endpoint_id for item in near],
+                far=[item.endpoint_id for item in far],
+                now=now,
+            )
+
     def _on_engine(self, ask, known, engine, now):
         validity = self._validity(ask, now)
         answer = self._choice.on_engine(ask, known, engine, validity)
--- a/hawthornspoke/placing/_messages.py
+++ b/hawthornspoke/placing/_messages.py
@@ -129,10 +129,13 @@
     near : int
         In the own failure domain.
     all : int
+    position : int, default=0
+        Place of this host among the near ones in the order of their addresses.
     """
 
     near: int
     all: int
+    position: int = 0
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/hawthornspoke/protocol/_gen/ttypes.py
+++ b/hawthornspoke/protocol/_gen/ttypes.py
@@ -3348,6 +3348,7 @@
      - manifest
      - directive_ask
      - probe
+     - follows
 
     """
 
@@ -3367,10 +3368,11 @@
         'manifest',
         'directive_ask',
         'probe',
+        'follows',
     )
 
 
-    def __init__(self, call=None, announce=None, chunk_ask=None, chunk=None, holdings_ask=None, holdings=None, directive=None, engine_state=None, entry_hosts=None, table_ask=None, table_news=None, manifest_ask=None, manifest=None, directive_ask=None, probe=None,):
+    def __init__(self, call=None, announce=None, chunk_ask=None, chunk=None, holdings_ask=None, holdings=None, directive=None, engine_state=None, entry_hosts=None, table_ask=None, table_news=None, manifest_ask=None, manifest=None, directive_ask=None, probe=None, follows=None,):
         self.call = call
         self.announce = announce
         self.chunk_ask = chunk_ask
@@ -3386,6 +3388,7 @@
         self.manifest = manifest
         self.directive_ask = directive_ask
         self.probe = probe
+        self.follows = follows
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3484,6 +3487,11 @@
                     self.probe = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.BOOL:
+                    self.follows = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3554,6 +3562,10 @@
             oprot.writeFieldBegin('probe', TType.BOOL, 15)
             oprot.writeBool(self.probe)
             oprot.writeFieldEnd()
+        if self.follows is not None:
+            oprot.writeFieldBegin('follows', TType.BOOL, 16)
+            oprot.writeBool(self.follows)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3840,6 +3852,7 @@
     (13, TType.STRUCT, 'manifest', [Manifest, None], None, ),  # 13
     (14, TType.STRUCT, 'directive_ask', [DirectiveAsk, None], None, ),  # 14
     (15, TType.BOOL, 'probe', None, None, ),  # 15
+    (16, TType.BOOL, 'follows', None, None, ),  # 16
 )
 fix_spec(all_structs)
 del all_structs
--- a/hawthornspoke/relay/_agents.py
+++ b/hawthornspoke/relay/_agents.py
@@ -63,6 +63,8 @@
         "_arrived_after",
         "_service_by_address",
         "_told_by_address",
+        "_followed",
+        "_told_followed",
         "_matters_by_service",
         "_entry_hosts_by_agent",
     )
@@ -87,6 +89,8 @@
         self._link_by_address = {}
         self._service_by_address = {}
         self._told_by_address = {}
+        self._followed = None
+        self._told_followed = {}
         self._matters_by_service = {}
         self._entry_hosts_by_agent = {}
 
@@ -126,11 +130,32 @@
                 word_by_service[service] = self._word(service)
             self._send(address, link, word_by_service[service])
 
+    def hear_often(self, followed):
+        """Tell agents which of them have to tell each change of their load.
+
+        Parameters
+        ----------
+        followed : frozenset of str
+            Addresses of their endpoints.
+        """
+        self._followed = followed
+        for address, link in self._link_by_address.items():
+            self._tell_follows(address, link)
+
     def close(self):
         """End all links."""
         for task in self._task_by_address.values():
             task.cancel()
 
+    def _tell_follows(self, address, link):
+        if self._followed is None:
+            return
+        follows = address in self._followed
+        # An agent that was told nothing tells all.
+        if self._told_followed.get(address, True) != follows:
+            self._told_followed[address] = follows
+            link.send(Frame(follows=follows))
+
     def _tell(self, address, link):
         self._send(address, link, self._word(self._service_by_address.get(address)))
 
@@ -182,6 +207,7 @@
         self._link_by_address[address] = link
         self._log.change("agent_connected", agent=address)
         self._tell(address, link)
+        self._tell_follows(address, link)
         try:
             await closed
         finally:
@@ -192,6 +218,7 @@
     def _forget(self, address):
         self._link_by_address.pop(address, None)
         self._told_by_address.pop(address, None)
+        self._told_followed.pop(address, None)
         self._entry_hosts_by_agent.pop(address, None)
         self._on_entry_hosts(address, ())
         self._fleet.step(AgentLost(address=address), now=monotonic())
--- a/hawthornspoke/relay/_process.py
+++ b/hawthornspoke/relay/_process.py
@@ -301,8 +301,10 @@
             seen = EntryHostsSeen(
                 near=self.neighbours.readers.known(),
                 all=self.budgets.entry_hosts(),
+                position=self.neighbours.readers.position(),
             )
             self.fleet.step(seen, now=monotonic())
+            self.agents.hear_often(self.fleet.followed())
             self.budgets.share_anew()
             steady = self.contact.steady(now=contact_clock())
             self.front.draining = self.stopping or not steady
--- a/hawthornspoke/spread/_entry_links.py
+++ b/hawthornspoke/spread/_entry_links.py
@@ -7,15 +7,20 @@
 from hawthornspoke.protocol import EntryHosts, Frame
 from hawthornspoke.spread._link import Link, ProbeEnded, ProbeSent
 
-#: Seconds after which an unchanged state is told again to entry hosts of the own
-#: failure domain, and of others: these send requests here only when theirs is full.
-#: Silence for a few of these times tells that the host stands still.
+#: Seconds after which a state is told again to entry hosts that keep to this engine,
+#: in the own failure domain and in others: those send requests here only when theirs
+#: is full. Silence for a few of these times tells that the host stands still.
 TELL_NEAR_EVERY = 0.25
 TELL_FAR_EVERY = 2.0
 
 #: Seconds between two states told to far hosts while only the load changes.
 FAR_LOAD_EVERY = 1.0
 
+#: The same for hosts that don't keep to this engine. They send requests here once
+#: theirs are full, and then hear more often.
+TELL_NEAR_RARELY = 1.0
+TELL_FAR_RARELY = 3.0
+
 #: Seconds between two probes of the link, 60 bytes each, and for one to come back.
 PROBE_EVERY = 0.25
 PROBE_TIME = 2.0
@@ -24,14 +29,16 @@
 class _EntryHost:
     """What is known of the entry host at the other end of a connection.
 
-    ``near`` is whether it is in the own failure domain, ``tells`` whether it reads
-    the platform itself, so that its word on peers is first-hand.
+    ``near`` is whether it is in the own failure domain, ``follows`` whether it keeps
+    to this engine, ``tells`` whether it reads the platform itself, so that its word on
+    peers is first-hand.
     """
 
-    __slots__ = ("near", "tells", "told_at", "told")
+    __slots__ = ("near", "follows", "tells", "told_at", "told")
 
     def __init__(self):
         self.near = False
+        self.follows = True
         self.tells = False
         self.told_at = float("-inf")
         self.told = None
@@ -81,6 +88,10 @@
             self._tell_of_each_other()
         self._note_untold()
 
+    def take_follows(self, link, follows):
+        """Note whether an entry host keeps to this engine."""
+        self._host_by_link.setdefault(link, _EntryHost()).follows = follows
+
     def drop(self, link):
         """Forget a connection that has ended."""
         host = self._host_by_link.pop(link, None)
@@ -145,7 +156,13 @@
     if held != (state.weights_version, state.layer_to, state.loading):
         return True
     load_changed = (told.running, told.waiting) != (state.running, state.waiting)
+    return now >= host.told_at + _pause(host, load_changed)
+
+
+def _pause(host, load_changed):
+    """Return the seconds between two words to a host while the weights stay."""
+    if not host.follows:
+        return TELL_NEAR_RARELY if host.near else TELL_FAR_RARELY
     if host.near:
-        return load_changed or now >= host.told_at + TELL_NEAR_EVERY
-    pause = FAR_LOAD_EVERY if load_changed else TELL_FAR_EVERY
-    return now >= host.told_at + pause
+        return 0.0 if load_changed else TELL_NEAR_EVERY
+    return FAR_LOAD_EVERY if load_changed else TELL_FAR_EVERY
--- a/hawthornspoke/spread/_process.py
+++ b/hawthornspoke/spread/_process.py
@@ -179,6 +179,8 @@
         if frame.directive is not None:
             if self.directives.take(link, frame.directive):
                 self._tell()
+        elif frame.follows is not None:
+            self.entry_links.take_follows(link, frame.follows)
         elif frame.manifest_ask is not None:
             self.delivery.manifests.answer(link, frame)
         elif frame.directive_ask is not None:
--- a/idl/hawthornspoke.thrift
+++ b/idl/hawthornspoke.thrift
@@ -284,6 +284,9 @@
   14: optional DirectiveAsk directive_ask,
   // Asks for an empty answer, to see how long it takes.
   15: optional bool probe,
+  // Whether the sender, an entry host, wants to hear of each change of the load. An
+  // agent takes it to until it is told otherwise.
+  16: optional bool follows,
 }
 
 service Node {
