--- a/hawthornspoke/spread/_exchange.py
+++ b/hawthornspoke/spread/_exchange.py
@@ -32,9 +32,10 @@
 #: the narrowest link, so this is news of two or three pieces.
 ANNOUNCE_EVERY = 0.08
 
-#: The same for each host that takes part. All tell all, so what a host hears grows
-#: with their number: with 44 hosts and 0.08 s it was a fifth of the narrowest link,
-#: and engines there could not be reached. This keeps it at 170 messages a second.
+#: The same for each host of the own region, all of which tell each other. What a host
+#: hears grows with their number: with 44 hosts and 0.08 s it was a fifth of the
+#: narrowest link, and engines there could not be reached. This keeps it at 170
+#: messages a second.
 ANNOUNCE_EVERY_HOST = 0.006
 
 #: Seconds without news after which the next owner reads a piece from the origin.
@@ -173,7 +174,7 @@
         """Take who exchanges these weights; this host is one of them."""
         self._peers.peer_by_name = peer_by_name
         self.swarm.announce_every = max(
-            ANNOUNCE_EVERY, ANNOUNCE_EVERY_HOST * len(peer_by_name)
+            ANNOUNCE_EVERY, ANNOUNCE_EVERY_HOST * len(self.region_nodes())
         )
         for name in list(self.swarm.by_digest):
             self._step(
--- a/hawthornspoke/swarm/_planner.py
+++ b/hawthornspoke/swarm/_planner.py
@@ -74,7 +74,8 @@
     node : str
     indices : tuple of int
     held : int
-        The peer's total; more than the chunks known of it means lost news.
+        The peer's total; more than the chunks known of it means lost news. 0 from a
+        peer that tells this host only of some.
     """
 
     digest: str
@@ -284,7 +285,7 @@
         people = _participants(message.participants, message.region_by_domain)
         transfer.set_participants(people, now=now)
         for index in message.held:
-            transfer.take(index, now=now)
+            transfer.take(index, now=now, brought=True)
         for early in self._early.pop(message.digest, {}).values():
             transfer.learn(early.node, early.indices, early.held, now=now)
         outcomes = [Complete(digest=message.digest, elapsed=0.0)]
@@ -334,7 +335,7 @@
         if transfer is None:
             return []
         source = self._end_fetch(transfer, message.index)
-        transfer.take(message.index, now=now)
+        transfer.take(message.index, now=now, brought=source is None)
         if source in transfer.participants:
             transfer.participants[source].failures = 0
         if transfer.complete:
@@ -525,22 +526,25 @@
                 peer.avoid_deadline = now + SET_ASIDE
 
     def _announce(self, transfer, *, now):
-        indices = tuple(transfer.fresh)
-        transfer.fresh = []
         transfer.announce_deadline = now + self.announce_every
-        targets = tuple(
-            (transfer.participants[name].address, transfer.participants[name].port)
-            for name in transfer.uninformed()
-        )
-        if not targets:
-            return []
+        news = transfer.strategy.news(transfer)
+        transfer.fresh = []
+        transfer.brought = set()
         return [
             AnnounceChunks(
                 digest=transfer.digest,
-                indices=indices,
-                held=len(transfer.held),
-                targets=targets,
+                indices=item.indices,
+                held=item.held,
+                targets=tuple(
+                    (
+                        transfer.participants[name].address,
+                        transfer.participants[name].port,
+                    )
+                    for name in item.names
+                ),
             )
+            for item in news
+            if item.names
         ]
 
     def _ask(self, transfer, *, count, now):
--- a/hawthornspoke/swarm/_strategies.py
+++ b/hawthornspoke/swarm/_strategies.py
@@ -1,10 +1,12 @@
 """Strategies for spreading weights, by name.
 
 Each answers three questions about a missing chunk: may this host read it from the
-origin now, from which peers may it be had, and whose silence matters for it; and how
-many hosts read from the origin.
+origin now, from which peers may it be had, and whose silence matters for it; how many
+hosts read from the origin; and who is told of chunks that have come.
 """
 
+from dataclasses import dataclass
+
 from hawthornspoke.base import Registry, rendezvous_order
 
 STRATEGIES = Registry(kind="burst strategy")
@@ -18,8 +20,42 @@
 PROBED_OWNERS = 2
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class ChunkNews:
+    """Chunks that have come, and who is told of them.
+
+    Parameters
+    ----------
+    indices : tuple of int
+    names : tuple of str
+        Hosts.
+    held : int
+        How many this host holds in all; 0 if these hosts aren't told of all.
+    """
+
+    indices: tuple
+    names: tuple
+    held: int
+
+
+class _TellsAll:
+    """Tells every host that lacks chunks of every new one."""
+
+    __slots__ = ()
+
+    def news(self, transfer):
+        """Return who is told of the chunks that have come, as ChunkNews."""
+        return [
+            ChunkNews(
+                indices=tuple(transfer.fresh),
+                names=tuple(transfer.uninformed()),
+                held=len(transfer.held),
+            )
+        ]
+
+
 @STRATEGIES.register("origin")
-class OriginOnly:
+class OriginOnly(_TellsAll):
     """Every host reads everything from the origin: the baseline."""
 
     __slots__ = ()
@@ -42,7 +78,7 @@
 
 
 @STRATEGIES.register("chain")
-class Chain:
+class Chain(_TellsAll):
     """Each host reads from the one before it, the first from the origin."""
 
     __slots__ = ("_order",)
@@ -82,7 +118,7 @@
 
 
 @STRATEGIES.register("scatter")
-class Scatter:
+class Scatter(_TellsAll):
     """Each chunk has one owner that reads it from the origin; all exchange.
 
     Notes
@@ -150,9 +186,21 @@
     carry live traffic. Here one host of each region, the first of the chunk's
     rendezvous order there, reads it from afar; the others wait for that host, but
     not for long, since it may be dead or cut off.
+
+    Each host tells its own region of each chunk. Others hear only of those that it
+    brought from the origin: the hosts that read from there too, and those that read
+    the chunk for their region. Where all told all, news grew with the square of the
+    hosts, so that it had to be gathered for 0.8 s at 133 of them; by then the others
+    of a region had given up waiting for their reader.
     """
 
-    __slots__ = ("_far_deadline_by_index", "_order_by_index", "_reader_count")
+    __slots__ = (
+        "_far_deadline_by_index",
+        "_order_by_index",
+        "_readers_of_origin",
+        "_nodes_by_region",
+        "_far_order_by_key",
+    )
 
     #: Seconds for which a chunk that only other regions hold is left to the host
     #: that reads it for this region: two dozen chunks on a link of 450 KB/s.
@@ -166,11 +214,17 @@
     #: after half a second, and there are enough for the loss of a region.
     ORIGIN_READERS = 12
 
+    #: Hosts of each other region that are told of a chunk: the one that reads it
+    #: there, and the one that does if that one doesn't.
+    TOLD_AFAR = 2
+
     def __init__(self):
         super().__init__()
         self._far_deadline_by_index = {}
-        self._order_by_index = {}
-        self._reader_count = 0
+        self._order_by_index = []
+        self._readers_of_origin = ()
+        self._nodes_by_region = {}
+        self._far_order_by_key = {}
 
     def holders(self, transfer, index):
         """Return the peers from which a chunk may be had."""
@@ -195,16 +249,53 @@
     def count_readers(self, transfer):
         """Return how many hosts may wait for the origin at once."""
         self._choose_readers(transfer)
-        return self._reader_count
+        return len(self._readers_of_origin)
 
-    def _reads_for_region(self, transfer, index, region):
-        nodes = [
-            node
-            for node, peer in transfer.participants.items()
-            if peer.region == region and not peer.unreachable
+    def news(self, transfer):
+        """Return who is told of the chunks that have come, as ChunkNews."""
+        self._choose_readers(transfer)
+        uninformed = transfer.uninformed()
+        region = transfer.participants[transfer.node].region
+        near = [
+            name for name in uninformed if transfer.participants[name].region == region
         ]
-        order = rendezvous_order(key=f"{transfer.digest}/{index}/far", nodes=nodes)
-        return order[0] == transfer.node
+        whole = ChunkNews(
+            indices=tuple(transfer.fresh), names=tuple(near), held=len(transfer.held)
+        )
+        # They take over from each other, and judge by each other's news.
+        told = set(self._readers_of_origin).difference(near, (transfer.node,))
+        afar = [
+            ChunkNews(
+                indices=(index,),
+                names=tuple(told.union(self._told_afar(transfer, index, region))),
+                held=0,
+            )
+            for index in sorted(transfer.brought)
+        ]
+        return [whole, *afar]
+
+    def _told_afar(self, transfer, index, own_region):
+        return [
+            name
+            for region in self._nodes_by_region
+            if region != own_region
+            for name in self._far_order(transfer, index, region)[: self.TOLD_AFAR]
+        ]
+
+    def _reads_for_region(self, transfer, index, region):
+        self._choose_readers(transfer)
+        return self._far_order(transfer, index, region)[:1] == [transfer.node]
+
+    def _far_order(self, transfer, index, region):
+        """Return the hosts that read a chunk for their region, the first one first."""
+        order = self._far_order_by_key.get((region, index))
+        if order is None:
+            order = rendezvous_order(
+                key=f"{transfer.digest}/{index}/far",
+                nodes=self._nodes_by_region.get(region, ()),
+            )[:OWNERS_KEPT]
+            self._far_order_by_key[region, index] = order
+        return [node for node in order if not transfer.participants[node].unreachable]
 
     def _owners(self, transfer, index):
         self._choose_readers(transfer)
@@ -215,9 +306,12 @@
         if self._group == transfer.group_nodes():
             return
         self._group = transfer.group_nodes()
-        readers = self._readers(transfer, self._group)
-        self._reader_count = len(readers)
-        self._order_by_index = _even_orders(transfer, readers)
+        self._readers_of_origin = self._readers(transfer, self._group)
+        self._order_by_index = _even_orders(transfer, self._readers_of_origin)
+        self._far_order_by_key = {}
+        self._nodes_by_region = {}
+        for name, peer in transfer.participants.items():
+            self._nodes_by_region.setdefault(peer.region, []).append(name)
 
     def _readers(self, transfer, nodes):
         """Return the hosts that read from the origin, evenly over the regions."""
--- a/hawthornspoke/swarm/_transfer.py
+++ b/hawthornspoke/swarm/_transfer.py
@@ -96,6 +96,7 @@
         "missing",
         "seen",
         "fresh",
+        "brought",
         "announce_deadline",
         "ask_deadline",
         "started_at",
@@ -138,6 +139,7 @@
         random.Random(f"{seed}/{node}/{digest}").shuffle(self.missing)
         self.seen = 0
         self.fresh = []
+        self.brought = set()
         self.announce_deadline = now
         self.ask_deadline = now
         self.started_at = now
@@ -279,13 +281,15 @@
             # it counted as complete, nothing that came since was announced to it.
             peer.held = min(peer.held, self.chunks - 1)
 
-    def take(self, index, *, now):
+    def take(self, index, *, now, brought):
         """Count a chunk as held.
 
         Parameters
         ----------
         index : int
         now : float
+        brought : bool
+            Whether it comes from no peer, so that perhaps nobody else holds it.
         """
         if index in self.held:
             return
@@ -294,6 +298,8 @@
         self.held.add(index)
         self.missing.remove(index)
         self.fresh.append(index)
+        if brought:
+            self.brought.add(index)
         self.news_at = now
         self.complete = len(self.held) == self.chunks
         if self.complete:
