Periodic tasks of a process wake it together

Cause: agents with nothing to do wake 88 times a second (docs/FINDINGS.md), 30 of these for the look at the engine, the standstill's note and the exchange's step, each on a timer of its own, and 4 for probes. They share one tick; entry hosts' two looks at the clocks likewise. Probes go every third tick, 0.3 s, instead of each 0.25 s.

--- a/hawthornspoke/base/__init__.py
+++ b/hawthornspoke/base/__init__.py
@@ -8,6 +8,7 @@
 from hawthornspoke.base._registry import Registry
 from hawthornspoke.base._sockets import has_hung_up
 from hawthornspoke.base._standstill import Standstill
+from hawthornspoke.base._ticks import Ticks
 from hawthornspoke.base._validation import Bounds, check_params
 
 __all__ = [
@@ -18,6 +19,7 @@
     "Machine",
     "Registry",
     "Standstill",
+    "Ticks",
     "check_params",
     "contact_clock",
     "digest_of",
--- a/hawthornspoke/base/_standstill.py
+++ b/hawthornspoke/base/_standstill.py
@@ -1,14 +1,10 @@
 """From when what an event loop reads may be: it may have waited unread."""
 
-import asyncio
-
 from hawthornspoke.base._clock import contact_clock
 
-#: Seconds between two notes that the loop runs.
-NOTE_EVERY = 0.1
-
-#: Seconds between two of them from which the process counts as having stood still. A
-#: busy loop is 0.1 s late; what that adds to an age is within the margins of bounds.
+#: Seconds between two notes that the loop runs, made each tick, from which the process
+#: counts as having stood still. A busy loop is 0.1 s late; what that adds to an age is
+#: within the margins of bounds.
 LONGEST_PAUSE = 0.3
 
 #: Seconds after waking in which what is read may have waited: the loop takes several
@@ -41,11 +37,16 @@
         self._stood_since = None
         self._woke_at = float("-inf")
 
-    async def run(self):
-        """Note that the loop runs, until cancelled."""
+    async def run(self, ticks):
+        """Note that the loop runs, until cancelled.
+
+        Parameters
+        ----------
+        ticks : Ticks
+        """
         while True:
             self.note()
-            await asyncio.sleep(NOTE_EVERY)
+            await ticks.next()
 
     def note(self):
         """Note that the loop runs now."""
--- a/hawthornspoke/base/tests/test_standstill.py
+++ b/hawthornspoke/base/tests/test_standstill.py
@@ -3,7 +3,8 @@
 import pytest
 
 from hawthornspoke.base import Standstill
-from hawthornspoke.base._standstill import CATCHING_UP, LONGEST_PAUSE, NOTE_EVERY
+from hawthornspoke.base._standstill import CATCHING_UP, LONGEST_PAUSE
+from hawthornspoke.base._ticks import TICK_EVERY
 
 
 class Clock:
@@ -35,7 +36,7 @@
 
 def test_loop_that_runs_reads_what_has_just_come(standstill, clock):
     for _ in range(20):
-        clock.now += NOTE_EVERY
+        clock.now += TICK_EVERY
         assert standstill.arrived_after() == clock.now
         standstill.note()
 
--- a/hawthornspoke/relay/_process.py
+++ b/hawthornspoke/relay/_process.py
@@ -4,7 +4,7 @@
 import random
 import signal
 
-from hawthornspoke.base import Standstill, contact_clock, monotonic
+from hawthornspoke.base import Standstill, Ticks, contact_clock, monotonic
 from hawthornspoke.events import EventLog
 from hawthornspoke.httpio import ConnectionPool, HttpServer, OperatorPort
 from hawthornspoke.metrics import Metrics
@@ -170,12 +170,15 @@
         loop.add_signal_handler(signal.SIGUSR1, self._log_dump)
         for server in (self.ready, self.front, self.operator):
             await server.start()
+        ticks = Ticks()
         tasks = [
             loop.create_task(self._keep("platform", self._read_platform)),
             loop.create_task(self._keep("housekeeping", self._housekeeping)),
             loop.create_task(self._keep("summaries", self._summaries)),
-            loop.create_task(self._keep("standstill", self.standstill.run)),
-            loop.create_task(self._keep("timers", self.timers.run)),
+            loop.create_task(
+                self._keep("standstill", lambda: self.standstill.run(ticks))
+            ),
+            loop.create_task(self._keep("timers", lambda: self.timers.run(ticks))),
         ]
         self.log.change("started", role="entry", failure_domain=self._domain)
         try:
--- a/hawthornspoke/relay/_timers.py
+++ b/hawthornspoke/relay/_timers.py
@@ -4,10 +4,6 @@
 
 from hawthornspoke.base import monotonic
 
-#: Seconds between two looks at the clocks. A request has to be withdrawn 0.4 s before
-#: its bound, and a look costs 0.7 us (timed alone, outside of any process).
-LOOK_EVERY = 0.1
-
 #: Seconds by which the clocks must have parted: less is the time between reading one
 #: and the other on a busy host.
 SUSPENDED_FOR = 0.02
@@ -49,10 +45,15 @@
         """
         return _Wait(timers=self, moment=moment)
 
-    async def run(self):
-        """Look at the clocks until cancelled."""
+    async def run(self, ticks):
+        """Look at the clocks until cancelled; a look costs 0.7 us, timed alone.
+
+        Parameters
+        ----------
+        ticks : Ticks
+        """
         while True:
-            await asyncio.sleep(LOOK_EVERY)
+            await ticks.next()
             self._look()
 
     def _look(self):
--- a/hawthornspoke/relay/tests/endpoint.py
+++ b/hawthornspoke/relay/tests/endpoint.py
@@ -4,7 +4,7 @@
 import contextlib
 import socket
 
-from hawthornspoke.base import contact_clock, monotonic
+from hawthornspoke.base import Ticks, contact_clock, monotonic
 from hawthornspoke.catalog import (
     AT_MOST_ONCE,
     IDEMPOTENT,
@@ -285,7 +285,7 @@
             clock=self.contact_clock,
         )
         self.timers = Timers(clock=self.contact_clock)
-        self.looking = asyncio.create_task(self.timers.run())
+        self.looking = asyncio.create_task(self.timers.run(Ticks()))
         forwarder = Forwarder(
             admission=admission,
             timers=self.timers,
--- a/hawthornspoke/spread/_entry_links.py
+++ b/hawthornspoke/spread/_entry_links.py
@@ -1,7 +1,5 @@
 """An agent's connections to entry hosts: its state out, probes, who tells it."""
 
-import asyncio
-
 from hawthornspoke.base import is_failure, monotonic
 from hawthornspoke.peering import PeerConnection
 from hawthornspoke.protocol import EntryHosts, Frame
@@ -21,8 +19,9 @@
 TELL_NEAR_RARELY = 1.0
 TELL_FAR_RARELY = 3.0
 
-#: Seconds between two probes of the link, 60 bytes each, and for one to come back.
-PROBE_EVERY = 0.25
+#: Ticks between two probes of the link, 60 bytes each, and seconds for one to come
+#: back.
+PROBE_TICKS = 3
 PROBE_TIME = 2.0
 
 
@@ -116,11 +115,16 @@
             host.told_at = now
             link.send_encoded(data)
 
-    async def probe(self):
-        """Probe the own link until cancelled."""
+    async def probe(self, ticks):
+        """Probe the own link until cancelled.
+
+        Parameters
+        ----------
+        ticks : Ticks
+        """
         number = 0
         while True:
-            await asyncio.sleep(PROBE_EVERY)
+            await ticks.next(PROBE_TICKS)
             near = self._near_links()
             if near:
                 number += 1
--- a/hawthornspoke/spread/_exchange.py
+++ b/hawthornspoke/spread/_exchange.py
@@ -25,9 +25,6 @@
     Want,
 )
 
-#: Seconds between two steps of the machine without news.
-TICK_EVERY = 0.1
-
 #: Seconds over which new pieces are told in one message. A piece takes 50 ms on
 #: the narrowest link, so this is news of two or three pieces.
 ANNOUNCE_EVERY = 0.08
@@ -134,10 +131,15 @@
     def origin_address(self, address):
         self._fetches.origin_address = address
 
-    async def run(self):
-        """Step the machine as time passes."""
+    async def run(self, ticks):
+        """Step the machine as time passes.
+
+        Parameters
+        ----------
+        ticks : Ticks
+        """
         while True:
-            await asyncio.sleep(TICK_EVERY)
+            await ticks.next()
             if any(not item.complete for item in self.swarm.by_digest.values()) or any(
                 item.fresh for item in self.swarm.by_digest.values()
             ):
--- a/hawthornspoke/spread/_process.py
+++ b/hawthornspoke/spread/_process.py
@@ -3,7 +3,13 @@
 import asyncio
 import signal
 
-from hawthornspoke.base import Standstill, contact_clock, is_failure, monotonic
+from hawthornspoke.base import (
+    Standstill,
+    Ticks,
+    contact_clock,
+    is_failure,
+    monotonic,
+)
 from hawthornspoke.catalog import UNKNOWN_START
 from hawthornspoke.events import EventLog
 from hawthornspoke.httpio import HttpServer, OperatorPort
@@ -15,11 +21,8 @@
 from hawthornspoke.spread._state import engine_state
 from hawthornspoke.spread._upgrade import EngineSeen
 
-#: Seconds between two looks at the engine, which is on the same host.
-LOOK_EVERY = 0.1
-
 #: Seconds after the engine was asked for its state in which that is told to entry
-#: hosts: one call to it, of a second at most, and the pause between two looks. What
+#: hosts: one call to it, of a second at most, and the tick between two looks. What
 #: is older was seen before this process stood still.
 STATE_VALID = 1.2
 
@@ -143,11 +146,12 @@
             on_closed=self.entry_links.drop,
         )
         await self.operator.start()
+        ticks = Ticks()
         loops = [
-            self.standstill.run(),
-            self._watch_engine(),
-            self.entry_links.probe(),
-            self.exchange.run(),
+            self.standstill.run(ticks),
+            self._watch_engine(ticks),
+            self.entry_links.probe(ticks),
+            self.exchange.run(ticks),
             self.directives.read_alone(),
         ]
         self.exchange.spawn(self.directives.introduce())
@@ -190,10 +194,10 @@
 
     # The engine.
 
-    async def _watch_engine(self):
+    async def _watch_engine(self, ticks):
         while True:
             await self._look()
-            await asyncio.sleep(LOOK_EVERY)
+            await ticks.next()
 
     async def _look(self):
         self._looks_begun += 1
