--- a/hawthornspoke/spread/_delivery.py
+++ b/hawthornspoke/spread/_delivery.py
@@ -18,8 +18,9 @@
     Upgrade,
 )
 
-#: Seconds between two tries to read a list of digests.
-MANIFEST_PAUSE = (0.2, 0.4)
+#: Seconds between two tries to read a list of digests, drawn at random between these.
+#: Two hosts of each region try, and pieces can't be asked for before.
+MANIFEST_PAUSE = (0.1, 0.2)
 
 #: Versions whose pieces are kept in memory besides those that are wanted: peers
 #: that are late still ask for them.
