hawthornspoke report: what a fleet did, second by second, from its logs

Requests by what became of them, engines by what they can do, versions from their declaration on, what the origin sent, calls to the platform; as text, JSON or drawn. New in the logs: on_time of a request, slots and failure domain of an endpoint, an agent's engine line each two seconds, its counters each ten, calls to the platform by kind. Not built: messages and bytes between hosts by kind.

--- a/hawthornspoke/cli/_app.py
+++ b/hawthornspoke/cli/_app.py
@@ -84,6 +84,45 @@
     return codes.OK
 
 
+@app.command
+def report(
+    logs: list[Path],
+    version_bound: float,
+    json: bool = False,
+    plot: Path | None = None,
+):
+    """Show what a fleet did, second by second, from the collected logs of all hosts.
+
+    Parameters
+    ----------
+    logs
+        Files, or folders of files, of structured log lines.
+    version_bound
+        Seconds after a declaration within which its weights must be in place.
+    json
+        Print a JSON object in place of a table.
+    plot
+        Also draw it into this file, PNG or SVG.
+    """
+    from hawthornspoke.report import (
+        NoPlots,
+        as_json,
+        as_text,
+        build_report,
+        plot_report,
+    )
+
+    try:
+        built = build_report(logs, version_bound=version_bound)
+        print(as_json(built) if json else as_text(built))
+        if plot is not None:
+            plot_report(built, plot)
+    except (FileNotFoundError, NoPlots) as error:
+        print(error, file=sys.stderr)
+        return codes.FAILED
+    return codes.OK
+
+
 @app.command
 def check(folder: Path):
     """Check a folder of declarations without any network; show all errors."""
--- a/hawthornspoke/explain/_explain.py
+++ b/hawthornspoke/explain/_explain.py
@@ -1,7 +1,6 @@
 """From a request's id to its cause, over the collected logs of all hosts."""
 
-import json
-from pathlib import Path
+from hawthornspoke.events import Reading
 
 #: Seconds around a request within which changes of state may have caused its end.
 AROUND = 5.0
@@ -28,7 +27,7 @@
         In order of time; empty if no line names the request. Changes of state are
         those of the hosts and endpoints that the request met.
     """
-    events = sorted(_read(places), key=lambda event: event["t"])
+    events = Reading(places=places).events
     own = [event for event in events if event.get("request") == request_id]
     if not own:
         return []
@@ -44,28 +43,6 @@
     return [_line(event, start, request_id) for event in shown]
 
 
-def _read(places):
-    for place in places:
-        paths = sorted(place.rglob("*")) if place.is_dir() else [place]
-        for path in paths:
-            if path.is_file():
-                yield from _events_of(path)
-
-
-def _events_of(path):
-    for line in Path(path).read_text(errors="replace").splitlines():
-        start = line.find("{")
-        if start < 0:
-            continue
-        try:
-            event = json.loads(line[start:])
-        except ValueError:
-            # Other programs write to the same place; their lines are not ours.
-            continue
-        if isinstance(event, dict) and {"t", "event"} <= event.keys():
-            yield event
-
-
 def _met(own):
     met = set()
     for event in own:
--- a/hawthornspoke/relay/_handler.py
+++ b/hawthornspoke/relay/_handler.py
@@ -166,6 +166,11 @@
         work.retry_after = retry_after
         work.reply.send(status, headers)
 
+    def _is_on_time(self, work, first):
+        if work.outcome != "answered" or first is None:
+            return False
+        return work.request.contact_arrived_at + first <= work.objective_deadline
+
     def _account(self, work):
         now = monotonic()
         route = work.route.name if work.route else ""
@@ -189,6 +194,7 @@
             returned=work.returned,
             endpoints=work.tried,
             first_byte=first,
+            on_time=self._is_on_time(work, first),
             sent=work.sent,
             resumed=work.resumed,
             outcome=outcome,
--- a/hawthornspoke/relay/_sink.py
+++ b/hawthornspoke/relay/_sink.py
@@ -131,6 +131,8 @@
                     endpoint=endpoint_id,
                     service=entry.service,
                     address=entry.address,
+                    slots=entry.slots,
+                    failure_domain=entry.failure_domain,
                     started_ms=entry.incarnation.started_ms,
                     leaving=entry.leaving,
                     weights_version=entry.weights_version,
--- a/hawthornspoke/spread/_process.py
+++ b/hawthornspoke/spread/_process.py
@@ -1,6 +1,7 @@
 """The agent beside an engine on one event loop: pieces, orders, its state."""
 
 import asyncio
+import itertools
 import signal
 
 from hawthornspoke.base import (
@@ -21,6 +22,11 @@
 from hawthornspoke.spread._state import engine_state
 from hawthornspoke.spread._upgrade import EngineSeen
 
+#: Ticks between two lines on the engine's state, and how many of these there are for
+#: one of all counters.
+SUMMARY_TICKS = 20
+COUNTERS_EVERY = 5
+
 #: Seconds after the engine was asked for its state in which that is told to entry
 #: hosts: one call to it, of a second at most, and the tick between two looks. What
 #: is older was seen before this process stood still.
@@ -150,13 +156,19 @@
         loops = [
             self.standstill.run(ticks),
             self._watch_engine(ticks),
+            self._summaries(ticks),
             self.entry_links.probe(ticks),
             self.exchange.run(ticks),
             self.directives.read_alone(),
         ]
         self.exchange.spawn(self.directives.introduce())
         tasks = [loop.create_task(item) for item in loops]
-        self.log.change("started", role="agent", engine=self.settings.engine_address)
+        self.log.change(
+            "started",
+            role="agent",
+            engine=self.settings.engine_address,
+            failure_domain=self.settings.failure_domain,
+        )
         try:
             # A loop that ends has met a broken invariant; the platform starts the
             # process again.
@@ -199,6 +211,23 @@
             await self._look()
             await ticks.next()
 
+    async def _summaries(self, ticks):
+        for number in itertools.count(1):
+            await ticks.next(SUMMARY_TICKS)
+            if number % COUNTERS_EVERY == 0:
+                self.log.decision("counters", **self.metrics.dump())
+            seen = self._snapshot
+            self.log.decision(
+                "engine",
+                engine=self.settings.engine_address,
+                version=seen and seen.version,
+                layers=seen and seen.layers,
+                loading=seen is not None and (seen.busy or self._noticed),
+                running=seen and seen.running,
+                waiting=seen and seen.waiting,
+                origin_bytes=self.metrics.value("piece_bytes_total", source="origin"),
+            )
+
     async def _look(self):
         self._looks_begun += 1
         number = self._looks_begun
