Calls to the platform: no writes of what a neighbour told, no reads at a first start

Change: only who was told by the platform itself writes; agents of a first start wait 6 s for entry hosts.

--- a/hawthornspoke/mirror/_intake.py
+++ b/hawthornspoke/mirror/_intake.py
@@ -61,7 +61,7 @@
         if news.whole:
             self._reason_by_key_by_kind = {CONFIGURATION: {}, WEIGHTS: {}}
         for row in news.rows:
-            self._take_operators_row(row, news.known_until)
+            self._take_operators_row(row, news)
         for kind, reason_by_key in self._reason_by_key_by_kind.items():
             self._unusable.take(kind, reason_by_key)
 
@@ -86,7 +86,7 @@
                 self._outcome_by_id[row.key] = self._decode_entry(row.key, row.data)
         self._tell_entries()
 
-    def _take_operators_row(self, row, known_until):
+    def _take_operators_row(self, row, news):
         kind, decode = self._operators_decoder(row.key)
         if kind is None:
             return
@@ -101,9 +101,11 @@
             self._use_catalog(outcome)
         else:
             self._sink.on_declared(
-                outcome, written_at=row.written_at, known_until=known_until
+                outcome, written_at=row.written_at, known_until=news.known_until
             )
-            self._record.take(outcome, row)
+            # Only the platform says when it made an answer.
+            first_hand = news.made_at is not None
+            self._record.take(outcome, row, first_hand=first_hand)
 
     def _use_catalog(self, catalog):
         self._sink.on_catalog(catalog)
--- a/hawthornspoke/mirror/_record_keeper.py
+++ b/hawthornspoke/mirror/_record_keeper.py
@@ -99,7 +99,7 @@
         self._known_by_model = {}
         self._wake = asyncio.Event()
 
-    def take(self, declared, row):
+    def take(self, declared, row, *, first_hand=True):
         """Take a declaration; one that is known changes nothing.
 
         Parameters
@@ -107,13 +107,17 @@
         declared : DeclaredWeights
         row : Row
             That told it.
+        first_hand : bool, default=True
+            Whether the platform told this process, and no neighbour.
         """
         if row.revision <= self._taken_by_model.get(declared.model, 0):
             return
         self._taken_by_model[declared.model] = row.revision
         not_before = self._clock.last_without(row.revision)
-        if not_before is None and row.written_at != UNKNOWN:
-            # A neighbour told the moment, and has written it.
+        if row.written_at != UNKNOWN and (not_before is None or not first_hand):
+            # A neighbour told the moment, and has written it. This process may know
+            # an earlier one, of when it read the platform itself; were that written
+            # too, each of 99 entry hosts would call the platform for each version.
             return
         self._due_by_model[declared.model] = _Due(
             version=declared.version,
--- a/hawthornspoke/mirror/tests/test_record.py
+++ b/hawthornspoke/mirror/tests/test_record.py
@@ -122,7 +122,7 @@
         self.events.append(event)
 
 
-def keep(store, *, declared_at, clock=None, version=2, seconds=0.1):
+def keep(store, *, declared_at, clock=None, version=2, seconds=0.1, first_hand=True):
     """Tell a keeper of a version of revision 20; return what it dates and logs."""
 
     async def run():
@@ -136,7 +136,7 @@
         declared = DeclaredWeights(model="m", version=version)
         told = Row(key="version", data=b"", revision=20, written_at=declared_at)
         task = asyncio.create_task(keeper.run())
-        keeper.take(declared, told)
+        keeper.take(declared, told, first_hand=first_hand)
         await asyncio.sleep(seconds)
         task.cancel()
         return dated, log.events
@@ -226,3 +226,25 @@
     store = Store(*[down] * 100)
     keep(store, declared_at=float("-inf"), seconds=12.0)
     assert 10 <= 100 - len(store.answers) <= 22
+
+
+def test_host_that_was_told_by_a_neighbour_writes_nothing():
+    """Each entry host called the platform for each version that was declared.
+
+    Symptom: 34 of 34 hosts write the row of a version, and 31 of them are refused.
+    Sequence: at its start each host reads the platform itself for some seconds; later
+    a neighbour tells it of a version and since when. Cause: by the answers of its
+    start it can date the version too, by a moment that is long before.
+    """
+    store = Store(news())
+    clock = clock_that_saw(19, made_at=20.5)
+    keep(store, declared_at=contact_clock(), clock=clock, first_hand=False)
+    assert store.written == []
+
+
+def test_host_that_reads_the_platform_writes_the_row():
+    store = Store(news())
+    clock = clock_that_saw(19, made_at=20.5)
+    keep(store, declared_at=contact_clock(), clock=clock, first_hand=True)
+    # The stand-in tells it that another host was there, so it may try again.
+    assert store.written
--- a/hawthornspoke/spread/_directives.py
+++ b/hawthornspoke/spread/_directives.py
@@ -15,6 +15,15 @@
 ALONE_AFTER = 2.0
 READ_ALONE_EVERY = 2.0
 
+#: Seconds that an agent waits for entry hosts where all hosts start for the first
+#: time: its neighbours know nothing either, and were it to read the platform with all
+#: the others, that would be four calls of each of 156 agents.
+FIRST_START_PATIENCE = 6.0
+
+#: Seconds that the pause between two introductions grows to: who found neighbours that
+#: know nothing hears of it by an entry host as soon as there is one.
+LONGEST_INTRODUCTION_PAUSE = 8.0
+
 #: Neighbours that a new agent asks what they were told, one after the other, and
 #: seconds for each.
 INTRODUCED_BY = 3
@@ -102,6 +111,9 @@
         An engine registers itself a second after its host started, and only then do
         entry hosts know of this agent; a second of a transfer of five.
         """
+        if self._settings.first_start:
+            await asyncio.sleep(FIRST_START_PATIENCE)
+        pause = READ_ALONE_EVERY
         while self._directive is None:
             peers = await self._read_alone.peers()
             if is_failure(peers):
@@ -116,10 +128,13 @@
             for peer in random.sample(near, min(INTRODUCED_BY, len(near))):
                 if await self._ask_directive(peer, peers):
                     return
-            await asyncio.sleep(READ_ALONE_EVERY * random.uniform(0.8, 1.2))
+            await asyncio.sleep(pause * random.uniform(0.8, 1.2))
+            pause = min(2 * pause, LONGEST_INTRODUCTION_PAUSE)
 
     async def read_alone(self):
         """Read the platform while no entry host is connected, until cancelled."""
+        if self._settings.first_start:
+            await asyncio.sleep(FIRST_START_PATIENCE)
         while True:
             await asyncio.sleep(READ_ALONE_EVERY * random.uniform(0.8, 1.2))
             untold_since = self._entry_links.untold_since
--- a/hawthornspoke/spread/_settings.py
+++ b/hawthornspoke/spread/_settings.py
@@ -28,6 +28,8 @@
         Copies of a version that the origin sends for all hosts.
     strategy : str, default="regional"
         Of the registry of burst strategies.
+    first_start : bool, default=False
+        Whether all hosts start for the first time, so that nobody knows anything yet.
     """
 
     __slots__ = (
@@ -41,6 +43,7 @@
         "link_rate",
         "origin_copies",
         "strategy",
+        "first_start",
     )
     PARAMS = {
         "node": TEXT,
@@ -53,6 +56,7 @@
         "link_rate": Bounds(kind=NUMBER, low=1),
         "origin_copies": Bounds(kind=int, low=1),
         "strategy": TEXT,
+        "first_start": Bounds(kind=bool),
     }
 
     def __init__(
@@ -68,6 +72,7 @@
         operator_port=7701,
         origin_copies=1,
         strategy="regional",
+        first_start=False,
     ):
         self.node = node
         self.failure_domain = failure_domain
@@ -79,6 +84,7 @@
         self.link_rate = link_rate
         self.origin_copies = origin_copies
         self.strategy = strategy
+        self.first_start = first_start
 
     def check(self):
         """Check the values.
