--- a/hawthornspoke/mirror/_readers.py
+++ b/hawthornspoke/mirror/_readers.py
@@ -99,6 +99,10 @@
         """Return how many hosts this failure domain has, this one too."""
         return len(self._known())
 
+    def is_acquainted(self):
+        """Tell whether an agent has told who is in this failure domain."""
+        return bool(self._addresses_by_agent)
+
     def position(self):
         """Return the place of this host among them, from 0."""
         return sorted(self._known()).index(self.address)
--- a/hawthornspoke/mirror/_watch.py
+++ b/hawthornspoke/mirror/_watch.py
@@ -17,6 +17,12 @@
 #: Seconds between two questions to a neighbour that has news each time.
 NEIGHBOUR_PAUSE = 0.1
 
+#: Seconds between an answer of the platform with changes and the next question at a
+#: first start of all hosts, while no agent has told who else there is. Each host reads
+#: by itself for some seconds then, while endpoints come one by one: at the usual pauses
+#: these were 13 calls of each entry host, before the first request.
+FIRST_START_PAUSE = 1.0
+
 #: Seconds that an answer of the platform may be overdue until neighbours are told
 #: to read for themselves. It takes some milliseconds; one that comes later may
 #: come never, and a change is due in force after two seconds.
@@ -82,6 +88,8 @@
         word is known.
     on_lost : callable
         Called with the reason why the platform can't be read, by neighbours either.
+    first_start : bool, default=False
+        Whether all hosts start for the first time.
 
     Attributes
     ----------
@@ -103,11 +111,12 @@
         "_on_confirmed",
         "_on_lost",
         "_is_reading",
+        "_first_start",
         "_known_until_by_table",
         "_unread",
     )
 
-    def __init__(self, *, store, neighbours, on_confirmed, on_lost):
+    def __init__(self, *, store, neighbours, on_confirmed, on_lost, first_start=False):
         self.mirror = Mirror()
         self.confirmed_at = float("-inf")
         self._store = store
@@ -118,6 +127,7 @@
         self.due_at = float("-inf")
         self._changed = asyncio.Event()
         self._is_reading = False
+        self._first_start = first_start
         self._known_until_by_table = {}
         self._unread = set()
 
@@ -206,10 +216,18 @@
                 continue
             in_a_storm = table.confirms and contact_clock() < changed_at + STORM_GAP
             seen, changed_at = newest, contact_clock()
-            await asyncio.sleep(table.pause if reader is None else NEIGHBOUR_PAUSE)
+            await asyncio.sleep(self._pause(table, reader))
             if in_a_storm and reader is None:
                 revision = None
 
+    def _pause(self, table, reader):
+        """Return the seconds between an answer with changes and the next question."""
+        if reader is not None:
+            return NEIGHBOUR_PAUSE
+        if self._first_start and not self._neighbours.readers.is_acquainted():
+            return max(table.pause, FIRST_START_PAUSE)
+        return table.pause
+
     def _take(self, table, news):
         """Take what was read, and return what of it is news."""
         # A feed tells of every version of a row.
--- a/hawthornspoke/mirror/tests/test_watch.py
+++ b/hawthornspoke/mirror/tests/test_watch.py
@@ -6,7 +6,12 @@
 from hawthornspoke.base import Failure, contact_clock
 from hawthornspoke.mirror import HISTORY_GONE, Neighbours, News, Row, Table, Watch
 from hawthornspoke.mirror._neighbours import ANSWER_TIME, LOOK_EVERY
-from hawthornspoke.mirror._watch import NEIGHBOUR_WAIT, OVERDUE_AFTER, RETRY_PAUSE
+from hawthornspoke.mirror._watch import (
+    FIRST_START_PAUSE,
+    NEIGHBOUR_WAIT,
+    OVERDUE_AFTER,
+    RETRY_PAUSE,
+)
 
 READER = "127.0.0.1"
 ASKER = "127.0.0.2"
@@ -56,7 +61,7 @@
 class Host:
     """A watch, its neighbours and what they told."""
 
-    def __init__(self, address, port, store):
+    def __init__(self, address, port, store, *, first_start=False):
         self.address = address
         self.port = port
         self.store = store
@@ -70,6 +75,7 @@
             neighbours=self.neighbours,
             on_confirmed=self.confirmed.append,
             on_lost=self.lost.append,
+            first_start=first_start,
         )
         self.task = None
 
@@ -317,3 +323,30 @@
 
     def __getattr__(self, name):
         return getattr(self._mirror, name)
+
+
+def test_host_of_a_first_start_asks_rarely_until_it_knows_its_neighbours():
+    """A first start of all hosts cost 13 calls of each entry host.
+
+    Sequence: engines register one after the other; each entry host reads the list for
+    itself until an agent tells it who else there is, and asks again shortly after each
+    change. Cause: the pause was meant for the one reader of a failure domain.
+    """
+
+    async def run():
+        with socket.socket() as probe:
+            probe.bind((READER, 0))
+            port = probe.getsockname()[1]
+        alone = Host(READER, port, Store(), first_start=True)
+        await alone.start(())
+        for number in range(20):
+            alone.store.put(str(number).encode())
+            await asyncio.sleep(0.1)
+        assert alone.store.calls <= 4
+        alone.neighbours.told("agent", (READER,))
+        await asyncio.sleep(FIRST_START_PAUSE)
+        alone.store.put(b"last")
+        await until(lambda: alone.seen[-1] == b"last", seconds=0.3)
+        alone.stop()
+
+    asyncio.run(run())
