--- a/hawthornspoke/spread/_delivery.py
+++ b/hawthornspoke/spread/_delivery.py
@@ -63,8 +63,6 @@
         "_log",
         "_metrics",
         "_engine_seen",
-        "_is_serving",
-        "_late_version",
         "_look",
         "_weights_by_version",
         "_tasks",
@@ -93,15 +91,13 @@
             on_piece=self._on_piece,
             on_whole=self._on_whole,
             on_distrusted=self._on_distrusted,
-            yields=self._yields,
+            is_serving=is_serving,
         )
         self.manifests = Manifests(origin=origin, exchange=self.exchange, log=log)
         self.installer = Installer(engine=engine, log=log, on_notice=on_notice)
         self._log = log
         self._metrics = metrics
         self._engine_seen = engine_seen
-        self._is_serving = is_serving
-        self._late_version = None
         self._look = look
         self._weights_by_version = {}
         self._tasks = {}
@@ -225,27 +221,6 @@
             # The next plan must see what the engine holds now, not a moment ago.
             await self._look()
 
-    def _yields(self):
-        """Tell whether live traffic goes before pieces now."""
-        return self._is_serving() and not self._is_late()
-
-    def _is_late(self):
-        """Tell whether the newest version comes long after the older weights end.
-
-        Once it was late it stays so here: others wait for pieces of this host also
-        when it has them all.
-        """
-        version = self.upgrade.next_version()
-        weights = self._weights_by_version.get(version)
-        if weights is None or version == self._late_version:
-            return weights is not None
-        missing = 1.0 - len(weights.held()) / max(1, len(weights.digests))
-        if self.upgrade.is_late(missing, now=contact_clock()):
-            self._late_version = version
-            self._log.change("weights_late", version=version, missing=round(missing, 2))
-            return True
-        return False
-
     def _is_due(self, version):
         return self.upgrade.is_due(version, now=contact_clock())
 
--- a/hawthornspoke/spread/_exchange.py
+++ b/hawthornspoke/spread/_exchange.py
@@ -60,8 +60,8 @@
         Called with the Weights when all are.
     on_distrusted : callable
         Called with the Weights if their digests seem to be wrong.
-    yields : callable
-        Tells whether live traffic goes before pieces now.
+    is_serving : callable
+        Tells whether the engine answers requests now.
     """
 
     __slots__ = (
@@ -88,7 +88,7 @@
         on_piece,
         on_whole,
         on_distrusted,
-        yields,
+        is_serving,
     ):
         self.swarm = Swarm(
             node=settings.engine_address,
@@ -104,7 +104,7 @@
         self._on_whole = on_whole
         self._peers = Peers(settings=settings)
         self._links = PeerLinks(on_frame=self.on_frame)
-        self._uploads = Uploads(link_rate=settings.link_rate, yields=yields)
+        self._uploads = Uploads(link_rate=settings.link_rate, is_serving=is_serving)
         self._answers = Answers(
             weights_by_name=self.weights_by_name, uploads=self._uploads
         )
--- a/hawthornspoke/spread/_upgrade.py
+++ b/hawthornspoke/spread/_upgrade.py
@@ -21,11 +21,6 @@
 #: Seconds before a bound from which entry hosts send nothing to an older version.
 BOUND_MARGIN = 0.95
 
-#: Seconds by which a version must be expected after the bound of the older weights for
-#: its pieces to go before live traffic. That brings it 0.8 s sooner, for first tokens
-#: that are 0.1 s later until then; so it is only for a gap that is longer than both.
-LATE_BY = 2.0
-
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Named:
@@ -228,26 +223,6 @@
         is_wanted = version in self.targets() and not is_held
         return is_wanted and not self._is_expired(version, now)
 
-    def is_late(self, missing, *, now):
-        """Tell whether the older weights end well before the newest ones are there.
-
-        Parameters
-        ----------
-        missing : float
-            Share of the newest version's pieces that is yet to come.
-        now : float
-
-        Returns
-        -------
-        bool
-        """
-        newer = [item for item in self._named if item.version > self._held_version()]
-        if not newer:
-            return False
-        too_old_at = newer[0].at + self.version_bound - BOUND_MARGIN
-        ready_at = now + missing * self.transfer_time + CHANGE_TIME
-        return ready_at > too_old_at + LATE_BY
-
     def next_version(self):
         """Return the newest version named, None if none was."""
         return self._named[-1].version if self._named else None
@@ -294,9 +269,6 @@
             "installing": self._installing,
         }
 
-    def _held_version(self):
-        return self._engine.version or 0
-
     def _date_newest(self, message):
         newest = self._named[-1]
         if message.version != newest.version or not message.is_dated:
--- a/hawthornspoke/spread/_uploads.py
+++ b/hawthornspoke/spread/_uploads.py
@@ -14,8 +14,7 @@
 #: first event waited 300 ms and more behind pieces.
 SHARE_BESIDE_REQUESTS = 0.86
 
-#: Share of it while the engine answers nothing, or nothing will once its weights are
-#: too old.
+#: Share of it while the engine answers nothing.
 SHARE_ALONE = 0.97
 
 #: Seconds that a late timer may be made up for by sending the next slices sooner.
@@ -47,15 +46,15 @@
     ----------
     link_rate : float
         Bytes a second.
-    yields : callable
-        Tells whether live traffic goes before pieces now.
+    is_serving : callable
+        Tells whether the engine answers requests now.
     """
 
-    __slots__ = ("_link_rate", "_yields", "_waiting", "_task")
+    __slots__ = ("_link_rate", "_is_serving", "_waiting", "_task")
 
-    def __init__(self, *, link_rate, yields):
+    def __init__(self, *, link_rate, is_serving):
         self._link_rate = link_rate
-        self._yields = yields
+        self._is_serving = is_serving
         self._waiting = collections.deque()
         self._task = None
 
@@ -90,7 +89,7 @@
                 link.write_part(part, is_last=not data)
                 sent = len(part)
                 await self._until_taken(link)
-                share = SHARE_BESIDE_REQUESTS if self._yields() else SHARE_ALONE
+                share = SHARE_BESIDE_REQUESTS if self._is_serving() else SHARE_ALONE
                 due = max(due, loop.time() - CATCH_UP) + sent / (
                     self._link_rate * share
                 )
--- a/hawthornspoke/spread/tests/test_after_a_wait.py
+++ b/hawthornspoke/spread/tests/test_after_a_wait.py
@@ -271,7 +271,7 @@
     """
 
     async def scenario():
-        uploads = Uploads(link_rate=1e9, yields=lambda: False)
+        uploads = Uploads(link_rate=1e9, is_serving=lambda: False)
         link = FakeLink()
         uploads.put(link, Frame(call=-1, chunk=Chunk(data=b"p" * 1000)))
         uploads.put(link, Frame(call=-2, chunk=Chunk(data=b"p" * 1000)))
--- a/hawthornspoke/spread/tests/test_upgrade.py
+++ b/hawthornspoke/spread/tests/test_upgrade.py
@@ -138,33 +138,3 @@
     upgrade.step(Named(version=2, at=-6.0), now=0.1)
     upgrade.step(Named(version=2, at=0.0), now=0.2)
     assert installs(upgrade.step(PiecesHeld(version=2), now=5.0)) == []
-
-
-def test_version_that_comes_long_after_the_bound_is_late():
-    """Nothing could be served for 4 s, while pieces yielded to what still was.
-
-    Events: a second version is named just before the origin goes; it is back 6 s
-    later, when the older weights have 5 s left and a transfer takes 6. Cause: pieces
-    left a seventh of each link to live traffic, as in calm times.
-    """
-    upgrade = machine()
-    upgrade.step(Named(version=2, at=0.0), now=0.0)
-    upgrade.step(Named(version=3, at=2.0), now=2.0)
-    assert not upgrade.is_late(1.0, now=0.5)
-    assert upgrade.is_late(1.0, now=3.5)
-    assert not upgrade.is_late(0.2, now=3.5)
-
-
-def test_version_in_use_is_not_late():
-    upgrade = machine(version=2)
-    upgrade.step(Named(version=2, at=0.0), now=0.0)
-    assert not upgrade.is_late(0.0, now=20.0)
-
-
-def test_usual_spread_yields_to_live_traffic():
-    """A version that is named alone comes about when the older weights end."""
-    upgrade = machine()
-    upgrade.step(Named(version=2, at=0.0), now=0.0)
-    for tenth in range(60):
-        missing = 1.0 - tenth / 60
-        assert not upgrade.is_late(missing, now=tenth / 10)
