--- a/hawthornspoke/swarm/__init__.py
+++ b/hawthornspoke/swarm/__init__.py
@@ -1,7 +1,7 @@
 """Spreading weights between hosts: the planner, its strategies, the store."""
 
 from hawthornspoke.swarm._link import Link
-from hawthornspoke.swarm._planner import (
+from hawthornspoke.swarm._messages import (
     AnnounceChunks,
     Announced,
     AskHoldings,
@@ -13,10 +13,10 @@
     FetchFromPeer,
     Participants,
     PeerUnreachable,
-    Swarm,
     Tick,
     Want,
 )
+from hawthornspoke.swarm._planner import Swarm
 from hawthornspoke.swarm._store import ChunkStore
 from hawthornspoke.swarm._strategies import STRATEGIES
 
