--- a/hawthornspoke/catalog/__init__.py
+++ b/hawthornspoke/catalog/__init__.py
@@ -2,6 +2,7 @@
 
 from hawthornspoke.catalog._declared import (
     FIRST_VERSION,
+    SEND_MARGIN,
     UNKNOWN,
     DeclaredVersions,
     age_of,
@@ -27,6 +28,7 @@
 __all__ = [
     "AT_MOST_ONCE",
     "FIRST_VERSION",
+    "SEND_MARGIN",
     "IDEMPOTENT",
     "STREAM",
     "UNKNOWN",
--- a/hawthornspoke/catalog/_declared.py
+++ b/hawthornspoke/catalog/_declared.py
@@ -10,6 +10,11 @@
 #: The moment of a declaration of which nothing is known but that it was made.
 UNKNOWN = float("-inf")
 
+#: Seconds before a bound from which nothing is sent to an older version. A request
+#: that is sent begins later: 0.84 s were seen, 0.18 s of them on a link full of
+#: pieces and the rest in the engine.
+SEND_MARGIN = 0.95
+
 
 class _Declared:
     """A declared version.
--- a/hawthornspoke/placing/_fleet.py
+++ b/hawthornspoke/placing/_fleet.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from hawthornspoke.base import MACHINES, Bounds, Machine
-from hawthornspoke.catalog import DeclaredVersions
+from hawthornspoke.catalog import SEND_MARGIN, DeclaredVersions
 from hawthornspoke.placing._avoidance import count_outcome, without_avoided
 from hawthornspoke.placing._choice import Choice
 from hawthornspoke.placing._directory import Directory
@@ -24,7 +24,7 @@
     WeightsDeclared,
 )
 from hawthornspoke.placing._refusal import Refusal
-from hawthornspoke.placing._validity import SEND_MARGIN, Validity
+from hawthornspoke.placing._validity import Validity
 
 #: What the machine takes.
 MESSAGES = (
--- a/hawthornspoke/placing/_validity.py
+++ b/hawthornspoke/placing/_validity.py
@@ -12,11 +12,6 @@
 
 from hawthornspoke.placing._predict import first_token_at
 
-#: Seconds before a bound from which nothing is sent to an older version. A request
-#: that is sent begins later: 0.84 s were seen, 0.18 s of them on a link full of
-#: pieces and the rest in the engine.
-SEND_MARGIN = 0.95
-
 #: Seconds before a bound at which a request that has not begun on older weights is
 #: taken back. Its end needs as long to reach the engine as anything else on a link
 #: full of pieces, 0.18 s as seen, and a busy process notices the time 0.1 s late.
--- a/hawthornspoke/spread/_upgrade.py
+++ b/hawthornspoke/spread/_upgrade.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from hawthornspoke.base import MACHINES, Bounds, Machine
+from hawthornspoke.catalog import SEND_MARGIN
 
 #: Part of a transfer's time within which a version that is followed by another is
 #: dropped for it. With bound B and transfer time T, a version named a gap g before
@@ -18,10 +19,6 @@
 CHANGE_TIME = 2.0
 
 
-#: Seconds before a bound from which entry hosts send nothing to an older version.
-BOUND_MARGIN = 0.95
-
-
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Named:
     """A version was declared.
@@ -330,7 +327,7 @@
         """Tell whether requests may no longer begin on a version."""
         for named in self._named:
             if named.version > held:
-                return now >= named.at + self.version_bound - BOUND_MARGIN
+                return now >= named.at + self.version_bound - SEND_MARGIN
         return False
 
     def _newest_comes_in_time(self, chosen):
