--- a/hawthornspoke/placing/_choice.py
+++ b/hawthornspoke/placing/_choice.py
@@ -84,7 +84,7 @@
     failure_domain : str
         Of this host.
     host : str
-        Its name.
+        What tells it from others.
     refusal : Refusal
     chance : random.Random
     """
@@ -171,7 +171,7 @@
         now = search.validity.now
         subset = self.subset(search.ask.service)
         kept = self._group(search, near=True, followed=True)
-        if subset.share[True] < 1.0:
+        if subset.near_share < 1.0:
             # With a request waiting before it no engine is better than those that
             # this host doesn't keep to: all of the failure domain are looked at.
             free = [item for item in kept.on_time if item.load < search.engine.slots]
@@ -258,7 +258,8 @@
         holding = slot_release(engine) * engine.slots
         arrivals = self._herd_of(ask.service).arrivals(near=near, now=now)
         # The other hosts send to the engines of both groups.
-        share = self.subset(ask.service).share[near]
+        subset = self.subset(ask.service)
+        share = subset.near_share if near else subset.far_share
         arrivals *= share if followed else 1.0 - share
         loads = [item.load for item in endpoints]
         sharing = sum(load < engine.slots for load in loads)
--- a/hawthornspoke/placing/_subset.py
+++ b/hawthornspoke/placing/_subset.py
@@ -48,13 +48,13 @@
     Parameters
     ----------
     host : str
-        Name of this host.
+        What tells this host from others; far engines are drawn by it.
 
     Attributes
     ----------
     since_by_id : dict of str to float
         By id of each engine that this host keeps to, or hears of often: since when.
-    share : dict of bool to float
+    near_share, far_share : float
         Share of the engines in the own failure domain, and in others, that these are.
     """
 
@@ -64,7 +64,8 @@
         "hosts",
         "width",
         "since_by_id",
-        "share",
+        "near_share",
+        "far_share",
         "_near",
         "_far",
         "_asked",
@@ -78,7 +79,7 @@
         self.hosts = 1
         self.width = LEAST_NEAR
         self.since_by_id = {}
-        self.share = {True: 1.0, False: 1.0}
+        self.near_share = self.far_share = 1.0
         self._near = ()
         self._far = ()
         self._asked = Rate()
@@ -170,13 +171,12 @@
         return min(len(self._near), max(self.width, least))
 
     def _choose(self, now):
+        """Take the own window of the ring, and the first of the far engines."""
         count, width = len(self._near), self._width()
         first = self.position * count // max(1, self.hosts)
         near = [self._near[(first + step) % count] for step in range(width)]
         far = self._far[:MOST_FAR]
         before = self.since_by_id
         self.since_by_id = {key: before.get(key, now) for key in (*near, *far)}
-        self.share = {
-            True: width / count if count else 1.0,
-            False: len(far) / len(self._far) if self._far else 1.0,
-        }
+        self.near_share = width / count if count else 1.0
+        self.far_share = len(far) / len(self._far) if self._far else 1.0
--- a/hawthornspoke/placing/tests/test_subset.py
+++ b/hawthornspoke/placing/tests/test_subset.py
@@ -55,7 +55,7 @@
     """Deployments of a dozen engines lose nothing: all hosts hear of all of them."""
     for subset in subsets(hosts=3, engines=LEAST_NEAR, far=MOST_FAR):
         assert len(subset.since_by_id) == LEAST_NEAR + MOST_FAR
-        assert subset.share == {True: 1.0, False: 1.0}
+        assert (subset.near_share, subset.far_share) == (1.0, 1.0)
 
 
 def test_host_that_leaves_moves_few():
