--- a/hawthornspoke/mirror/__init__.py
+++ b/hawthornspoke/mirror/__init__.py
@@ -1,5 +1,6 @@
 """What the platform's tables hold, read once for the hosts of a failure domain."""
 
+from hawthornspoke.mirror import pace
 from hawthornspoke.mirror._intake import Intake
 from hawthornspoke.mirror._neighbours import Neighbours
 from hawthornspoke.mirror._readers import NeighboursTold, ReaderFailed, Readers
@@ -33,5 +34,6 @@
     "UnusableRows",
     "Watch",
     "Written",
+    "pace",
     "sort_out",
 ]
--- a/hawthornspoke/report/tests/test_report.py
+++ b/hawthornspoke/report/tests/test_report.py
@@ -52,7 +52,7 @@
     line(
         112.0,
         "counters",
-        **{'platform_calls_total{call="rows-feed"}': 7, "requests_total": 3},
+        **{'platform_calls_total{call="list"}': 7, "requests_total": 3},
     ),
     line(112.1, "lines_left_out", count=4),
 ]
@@ -103,7 +103,7 @@
 
 def test_counters_of_all_hosts_are_added(built):
     assert built.origin_bytes == 800
-    assert built.platform_calls_by_kind == {"rows-feed": 7}
+    assert built.platform_calls_by_kind == {"list": 7}
     assert built.lines_left_out == 4
 
 
@@ -123,7 +123,7 @@
     assert "refused, full: 2" in text
     assert "version 2: declared at 2.0 s" in text
     assert "after 3.0 s at the first" in text
-    assert "rows-feed 7" in text
+    assert "list 7" in text
 
 
 def test_json_can_be_read_again(built):
--- a/hawthornspoke/swarm/_planner.py
+++ b/hawthornspoke/swarm/_planner.py
@@ -7,12 +7,31 @@
     AnnounceChunks,
     Announced,
     AskHoldings,
+    ChunkFailed,
+    ChunkVerified,
     Complete,
+    Drop,
     FetchFromOrigin,
     FetchFromPeer,
+    Participants,
+    PeerUnreachable,
+    Tick,
+    Want,
 )
 from hawthornspoke.swarm._transfer import Participant, Transfer
 
+#: What the machine takes.
+MESSAGES = (
+    Announced,
+    ChunkFailed,
+    ChunkVerified,
+    Drop,
+    Participants,
+    PeerUnreachable,
+    Tick,
+    Want,
+)
+
 #: Digests whose announcements are kept before this host wants them.
 EARLY_KEPT = 4
 
