Subset and planner: no order made anew, no look for urgent chunks, where nothing can come of it

Read again: an entry host hashed all engines twice a second though who is there decides both orders, and each announcement looked for urgent chunks while all fetch slots were taken.

--- a/hawthornspoke/placing/_subset.py
+++ b/hawthornspoke/placing/_subset.py
@@ -114,11 +114,13 @@
             Ids of those in the own failure domain, and in others.
         now : float
         """
-        near = tuple(rendezvous_order(key="ring", nodes=near))
-        far = tuple(rendezvous_order(key=self.host, nodes=far))
-        if (near, far) != (self._near, self._far):
-            self._near, self._far = near, far
-            self._choose(now)
+        near, far = set(near), set(far)
+        # Told twice a second; both orders follow from who is there.
+        if (near, far) == (set(self._near), set(self._far)):
+            return
+        self._near = tuple(rendezvous_order(key="ring", nodes=near))
+        self._far = tuple(rendezvous_order(key=self.host, nodes=far))
+        self._choose(now)
 
     def count(self, *, spilled, now):
         """Count a request, and keep to more or fewer engines if it is time to.
--- a/hawthornspoke/swarm/_planner.py
+++ b/hawthornspoke/swarm/_planner.py
@@ -305,6 +305,9 @@
         return outcomes
 
     def _plan_peers(self, transfer, indices, *, now):
+        if self._peer_fetches >= self.peer_slots:
+            # Usual at each of the many announcements while a transfer runs.
+            return []
         outcomes = []
         for index in itertools.chain(transfer.strategy.urgent(transfer), indices):
             if self._peer_fetches >= self.peer_slots:
