A host that leaves from another group of origin copies ends no transfer

Found on reading the change again: whom to tell afar was kept for as long as the own group stayed, and a host that had left from another group raised a KeyError where the origin sends more than one copy. A test that fails without the check.

--- a/hawthornspoke/swarm/_strategies.py
+++ b/hawthornspoke/swarm/_strategies.py
@@ -232,6 +232,7 @@
         self._readers_of_origin = ()
         self._nodes_by_region = {}
         self._far_order_by_key = {}
+        self._read_for_region = None
 
     def holders(self, transfer, index):
         """Return the peers from which a chunk may be had."""
@@ -322,7 +323,13 @@
                 nodes=self._nodes_by_region.get(region, ()),
             )[:OWNERS_KEPT]
             self._far_order_by_key[region, index] = order
-        return [node for node in order if not transfer.participants[node].unreachable]
+        # The order is kept while the own group stays; others may leave meanwhile.
+        return [
+            node
+            for node in order
+            if node in transfer.participants
+            and not transfer.participants[node].unreachable
+        ]
 
     def _owners(self, transfer, index):
         self._choose_readers(transfer)
--- a/hawthornspoke/swarm/tests/test_regional_news.py
+++ b/hawthornspoke/swarm/tests/test_regional_news.py
@@ -13,6 +13,7 @@
     Complete,
     FetchFromOrigin,
     FetchFromPeer,
+    Participants,
     Swarm,
     Tick,
     Want,
@@ -205,3 +206,38 @@
     ask = AskHoldings(digest="d", node="host-001", address="x", port=1)
     answer = network.holdings(ask)
     assert answer == Announced(digest="d", node="host-001", indices=(3,), held=1)
+
+
+def test_host_that_leaves_from_another_group_ends_no_transfer():
+    """A transfer ended with a KeyError.
+
+    Events: the origin sends two copies, each to a group of hosts; a host of the other
+    group leaves the list, and a piece comes that hosts afar are told of. Cause: whom
+    to tell was kept for as long as the own group stayed the same.
+    """
+    network = Links(10)
+    people = network.entries
+    regions = {f"domain-{place}": f"region-{place}" for place in range(REGIONS)}
+    shared = {"digest": "d", "region_by_domain": regions}
+    swarm = Swarm(node="host-000", announce_every=0.0, origin_slots=CHUNKS)
+    want = Want(
+        chunks=CHUNKS,
+        size=CHUNKS,
+        participants=people,
+        strategy="regional",
+        origin_copies=2,
+        **shared,
+    )
+    swarm.step(want, now=0.0)
+    group = swarm.by_digest["d"].group_nodes()
+    for index in range(CHUNKS):
+        swarm.step(ChunkVerified(digest="d", index=index), now=0.1)
+    leaving = next(name for name in people if name not in group)
+    left = {name: entry for name, entry in people.items() if name != leaving}
+    swarm.step(Participants(participants=left, **shared), now=0.2)
+    assert swarm.by_digest["d"].group_nodes() == group
+    swarm.by_digest["d"].brought = set(range(CHUNKS))
+    swarm.by_digest["d"].fresh = list(range(CHUNKS))
+    told = swarm.step(Tick(), now=0.3)
+    addresses = {address for item in told for address, _ in item.targets}
+    assert leaving not in addresses
