--- a/hawthornspoke/httpio/_pool.py
+++ b/hawthornspoke/httpio/_pool.py
@@ -125,7 +125,9 @@
             self.drop(key)
 
 
-async def fetch(pool, address, *, method, target, headers=(), body=b"", timeout):
+async def fetch(
+    pool, address, *, method, target, headers=(), body=b"", timeout, fresh=False
+):
     """Make one small call and read its whole answer.
 
     Parameters
@@ -138,6 +140,8 @@
     body : bytes
     timeout : float
         Seconds for all of it.
+    fresh : bool, default=False
+        Whether to make it on a new connection in any case.
 
     Returns
     -------
@@ -155,7 +159,7 @@
     )
     try:
         async with asyncio.timeout(timeout):
-            connection = await pool.acquire(address, address)
+            connection = await pool.acquire(address, address, fresh=fresh)
             if isinstance(connection, Failure):
                 return connection
             if contact_clock() >= deadline or not connection.is_open:
