Old weights answer until what is sent would be withdrawn

Cause: two margins kept one bound.

Ruled out: a smaller withdrawal (what holds the bound stays as it was); a share of 1.0 (the look before the send would let through what has 0.1 s left).

Change: a request is placed while 1.5 x its expected first token (0.6 more for each time that the engine is slower) ends before the withdrawal. Where newer weights answer in time, older ones come second from 0.95 s before the bound, as before.

--- a/hawthornspoke/placing/_choice.py
+++ b/hawthornspoke/placing/_choice.py
@@ -4,6 +4,7 @@
 from hawthornspoke.placing._messages import Place
 from hawthornspoke.placing._predict import first_token_at, slot_release, whole_answer
 from hawthornspoke.placing._subset import Subset
+from hawthornspoke.placing._validity import Prospect
 
 #: Requests over its slots that an engine may have when it is given one of a caller
 #: that is late already. With six, returned callers took every slot as it came free:
@@ -18,14 +19,18 @@
 
 
 class _Candidate:
-    """An engine that may take a request: its load now and what follows from it."""
+    """An engine that may take a request: its load now and what follows from it.
 
-    __slots__ = ("endpoint", "load", "expected")
+    ``prospect`` is whether it begins before its weights are too old.
+    """
+
+    __slots__ = ("endpoint", "load", "expected", "prospect")
 
-    def __init__(self, *, endpoint, load, expected):
+    def __init__(self, *, endpoint, load, expected, prospect):
         self.endpoint = endpoint
         self.load = load
         self.expected = expected
+        self.prospect = prospect
 
 
 class _Group:
@@ -240,11 +245,7 @@
         # Of the load that others will have added, not of the one that was told: just
         # before a bound requests would be sent only to be withdrawn, and answered
         # with an outcome that nobody knows.
-        valid = [
-            item
-            for item in candidates
-            if validity.begins_in_time(item.endpoint, engine, item.expected)
-        ]
+        valid = [item for item in candidates if item.prospect is not Prospect.TOO_LATE]
         on_time = [item for item in valid if item.expected <= ask.on_time_left]
         group = _Group(near=near, candidates=candidates, valid=valid, on_time=on_time)
         search.groups.append(group)
@@ -275,7 +276,12 @@
             )
             expected = first_token_at(endpoint, engine, ask, load=load)
             candidates.append(
-                _Candidate(endpoint=endpoint, load=load, expected=expected)
+                _Candidate(
+                    endpoint=endpoint,
+                    load=load,
+                    expected=expected,
+                    prospect=search.validity.prospect(endpoint, engine, expected),
+                )
             )
         return candidates
 
@@ -295,7 +301,9 @@
         Several entry hosts see the same loads, some 0.1 s old. If each took the
         least loaded engine, all would take the same one, and its callers be late.
         """
-        pair = self._chance.sample(candidates, min(2, len(candidates)))
+        sure = [item for item in candidates if item.prospect is Prospect.SURE]
+        among = sure or candidates
+        pair = self._chance.sample(among, min(2, len(among)))
         chosen = min(pair, key=lambda item: (item.load, item.expected))
         return _place(chosen.endpoint, chosen.expected, now)
 
--- a/hawthornspoke/placing/_fleet.py
+++ b/hawthornspoke/placing/_fleet.py
@@ -56,7 +56,7 @@
         Seconds after its declaration from which only a version or a newer one may
         begin to answer.
     version_margin : float, default=0.95
-        Seconds before that from which nothing is sent to an older version.
+        Seconds before that from which an older version comes second.
     seed : int, default=0
     """
 
@@ -299,12 +299,7 @@
 
     def _with_deadline(self, place, engine, validity):
         endpoint = self.endpoint_by_id[place.endpoint_id]
-        return validity.with_deadline(
-            place,
-            engine,
-            near=endpoint.is_in(self.failure_domain),
-            link_delay=endpoint.link_delay,
-        )
+        return validity.with_deadline(place, engine, endpoint)
 
     def _validity(self, ask, now):
         """Return what may answer at the moment of a question."""
@@ -312,6 +307,7 @@
             declared=self.declared,
             version_bound=self.version_bound,
             version_margin=self.version_margin,
+            failure_domain=self.failure_domain,
             contact_now=now if ask.contact_now is None else ask.contact_now,
             now=now,
         )
--- a/hawthornspoke/placing/_validity.py
+++ b/hawthornspoke/placing/_validity.py
@@ -1,13 +1,15 @@
 """Which weights may begin to answer, and until when.
 
-A bound after its declaration only a version or a newer one may begin to answer. Two
-margins keep it, one for each step of a request that goes to an older version:
-``SEND_MARGIN`` before the bound nothing more is sent there; what was sent before and
-has not begun ``WITHDRAW_MARGIN`` before the bound is taken back. The first holds the
-way there, the engine's time to the first token and the second, so it is the larger
-one. Between the two a request that was sent in time may still begin.
+A bound after its declaration only a version or a newer one may begin to answer. What
+keeps it is the withdrawal: a request that has not begun ``WITHDRAW_MARGIN`` before the
+bound is taken back. Until then older weights answer all that is expected to begin
+before it. Were they left alone sooner, whole fleets stood idle for a second before each
+bound, with nothing newer to serve from yet. Only where newer weights answer as well do
+older ones come second, from ``SEND_MARGIN`` before the bound: there a request that
+begins later than expected would be withdrawn for nothing.
 """
 
+import enum
 from dataclasses import replace
 
 from hawthornspoke.placing._predict import first_token_at
@@ -25,8 +27,24 @@
 TIMER_LATE = 0.15
 
 #: Times the expected time to the first token after which a request is taken to have
-#: begun. On an engine four times slower than usual 1.05 s were seen for 0.4 s.
-BEGIN_SHARE = 2.0
+#: begun, at an engine that works at its usual pace.
+BEGIN_SHARE = 1.5
+
+#: What is added to that for each time that an engine is slower than usual: how slow it
+#: is was told a moment ago. Four times slower, 1.05 s were seen for 0.4 s.
+BEGIN_SHARE_SLOW = 0.6
+
+#: The same where newer weights may answer instead.
+BEGIN_SHARE_SURE = 2.0
+
+
+class Prospect(enum.Enum):
+    """Whether a request begins before an engine's weights are too old for it."""
+
+    TOO_LATE = "too_late"
+    EXPECTED = "expected"
+    #: With time to spare.
+    SURE = "sure"
 
 
 class Validity:
@@ -39,7 +57,9 @@
         Seconds after its declaration from which only a version or a newer one may
         begin to answer.
     version_margin : float
-        Seconds before that from which nothing is sent to an older version.
+        Seconds before that from which an older version comes second.
+    failure_domain : str
+        Of this host.
     contact_now : float
         The moment on the clock of declarations.
     now : float
@@ -52,18 +72,27 @@
         "version_margin",
         "contact_now",
         "now",
-        "_floor_by_model",
-        "_is_newest_by_version",
+        "failure_domain",
+        "_too_old_at_by_version",
     )
 
-    def __init__(self, *, declared, version_bound, version_margin, contact_now, now):
+    def __init__(
+        self,
+        *,
+        declared,
+        version_bound,
+        version_margin,
+        failure_domain,
+        contact_now,
+        now,
+    ):
         self.declared = declared
         self.version_bound = version_bound
         self.version_margin = version_margin
         self.contact_now = contact_now
         self.now = now
-        self._floor_by_model = {}
-        self._is_newest_by_version = {}
+        self.failure_domain = failure_domain
+        self._too_old_at_by_version = {}
 
     def allows(self, endpoint, engine, ask):
         """Tell whether an engine has the weights for a request and begins in time.
@@ -83,13 +112,11 @@
         if self._is_newest(endpoint, engine):
             return True
         expected = first_token_at(endpoint, engine, ask, load=endpoint.load)
-        return self.begins_in_time(endpoint, engine, expected)
+        return self.prospect(endpoint, engine, expected) is not Prospect.TOO_LATE
 
-    def begins_in_time(self, endpoint, engine, expected):
+    def prospect(self, endpoint, engine, expected):
         """Tell whether a request begins before an engine's weights are too old.
 
-        One that is full, or slow, begins it later than the margin allows for.
-
         Parameters
         ----------
         endpoint : Endpoint
@@ -99,44 +126,51 @@
 
         Returns
         -------
-        bool
+        Prospect
         """
         if self._is_newest(endpoint, engine):
-            return True
-        begins = self.contact_now + BEGIN_SHARE * expected
-        return endpoint.weights_version >= self._floor(engine.model, begins)
-
-    def with_deadline(self, place, engine, *, near, link_delay):
+            return Prospect.SURE
+        left = self._too_old_at(engine, endpoint.weights_version) - self.contact_now
+        if BEGIN_SHARE_SURE * expected < left - self.version_margin:
+            return Prospect.SURE
+        share = BEGIN_SHARE + BEGIN_SHARE_SLOW * max(0.0, endpoint.pace - 1.0)
+        if share * expected <= left - self._withdraw_margin(endpoint):
+            return Prospect.EXPECTED
+        return Prospect.TOO_LATE
+
+    def with_deadline(self, place, engine, endpoint):
         """Return a place with the moment at which a request must have begun there.
 
         Parameters
         ----------
         place : Place
         engine : EngineProfile
-        near : bool
-            Whether it is in the failure domain of this host.
-        link_delay : float
-            Seconds that a message waits on the way there.
+        endpoint : Endpoint
+            The one of the place.
 
         Returns
         -------
         Place
         """
-        if not engine.layers or place.weights_version is None:
+        version = place.weights_version
+        if not engine.layers or version is None:
             return place
-        too_old_at = self.declared.too_old_at(
-            engine.model, place.weights_version, bound=self.version_bound
-        )
+        too_old_at = self._too_old_at(engine, version)
         if too_old_at is None:
             return place
         # Seconds by which the clock of declarations is ahead of that of deadlines.
         suspended = self.contact_now - self.now
+        deadline = too_old_at - suspended - self._withdraw_margin(endpoint)
+        return replace(place, begin_deadline=deadline)
+
+    def _withdraw_margin(self, endpoint):
+        """Return the seconds before a bound at which a request is taken back."""
+        near = endpoint.is_in(self.failure_domain)
         margin = WITHDRAW_MARGIN if near else WITHDRAW_MARGIN_FAR
         # What is taken back crosses the same link as the pieces that fill it. Where
         # that takes longer than is kept for it, the engine begins the request on
         # weights that are too old, and the log says that it was withdrawn.
-        margin = max(margin, link_delay + TIMER_LATE)
-        return replace(place, begin_deadline=too_old_at - suspended - margin)
+        return max(margin, endpoint.link_delay + TIMER_LATE)
 
     def _is_newest(self, endpoint, engine):
         """Tell whether nothing is known that makes an engine's weights too old.
@@ -148,27 +182,16 @@
         version = endpoint.weights_version
         if not engine.layers or version is None:
             return True
+        return self._too_old_at(engine, version) is None
+
+    def _too_old_at(self, engine, version):
+        """Return from when a version may not begin, None if nothing newer is known."""
         key = engine.model, version
-        if key not in self._is_newest_by_version:
-            too_old_at = self.declared.too_old_at(
+        if key not in self._too_old_at_by_version:
+            self._too_old_at_by_version[key] = self.declared.too_old_at(
                 engine.model, version, bound=self.version_bound
             )
-            self._is_newest_by_version[key] = too_old_at is None
-        return self._is_newest_by_version[key]
-
-    def _floor(self, model, contact_now):
-        """Return the oldest version to which something may be sent at a moment."""
-        return self.declared.floor(
-            model, bound=self.version_bound - self.version_margin, now=contact_now
-        )
-
-    def _floor_now(self, model):
-        """Return the same for the moment of the question, found once for it."""
-        floor = self._floor_by_model.get(model)
-        if floor is None:
-            floor = self._floor(model, self.contact_now)
-            self._floor_by_model[model] = floor
-        return floor
+        return self._too_old_at_by_version[key]
 
     def _has_weights(self, endpoint, engine, ask):
         if endpoint.loading:
@@ -178,8 +201,4 @@
         version = endpoint.weights_version
         if ask.same_version is not None:
             return version == ask.same_version
-        if not engine.layers:
-            return True
-        if version is None:
-            return False
-        return version >= self._floor_now(engine.model)
+        return not engine.layers or version is not None
