--- a/hawthornspoke/mirror/_watch.py
+++ b/hawthornspoke/mirror/_watch.py
@@ -14,6 +14,12 @@
 #: A neighbour that froze is noticed half a second later.
 NEIGHBOUR_WAIT = 1.0
 
+#: Share of a table's wait that a question waits, drawn at random between these. A
+#: declaration dates from the last answer before it. One change answers all questions
+#: at all hosts at once; with equal waits they would stay in step from then on, and
+#: nobody have an answer of the last second.
+WAIT_SPREAD = (0.4, 1.0)
+
 #: Seconds between two questions to a neighbour that has news each time.
 NEIGHBOUR_PAUSE = 0.1
 
@@ -261,7 +267,7 @@
         # After a failure the first question waits for nothing: the answer is
         # wanted now, to know that the platform is back.
         whole = revision is None
-        wait = 0.0 if whole or failed else table.wait
+        wait = 0.0 if whole or failed else table.wait * random.uniform(*WAIT_SPREAD)
         asked_at = contact_clock()
         if table.confirms:
             self._is_reading = True
