--- a/hawthornspoke/spread/_upgrade.py
+++ b/hawthornspoke/spread/_upgrade.py
@@ -4,6 +4,7 @@
 
 from hawthornspoke.base import MACHINES, Bounds, Machine
 from hawthornspoke.catalog import SEND_MARGIN
+from hawthornspoke.spread._changeover import CHANGE_TIME, order_time
 
 #: Part of a transfer's time within which a version that is followed by another is
 #: dropped for it. With bound B and transfer time T, a version named a gap g before
@@ -14,10 +15,6 @@
 #: Named versions that are remembered; older ones are of no use to anybody.
 KEPT = 4
 
-#: Seconds that an engine needs from the order until it answers with new weights:
-#: it finishes what runs, one to two seconds of tokens, then loads.
-CHANGE_TIME = 2.0
-
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Named:
@@ -120,14 +117,11 @@
         Seconds in which all hosts get all pieces of a version.
     version_bound : float, default=8.0
         Seconds after which older versions may not begin to answer.
-    stagger : float, default=0.8
-        Seconds by which every other engine of a failure domain changes later.
     """
 
     __slots__ = (
         "transfer_time",
         "version_bound",
-        "stagger",
         "_named",
         "_newest_heard_at",
         "_wanted",
@@ -139,13 +133,11 @@
     PARAMS = {
         "transfer_time": Bounds(kind=(int, float), low=0),
         "version_bound": Bounds(kind=(int, float), low=0),
-        "stagger": Bounds(kind=(int, float), low=0),
     }
 
-    def __init__(self, *, transfer_time=5.7, version_bound=8.0, stagger=0.8):
+    def __init__(self, *, transfer_time=5.7, version_bound=8.0):
         self.transfer_time = transfer_time
         self.version_bound = version_bound
-        self.stagger = stagger
         self._named = []
         self._newest_heard_at = float("-inf")
         self._wanted = {}
@@ -339,6 +331,11 @@
         held_at = self._held_at_by_version[chosen.version]
         if not self._engine.whole:
             return held_at
-        latest = chosen.at + self.version_bound - CHANGE_TIME
-        wanted = held_at + self.stagger * (self._position % 2)
-        return max(held_at, min(wanted, latest))
+        too_old_at = min(
+            named.at + self.version_bound
+            for named in self._named
+            if named.version > self._engine.version
+        )
+        return order_time(
+            held_at=held_at, too_old_at=too_old_at, position=self._position
+        )
--- a/hawthornspoke/spread/tests/test_upgrade.py
+++ b/hawthornspoke/spread/tests/test_upgrade.py
@@ -1,5 +1,6 @@
 """Which version an engine goes to next: replayed sequences of names and pieces."""
 
+from hawthornspoke.spread._changeover import LAST_ORDER
 from hawthornspoke.spread._upgrade import (
     EngineSeen,
     Forget,
@@ -17,7 +18,7 @@
 
 def machine(version=1, *, whole=True):
     """Return a machine whose engine holds a version, with that version named."""
-    upgrade = Upgrade(transfer_time=T, version_bound=BOUND, stagger=0.0)
+    upgrade = Upgrade(transfer_time=T, version_bound=BOUND)
     upgrade.step(Named(version=1, at=-100.0), now=-100.0)
     seen = EngineSeen(version=version, whole=whole, busy=False)
     upgrade.step(seen, now=0.0)
@@ -119,19 +120,19 @@
     Cause: of two moments the later one was taken, also where it is behind the moment
     at which the version was heard of, so that the order seemed to have time.
     """
-    upgrade = Upgrade(transfer_time=T, version_bound=BOUND, stagger=0.8)
+    upgrade = Upgrade(transfer_time=T, version_bound=BOUND)
     upgrade.step(Named(version=1, at=-100.0), now=-100.0)
     upgrade.step(EngineSeen(version=1, whole=True, busy=False), now=0.0)
     upgrade.step(Placed(position=1), now=0.0)
     upgrade.step(Named(version=2, at=0.0), now=0.1)
     upgrade.step(Named(version=2, at=1.4), now=1.4)
-    outcomes = upgrade.step(PiecesHeld(version=2), now=6.6)
+    outcomes = upgrade.step(PiecesHeld(version=2), now=BOUND - LAST_ORDER)
     assert installs(outcomes) == [Install(version=2)]
 
 
 def test_later_date_that_can_be_true_is_taken():
     """An entry host that has just started tells an earlier moment than others do."""
-    upgrade = Upgrade(transfer_time=T, version_bound=BOUND, stagger=0.8)
+    upgrade = Upgrade(transfer_time=T, version_bound=BOUND)
     upgrade.step(Named(version=1, at=-100.0), now=-100.0)
     upgrade.step(EngineSeen(version=1, whole=True, busy=False), now=0.0)
     upgrade.step(Placed(position=1), now=0.0)
