--- a/hawthornspoke/catalog/_declared.py
+++ b/hawthornspoke/catalog/_declared.py
@@ -19,35 +19,26 @@
 class _Declared:
     """A declared version.
 
-    ``at`` is a moment before which it was not declared, ``heard_at`` the same by
-    the word of agents, which is used while the platform's own is unknown; ``made_by``
-    is a moment at which it was declared, as somebody had heard of it. ``is_told`` is
-    whether the platform told it, or agents only.
+    ``since`` is a moment before which it was not declared, by the platform's word or
+    that of agents; ``made_by`` is a moment at which it was, as somebody had heard of
+    it. ``is_told`` is whether the platform told it, or agents only.
     """
 
-    __slots__ = ("version", "at", "heard_at", "made_by", "is_told")
+    __slots__ = ("version", "since", "made_by", "is_told")
 
     def __init__(self, *, version, is_told):
         self.version = version
-        self.at = UNKNOWN
-        self.heard_at = UNKNOWN
+        self.since = UNKNOWN
         self.made_by = float("inf")
         self.is_told = is_told
 
-    @property
-    def since(self):
-        return self.at if self.at != UNKNOWN else self.heard_at
-
     def date(self, at):
-        # Of true moments the latest tells most. One behind the first word of the
-        # version is false: its sender stood still in between, or took the platform
-        # to have been away for all.
-        if at <= self.made_by:
-            self.at = max(self.at, at)
-
-    def hear(self, at):
+        # Of true moments the latest tells most, whoever told it: a host that the
+        # platform did not answer for a while knows only an early one. One behind the
+        # first word of the version is false: its sender stood still in between, or
+        # took the platform to have been away for all.
         if at <= self.made_by:
-            self.heard_at = max(self.heard_at, at)
+            self.since = max(self.since, at)
 
 
 class DeclaredVersions:
@@ -136,7 +127,7 @@
             item = _Declared(version=version, is_told=False)
             known.append(item)
             del known[:-KEPT]
-        item.hear(at)
+        item.date(at)
         item.made_by = min(item.made_by, heard_by)
 
     def dated(self, model, *, youngest):
--- a/hawthornspoke/placing/_fleet.py
+++ b/hawthornspoke/placing/_fleet.py
@@ -125,7 +125,10 @@
     def on_weights_declared(self, message, *, now):
         """Take a declared version."""
         self.declared.add(
-            message.declared, at=message.at, known_until=message.known_until
+            message.declared,
+            at=message.at,
+            known_until=message.known_until,
+            heard_by=_heard_by(message, now),
         )
         return []
 
@@ -140,7 +143,7 @@
         endpoint = self._directory.at(message.address)
         if endpoint is not None:
             endpoint.take_state(message, now)
-        heard_by = now if message.contact_now is None else message.contact_now
+        heard_by = _heard_by(message, now)
         for version, at in message.declared:
             self.declared.hear(message.model, version, at=at, heard_by=heard_by)
         return []
@@ -311,3 +314,8 @@
             contact_now=now if ask.contact_now is None else ask.contact_now,
             now=now,
         )
+
+
+def _heard_by(message, now):
+    """Return when a message came, on the clock of declarations."""
+    return now if message.contact_now is None else message.contact_now
--- a/hawthornspoke/placing/_messages.py
+++ b/hawthornspoke/placing/_messages.py
@@ -45,11 +45,14 @@
         is suspended; ``UNKNOWN`` if there is none.
     known_until : float
         A moment until which this process knew all declarations.
+    contact_now : float or None, default=None
+        When it was heard of, on the same clock; None if that is the steady one.
     """
 
     declared: object
     at: float
     known_until: float = UNKNOWN
+    contact_now: float | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/hawthornspoke/relay/_sink.py
+++ b/hawthornspoke/relay/_sink.py
@@ -153,7 +153,10 @@
         """
         before = self._fleet.declared.latest(declared.model)
         message = WeightsDeclared(
-            declared=declared, at=written_at, known_until=known_until
+            declared=declared,
+            at=written_at,
+            known_until=known_until,
+            contact_now=contact_clock(),
         )
         self._fleet.step(message, now=monotonic())
         if self._fleet.declared.latest(declared.model) == before:
