--- a/hawthornspoke/placing/_endpoint.py
+++ b/hawthornspoke/placing/_endpoint.py
@@ -37,6 +37,10 @@
         Whether it is taking up new weights and starts nothing else.
     pace : float
         How many times slower than usual its engine works.
+    moved : bool
+        Whether another endpoint answers at its address. Its entry stays listed until
+        it lapses, seconds after a host that lost power is back with a new one, and
+        each request would use up a try there.
     """
 
     __slots__ = (
@@ -46,6 +50,7 @@
         "loading",
         "pace",
         "gone",
+        "moved",
         "doubtful_deadline",
         "own_running",
         "reported_load",
@@ -76,6 +81,7 @@
 
     def _forget(self):
         """Begin with nothing, as a new start does."""
+        self.moved = False
         self.own_running = 0
         self.reported_load = 0
         self.reported_at = None
@@ -125,6 +131,7 @@
         if entry.address != self.entry.address:
             # The word is of what is at the other address.
             self._state = None
+        self.moved = self.moved and entry == self._entry
         self._entry = entry
         self.gone = False
         self._take_start(self._starts.hear_list(entry.incarnation))
@@ -225,6 +232,8 @@
         """Tell whether new requests may go there as far as the list says."""
         if self.entry.leaving and self._list_holds:
             return False
+        if self.moved:
+            return False
         return not self.gone or now < self.doubtful_deadline
 
     def report(self, load, now):
--- a/hawthornspoke/placing/_fleet.py
+++ b/hawthornspoke/placing/_fleet.py
@@ -185,8 +185,7 @@
             endpoint.end_one()
         if message.outcome == "moved":
             # Another endpoint has the address: its own entry is on the way.
-            endpoint.gone = True
-            endpoint.doubtful_deadline = now
+            endpoint.moved = True
         if message.outcome not in ("left", "moved"):
             count_outcome(endpoint, message, now)
         return []
