--- a/hawthornspoke/placing/tests/test_fleet.py
+++ b/hawthornspoke/placing/tests/test_fleet.py
@@ -270,6 +270,25 @@
     assert ask(machine).endpoint_id == "two"
 
 
+def test_endpoint_that_moved_stays_out_while_its_entry_stands():
+    """Each request used up a try at an address that another endpoint had.
+
+    Symptom: three tries in four of the second after a loss of power are answered "not
+    run", and callers that would have been on time are refused.
+    Events: a host is back with a new entry; the one of before is listed for two more
+    seconds, and told again with each change of the list.
+    Cause: each word of the list took the entry for a new one.
+    """
+    machine = fleet(entry("one"), entry("two"))
+    machine.step(Finished(endpoint_id="one", outcome="moved"), now=1.0)
+    machine.step(EndpointsListed(entries=(entry("one"), entry("two"))), now=1.1)
+    assert {ask(machine, now=1.2).endpoint_id for _ in range(10)} == {"two"}
+    listed = (entry("one", address="three:1"), entry("two"))
+    machine.step(EndpointsListed(entries=listed), now=1.3)
+    chosen = {ask(machine, now=1.4).endpoint_id for _ in range(20)}
+    assert chosen == {"one", "two"}
+
+
 def test_load_is_what_was_told_and_what_was_sent_since():
     machine = fleet(entry("one"), entry("two"))
     machine.step(LoadSeen(endpoint_id="one", load=3), now=1.0)
--- a/hawthornspoke/spread/_exchange.py
+++ b/hawthornspoke/spread/_exchange.py
@@ -38,6 +38,10 @@
 #: Seconds without news after which the next owner reads a piece from the origin.
 STALL_AFTER = 1.2
 
+#: Seconds between two questions of one host to an origin that refuses: an outage ends
+#: unannounced, and each second until it is noticed is one without weights.
+ORIGIN_AVOID_FOR = 0.2
+
 #: Pieces asked of the origin at once by one host. All hosts share its link: with
 #: two each the first pieces of all came together, after 0.75 s, and nothing could
 #: be exchanged until then.
@@ -95,6 +99,7 @@
             announce_every=ANNOUNCE_EVERY,
             stall_after=STALL_AFTER,
             avoid_for=0.4,
+            origin_avoid_for=ORIGIN_AVOID_FOR,
             peer_slots=PEER_SLOTS,
             origin_slots=ORIGIN_SLOTS,
         )
--- a/hawthornspoke/swarm/_planner.py
+++ b/hawthornspoke/swarm/_planner.py
@@ -60,6 +60,8 @@
         Seconds without news after which a chunk's next owner takes over.
     avoid_for : float, default=1.0
         Seconds a peer is left alone after a fetch from it failed.
+    origin_avoid_for : float, default=1.0
+        The same for the origin; news of a chunk that nobody had ends it sooner.
     seed : int, default=0
     """
 
@@ -70,6 +72,7 @@
         "announce_every",
         "stall_after",
         "avoid_for",
+        "origin_avoid_for",
         "seed",
         "by_digest",
         "_early",
@@ -85,6 +88,7 @@
         "announce_every": Bounds(kind=(int, float), low=0),
         "stall_after": Bounds(kind=(int, float), low=0.01),
         "avoid_for": Bounds(kind=(int, float), low=0),
+        "origin_avoid_for": Bounds(kind=(int, float), low=0),
         "seed": Bounds(kind=int),
     }
 
@@ -97,6 +101,7 @@
         announce_every=0.5,
         stall_after=3.0,
         avoid_for=1.0,
+        origin_avoid_for=1.0,
         seed=0,
     ):
         self.node = node
@@ -105,6 +110,7 @@
         self.announce_every = announce_every
         self.stall_after = stall_after
         self.avoid_for = avoid_for
+        self.origin_avoid_for = origin_avoid_for
         self.seed = seed
         self.by_digest = {}
         self._early = {}
@@ -176,11 +182,16 @@
             self._keep_early(message)
             return []
         transfer.now = now
+        seen_before = transfer.seen
         transfer.learn(message.node, message.indices, message.held, now=now)
         outcomes = []
+        if transfer.seen > seen_before and now < self._origin_avoid_deadline:
+            # Somebody has read a chunk that nobody had: the origin is back.
+            self._origin_avoid_deadline = now
+            outcomes += self._plan_origin(transfer, now=now)
         peer = transfer.participants.get(message.node)
         if peer is not None and peer.known < peer.held and not transfer.complete:
-            outcomes = self._ask_one(transfer, message.node, now=now)
+            outcomes += self._ask_one(transfer, message.node, now=now)
         if transfer.complete:
             return outcomes
         # Only the announced chunks have become available: looking through all
@@ -216,7 +227,7 @@
             return []
         source = self._end_fetch(transfer, message.index)
         if source is None:
-            self._origin_avoid_deadline = now + self.avoid_for
+            self._origin_avoid_deadline = now + self.origin_avoid_for
         else:
             self._blame(transfer, source, message, now=now)
         return self._plan(now=now)
