--- a/hawthornspoke/placing/_choice.py
+++ b/hawthornspoke/placing/_choice.py
@@ -274,7 +274,7 @@
                 slots=engine.slots,
                 age=endpoint.report_age(now),
             )
-            expected = first_token_at(endpoint, engine, ask, load=load)
+            expected = first_token_at(endpoint, engine, ask, load=load, now=now)
             candidates.append(
                 _Candidate(
                     endpoint=endpoint,
--- a/hawthornspoke/placing/_endpoint.py
+++ b/hawthornspoke/placing/_endpoint.py
@@ -1,5 +1,6 @@
 """What one entry host believes of one endpoint."""
 
+from hawthornspoke.placing._reading import Reading
 from hawthornspoke.placing._starts import Starts
 
 #: Weight of the newest outcome in the failure rate. Five outcomes in a row move it
@@ -37,6 +38,7 @@
         Whether it is taking up new weights and starts nothing else.
     pace : float
         How many times slower than usual its engine works.
+    reading : Reading
     moved : bool
         Whether another endpoint answers at its address. Its entry stays listed until
         it lapses, seconds after a host that lost power is back with a new one, and
@@ -51,6 +53,7 @@
         "pace",
         "gone",
         "moved",
+        "reading",
         "doubtful_deadline",
         "own_running",
         "reported_load",
@@ -82,6 +85,7 @@
     def _forget(self):
         """Begin with nothing, as a new start does."""
         self.moved = False
+        self.reading = Reading()
         self.own_running = 0
         self.reported_load = 0
         self.reported_at = None
--- a/hawthornspoke/placing/_fleet.py
+++ b/hawthornspoke/placing/_fleet.py
@@ -23,6 +23,7 @@
     WeightsDated,
     WeightsDeclared,
 )
+from hawthornspoke.placing._predict import reading_time
 from hawthornspoke.placing._refusal import Refusal
 from hawthornspoke.placing._validity import Validity
 
@@ -142,6 +143,8 @@
         """Take an agent's word."""
         endpoint = self._directory.at(message.address)
         if endpoint is not None:
+            if endpoint.is_about(message.incarnation):
+                self._note_load(endpoint, message.load, now)
             endpoint.take_state(message, now)
         heard_by = _heard_by(message, now)
         for version, at in message.declared:
@@ -167,12 +170,17 @@
         if endpoint is not None:
             endpoint.own_running += 1
             endpoint.sent_since_report += 1
+            engine = self._engine_of(endpoint)
+            if engine is not None:
+                seconds = reading_time(endpoint, engine, message.prompt_tokens)
+                endpoint.reading.add(seconds, now)
         return []
 
     def on_load_seen(self, message, *, now):
         """Take the load that a response told."""
         endpoint = self._directory.sent_to(message)
         if endpoint is not None:
+            self._note_load(endpoint, message.load, now)
             endpoint.report(message.load, now)
         return []
 
@@ -269,6 +277,22 @@
             "endpoint_by_id": self._directory.dump(now=now),
         }
 
+    def _engine_of(self, endpoint):
+        """Return the EngineProfile of an endpoint's service, None if it is plain."""
+        service = self.service_by_name.get(endpoint.entry.service)
+        return None if service is None else service.engine
+
+    def _note_load(self, endpoint, load, now):
+        """Take from a load that is about to be taken what others have sent."""
+        engine = self._engine_of(endpoint)
+        if engine is not None:
+            endpoint.reading.note_load(
+                grown=load - endpoint.load,
+                age=endpoint.report_age(now),
+                usual=reading_time(endpoint, engine, engine.usual_prompt),
+                now=now,
+            )
+
     def _arrange(self, now):
         """Choose the engines to keep to among those that are there now."""
         for name, service in self.service_by_name.items():
--- a/hawthornspoke/placing/_messages.py
+++ b/hawthornspoke/placing/_messages.py
@@ -150,10 +150,12 @@
     endpoint_id : str
     incarnation : Incarnation
         The start that was chosen for it.
+    prompt_tokens : int, default=0
     """
 
     endpoint_id: str
     incarnation: Incarnation = UNKNOWN_START
+    prompt_tokens: int = 0
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/hawthornspoke/placing/_predict.py
+++ b/hawthornspoke/placing/_predict.py
@@ -39,7 +39,7 @@
     return pace * (waiting + PASSES * one_pass + reading) + OVERHEAD
 
 
-def first_token_at(endpoint, profile, ask, *, load):
+def first_token_at(endpoint, profile, ask, *, load, now):
     """Return the expected time to a request's first token at an endpoint.
 
     Parameters
@@ -49,6 +49,7 @@
     ask : Ask
     load : float
         Requests that are there already.
+    now : float
 
     Returns
     -------
@@ -57,14 +58,34 @@
     """
     # Where pieces fill all links none can be left alone for it, and requests that
     # can't be on time would reach engines after their callers had left.
-    return endpoint.link_delay + first_token(
-        profile,
-        load=load,
-        prompt_tokens=ask.prompt_tokens,
-        pace=endpoint.pace,
+    return (
+        endpoint.link_delay
+        + endpoint.reading.left(now)
+        + first_token(
+            profile,
+            load=load,
+            prompt_tokens=ask.prompt_tokens,
+            pace=endpoint.pace,
+        )
     )
 
 
+def reading_time(endpoint, profile, prompt_tokens):
+    """Return the seconds in which an engine reads a prompt.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+    profile : EngineProfile
+    prompt_tokens : int
+
+    Returns
+    -------
+    float
+    """
+    return endpoint.pace * prompt_tokens / profile.read_rate
+
+
 def slot_release(profile):
     """Return the mean time between two slots of a full engine becoming free.
 
--- a/hawthornspoke/placing/_validity.py
+++ b/hawthornspoke/placing/_validity.py
@@ -111,7 +111,9 @@
             return False
         if self._is_newest(endpoint, engine):
             return True
-        expected = first_token_at(endpoint, engine, ask, load=endpoint.load)
+        expected = first_token_at(
+            endpoint, engine, ask, load=endpoint.load, now=self.now
+        )
         return self.prospect(endpoint, engine, expected) is not Prospect.TOO_LATE
 
     def prospect(self, endpoint, engine, expected):
--- a/hawthornspoke/relay/_sending.py
+++ b/hawthornspoke/relay/_sending.py
@@ -79,7 +79,9 @@
         place = self._admission.recheck(work, ask=ask, place=attempt.place)
         if not isinstance(place, Failure):
             attempt.place = place
-            failure = attempt.send(data, expected_id=work.request_id)
+            failure = attempt.send(
+                data, expected_id=work.request_id, prompt_tokens=work.prompt_tokens
+            )
         else:
             failure = place
         if failure is not None:
--- a/hawthornspoke/relay/_try.py
+++ b/hawthornspoke/relay/_try.py
@@ -70,13 +70,14 @@
         self.connection = connection
         return None
 
-    def send(self, data, *, expected_id):
+    def send(self, data, *, expected_id, prompt_tokens=0):
         """Send the request.
 
         Parameters
         ----------
         data : bytes
         expected_id : str
+        prompt_tokens : int, default=0
 
         Returns
         -------
@@ -91,7 +92,11 @@
         self.sent_at = monotonic()
         self.exchange = self.connection.send(data, expected_id=expected_id)
         self._tell(
-            Sent(endpoint_id=self.place.endpoint_id, incarnation=self.place.incarnation)
+            Sent(
+                endpoint_id=self.place.endpoint_id,
+                incarnation=self.place.incarnation,
+                prompt_tokens=prompt_tokens,
+            )
         )
         return None
 
