--- a/hawthornspoke/placing/_choice.py
+++ b/hawthornspoke/placing/_choice.py
@@ -304,7 +304,7 @@
         sure = [item for item in candidates if item.prospect is Prospect.SURE]
         among = sure or candidates
         pair = self._chance.sample(among, min(2, len(among)))
-        chosen = min(pair, key=lambda item: (item.load, item.expected))
+        chosen = min(pair, key=lambda item: (item.expected, item.load))
         return _place(chosen.endpoint, chosen.expected, now)
 
     def _rank(self, endpoint, expected, *, near):
