--- a/hawthornspoke/placing/_choice.py
+++ b/hawthornspoke/placing/_choice.py
@@ -13,6 +13,10 @@
 #: 60%, and no fewer were answered in all.
 LATE_QUEUE = 0
 
+#: Seconds by which an engine with all slots taken counts as slower than an empty one:
+#: callers that come next find room where few are.
+FULL_COST = 0.15
+
 #: Requests for each slot of a plain endpoint above which nothing more is sent to
 #: it: with a queue of four times its slots it sheds.
 PLAIN_QUEUE = 3
@@ -32,6 +36,19 @@
         self.expected = expected
         self.prospect = prospect
 
+    def cost(self, slots):
+        """Return the seconds to the first token, and for the room that it takes.
+
+        Parameters
+        ----------
+        slots : int
+
+        Returns
+        -------
+        float
+        """
+        return self.expected + FULL_COST * self.load / slots
+
 
 class _Group:
     """Some of the engines, for one request.
@@ -184,11 +201,11 @@
             free = kept.on_time
         subset.count(spilled=not free, now=now)
         if free:
-            return self._less_loaded_of_two(free, now)
+            return self._better_of_two(free, search.engine.slots, now)
         others = self._group(search, near=True, followed=False)
         on_time = kept.on_time + others.on_time
         if on_time:
-            return self._less_loaded_of_two(on_time, now)
+            return self._better_of_two(on_time, search.engine.slots, now)
         subset.widen(now)
         return None
 
@@ -197,7 +214,9 @@
         for followed in (True, False):
             group = self._group(search, near=False, followed=followed)
             if group.on_time:
-                return self._less_loaded_of_two(group.on_time, search.validity.now)
+                return self._better_of_two(
+                    group.on_time, search.engine.slots, search.validity.now
+                )
         return None
 
     def _late(self, search):
@@ -209,7 +228,7 @@
                 valid = [item for group in groups for item in group.valid]
                 useful = _still_useful(valid, ask, search.engine)
                 if useful:
-                    return self._less_loaded_of_two(useful, now)
+                    return self._better_of_two(useful, search.engine.slots, now)
         times = [item.expected for group in search.groups for item in group.candidates]
         if not times:
             return None
@@ -295,16 +314,16 @@
     def _is_near(self, endpoint):
         return endpoint.is_in(self.failure_domain)
 
-    def _less_loaded_of_two(self, candidates, now):
-        """Return a Place at the less loaded of two random engines.
+    def _better_of_two(self, candidates, slots, now):
+        """Return a Place at the better of two random engines.
 
         Several entry hosts see the same loads, some 0.1 s old. If each took the
-        least loaded engine, all would take the same one, and its callers be late.
+        best engine, all would take the same one, and its callers be late.
         """
         sure = [item for item in candidates if item.prospect is Prospect.SURE]
         among = sure or candidates
         pair = self._chance.sample(among, min(2, len(among)))
-        chosen = min(pair, key=lambda item: (item.expected, item.load))
+        chosen = min(pair, key=lambda item: item.cost(slots))
         return _place(chosen.endpoint, chosen.expected, now)
 
     def _rank(self, endpoint, expected, *, near):
