--- a/hawthornspoke/spread/_uploads.py
+++ b/hawthornspoke/spread/_uploads.py
@@ -1,11 +1,7 @@
-"""Sends pieces to peers one after the other, slowly enough for live traffic.
-
-A peer whose link takes no more holds up nobody else: the next piece in order is sent
-meanwhile. Where it did, four hosts behind narrow links left the links of thirty others
-idle for half of a spread.
-"""
+"""Sends pieces to peers one after the other, slowly enough for live traffic."""
 
 import asyncio
+import collections
 
 from hawthornspoke.base import contact_clock
 
@@ -39,39 +35,10 @@
 #: the worst.
 PIECE_TIMEOUT = 2.0
 
-#: Pieces that may wait here behind the one that is sent; a peer that asks for more is told to ask elsewhere.
+#: Pieces that may wait here; a peer that asks for more is told to ask elsewhere.
 MOST_WAITING = 6
 
 
-class _Upload:
-    """A frame for a peer, and what of it has not been written."""
-
-    __slots__ = ("link", "frame", "data", "give_up_deadline")
-
-    def __init__(self, *, link, frame, now):
-        self.link = link
-        self.frame = frame
-        # Encoded with its first slice: a piece that is never sent costs nothing.
-        self.data = None
-        self.give_up_deadline = now + PIECE_TIMEOUT
-
-    def is_over(self, now):
-        """Tell whether nothing of it is to be sent any more."""
-        if not self.link.is_open:
-            return True
-        # Begun now, it would only delay what is still waited for.
-        return self.data is None and now >= self.give_up_deadline
-
-    def write_slice(self, now):
-        """Write the next slice; return its bytes and whether it was the last."""
-        if self.data is None:
-            self.data = memoryview(self.link.encode(self.frame))
-        part, self.data = self.data[:SLICE_BYTES], self.data[SLICE_BYTES:]
-        self.link.write_part(part, is_last=not self.data)
-        self.give_up_deadline = now + STUCK_AFTER
-        return len(part), not self.data
-
-
 class Uploads:
     """A queue of pieces and the task that sends them.
 
@@ -88,17 +55,17 @@
     def __init__(self, *, link_rate, is_serving):
         self._link_rate = link_rate
         self._is_serving = is_serving
-        self._waiting = []
+        self._waiting = collections.deque()
         self._task = None
 
     @property
     def is_full(self):
         """Whether no further piece is taken."""
-        return len(self._waiting) > MOST_WAITING
+        return len(self._waiting) >= MOST_WAITING
 
     def put(self, link, frame):
         """Take a piece for a peer."""
-        self._waiting.append(_Upload(link=link, frame=frame, now=contact_clock()))
+        self._waiting.append((link, frame, contact_clock() + PIECE_TIMEOUT))
         if self._task is None or self._task.done():
             self._task = asyncio.get_running_loop().create_task(self._send_all())
 
@@ -112,29 +79,26 @@
         loop = asyncio.get_running_loop()
         due = loop.time()
         while self._waiting:
-            upload = self._next()
-            if upload is None:
-                await asyncio.sleep(LOOK_EVERY)
+            link, frame, deadline = self._waiting.popleft()
+            if contact_clock() >= deadline:
+                # Sent now, it would only delay what is still waited for.
                 continue
-            sent, is_last = upload.write_slice(contact_clock())
-            if is_last:
-                self._waiting.remove(upload)
-            share = SHARE_BESIDE_REQUESTS if self._is_serving() else SHARE_ALONE
-            due = max(due, loop.time() - CATCH_UP) + sent / (self._link_rate * share)
-            await asyncio.sleep(max(0.0, due - loop.time()))
-
-    def _next(self):
-        """Return the first upload whose peer takes more, None if none does."""
-        now = contact_clock()
-        self._waiting = [item for item in self._waiting if not item.is_over(now)]
-        seen = set()
-        for upload in self._waiting:
-            # Frames on one connection follow each other whole.
-            if upload.link in seen:
-                continue
-            seen.add(upload.link)
-            if upload.link.unsent() <= MOST_UNSENT:
-                return upload
-            if upload.data is not None and now >= upload.give_up_deadline:
-                upload.link.close()
-        return None
+            data = memoryview(link.encode(frame))
+            while data and link.is_open:
+                part, data = data[:SLICE_BYTES], data[SLICE_BYTES:]
+                link.write_part(part, is_last=not data)
+                sent = len(part)
+                await self._until_taken(link)
+                share = SHARE_BESIDE_REQUESTS if self._is_serving() else SHARE_ALONE
+                due = max(due, loop.time() - CATCH_UP) + sent / (
+                    self._link_rate * share
+                )
+                await asyncio.sleep(max(0.0, due - loop.time()))
+
+    async def _until_taken(self, link):
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + STUCK_AFTER
+        while link.is_open and link.unsent() > MOST_UNSENT:
+            if loop.time() >= deadline:
+                link.close()
+            await asyncio.sleep(LOOK_EVERY)
