Ablation: what each mechanism of deciding is worth

The copies are made as `tests/mutations.py` makes its own; a mechanism's switch is the text that holds it, so that the product has no setting for it.

--- /dev/null
+++ b/benchmarks/ablation.py
@@ -0,0 +1,331 @@
+"""What each mechanism of deciding is worth: days are played without it.
+
+Run by hand, with the program that plays days, a site and a folder for scratch copies of
+the sources that is not below ``/tmp``::
+
+    python -m benchmarks.ablation PROGRAM SITE --scratch FOLDER \\
+        --days scale-1,quiet-1 --seeds 11,12 --jobs 4 [WORD ...]
+
+The program leaves its entries in the ``journal/`` of each copy; they are to be kept.
+Only mechanisms whose name has one of the words are taken away. Each is compared with
+the whole code on the same days and seeds; the spread is that of the differences.
+"""
+
+import argparse
+import re
+import shutil
+import statistics
+import subprocess
+import sys
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from tests.mutations import Mutation, copy_whole, copy_without
+
+#: Nothing is taken away: what the others are compared with.
+WHOLE = "nothing"
+
+#: A line of figures: day, hosts, score, worth, and the rest.
+FIGURES = re.compile(r"^(?!day )\S+ +\d+/\d+ +\S+ +(-?\d+\.\d+) ", re.MULTILINE)
+
+MECHANISMS = [
+    Mutation(
+        name="better of two random engines",
+        file="placing/_choice.py",
+        old="pair = self._chance.sample(among, min(2, len(among)))",
+        new="pair = among",
+    ),
+    Mutation(
+        name="added load of other hosts",
+        file="placing/_choice.py",
+        old="                arrivals=arrivals,\n",
+        new="                arrivals=0.0,\n",
+    ),
+    Mutation(
+        name="prompts that are yet to be read",
+        file="placing/_predict.py",
+        old="        + endpoint.reading.left(now)\n",
+        new="",
+    ),
+    Mutation(
+        name="cost of taken slots",
+        file="placing/_choice.py",
+        old="FULL_COST = 0.15",
+        new="FULL_COST = 0.0",
+    ),
+    Mutation(
+        name="own failure domain first",
+        file="placing/_choice.py",
+        old="        return endpoint.is_in(self.failure_domain)\n",
+        new="        return True\n",
+    ),
+    Mutation(
+        name="late callers get free slots",
+        file="placing/_choice.py",
+        old="        if ask.returned:\n",
+        new="        if False:\n",
+    ),
+    Mutation(
+        name="subset of the engines",
+        file="placing/_subset.py",
+        old="LEAST_NEAR = 8",
+        new="LEAST_NEAR = 10_000",
+    ),
+    Mutation(
+        name="avoidance of bad endpoints",
+        file="placing/_avoidance.py",
+        old="    if len(kept) < len(endpoints) * (1 - AVOID_SHARE) or not kept:\n",
+        new="    if True:\n",
+    ),
+    Mutation(
+        name="delay of engines' links",
+        file="placing/_endpoint.py",
+        old="return self.state.link_delay if self.state is not None else 0.0",
+        new="return 0.0",
+    ),
+    Mutation(
+        name="endpoints that moved stay out",
+        file="placing/_endpoint.py",
+        old="        if self.moved:\n",
+        new="        if False:\n",
+    ),
+    Mutation(
+        name="old weights until the withdrawal",
+        file="placing/_validity.py",
+        old="            return Prospect.EXPECTED\n",
+        new="            return Prospect.TOO_LATE\n",
+    ),
+    Mutation(
+        name="withdrawal",
+        file="relay/_try.py",
+        old="        if self.place.begin_deadline is None:\n",
+        new="        if True:\n",
+    ),
+    Mutation(
+        name="dates by the word of agents",
+        file="placing/_fleet.py",
+        old="        for version, at in message.declared:\n",
+        new="        for version, at in ():\n",
+    ),
+    Mutation(
+        name="waits of the feed drawn apart",
+        file="mirror/_watch.py",
+        old="WAIT_SPREAD = (0.4, 1.0)",
+        new="WAIT_SPREAD = (1.0, 1.0)",
+    ),
+    Mutation(
+        name="one reader for a failure domain",
+        file="mirror/_watch.py",
+        old="reader = None if failed else self._neighbours.reader()",
+        new="reader = None",
+    ),
+    Mutation(
+        name="hedged questions to the platform",
+        file="../platform/adapter/store.py",
+        old="HEDGE_AFTER = 0.3",
+        new="HEDGE_AFTER = 3600.0",
+    ),
+    Mutation(
+        name="retry budget",
+        file="relay/_choosing.py",
+        old="        if isinstance(verdict, RetryAllowed):\n",
+        new="        if True:\n",
+    ),
+    Mutation(
+        name="resumed streams",
+        file="relay/_streams.py",
+        old="                attempt = await self._resume(work, head, splitter)\n",
+        new="                attempt = None\n",
+    ),
+    Mutation(
+        name="late callers go second at engines",
+        file="relay/_encoding.py",
+        old="own * PRIORITY_STEP + int(late)",
+        new="own * PRIORITY_STEP",
+    ),
+    Mutation(
+        name="spread of Retry-After",
+        file="placing/_refusal.py",
+        old="        spread = earliest + (most - earliest) * self._chance.random()\n",
+        new="        spread = earliest\n",
+    ),
+    Mutation(
+        name="engines change in groups",
+        file="spread/_changeover.py",
+        old="    pause = min(CHANGE_TIME, span / (groups - 1))\n",
+        new="    pause = 0.0\n",
+    ),
+    Mutation(
+        name="drop of the first of two versions",
+        file="spread/_upgrade.py",
+        old="DROP_SHARE = 0.5",
+        new="DROP_SHARE = 0.0",
+    ),
+    Mutation(
+        name="origin asked again soon",
+        file="spread/_exchange.py",
+        old="ORIGIN_AVOID_FOR = 0.2",
+        new="ORIGIN_AVOID_FOR = 0.4",
+    ),
+    Mutation(
+        name="pieces leave room for requests",
+        file="spread/_uploads.py",
+        old="SHARE_BESIDE_REQUESTS = 0.86",
+        new="SHARE_BESIDE_REQUESTS = 0.97",
+    ),
+]
+
+
+@dataclass(slots=True, kw_only=True)
+class Result:
+    """The days that were played without a mechanism.
+
+    Parameters
+    ----------
+    name : str
+        Of the mechanism.
+    worth_by_day : dict of (str, str) to float
+        By day and seed; a day without a figure is left out.
+    failures : list of str
+        Broken rules and days that gave no figure.
+    """
+
+    name: str
+    worth_by_day: dict = field(default_factory=dict)
+    failures: list = field(default_factory=list)
+
+
+def play(program, site, copy, *, name, day, seed):
+    """Play one day in a copy of the sources.
+
+    Parameters
+    ----------
+    program, site : str
+    copy : Path
+    name : str
+        Of what the copy lacks.
+    day, seed : str
+
+    Returns
+    -------
+    tuple of (float or None, str)
+        The worth, and what went wrong.
+    """
+    done = subprocess.run(
+        [
+            *(program, "run", site, day, "--no-cpu", "--seed", seed),
+            *("--why", f"ablation: without {name}"),
+        ],
+        cwd=copy,
+        capture_output=True,
+        text=True,
+    )
+    found = FIGURES.search(done.stdout)
+    broken = re.findall(r"BROKEN: (.*)", done.stdout)
+    return float(found.group(1)) if found else None, "; ".join(broken)
+
+
+def measure(mechanisms, options):
+    """Play all days without each mechanism, and with all of them.
+
+    Parameters
+    ----------
+    mechanisms : list of Mutation
+    options : argparse.Namespace
+
+    Returns
+    -------
+    list of Result
+        That of the whole code first.
+    """
+    whole = Mutation(name=WHOLE, file="__init__.py", old="", new="")
+    results, jobs = [], []
+    for mechanism in [whole, *mechanisms]:
+        copy = Path(options.scratch) / re.sub(r"\W+", "-", mechanism.name)
+        shutil.rmtree(copy, ignore_errors=True)
+        result = Result(name=mechanism.name)
+        results.append(result)
+        if mechanism is whole:
+            copy_whole(copy)
+        elif not copy_without(mechanism, copy):
+            result.failures.append("not applied")
+            continue
+        (copy / "journal").mkdir(exist_ok=True)
+        jobs += [
+            (result, copy, day, seed)
+            for day in options.days.split(",")
+            for seed in options.seeds.split(",")
+        ]
+
+    def run(job):
+        result, copy, day, seed = job
+        worth, failure = play(
+            options.program, options.site, copy, name=result.name, day=day, seed=seed
+        )
+        if worth is None or failure:
+            result.failures.append(f"{day} {seed}: {failure or 'no figure'}")
+        if worth is not None:
+            result.worth_by_day[day, seed] = worth
+
+    with ThreadPoolExecutor(max_workers=options.jobs) as pool:
+        list(pool.map(run, jobs))
+    return results
+
+
+def table(results):
+    """Return the results as lines of a table.
+
+    Parameters
+    ----------
+    results : list of Result
+        That of the whole code first.
+
+    Returns
+    -------
+    list of str
+    """
+    whole = results[0].worth_by_day
+    lines = [
+        "| without | days | worth with | without | difference | spread | seen |",
+        "|---|---|---|---|---|---|---|",
+    ]
+    for result in results[1:]:
+        days = sorted(set(whole) & set(result.worth_by_day))
+        seen = "; ".join(result.failures)
+        if not days:
+            lines.append(f"| {result.name} | 0 | | | | | {seen} |")
+            continue
+        differences = [result.worth_by_day[day] - whole[day] for day in days]
+        spread = statistics.pstdev(differences)
+        lines.append(
+            f"| {result.name} | {len(days)} "
+            f"| {statistics.mean(whole[day] for day in days):.3f} "
+            f"| {statistics.mean(result.worth_by_day[day] for day in days):.3f} "
+            f"| {statistics.mean(differences):+.3f} | {spread:.3f} | {seen} |"
+        )
+    return lines
+
+
+def main():
+    """Measure and print the table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("program")
+    parser.add_argument("site")
+    parser.add_argument("words", nargs="*")
+    parser.add_argument("--scratch", required=True)
+    parser.add_argument("--days", required=True)
+    parser.add_argument("--seeds", required=True)
+    parser.add_argument("--jobs", type=int, default=4)
+    options = parser.parse_args()
+    words = options.words
+    chosen = [
+        item for item in MECHANISMS if not words or any(w in item.name for w in words)
+    ]
+    for line in table(measure(chosen, options)):
+        print(line)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -30,13 +30,13 @@
         Where two guards hold one promise, ``also`` takes the second away.
     also : tuple of str, default=()
         A further old and new text.
-    test : str
+    test : str, default=""
         pytest arguments of the test that has to fail.
     """
 
     __slots__ = ("name", "file", "old", "new", "also", "test")
 
-    def __init__(self, *, name, file, old, new, test, also=()):
+    def __init__(self, *, name, file, old, new, test="", also=()):
         self.name = name
         self.file = file
         self.old = old
@@ -371,22 +371,52 @@
 ]
 
 
+def copy_whole(copy):
+    """Make a copy of the sources.
+
+    Parameters
+    ----------
+    copy : Path
+        Where the copy is made.
+    """
+    ignored = shutil.ignore_patterns(".git", ".venv", "__pycache__", "journal")
+    shutil.copytree(ROOT, copy, ignore=ignored)
+
+
+def copy_without(mutation, copy):
+    """Make a copy of the sources without a mechanism.
+
+    Parameters
+    ----------
+    mutation : Mutation
+    copy : Path
+        Where the copy is made.
+
+    Returns
+    -------
+    bool
+        False if the text that holds the mechanism doesn't stand there just once.
+    """
+    copy_whole(copy)
+    file = copy / "hawthornspoke" / mutation.file
+    text = file.read_text()
+    pairs = [(mutation.old, mutation.new)]
+    if mutation.also:
+        pairs.append(mutation.also)
+    for old, new in pairs:
+        if text.count(old) != 1:
+            return False
+        text = text.replace(old, new)
+    file.write_text(text)
+    return True
+
+
 def run_mutation(mutation):
     """Return whether the mutation's test failed without the mechanism."""
     with tempfile.TemporaryDirectory(prefix="mutation-") as folder:
         copy = Path(folder) / "copy"
-        ignored = shutil.ignore_patterns(".git", ".venv", "__pycache__")
-        shutil.copytree(ROOT, copy, ignore=ignored)
-        file = copy / "hawthornspoke" / mutation.file
-        text = file.read_text()
-        pairs = [(mutation.old, mutation.new)]
-        if mutation.also:
-            pairs.append(mutation.also)
-        for old, new in pairs:
-            if text.count(old) != 1:
-                return "not applied"
-            text = text.replace(old, new)
-        file.write_text(text)
+        if not copy_without(mutation, copy):
+            return "not applied"
         done = subprocess.run(
             [sys.executable, "-m", "pytest", "-x", "-q", *mutation.test.split(" ", 2)],
             cwd=copy,
