--- a/hawthornspoke/cli/_app.py
+++ b/hawthornspoke/cli/_app.py
@@ -87,7 +87,7 @@
 @app.command
 def report(
     logs: list[Path],
-    version_bound: float,
+    version_bound: float | None = None,
     json: bool = False,
     plot: Path | None = None,
 ):
@@ -98,13 +98,15 @@
     logs
         Files, or folders of files, of structured log lines.
     version_bound
-        Seconds after a declaration within which its weights must be in place.
+        Seconds after a declaration within which its weights must be in place; as
+        the logs tell it where it is left out.
     json
         Print a JSON object in place of a table.
     plot
         Also draw it into this file, PNG or SVG.
     """
     from hawthornspoke.report import (
+        BoundUnknown,
         NoPlots,
         as_json,
         as_text,
@@ -117,7 +119,7 @@
         print(as_json(built) if json else as_text(built))
         if plot is not None:
             plot_report(built, plot)
-    except (FileNotFoundError, NoPlots) as error:
+    except (FileNotFoundError, BoundUnknown, NoPlots) as error:
         print(error, file=sys.stderr)
         return codes.FAILED
     return codes.OK
--- a/hawthornspoke/mirror/tests/test_watch.py
+++ b/hawthornspoke/mirror/tests/test_watch.py
@@ -11,6 +11,7 @@
     NEIGHBOUR_WAIT,
     OVERDUE_AFTER,
     RETRY_PAUSE,
+    WAIT_SPREAD,
 )
 
 READER = "127.0.0.1"
@@ -350,3 +351,29 @@
         alone.stop()
 
     asyncio.run(run())
+
+
+def test_questions_of_hosts_in_step_drift_apart():
+    """A declaration was dated 0.6 s too early by every host at once.
+
+    Symptom: old weights are given up half a second before they have to be.
+    Events: a change answers the questions of all hosts at the same moment; nothing
+    changes for some seconds; then a version is declared just before the next answers.
+    Cause: all questions waited equally long, so that they stayed in step.
+    """
+
+    async def scenario(reader, asker):
+        waits = []
+        follow = reader.store.follow
+
+        async def noting(table, *, after, wait):
+            waits.append(wait)
+            return await follow(table, after=after, wait=wait)
+
+        reader.store.follow = noting
+        await until(lambda: len(waits) >= 6, seconds=6.0)
+        assert max(waits) <= 0.5
+        assert min(waits) >= 0.5 * WAIT_SPREAD[0]
+        assert max(waits) - min(waits) > 0.01
+
+    play(scenario)
--- a/hawthornspoke/placing/tests/test_declared.py
+++ b/hawthornspoke/placing/tests/test_declared.py
@@ -227,3 +227,19 @@
     report(machine, "new", load=9, version=2, now=17.3)
     answers = [ask(machine, now=17.3) for _ in range(20)]
     assert {answer.endpoint_id for answer in answers} == {"new"}
+
+
+def test_later_moment_of_an_agent_counts_where_the_platform_told_first():
+    """One host refused for 7 s what old weights might still answer.
+
+    Events: a host stands still for seconds; on waking it reads a version, and knows of
+    it only that it was not declared before it stood still; agents tell it a later
+    moment, of hosts that heard of it at once.
+    Cause: an agent's word was taken only where the platform told no moment at all.
+    """
+    machine = fleet(entry("one"))
+    declare(machine, TWO, at=2.0, now=10.1)
+    assert isinstance(place(machine, now=10.2), Decline)
+    agent_says(machine, declared_at=9.8, now=10.3)
+    found = place(machine, now=10.4)
+    assert found.begin_deadline == 9.8 + 8.0 - WITHDRAW_MARGIN
--- a/hawthornspoke/relay/_process.py
+++ b/hawthornspoke/relay/_process.py
@@ -180,7 +180,12 @@
             ),
             loop.create_task(self._keep("timers", lambda: self.timers.run(ticks))),
         ]
-        self.log.change("started", role="entry", failure_domain=self._domain)
+        self.log.change(
+            "started",
+            role="entry",
+            failure_domain=self._domain,
+            version_bound=self.settings.version_bound,
+        )
         try:
             await self._stopped
         finally:
--- a/hawthornspoke/report/__init__.py
+++ b/hawthornspoke/report/__init__.py
@@ -1,11 +1,12 @@
 """What a fleet did over time, from the collected logs of all hosts."""
 
-from hawthornspoke.report._build import build_report
+from hawthornspoke.report._build import BoundUnknown, build_report
 from hawthornspoke.report._plot import NoPlots, plot_report
 from hawthornspoke.report._text import as_json, as_text
 from hawthornspoke.report._types import EngineCounts, Report, RequestCounts, Spread
 
 __all__ = [
+    "BoundUnknown",
     "EngineCounts",
     "NoPlots",
     "Report",
--- a/hawthornspoke/report/_build.py
+++ b/hawthornspoke/report/_build.py
@@ -19,16 +19,20 @@
 CALLS = re.compile(r'platform_calls_total\{call="([^"]*)"\}')
 
 
-def build_report(places, *, version_bound):
+class BoundUnknown(ValueError):
+    """No line tells how long older weights may begin to answer."""
+
+
+def build_report(places, *, version_bound=None):
     """Return what the logs tell of a fleet.
 
     Parameters
     ----------
     places : iterable of Path
         Files, or folders of files.
-    version_bound : float
+    version_bound : float or None, default=None
         Seconds after its declaration from which only a version or a newer one may
-        begin to answer.
+        begin to answer; None for what entry hosts told at their start.
 
     Returns
     -------
@@ -38,9 +42,13 @@
     ------
     FileNotFoundError
         Names the place that is not there.
+    BoundUnknown
+        If neither the caller nor a line tells the bound.
     """
     reading = Reading(places=places)
     events = reading.events
+    if version_bound is None:
+        version_bound = _told_bound(events)
     started_at = events[0]["t"] if events else 0.0
     domain_by_node = _domains(events)
     spreads = _spreads(events)
@@ -68,6 +76,18 @@
     )
 
 
+def _told_bound(events):
+    """Return the bound that entry hosts told last."""
+    told = [
+        event["version_bound"]
+        for event in events
+        if event["event"] == "started" and _number(event, "version_bound") > 0
+    ]
+    if not told:
+        raise BoundUnknown("no line 'started' tells version_bound: give it")
+    return told[-1]
+
+
 def _domains(events):
     """Return the failure domain of each host that has told it."""
     return {
--- a/hawthornspoke/report/tests/test_report.py
+++ b/hawthornspoke/report/tests/test_report.py
@@ -4,7 +4,14 @@
 
 import pytest
 
-from hawthornspoke.report import NoPlots, as_json, as_text, build_report, plot_report
+from hawthornspoke.report import (
+    BoundUnknown,
+    NoPlots,
+    as_json,
+    as_text,
+    build_report,
+    plot_report,
+)
 
 BOUND = 8.0
 
@@ -164,6 +171,18 @@
         build_report([tmp_path / "nowhere"], version_bound=BOUND)
 
 
+def test_bound_is_taken_from_what_entry_hosts_told(built, tmp_path):
+    started = line(100.0, "started", node="e2", role="entry", version_bound=BOUND)
+    (tmp_path / "e2.log").write_text(started + "\n")
+    told = build_report([tmp_path])
+    assert told.engines_by_second == built.engines_by_second
+
+
+def test_bound_that_nobody_tells_is_asked_for(built, tmp_path):
+    with pytest.raises(BoundUnknown, match="version_bound: give it"):
+        build_report([tmp_path])
+
+
 def test_report_is_drawn(built, tmp_path):
     pytest.importorskip("matplotlib")
     for name in ("report.png", "report.svg"):
