Revert: requests wait here for weights that are about to be there

Hypothesis: callers can come back once; one that is refused twice in the gap between two versions is lost, though weights come within its time.

Conclusion: not kept. Fewer are refused, but those that waited take the first slots as they come free, and callers that could be on time are late behind them.

--- a/hawthornspoke/placing/_messages.py
+++ b/hawthornspoke/placing/_messages.py
@@ -290,11 +290,7 @@
         ``"no_endpoint"``, ``"no_weights"`` or ``"full"``.
     retry_after : float
         Seconds after which room is expected.
-    ready_in : float or None, default=None
-        Seconds until weights are expected, where these are missing and an agent
-        tells when.
     """
 
     reason: str
     retry_after: float
-    ready_in: float | None = None
--- a/hawthornspoke/placing/_refusal.py
+++ b/hawthornspoke/placing/_refusal.py
@@ -1,7 +1,5 @@
 """Refusals, and when a refused caller is told to come back."""
 
-from dataclasses import replace
-
 from hawthornspoke.placing._messages import Decline
 
 #: Seconds until endpoints of a service that has none may be known.
@@ -55,11 +53,8 @@
             if endpoint.agent_word is not None
             and endpoint.agent_word.next_ready_at is not None
         ]
-        if not times:
-            return self._decline(ask, "no_weights", NO_WEIGHTS_TIME)
-        soonest = max(0.0, min(times) - now)
-        decline = self._decline(ask, "no_weights", soonest)
-        return replace(decline, ready_in=soonest)
+        soonest = max(0.0, min(times) - now) if times else NO_WEIGHTS_TIME
+        return self._decline(ask, "no_weights", soonest)
 
     def full(self, ask, seconds):
         """Return a Decline for want of room.
--- a/hawthornspoke/relay/_choosing.py
+++ b/hawthornspoke/relay/_choosing.py
@@ -44,7 +44,6 @@
         -------
         Place or None
         """
-        work.ready_in = None
         if work.objection is not None:
             return None
         if connects >= MOST_CONNECTS + work.route.attempts:
@@ -56,7 +55,6 @@
         if isinstance(answer, Decline):
             work.last_reason = work.last_reason or answer.reason
             work.retry_after = answer.retry_after
-            work.ready_in = answer.ready_in
             return None
         return answer
 
@@ -89,13 +87,12 @@
         """
         now = self._clock()
         begun = same_version is not None
-        waited = work.wait_deadline is not None
         return Ask(
             service=work.service,
             prompt_tokens=work.prompt_tokens,
             on_time_left=1.0 if begun else work.objective_deadline - now,
             time_left=work.deadline - now,
-            returned=begun or work.returned or work.sent > 0 or waited,
+            returned=begun or work.returned or work.sent > 0,
             tried=frozenset(work.tried),
             same_version=same_version,
             contact_now=now,
@@ -131,8 +128,7 @@
     def _answer(self, work, ask):
         (answer,) = self._fleet.step(ask, now=monotonic())
         if isinstance(answer, Decline):
-            if work.wait_deadline is None:
-                self._log_declined(work, ask, answer)
+            self._log_declined(work, ask, answer)
         else:
             self._log_placed(work, ask, answer)
             work.tried.append(answer.endpoint_id)
--- a/hawthornspoke/relay/_forward.py
+++ b/hawthornspoke/relay/_forward.py
@@ -7,7 +7,6 @@
 from hawthornspoke.relay._sending import Sender
 from hawthornspoke.relay._streams import LEAST_PATIENCE, SUCCESS, Streams
 from hawthornspoke.relay._try import NOT_RUN
-from hawthornspoke.relay._waiting import WaitingRoom
 
 #: Times the expected time to the first token that an endpoint is waited for.
 PATIENCE = 3.0
@@ -40,7 +39,6 @@
         "_chooser",
         "_sender",
         "_streams",
-        "_waiting",
     )
 
     def __init__(self, *, admission, timers, fleet, pool, dialect, budget_for, log):
@@ -68,8 +66,6 @@
             dialect=dialect,
         )
 
-        self._waiting = WaitingRoom(clock=admission.clock, log=log)
-
     async def run(self, work):
         """Try until the request is answered or given up.
 
@@ -83,8 +79,6 @@
         while True:
             place = self._chooser.choose(work, connects)
             if place is None:
-                if await self._waiting.wait(work):
-                    continue
                 return
             attempt = self._sender.attempt_at(place)
             connects += 1
--- a/hawthornspoke/relay/_work.py
+++ b/hawthornspoke/relay/_work.py
@@ -17,11 +17,6 @@
     deadline, objective_deadline, resend_deadline : float
         On the clock that goes on while the host is suspended: callers don't wait
         longer for a host that was.
-    ready_in : float or None
-        Seconds until there are weights for it, if it was declined for want of these
-        and somebody tells when.
-    wait_deadline : float or None
-        Until when it waits here for them.
     objection : Failure or None
         Why it may not be sent to any endpoint any more.
     """
@@ -46,8 +41,6 @@
         "last_response",
         "last_reason",
         "retry_after",
-        "ready_in",
-        "wait_deadline",
         "outcome",
         "first_byte_at",
         "resumed",
@@ -73,8 +66,6 @@
         self.last_response = None
         self.last_reason = ""
         self.retry_after = None
-        self.ready_in = None
-        self.wait_deadline = None
         self.outcome = "unfinished"
         self.first_byte_at = None
         self.resumed = 0
--- a/hawthornspoke/spread/_delivery.py
+++ b/hawthornspoke/spread/_delivery.py
@@ -13,7 +13,6 @@
     Forget,
     Install,
     InstallEnded,
-    PieceCame,
     PiecesHeld,
     Transfer,
     Upgrade,
@@ -190,8 +189,6 @@
         self._begin(f"get {weights.version}", again)
 
     def _on_piece(self, weights, index):
-        missing = len(weights.digests) - len(weights.held())
-        self.step(PieceCame(version=weights.version, missing=missing))
         if weights.version == self._stage_target():
             self._begin(f"stage {index}", self.installer.stage(weights, index))
 
--- a/hawthornspoke/spread/_upgrade.py
+++ b/hawthornspoke/spread/_upgrade.py
@@ -5,7 +5,6 @@
 from hawthornspoke.base import MACHINES, Bounds, Machine
 from hawthornspoke.catalog import SEND_MARGIN
 from hawthornspoke.spread._changeover import CHANGE_TIME, order_time
-from hawthornspoke.spread._progress import Progress
 
 #: Part of a transfer's time within which a version that is followed by another is
 #: dropped for it. With bound B and transfer time T, a version named a gap g before
@@ -13,10 +12,6 @@
 #: 2T - B - g. Both are equal at g = T/2.
 DROP_SHARE = 0.5
 
-#: Seconds that an engine with nothing to finish needs from its last piece until it
-#: answers: the pieces are read back, and it loads.
-LOAD_TIME = 0.4
-
 #: Named versions that are remembered; older ones are of no use to anybody.
 KEPT = 4
 
@@ -63,14 +58,6 @@
     """The engine has started again: it holds nothing, and no order is in progress."""
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class PieceCame:
-    """A piece of a version is here and verified, and how many are still missing."""
-
-    version: int
-    missing: int
-
-
 @dataclass(slots=True, kw_only=True, frozen=True)
 class PiecesHeld:
     """All pieces of a version are here and verified."""
@@ -142,7 +129,6 @@
         "_installing",
         "_position",
         "_held_at_by_version",
-        "_progress_by_version",
     )
     PARAMS = {
         "transfer_time": Bounds(kind=(int, float), low=0),
@@ -159,7 +145,6 @@
         self._installing = None
         self._position = 0
         self._held_at_by_version = {}
-        self._progress_by_version = {}
 
     def on_named(self, message, *, now):
         """Take a declaration, or a better moment of the newest one.
@@ -194,16 +179,6 @@
         self._engine = EngineSeen(version=None, whole=False, busy=True)
         return self._plan(now)
 
-    def on_piece_came(self, message, *, now):
-        """Take how far a version is."""
-        progress = self._progress_by_version.get(message.version)
-        if progress is None:
-            progress = self._progress_by_version[message.version] = Progress()
-            for old in sorted(self._progress_by_version)[:-KEPT]:
-                del self._progress_by_version[old]
-        progress.note(message.missing, now)
-        return []
-
     def on_pieces_held(self, message, *, now):
         """Take that a version is here."""
         self._held_at_by_version.setdefault(message.version, now)
@@ -248,15 +223,8 @@
         newest = self._named[-1]
         if self._engine.version == newest.version and self._engine.whole:
             return None
-        # An engine whose weights may answer no more has nothing to finish first.
-        expired = self._is_expired(self._engine.version or 0, now)
-        change = LOAD_TIME if expired or not self._engine.whole else CHANGE_TIME
         if newest.version in self._held_at_by_version:
-            return now + change
-        progress = self._progress_by_version.get(newest.version)
-        whole_at = None if progress is None else progress.whole_at(now)
-        if whole_at is not None:
-            return whole_at + change
+            return now + CHANGE_TIME
         return max(now + CHANGE_TIME, newest.at + self.transfer_time + CHANGE_TIME)
 
     def targets(self):
