--- a/hawthornspoke/swarm/tests/test_origin_is_back.py
+++ b/hawthornspoke/swarm/tests/test_origin_is_back.py
@@ -1,6 +1,5 @@
 """An origin that was away, and the hosts that wait for its return."""
 
-from hawthornspoke.store import HostEntry
 from hawthornspoke.swarm import (
     Announced,
     ChunkFailed,
@@ -9,24 +8,13 @@
     Tick,
     Want,
 )
+from hawthornspoke.swarm.tests.test_restarted_peer import host
 
 CHUNKS = 12
 NAMES = ("host-0", "host-1", "host-2")
 AVOID_FOR = 5.0
 
 
-def host(name):
-    """Return a host's entry."""
-    return HostEntry(
-        host=name,
-        role="agent",
-        failure_domain="a",
-        address=name,
-        port=1,
-        leaving=False,
-    )
-
-
 def origin_reads(outcomes):
     """Return the chunks that are to be read from the origin."""
     return [item.index for item in outcomes if isinstance(item, FetchFromOrigin)]
