--- a/hawthornspoke/catalog/_declared.py
+++ b/hawthornspoke/catalog/_declared.py
@@ -10,9 +10,9 @@
 #: The moment of a declaration of which nothing is known but that it was made.
 UNKNOWN = float("-inf")
 
-#: Seconds before a bound from which nothing is sent to an older version. A request
-#: that is sent begins later: 0.84 s were seen, 0.18 s of them on a link full of
-#: pieces and the rest in the engine.
+#: Seconds before a bound from which older weights come second to newer ones, and from
+#: which none are taken up that end then. A request that is sent begins later: 0.84 s
+#: were seen, 0.18 s of them on a link full of pieces and the rest in the engine.
 SEND_MARGIN = 0.95
 
 
@@ -159,27 +159,6 @@
         newest = self._newest_told(model)
         return UNKNOWN if newest is None else newest.since
 
-    def floor(self, model, *, bound, now):
-        """Return the oldest version that may begin to answer.
-
-        Parameters
-        ----------
-        model : str
-        bound : float
-            Seconds after a declaration from which older ones may not.
-        now : float
-
-        Returns
-        -------
-        int
-            0 if every version may.
-        """
-        floor = 0
-        for item in self._declared_by_model.get(model, ()):
-            if now >= item.since + bound:
-                floor = item.version
-        return floor
-
     def too_old_at(self, model, version, *, bound):
         """Return from when a version may no longer begin to answer.
 
--- a/hawthornspoke/placing/_endpoint.py
+++ b/hawthornspoke/placing/_endpoint.py
@@ -39,6 +39,7 @@
     pace : float
         How many times slower than usual its engine works.
     reading : Reading
+        Prompts that its engine has yet to read.
     moved : bool
         Whether another endpoint answers at its address. Its entry stays listed until
         it lapses, seconds after a host that lost power is back with a new one, and
