Cost of a choice: counted where the version's end is now asked for

The test counted calls of a method that nothing calls any more, so that it could not fail; it now counts those of what a choice does ask, and wants exactly one.

--- a/hawthornspoke/placing/tests/test_ask_cost.py
+++ b/hawthornspoke/placing/tests/test_ask_cost.py
@@ -74,17 +74,17 @@
     assert len(calls) == 0
 
 
-def test_choice_asks_for_the_oldest_valid_version_once_a_version(monkeypatch):
-    """The same, of the oldest version that may still answer.
+def test_choice_asks_until_when_a_version_may_answer_once_a_version(monkeypatch):
+    """The same, of the moment until which a version may answer.
 
     Sequence: it is found anew for each endpoint, twice. Cause: it depends on the
     moment only, and no engine that holds the newest version can begin too late.
     Figure: 120 times a choice before, once after.
     """
     machine = known_fleet()
-    calls = counted(monkeypatch, DeclaredVersions, "floor")
+    calls = counted(monkeypatch, DeclaredVersions, "too_old_at")
     assert isinstance(ask(machine), Place)
-    assert len(calls) <= 1
+    assert len(calls) == 1
 
 
 def test_choice_takes_few_steps_an_endpoint():
