--- a/hawthornspoke/placing/_choice.py
+++ b/hawthornspoke/placing/_choice.py
@@ -201,11 +201,11 @@
             free = kept.on_time
         subset.count(spilled=not free, now=now)
         if free:
-            return self._better_of_two(free, search.engine.slots, now)
+            return self._better_of_two(free, search)
         others = self._group(search, near=True, followed=False)
         on_time = kept.on_time + others.on_time
         if on_time:
-            return self._better_of_two(on_time, search.engine.slots, now)
+            return self._better_of_two(on_time, search)
         subset.widen(now)
         return None
 
@@ -214,21 +214,19 @@
         for followed in (True, False):
             group = self._group(search, near=False, followed=followed)
             if group.on_time:
-                return self._better_of_two(
-                    group.on_time, search.engine.slots, search.validity.now
-                )
+                return self._better_of_two(group.on_time, search)
         return None
 
     def _late(self, search):
         """Return what becomes of a request that no engine answers in time."""
-        ask, now = search.ask, search.validity.now
+        ask = search.ask
         if ask.returned:
             for near in (True, False):
                 groups = [item for item in search.groups if item.near is near]
                 valid = [item for group in groups for item in group.valid]
                 useful = _still_useful(valid, ask, search.engine)
                 if useful:
-                    return self._better_of_two(useful, search.engine.slots, now)
+                    return self._better_of_two(useful, search)
         times = [item.expected for group in search.groups for item in group.candidates]
         if not times:
             return None
@@ -314,7 +312,7 @@
     def _is_near(self, endpoint):
         return endpoint.is_in(self.failure_domain)
 
-    def _better_of_two(self, candidates, slots, now):
+    def _better_of_two(self, candidates, search):
         """Return a Place at the better of two random engines.
 
         Several entry hosts see the same loads, some 0.1 s old. If each took the
@@ -323,8 +321,8 @@
         sure = [item for item in candidates if item.prospect is Prospect.SURE]
         among = sure or candidates
         pair = self._chance.sample(among, min(2, len(among)))
-        chosen = min(pair, key=lambda item: item.cost(slots))
-        return _place(chosen.endpoint, chosen.expected, now)
+        chosen = min(pair, key=lambda item: item.cost(search.engine.slots))
+        return _place(chosen.endpoint, chosen.expected, search.validity.now)
 
     def _rank(self, endpoint, expected, *, near):
         return not near, expected, endpoint.own_running, self._chance.random()
