Logs tell which requests are repeats, and which endpoint broke off which

So the hypothesis of one request that ends all engines could not be told from that of retries that overload them. Lines of requests now carry a fingerprint; a line is written for each request that an endpoint breaks off.

--- a/hawthornspoke/relay/_forward.py
+++ b/hawthornspoke/relay/_forward.py
@@ -80,7 +80,7 @@
             place = self._chooser.choose(work, connects)
             if place is None:
                 return
-            attempt = self._sender.attempt_at(place)
+            attempt = self._sender.attempt_at(work, place)
             connects += 1
             try:
                 if await self._try(work, attempt):
--- a/hawthornspoke/relay/_handler.py
+++ b/hawthornspoke/relay/_handler.py
@@ -4,6 +4,7 @@
 
 from hawthornspoke.base import monotonic
 from hawthornspoke.catalog import choose_share
+from hawthornspoke.quarantine import fingerprint_of
 from hawthornspoke.relay._admission import CALLER_LEFT, UNINFORMED_RETRY_AFTER
 from hawthornspoke.relay._work import Work
 
@@ -95,6 +96,7 @@
         refusal = self._admission.identify(work)
         if refusal is not None:
             return refusal
+        work.fingerprint = _fingerprint(work)
         work.service = choose_share(work.route, work.request_id)
         self._set_deadlines(work)
         if work.deadline <= self._admission.clock():
@@ -186,6 +188,7 @@
         write(
             "request",
             request=work.request_id,
+            fingerprint=work.fingerprint,
             route=route,
             service=work.service,
             organisation=work.organisation.name if work.organisation else None,
@@ -202,3 +205,14 @@
             retry_after=work.retry_after,
             seconds=round(taken, 4),
         )
+
+
+def _fingerprint(work):
+    request, organisation = work.request, work.organisation
+    return fingerprint_of(
+        organisation=organisation.name if organisation else "",
+        method=request.method,
+        host=request.get("host", ""),
+        target=request.target,
+        body=request.body,
+    )
--- a/hawthornspoke/relay/_sending.py
+++ b/hawthornspoke/relay/_sending.py
@@ -42,14 +42,15 @@
         self._dialect = dialect
         self._log = log
 
-    def attempt_at(self, place):
-        """Return a Try of a place."""
+    def attempt_at(self, work, place):
+        """Return a Try of a request at a place."""
         return Try(
             place=place,
             pool=self._pool,
             fleet=self._fleet,
             dialect=self._dialect,
             timers=self._timers,
+            on_broken=lambda attempt: self._log_broken(work, attempt),
         )
 
     async def send(self, work, attempt, *, last_event=None, version=None):
@@ -93,6 +94,18 @@
         work.may_have_run = True
         return None
 
+    def _log_broken(self, work, attempt):
+        self._log.change(
+            "broken_off",
+            request=work.request_id,
+            fingerprint=work.fingerprint,
+            service=work.service,
+            endpoint=attempt.place.endpoint_id,
+            started_ms=attempt.place.incarnation.started_ms,
+            began=attempt.head is not None,
+            events_passed_on=work.reply.started,
+        )
+
     def _log_not_sent(self, work, attempt, failure):
         self._log.change(
             "not_sent",
--- a/hawthornspoke/relay/_streams.py
+++ b/hawthornspoke/relay/_streams.py
@@ -114,7 +114,7 @@
         return None
 
     async def _try_to_resume(self, work, place, splitter, version):
-        attempt = self._sender.attempt_at(place)
+        attempt = self._sender.attempt_at(work, place)
         kept = False
         try:
             failure = await self._sender.send(
--- a/hawthornspoke/relay/_try.py
+++ b/hawthornspoke/relay/_try.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from hawthornspoke.base import Failure, monotonic
+from hawthornspoke.httpio import BROKEN
 from hawthornspoke.placing import Finished, LoadSeen, Sent
 
 #: Statuses by which an endpoint may say that it has not run a request.
@@ -26,6 +27,8 @@
     fleet : Fleet
     dialect : Dialect
     timers : Timers
+    on_broken : callable
+        Called with the try if the endpoint broke off its connection.
     """
 
     __slots__ = (
@@ -38,10 +41,11 @@
         "_fleet",
         "_dialect",
         "_timers",
+        "_on_broken",
         "_ended",
     )
 
-    def __init__(self, *, place, pool, fleet, dialect, timers):
+    def __init__(self, *, place, pool, fleet, dialect, timers, on_broken):
         self.place = place
         self.connection = None
         self.exchange = None
@@ -51,6 +55,7 @@
         self._fleet = fleet
         self._dialect = dialect
         self._timers = timers
+        self._on_broken = on_broken
         self._ended = False
 
     async def connect(self):
@@ -223,6 +228,8 @@
         if self._ended:
             return
         self._ended = True
+        if outcome == "failed" and self.exchange.failure == BROKEN:
+            self._on_broken(self)
         if outcome == "unreachable" or self.sent_at is not None:
             self._tell(
                 Finished(
--- a/hawthornspoke/relay/_work.py
+++ b/hawthornspoke/relay/_work.py
@@ -12,6 +12,8 @@
 
     Attributes
     ----------
+    fingerprint : str
+        What it has in common with its repeats; empty until its caller is known.
     catalog : Catalog or None
         The configuration by which it was last found to be allowed.
     deadline, objective_deadline, resend_deadline : float
@@ -25,6 +27,7 @@
         "request",
         "reply",
         "request_id",
+        "fingerprint",
         "catalog",
         "route",
         "service",
@@ -50,6 +53,7 @@
         self.request = request
         self.reply = reply
         self.request_id = request_id
+        self.fingerprint = ""
         self.catalog = None
         self.route = None
         self.service = ""
