A request that ends the endpoints that run it is recognized when it comes again

Cause: an entry host counts tries within one request. The request came again under new ids at all entry hosts, and each arrival could end as many engines as its route has attempts. Class: unbounded retries of a deterministic failure (query of death, poison message) because repeats have no identity.

Ruled out: overload (first ends come at a load of 0.3 to 0.6), hosts (agents live on).

Change: requests have a fingerprint (organisation, method, host, target, body). An entry host whose request an endpoint breaks off asks once whether a process still listens there; if not, the requests it had there are seen at that end. Two agents of each failure domain join what all entry hosts saw and tell what was seen at two ends or more. At three ends that no other request explains a request is refused for 15 minutes. An answer clears a request; so does an end of most endpoints at once. Bounded: 512 requests, 8 ends each. A row of the platform keeps it beyond the end of all processes.

--- a/hawthornspoke/httpio/__init__.py
+++ b/hawthornspoke/httpio/__init__.py
@@ -21,6 +21,7 @@
 from hawthornspoke.httpio._message import Message, Request, Response
 from hawthornspoke.httpio._operator import OperatorPort
 from hawthornspoke.httpio._pool import ConnectionPool
+from hawthornspoke.httpio._probe import refuses_connections
 from hawthornspoke.httpio._server import CallerGone, HttpServer, Reply, ServerLimits
 
 __all__ = [
@@ -42,5 +43,6 @@
     "encode_request",
     "fetch",
     "open_connection",
+    "refuses_connections",
     "set_socket_options",
 ]
--- a/hawthornspoke/mirror/__init__.py
+++ b/hawthornspoke/mirror/__init__.py
@@ -1,8 +1,10 @@
 """What the platform's tables hold, read once for the hosts of a failure domain."""
 
 from hawthornspoke.mirror import pace
+from hawthornspoke.mirror._follow import follow_platform
 from hawthornspoke.mirror._intake import Intake
 from hawthornspoke.mirror._neighbours import Neighbours
+from hawthornspoke.mirror._quarantine_record import QuarantineRecord
 from hawthornspoke.mirror._readers import NeighboursTold, ReaderFailed, Readers
 from hawthornspoke.mirror._record_keeper import RecordKeeper
 from hawthornspoke.mirror._tables import Mirror
@@ -26,6 +28,7 @@
     "Neighbours",
     "NeighboursTold",
     "News",
+    "QuarantineRecord",
     "ReaderFailed",
     "Readers",
     "RecordKeeper",
@@ -34,6 +37,7 @@
     "UnusableRows",
     "Watch",
     "Written",
+    "follow_platform",
     "pace",
     "sort_out",
 ]
--- /dev/null
+++ b/hawthornspoke/mirror/_follow.py
@@ -0,0 +1,69 @@
+"""All that an entry host reads and keeps on the platform, put together."""
+
+from hawthornspoke.mirror import pace
+from hawthornspoke.mirror._intake import Intake
+from hawthornspoke.mirror._quarantine_record import QuarantineRecord
+from hawthornspoke.mirror._record_keeper import RecordKeeper
+from hawthornspoke.mirror._watch import Table, Watch
+
+
+async def follow_platform(
+    *,
+    store,
+    sink,
+    neighbours,
+    operators_table,
+    endpoints_table,
+    decode_entry,
+    operators_decoder,
+    first_start=False,
+):
+    """Tell a sink what the platform's tables hold, until cancelled.
+
+    Parameters
+    ----------
+    store : object
+        See ``Watch``, ``RecordKeeper`` and ``QuarantineRecord``.
+    sink : Sink
+    neighbours : Neighbours
+    operators_table, endpoints_table : str
+        Names of the tables.
+    decode_entry, operators_decoder : callable
+        See ``Intake``.
+    first_start : bool, default=False
+        Whether the whole system starts for the first time.
+    """
+    watch = Watch(
+        store=store,
+        neighbours=neighbours,
+        on_confirmed=sink.on_confirmed,
+        on_lost=sink.on_contact_lost,
+        first_start=first_start,
+    )
+    record = RecordKeeper(
+        store=store, clock=watch.clock, on_dated=sink.on_dated, log=sink.log
+    )
+    quarantine = QuarantineRecord(
+        store=store, suspects=sink.suspects, log=sink.log, first_start=first_start
+    )
+    intake = Intake(
+        sink=sink,
+        record=record,
+        decode_entry=decode_entry,
+        operators_decoder=operators_decoder,
+    )
+    operators = Table(
+        name=operators_table,
+        wait=pace.CONFIRM_EVERY,
+        pause=pace.CHANGE_PAUSE,
+        take=intake.take_operators,
+        confirms=True,
+    )
+    endpoints = Table(
+        name=endpoints_table,
+        wait=pace.LIST_WAIT,
+        pause=pace.LIST_PAUSE,
+        take=intake.take_endpoints,
+    )
+    await neighbours.serve(watch)
+    await watch.run((operators, endpoints), beside=(record.run, quarantine.run))
--- a/hawthornspoke/peering/__init__.py
+++ b/hawthornspoke/peering/__init__.py
@@ -2,6 +2,7 @@
 
 from hawthornspoke.peering._connection import CLOSED, PeerConnection, connect, listen
 from hawthornspoke.peering._directive import directive, is_usable, peer_endpoints
+from hawthornspoke.peering._evidence import read_evidence, write_evidence
 
 __all__ = [
     "CLOSED",
@@ -11,4 +12,6 @@
     "is_usable",
     "listen",
     "peer_endpoints",
+    "read_evidence",
+    "write_evidence",
 ]
--- /dev/null
+++ b/hawthornspoke/peering/_evidence.py
@@ -0,0 +1,64 @@
+"""Evidence of requests that end endpoints, on the wire."""
+
+from hawthornspoke.protocol import EndEvidence, Frame
+from hawthornspoke.quarantine import EVIDENCE_FOR, Evidence
+
+#: Characters of the longest fingerprint or start that is believed.
+MOST_CHARACTERS = 200
+
+
+def write_evidence(items, *, now):
+    """Return a Frame that tells some evidence.
+
+    Parameters
+    ----------
+    items : iterable of Evidence
+    now : float
+        On the steady clock; deadlines travel as the time that is left.
+
+    Returns
+    -------
+    Frame
+    """
+    return Frame(
+        evidence=[
+            EndEvidence(
+                fingerprint=item.fingerprint,
+                endpoint_start=item.start,
+                left_ms=int(1000 * (item.deadline - now)),
+                cleared=item.cleared,
+            )
+            for item in items
+        ]
+    )
+
+
+def read_evidence(frame, *, now):
+    """Return the evidence of a Frame, without items that can't be used.
+
+    Parameters
+    ----------
+    frame : Frame
+    now : float
+
+    Returns
+    -------
+    tuple of Evidence
+    """
+    return tuple(
+        Evidence(
+            fingerprint=item.fingerprint,
+            start=item.endpoint_start,
+            deadline=now + min(item.left_ms / 1000, EVIDENCE_FOR),
+            cleared=bool(item.cleared),
+        )
+        for item in frame.evidence or ()
+        if _is_usable(item)
+    )
+
+
+def _is_usable(item):
+    names = (item.fingerprint, item.endpoint_start)
+    if not all(name and len(name) <= MOST_CHARACTERS for name in names):
+        return False
+    return item.left_ms is not None and item.left_ms > 0
--- a/hawthornspoke/placing/_fleet.py
+++ b/hawthornspoke/placing/_fleet.py
@@ -269,6 +269,29 @@
             if endpoint_id in self.endpoint_by_id
         )
 
+    def failure_domain_at(self, address):
+        """Return the failure domain of the endpoint at an address, "" if unknown.
+
+        Parameters
+        ----------
+        address : str
+
+        Returns
+        -------
+        str
+        """
+        endpoint = self._directory.at(address)
+        return "" if endpoint is None else endpoint.entry.failure_domain
+
+    def endpoints_in_use(self):
+        """Return at how many endpoints requests of this host are.
+
+        Returns
+        -------
+        int
+        """
+        return sum(item.own_running > 0 for item in self.endpoint_by_id.values())
+
     def dump(self, *, now):
         """Return the state as plain data."""
         return {
--- a/hawthornspoke/protocol/_gen/ttypes.py
+++ b/hawthornspoke/protocol/_gen/ttypes.py
@@ -3330,6 +3330,110 @@
         return not (self == other)
 
 
+class EndEvidence(object):
+    """
+    Attributes:
+     - fingerprint
+     - endpoint_start
+     - left_ms
+     - cleared
+
+    """
+
+    __slots__ = (
+        'fingerprint',
+        'endpoint_start',
+        'left_ms',
+        'cleared',
+    )
+
+
+    def __init__(self, fingerprint=None, endpoint_start=None, left_ms=None, cleared=None,):
+        self.fingerprint = fingerprint
+        self.endpoint_start = endpoint_start
+        self.left_ms = left_ms
+        self.cleared = cleared
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.endpoint_start = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.left_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.cleared = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndEvidence')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
+            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.endpoint_start is not None:
+            oprot.writeFieldBegin('endpoint_start', TType.STRING, 2)
+            oprot.writeString(self.endpoint_start.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint_start)
+            oprot.writeFieldEnd()
+        if self.left_ms is not None:
+            oprot.writeFieldBegin('left_ms', TType.I32, 3)
+            oprot.writeI32(self.left_ms)
+            oprot.writeFieldEnd()
+        if self.cleared is not None:
+            oprot.writeFieldBegin('cleared', TType.BOOL, 4)
+            oprot.writeBool(self.cleared)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Frame(object):
     """
     Attributes:
@@ -3349,6 +3453,7 @@
      - directive_ask
      - probe
      - follows
+     - evidence
 
     """
 
@@ -3369,10 +3474,11 @@
         'directive_ask',
         'probe',
         'follows',
+        'evidence',
     )
 
 
-    def __init__(self, call=None, announce=None, chunk_ask=None, chunk=None, holdings_ask=None, holdings=None, directive=None, engine_state=None, entry_hosts=None, table_ask=None, table_news=None, manifest_ask=None, manifest=None, directive_ask=None, probe=None, follows=None,):
+    def __init__(self, call=None, announce=None, chunk_ask=None, chunk=None, holdings_ask=None, holdings=None, directive=None, engine_state=None, entry_hosts=None, table_ask=None, table_news=None, manifest_ask=None, manifest=None, directive_ask=None, probe=None, follows=None, evidence=None,):
         self.call = call
         self.announce = announce
         self.chunk_ask = chunk_ask
@@ -3389,6 +3495,7 @@
         self.directive_ask = directive_ask
         self.probe = probe
         self.follows = follows
+        self.evidence = evidence
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3492,6 +3599,17 @@
                     self.follows = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.LIST:
+                    self.evidence = []
+                    (_etype104, _size101) = iprot.readListBegin()
+                    for _i105 in range(_size101):
+                        _elem106 = EndEvidence()
+                        _elem106.read(iprot)
+                        self.evidence.append(_elem106)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3566,6 +3684,13 @@
             oprot.writeFieldBegin('follows', TType.BOOL, 16)
             oprot.writeBool(self.follows)
             oprot.writeFieldEnd()
+        if self.evidence is not None:
+            oprot.writeFieldBegin('evidence', TType.LIST, 17)
+            oprot.writeListBegin(TType.STRUCT, len(self.evidence))
+            for iter107 in self.evidence:
+                iter107.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3834,6 +3959,14 @@
     (5, TType.I32, 'held_ms', None, None, ),  # 5
     (6, TType.I32, 'age_ms', None, None, ),  # 6
 )
+all_structs.append(EndEvidence)
+EndEvidence.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'endpoint_start', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'left_ms', None, None, ),  # 3
+    (4, TType.BOOL, 'cleared', None, None, ),  # 4
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -3853,6 +3986,7 @@
     (14, TType.STRUCT, 'directive_ask', [DirectiveAsk, None], None, ),  # 14
     (15, TType.BOOL, 'probe', None, None, ),  # 15
     (16, TType.BOOL, 'follows', None, None, ),  # 16
+    (17, TType.LIST, 'evidence', (TType.STRUCT, [EndEvidence, None], False), None, ),  # 17
 )
 fix_spec(all_structs)
 del all_structs
--- a/hawthornspoke/quarantine/__init__.py
+++ b/hawthornspoke/quarantine/__init__.py
@@ -1,5 +1,28 @@
 """Requests that end the endpoints that run them, recognized when they come again."""
 
+from hawthornspoke.quarantine._evidence import EVIDENCE_FOR, Evidence
+from hawthornspoke.quarantine._exchange import EvidenceExchange
 from hawthornspoke.quarantine._fingerprint import fingerprint_of
+from hawthornspoke.quarantine._messages import (
+    Answered,
+    EndpointEnded,
+    EvidenceHeard,
+    News,
+    Quarantined,
+    Released,
+)
+from hawthornspoke.quarantine._quarantine import Quarantine
 
-__all__ = ["fingerprint_of"]
+__all__ = [
+    "EVIDENCE_FOR",
+    "Answered",
+    "EndpointEnded",
+    "Evidence",
+    "EvidenceExchange",
+    "EvidenceHeard",
+    "News",
+    "Quarantine",
+    "Quarantined",
+    "Released",
+    "fingerprint_of",
+]
--- /dev/null
+++ b/hawthornspoke/quarantine/tests/test_quarantine.py
@@ -0,0 +1,210 @@
+"""Which requests are refused after endpoints have ended under them."""
+
+from hypothesis import given, settings, strategies
+
+from hawthornspoke.quarantine import (
+    EVIDENCE_FOR,
+    Answered,
+    EndpointEnded,
+    Evidence,
+    EvidenceHeard,
+    News,
+    Quarantine,
+    Quarantined,
+    Released,
+)
+from hawthornspoke.quarantine._evidence import MOST_REQUESTS
+
+
+def end(machine, start, *fingerprints, now, in_use=10):
+    """Let an endpoint end under some requests."""
+    message = EndpointEnded(start=start, fingerprints=fingerprints, in_use=in_use)
+    return machine.step(message, now=now)
+
+
+def is_refused(machine, fingerprint, *, now=10.0):
+    return machine.refused_until(fingerprint, now=now) is not None
+
+
+def of_kind(outcomes, kind):
+    return [item for item in outcomes if isinstance(item, kind)]
+
+
+def test_third_end_puts_a_request_in_quarantine():
+    machine = Quarantine()
+    end(machine, "e1", "deadly", now=1.0)
+    end(machine, "e2", "deadly", now=2.0)
+    assert not is_refused(machine, "deadly")
+    outcomes = end(machine, "e3", "deadly", now=3.0)
+    (quarantined,) = of_kind(outcomes, Quarantined)
+    assert quarantined.starts == ("e1", "e2", "e3")
+    assert is_refused(machine, "deadly")
+
+
+def test_end_that_is_told_twice_counts_once():
+    machine = Quarantine()
+    for start in ("e1", "e2", "e2", "e2"):
+        end(machine, start, "deadly", now=1.0)
+    assert not is_refused(machine, "deadly")
+
+
+def test_quarantine_ends_when_its_evidence_is_too_old():
+    machine = Quarantine()
+    for number in range(3):
+        end(machine, f"e{number}", "deadly", now=float(number))
+    assert machine.refused_until("deadly", now=5.0) == EVIDENCE_FOR
+    assert not is_refused(machine, "deadly", now=EVIDENCE_FOR + 0.1)
+
+
+def test_requests_that_ran_beside_a_deadly_one_are_not_refused():
+    machine = Quarantine()
+    end(machine, "e1", "deadly", "beside-1", "beside", now=1.0)
+    end(machine, "e2", "deadly", "beside-2", "beside", now=2.0)
+    end(machine, "e3", "deadly", "beside-3", now=3.0)
+    assert is_refused(machine, "deadly")
+    for name in ("beside", "beside-1", "beside-2", "beside-3"):
+        assert not is_refused(machine, name)
+
+
+def test_request_beside_a_deadly_one_at_three_ends_is_not_refused():
+    machine = Quarantine()
+    for number in range(4):
+        names = ("deadly", "beside") if number else ("deadly",)
+        end(machine, f"e{number}", *names, now=float(number))
+    assert is_refused(machine, "deadly")
+    assert not is_refused(machine, "beside")
+
+
+def test_two_requests_at_the_same_ends_are_both_sent_once_more():
+    machine = Quarantine()
+    for number in range(3):
+        end(machine, f"e{number}", "deadly", "beside", now=float(number))
+    assert not is_refused(machine, "deadly")
+    assert not is_refused(machine, "beside")
+    end(machine, "e3", "deadly", now=3.0)
+    assert is_refused(machine, "deadly")
+    assert not is_refused(machine, "beside")
+
+
+def test_deadly_request_never_alone_is_refused_all_the_same():
+    machine = Quarantine()
+    for number in range(5):
+        end(machine, f"e{number}", "deadly", "beside", now=float(number))
+    assert is_refused(machine, "deadly")
+
+
+def test_two_deadly_requests_are_each_found():
+    machine = Quarantine()
+    for number in range(3):
+        end(machine, f"a{number}", "deadly-1", "beside-1", now=float(number))
+        end(machine, f"b{number}", "deadly-2", "beside-2", now=number + 0.5)
+    end(machine, "a3", "deadly-1", now=3.0)
+    end(machine, "b3", "deadly-2", "beside-1", now=3.5)
+    end(machine, "a4", "deadly-1", now=4.0)
+    assert is_refused(machine, "deadly-1") and is_refused(machine, "deadly-2")
+    assert not is_refused(machine, "beside-1")
+    assert not is_refused(machine, "beside-2")
+
+
+def test_answered_request_is_cleared_and_others_are_told():
+    machine = Quarantine()
+    end(machine, "e1", "popular", now=1.0)
+    end(machine, "e2", "popular", now=2.0)
+    (news,) = machine.step(Answered(fingerprint="popular"), now=2.5)
+    assert {item.start for item in news.items if item.cleared} == {"e1", "e2"}
+    end(machine, "e3", "popular", now=3.0)
+    assert not is_refused(machine, "popular")
+
+
+def test_answer_that_comes_late_releases_a_request():
+    machine = Quarantine()
+    for number in range(3):
+        end(machine, f"e{number}", "popular", now=float(number))
+    outcomes = machine.step(Answered(fingerprint="popular"), now=4.0)
+    assert of_kind(outcomes, Released)
+    assert not is_refused(machine, "popular")
+
+
+def test_answer_to_an_unsuspected_request_changes_nothing():
+    assert Quarantine().step(Answered(fingerprint="usual"), now=1.0) == []
+
+
+def test_mass_end_of_endpoints_is_no_evidence_against_their_requests():
+    machine = Quarantine()
+    for wave in range(4):
+        for number in range(6):
+            end(
+                machine,
+                f"e{number}-{wave}",
+                f"usual-{number}",
+                now=10.0 * wave + 0.01 * number,
+                in_use=5 - number,
+            )
+    for number in range(6):
+        assert not is_refused(machine, f"usual-{number}", now=40.0)
+
+
+def test_deadly_request_sent_to_many_endpoints_at_once_is_no_mass_end():
+    machine = Quarantine()
+    for number in range(4):
+        end(machine, f"e{number}", "deadly", f"x{number}", now=0.05 * number, in_use=0)
+    assert is_refused(machine, "deadly")
+    assert not any(is_refused(machine, f"x{number}") for number in range(4))
+
+
+def test_ends_seen_by_several_hosts_count_together():
+    hosts = [Quarantine() for _ in range(3)]
+    news = []
+    for number, host in enumerate(hosts):
+        outcomes = end(host, f"e{number}", "deadly", now=1.0)
+        news += [item for told in of_kind(outcomes, News) for item in told.items]
+    for host in hosts:
+        host.step(EvidenceHeard(items=tuple(news)), now=1.1)
+        assert is_refused(host, "deadly")
+
+
+def test_what_was_heard_before_is_no_news():
+    machine = Quarantine()
+    item = Evidence(fingerprint="f", start="e", deadline=100.0)
+    assert machine.step(EvidenceHeard(items=(item,)), now=1.0)
+    assert machine.step(EvidenceHeard(items=(item,)), now=1.0) == []
+
+
+def test_flood_of_requests_seen_once_displaces_no_request_in_quarantine():
+    machine = Quarantine()
+    for number in range(3):
+        end(machine, f"e{number}", "deadly", now=float(number))
+    for number in range(3 * MOST_REQUESTS):
+        end(machine, f"x{number}", f"usual-{number}", now=4.0 + 0.3 * number)
+    assert is_refused(machine, "deadly", now=EVIDENCE_FOR - 1.0)
+    assert machine.dump(now=5.0)["requests"] <= MOST_REQUESTS
+
+
+def test_flood_of_ends_under_one_request_is_bounded():
+    machine = Quarantine()
+    for number in range(100):
+        end(machine, f"e{number}", "deadly", now=float(number))
+    assert len(machine.evidence(now=100.0)) < 10
+
+
+ITEMS = strategies.builds(
+    Evidence,
+    fingerprint=strategies.sampled_from(["a", "b", "c"]),
+    start=strategies.sampled_from(["e1", "e2", "e3", "e4"]),
+    deadline=strategies.just(100.0),
+    cleared=strategies.booleans(),
+)
+
+
+@settings(max_examples=200, deadline=None)
+@given(items=strategies.lists(ITEMS, max_size=20), seed=strategies.randoms())
+def test_hosts_agree_in_whatever_order_they_hear(items, seed):
+    """Guards against one host that refuses what another one sends."""
+    first, second = Quarantine(), Quarantine()
+    first.step(EvidenceHeard(items=tuple(items)), now=1.0)
+    shuffled = list(items)
+    seed.shuffle(shuffled)
+    for item in shuffled:
+        second.step(EvidenceHeard(items=(item,)), now=1.0)
+    for name in ("a", "b", "c"):
+        assert is_refused(first, name) == is_refused(second, name)
--- a/hawthornspoke/relay/__init__.py
+++ b/hawthornspoke/relay/__init__.py
@@ -5,6 +5,7 @@
 from hawthornspoke.relay._events import EventSplitter
 from hawthornspoke.relay._process import Relay
 from hawthornspoke.relay._settings import RelaySettings
+from hawthornspoke.relay._suspects import Suspects
 
 __all__ = [
     "Confirmed",
@@ -15,4 +16,5 @@
     "Lost",
     "Relay",
     "RelaySettings",
+    "Suspects",
 ]
--- a/hawthornspoke/relay/_admission.py
+++ b/hawthornspoke/relay/_admission.py
@@ -31,19 +31,29 @@
     dialect : Dialect
     fleet : Fleet
     contact : Contact
+    suspects : Suspects
     clock : callable
         Goes on while the host is suspended; deadlines of requests are on it.
     """
 
-    __slots__ = ("catalog", "clock", "_routes", "_dialect", "_fleet", "_contact")
-
-    def __init__(self, *, dialect, fleet, contact, clock):
+    __slots__ = (
+        "catalog",
+        "clock",
+        "_routes",
+        "_dialect",
+        "_fleet",
+        "_contact",
+        "_suspects",
+    )
+
+    def __init__(self, *, dialect, fleet, contact, suspects, clock):
         self.catalog = None
         self.clock = clock
         self._routes = None
         self._dialect = dialect
         self._fleet = fleet
         self._contact = contact
+        self._suspects = suspects
 
     def use(self, catalog):
         """Put a configuration in force; the switch is one assignment each."""
@@ -103,6 +113,8 @@
             The place as it is now; ``ENDPOINT_CHANGED`` if another may do.
         """
         failure = self._changed(work)
+        if failure is None:
+            failure = self._suspects.refusal(work.fingerprint)
         if failure is None:
             message = Recheck(ask=ask, place=place)
             (answer,) = self._fleet.step(message, now=monotonic())
--- a/hawthornspoke/relay/_agents.py
+++ b/hawthornspoke/relay/_agents.py
@@ -48,6 +48,8 @@
         is nothing to tell yet.
     on_entry_hosts : callable
         Called with an agent's address and the entry hosts that it sees.
+    suspects : Suspects
+        Shares with agents which requests end endpoints.
     arrived_after : callable, default=contact_clock
         Returns a moment after which what is read now has arrived.
     """
@@ -60,6 +62,7 @@
         "_link_by_address",
         "_directive_for",
         "_on_entry_hosts",
+        "_suspects",
         "_arrived_after",
         "_service_by_address",
         "_told_by_address",
@@ -77,6 +80,7 @@
         log,
         directive_for,
         on_entry_hosts,
+        suspects,
         arrived_after=contact_clock,
     ):
         self.port = port
@@ -84,6 +88,7 @@
         self._log = log
         self._directive_for = directive_for
         self._on_entry_hosts = on_entry_hosts
+        self._suspects = suspects
         self._arrived_after = arrived_after
         self._task_by_address = {}
         self._link_by_address = {}
@@ -208,6 +213,7 @@
         self._log.change("agent_connected", agent=address)
         self._tell(address, link)
         self._tell_follows(address, link)
+        self._suspects.sharing.connected(address, link)
         try:
             await closed
         finally:
@@ -217,6 +223,7 @@
 
     def _forget(self, address):
         self._link_by_address.pop(address, None)
+        self._suspects.sharing.lost(address)
         self._told_by_address.pop(address, None)
         self._told_followed.pop(address, None)
         self._entry_hosts_by_agent.pop(address, None)
@@ -228,6 +235,8 @@
             link.send(Frame(call=-frame.call, probe=True))
         if frame.entry_hosts is not None:
             self._on_entry_hosts(address, frame.entry_hosts.addresses or ())
+        if frame.evidence:
+            self._suspects.heard(address, frame)
         state = frame.engine_state
         if state is None:
             return
--- a/hawthornspoke/relay/_forward.py
+++ b/hawthornspoke/relay/_forward.py
@@ -28,6 +28,7 @@
     dialect : Dialect
     budget_for : callable
         Returns the RetryBudget of a service.
+    suspects : Suspects
     log : EventLog
     """
 
@@ -41,7 +42,9 @@
         "_streams",
     )
 
-    def __init__(self, *, admission, timers, fleet, pool, dialect, budget_for, log):
+    def __init__(
+        self, *, admission, timers, fleet, pool, dialect, budget_for, suspects, log
+    ):
         self._admission = admission
         self._dialect = dialect
         self._log = log
@@ -57,6 +60,7 @@
             fleet=fleet,
             pool=pool,
             dialect=dialect,
+            suspects=suspects,
             log=log,
         )
         self._streams = Streams(
@@ -92,6 +96,7 @@
                     reason=work.last_reason,
                     may_have_run=work.may_have_run,
                 )
+                await self._sender.settle(work, attempt)
             finally:
                 # Reached with an open connection only if the task was cancelled:
                 # the caller left, or the request's time is over.
--- a/hawthornspoke/relay/_handler.py
+++ b/hawthornspoke/relay/_handler.py
@@ -32,6 +32,7 @@
     forwarder : Forwarder
     admission : Admission
     timers : Timers
+    suspects : Suspects
     dialect : Dialect
     log : EventLog
     metrics : Metrics
@@ -42,17 +43,21 @@
         "_forwarder",
         "_admission",
         "_timers",
+        "_suspects",
         "_dialect",
         "_log",
         "_metrics",
         "_longest_by_route",
     )
 
-    def __init__(self, *, forwarder, admission, timers, dialect, log, metrics):
+    def __init__(
+        self, *, forwarder, admission, timers, suspects, dialect, log, metrics
+    ):
         self.refusing = False
         self._forwarder = forwarder
         self._admission = admission
         self._timers = timers
+        self._suspects = suspects
         self._dialect = dialect
         self._log = log
         self._metrics = metrics
@@ -81,6 +86,8 @@
                 self._refuse(work, status, reason, retry_after)
             else:
                 await self._forward(work)
+                if work.outcome == "answered" or work.last_response is not None:
+                    self._suspects.answered(work.fingerprint)
         except asyncio.CancelledError:
             work.outcome = "caller_left"
             raise
@@ -97,6 +104,9 @@
         if refusal is not None:
             return refusal
         work.fingerprint = _fingerprint(work)
+        failure = self._suspects.refusal(work.fingerprint)
+        if failure is not None:
+            return 503, failure.code, failure.retry_after
         work.service = choose_share(work.route, work.request_id)
         self._set_deadlines(work)
         if work.deadline <= self._admission.clock():
--- a/hawthornspoke/relay/_process.py
+++ b/hawthornspoke/relay/_process.py
@@ -17,6 +17,7 @@
 from hawthornspoke.relay._forward import Forwarder
 from hawthornspoke.relay._handler import Handler
 from hawthornspoke.relay._sink import Sink
+from hawthornspoke.relay._suspects import Suspects
 from hawthornspoke.relay._timers import Timers
 
 #: Seconds after SIGTERM during which new requests are still served: the balancer
@@ -67,6 +68,7 @@
         "pool",
         "budgets",
         "timers",
+        "suspects",
         "handler",
         "standstill",
         "neighbours",
@@ -101,12 +103,14 @@
             told_entry_hosts=lambda: self.agents.entry_hosts(),
         )
         self.timers = Timers(clock=contact_clock)
+        self.suspects = Suspects(fleet=self.fleet, log=self.log, metrics=self.metrics)
         self._stop_deadline = None
         self._stopped = None
         admission = Admission(
             dialect=self.dialect,
             fleet=self.fleet,
             contact=self.contact,
+            suspects=self.suspects,
             clock=contact_clock,
         )
         self.handler = Handler(
@@ -117,10 +121,12 @@
                 pool=self.pool,
                 dialect=self.dialect,
                 budget_for=self.budgets.of,
+                suspects=self.suspects,
                 log=self.log,
             ),
             admission=admission,
             timers=self.timers,
+            suspects=self.suspects,
             dialect=self.dialect,
             log=self.log,
             metrics=self.metrics,
@@ -140,6 +146,7 @@
             handler=self.handler,
             front=self.front,
             neighbours=self.neighbours,
+            suspects=self.suspects,
             log=self.log,
             metrics=self.metrics,
             arrived_after=self.standstill.arrived_after,
@@ -191,6 +198,7 @@
         finally:
             for task in tasks:
                 task.cancel()
+            self.suspects.close()
             self.agents.close()
             self.neighbours.close()
             self.pool.close()
@@ -232,6 +240,7 @@
             "readers": self.neighbours.readers.dump(now=now),
             "fleet": self.fleet.dump(now=now),
             "budgets": self.budgets.dump(now=now),
+            "quarantine": self.suspects.quarantine.dump(now=now),
             "metrics": self.metrics.dump(),
         }
         return state
@@ -314,6 +323,7 @@
             self.fleet.step(seen, now=monotonic())
             self.agents.hear_often(self.fleet.followed())
             self.budgets.share_anew()
+            self.suspects.sharing.catch_up()
             steady = self.contact.steady(now=contact_clock())
             self.front.draining = self.stopping or not steady
 
--- a/hawthornspoke/relay/_sending.py
+++ b/hawthornspoke/relay/_sending.py
@@ -16,6 +16,7 @@
     fleet : Fleet
     pool : ConnectionPool
     dialect : Dialect
+    suspects : Suspects
     log : EventLog
     """
 
@@ -27,11 +28,22 @@
         "_fleet",
         "_pool",
         "_dialect",
+        "_suspects",
         "_log",
     )
 
     def __init__(
-        self, *, admission, timers, chooser, encoder, fleet, pool, dialect, log
+        self,
+        *,
+        admission,
+        timers,
+        chooser,
+        encoder,
+        fleet,
+        pool,
+        dialect,
+        suspects,
+        log,
     ):
         self._admission = admission
         self._timers = timers
@@ -40,6 +52,7 @@
         self._fleet = fleet
         self._pool = pool
         self._dialect = dialect
+        self._suspects = suspects
         self._log = log
 
     def attempt_at(self, work, place):
@@ -50,7 +63,7 @@
             fleet=self._fleet,
             dialect=self._dialect,
             timers=self._timers,
-            on_broken=lambda attempt: self._log_broken(work, attempt),
+            on_broken=lambda attempt: self._note_broken(work, attempt),
         )
 
     async def send(self, work, attempt, *, last_event=None, version=None):
@@ -94,7 +107,12 @@
         work.may_have_run = True
         return None
 
-    def _log_broken(self, work, attempt):
+    async def settle(self, work, attempt):
+        """Wait until it is known what a try that failed means for the request."""
+        await self._suspects.settle(work.fingerprint, attempt.place)
+
+    def _note_broken(self, work, attempt):
+        self._suspects.broken_off(work.fingerprint, attempt.place)
         self._log.change(
             "broken_off",
             request=work.request_id,
--- a/hawthornspoke/relay/_sink.py
+++ b/hawthornspoke/relay/_sink.py
@@ -27,6 +27,7 @@
     front : HttpServer
         Takes callers' requests.
     neighbours : Neighbours
+    suspects : Suspects
     log : EventLog
     metrics : Metrics
     arrived_after : callable
@@ -46,6 +47,7 @@
         "metrics",
         "entries",
         "agents",
+        "suspects",
         "_fleet",
         "_contact",
         "_pool",
@@ -64,6 +66,7 @@
         handler,
         front,
         neighbours,
+        suspects,
         log,
         metrics,
         arrived_after,
@@ -72,12 +75,14 @@
         self.log = log
         self.metrics = metrics
         self.entries = ()
+        self.suspects = suspects
         self.agents = AgentLinks(
             port=settings.agent_port,
             fleet=fleet,
             log=log,
             directive_for=self.directive_for,
             on_entry_hosts=neighbours.told,
+            suspects=suspects,
             arrived_after=arrived_after,
         )
         self._fleet = fleet
--- /dev/null
+++ b/hawthornspoke/relay/_suspects.py
@@ -0,0 +1,206 @@
+"""Requests that end endpoints: what this host sees of them, and which it refuses."""
+
+import asyncio
+import collections
+
+from hawthornspoke.base import Failure, monotonic
+from hawthornspoke.httpio import refuses_connections
+from hawthornspoke.quarantine import (
+    Answered,
+    EndpointEnded,
+    EvidenceHeard,
+    News,
+    Quarantine,
+    Quarantined,
+)
+from hawthornspoke.relay._sharing import EvidenceSharing
+
+QUARANTINED = Failure(code="quarantined")
+
+#: Seconds for an endpoint's host to say whether a process listens there still.
+PROBE_TIME = 0.3
+
+#: Requests that are remembered as seen by this host at the end of an endpoint.
+MOST_SEEN = 512
+
+
+class Suspects:
+    """Finds out which requests end endpoints, and shares that with other hosts.
+
+    Parameters
+    ----------
+    fleet : Fleet
+    log : EventLog
+    metrics : Metrics
+
+    Attributes
+    ----------
+    quarantine : Quarantine
+    sharing : EvidenceSharing
+    """
+
+    __slots__ = (
+        "quarantine",
+        "sharing",
+        "_fleet",
+        "_log",
+        "_metrics",
+        "_broken_by_start",
+        "_look_by_start",
+        "_seen_here",
+        "_unrecorded",
+        "_has_unrecorded",
+    )
+
+    def __init__(self, *, fleet, log, metrics):
+        self.quarantine = Quarantine()
+        self.sharing = EvidenceSharing(
+            quarantine=self.quarantine, failure_domain_at=fleet.failure_domain_at
+        )
+        self._fleet = fleet
+        self._log = log
+        self._metrics = metrics
+        self._broken_by_start = {}
+        self._look_by_start = {}
+        self._seen_here = collections.deque(maxlen=MOST_SEEN)
+        self._unrecorded = set()
+        self._has_unrecorded = asyncio.Event()
+
+    def refusal(self, fingerprint):
+        """Return why a request may not be sent to any endpoint.
+
+        Parameters
+        ----------
+        fingerprint : str
+
+        Returns
+        -------
+        None or Failure
+            ``QUARANTINED``, with the seconds until it may be sent again.
+        """
+        now = monotonic()
+        until = self.quarantine.refused_until(fingerprint, now=now)
+        if until is None:
+            return None
+        return QUARANTINED.because(fingerprint, retry_after=round(until - now, 1))
+
+    def answered(self, fingerprint):
+        """Take that an endpoint ran a request to its end."""
+        self._step(Answered(fingerprint=fingerprint))
+
+    def broken_off(self, fingerprint, place):
+        """Take that an endpoint closed its connection within a request.
+
+        Parameters
+        ----------
+        fingerprint : str
+        place : Place
+            Where the request was.
+        """
+        start = _start_of(place)
+        self._broken_by_start.setdefault(start, set()).add(fingerprint)
+        if start not in self._look_by_start:
+            look = asyncio.get_running_loop().create_task(self._look(start, place))
+            self._look_by_start[start] = look
+
+    async def settle(self, fingerprint, place):
+        """Wait until it is known whether a suspected request ended an endpoint.
+
+        Without it, the request would be sent to the next endpoint meanwhile.
+
+        Parameters
+        ----------
+        fingerprint : str
+        place : Place
+            Where the request was.
+        """
+        look = self._look_by_start.get(_start_of(place))
+        if look is not None and self.quarantine.has_evidence(fingerprint):
+            await asyncio.wait([look])
+
+    def heard(self, address, frame):
+        """Take what an agent told; see ``EvidenceSharing.heard``."""
+        items = self.sharing.heard(address, frame)
+        if items:
+            self._step(EvidenceHeard(items=items), tell=False)
+
+    def take_recorded(self, items):
+        """Take what was recorded before this process started.
+
+        Parameters
+        ----------
+        items : tuple of Evidence
+        """
+        self._step(EvidenceHeard(items=items))
+
+    async def next_unrecorded(self):
+        """Wait for requests that are in quarantine by what this host saw.
+
+        Returns
+        -------
+        list of Evidence
+        """
+        await self._has_unrecorded.wait()
+        self._has_unrecorded.clear()
+        unrecorded, self._unrecorded = self._unrecorded, set()
+        return [
+            item
+            for item in self.quarantine.evidence(now=monotonic())
+            if item.fingerprint in unrecorded and not item.cleared
+        ]
+
+    def close(self):
+        """End all looks at endpoints."""
+        for look in self._look_by_start.values():
+            look.cancel()
+
+    async def _look(self, start, place):
+        try:
+            has_ended = await refuses_connections(place.address, timeout=PROBE_TIME)
+        finally:
+            del self._look_by_start[start]
+            fingerprints = self._broken_by_start.pop(start)
+        if not has_ended:
+            return
+        self._log.change(
+            "endpoint_ended",
+            endpoint=place.endpoint_id,
+            started_ms=place.incarnation.started_ms,
+            requests=len(fingerprints),
+        )
+        self._seen_here.extend(fingerprints)
+        ended = EndpointEnded(
+            start=start,
+            fingerprints=tuple(sorted(fingerprints)),
+            in_use=self._fleet.endpoints_in_use(),
+        )
+        self._step(ended)
+
+    def _step(self, message, *, tell=True):
+        for outcome in self.quarantine.step(message, now=monotonic()):
+            if isinstance(outcome, News):
+                if tell:
+                    self.sharing.tell(outcome.items)
+            elif isinstance(outcome, Quarantined):
+                self._quarantined(outcome)
+            else:
+                self._log.change("released", fingerprint=outcome.fingerprint)
+
+    def _quarantined(self, outcome):
+        self._metrics.count("requests_quarantined_total")
+        self._log.change(
+            "quarantined",
+            fingerprint=outcome.fingerprint,
+            endpoints_ended=list(outcome.starts),
+        )
+        if outcome.fingerprint in self._seen_here:
+            self._unrecorded.add(outcome.fingerprint)
+            self._has_unrecorded.set()
+
+
+def _start_of(place):
+    """Return a name of an endpoint's start that all hosts agree on."""
+    started_ms = place.incarnation.started_ms
+    return (
+        place.endpoint_id if started_ms is None else f"{place.endpoint_id}@{started_ms}"
+    )
--- a/hawthornspoke/relay/tests/endpoint.py
+++ b/hawthornspoke/relay/tests/endpoint.py
@@ -25,6 +25,7 @@
 from hawthornspoke.relay._admission import Admission
 from hawthornspoke.relay._forward import Forwarder
 from hawthornspoke.relay._handler import Handler
+from hawthornspoke.relay._suspects import Suspects
 from hawthornspoke.relay._timers import Timers
 from hawthornspoke.retries import RetryBudget
 
@@ -207,6 +208,11 @@
     )
 
 
+def lone_suspects(fleet):
+    """Return what an entry host without agents knows of deadly requests."""
+    return Suspects(fleet=fleet, log=EventLog(node="test"), metrics=Metrics())
+
+
 ROUTES = (
     ("once", AT_MOST_ONCE, 1),
     ("again", IDEMPOTENT, 2),
@@ -278,10 +284,12 @@
 
     async def __aenter__(self):
         self.addresses = [await endpoint.start() for endpoint in self.endpoints]
+        self.suspects = lone_suspects(self.fleet)
         admission = Admission(
             dialect=self.dialect,
             fleet=self.fleet,
             contact=self.contact,
+            suspects=self.suspects,
             clock=self.contact_clock,
         )
         self.timers = Timers(clock=self.contact_clock)
@@ -293,12 +301,14 @@
             pool=self.pool,
             dialect=self.dialect,
             budget_for=lambda service: self.budget,
+            suspects=self.suspects,
             log=EventLog(node="test"),
         )
         self.handler = Handler(
             forwarder=forwarder,
             admission=admission,
             timers=self.timers,
+            suspects=self.suspects,
             dialect=self.dialect,
             log=EventLog(node="test"),
             metrics=self.metrics,
--- a/hawthornspoke/relay/tests/test_agent_frames.py
+++ b/hawthornspoke/relay/tests/test_agent_frames.py
@@ -7,7 +7,7 @@
 from hawthornspoke.protocol import EngineState, Frame
 from hawthornspoke.protocol.tests.structs import structs
 from hawthornspoke.relay._agents import AgentLinks
-from hawthornspoke.relay.tests.endpoint import ENGINE
+from hawthornspoke.relay.tests.endpoint import ENGINE, lone_suspects
 
 ADDRESSES = ("10.0.0.1:80", "10.0.0.2:80")
 
@@ -45,6 +45,7 @@
         log=None,
         directive_for=lambda address: None,
         on_entry_hosts=lambda agent, addresses: None,
+        suspects=lone_suspects(fleet),
     )
     return made, fleet
 
--- a/hawthornspoke/relay/tests/test_incarnations.py
+++ b/hawthornspoke/relay/tests/test_incarnations.py
@@ -7,7 +7,13 @@
 from hawthornspoke.placing import EndpointsListed, Fleet
 from hawthornspoke.protocol import EngineState, Frame
 from hawthornspoke.relay._agents import AgentLinks
-from hawthornspoke.relay.tests.endpoint import Endpoint, RelayHarness, answer, shed
+from hawthornspoke.relay.tests.endpoint import (
+    Endpoint,
+    RelayHarness,
+    answer,
+    lone_suspects,
+    shed,
+)
 
 FIRST = Incarnation(started_ms=1_000_000)
 SECOND = Incarnation(started_ms=1_060_000)
@@ -117,7 +123,12 @@
     )
     fleet.step(EndpointsListed(entries=(entry,)), now=monotonic())
     links = AgentLinks(
-        port=1, fleet=fleet, log=None, directive_for=None, on_entry_hosts=None
+        port=1,
+        fleet=fleet,
+        log=None,
+        directive_for=None,
+        on_entry_hosts=None,
+        suspects=lone_suspects(fleet),
     )
     state = EngineState(running=2, waiting=1, started_ms=SECOND.started_ms)
     links._take(entry.address, None, Frame(engine_state=state))
--- /dev/null
+++ b/hawthornspoke/relay/tests/test_suspects.py
@@ -0,0 +1,194 @@
+"""An entry host before endpoints that end under a request."""
+
+import asyncio
+
+from hawthornspoke.base import monotonic
+from hawthornspoke.quarantine import EndpointEnded
+from hawthornspoke.relay.tests.endpoint import (
+    Endpoint,
+    RelayHarness,
+    answer,
+    field,
+    reset,
+    stream_event,
+    stream_head,
+)
+from hawthornspoke.relay.tests.test_forward import ids_of, play
+
+
+def ends(step):
+    """A step: what another one writes, and then the endpoint's process ends."""
+
+    async def ending(endpoint, head, writer):
+        await step(endpoint, head, writer)
+        await writer.drain()
+        endpoint.close()
+        return False
+
+    return ending
+
+
+async def next_event(endpoint, head, writer):
+    """Write the event after the last one that the caller has, of a longer stream."""
+    last = int(field(head, "Last-Event-Id") or 0)
+    writer.write(stream_head(head) + stream_event(last + 1))
+    await writer.drain()
+    await asyncio.sleep(0.02)
+
+
+def quarantine(harness, fingerprint, *, starts=("x1", "x2", "x3")):
+    """Let a request be known to end endpoints."""
+    for start in starts:
+        message = EndpointEnded(start=start, fingerprints=(fingerprint,), in_use=9)
+        harness.suspects.quarantine.step(message, now=monotonic())
+
+
+async def fingerprint_of_next(harness, prefix):
+    """Return the fingerprint of a request, as the host makes it."""
+    seen = []
+    refusal = harness.suspects.refusal
+
+    def noting(fingerprint):
+        seen.append(fingerprint)
+        return refusal(fingerprint)
+
+    harness.handler._suspects = Noting(harness.suspects, noting)
+    await harness.ask(prefix)
+    harness.handler._suspects = harness.suspects
+    return seen[0]
+
+
+class Noting:
+    """Suspects of which one method is another."""
+
+    def __init__(self, suspects, refusal):
+        self.refusal = refusal
+        self.answered = suspects.answered
+
+
+def test_request_in_quarantine_is_refused_without_being_sent():
+    async def scenario():
+        endpoint = Endpoint()
+        async with RelayHarness(endpoint) as harness:
+            fingerprint = await fingerprint_of_next(harness, "again")
+            quarantine(harness, fingerprint)
+            status, head, _, _ = await harness.ask("again")
+            assert status == 503
+            assert float(field(head, "Retry-After")) > 60
+            assert len(endpoint.requests) == 1
+
+    play(scenario)
+
+
+def test_other_requests_of_the_caller_are_served():
+    async def scenario():
+        endpoint = Endpoint()
+        async with RelayHarness(endpoint) as harness:
+            fingerprint = await fingerprint_of_next(harness, "again")
+            quarantine(harness, fingerprint)
+            assert (await harness.ask("once"))[0] == 200
+
+    play(scenario)
+
+
+def test_quarantine_that_begins_while_a_connection_is_waited_for_holds():
+    async def scenario():
+        endpoint = Endpoint()
+        async with RelayHarness(endpoint) as harness:
+            fingerprint = await fingerprint_of_next(harness, "again")
+            harness.pool.actions = [lambda: quarantine(harness, fingerprint)]
+            status, head, _, _ = await harness.ask("again")
+            assert status == 503
+            assert float(field(head, "Retry-After")) > 60
+            assert len(endpoint.requests) == 1
+
+    play(scenario)
+
+
+def test_request_that_was_sent_before_its_quarantine_is_not_called_not_run():
+    async def scenario():
+        first, second = Endpoint(ends(reset())), Endpoint(ends(reset()))
+        async with RelayHarness(first, second, timeout=2.0) as harness:
+            quarantine(harness, "other")
+            status, head, _, _ = await harness.ask("again")
+            assert status == 502
+            assert field(head, "Retry-After") is None
+
+    play(scenario)
+
+
+def test_endpoint_that_resets_and_lives_is_no_evidence():
+    async def scenario():
+        first, second = Endpoint(reset(), reset()), Endpoint(answer(), answer())
+        async with RelayHarness(first, second) as harness:
+            harness.fleet.endpoint_by_id["e1"].own_running = 1
+            assert (await harness.ask("again"))[0] == 200
+            await asyncio.sleep(0.05)
+            assert harness.suspects.quarantine.evidence(now=monotonic()) == []
+
+    play(scenario)
+
+
+def test_third_end_is_awaited_before_a_request_is_sent_again():
+    """Guards against a fourth endpoint that ends while the third is looked at."""
+
+    async def scenario():
+        endpoints = [Endpoint(ends(reset())) for _ in range(4)]
+        async with RelayHarness(*endpoints, timeout=2.0) as harness:
+            await harness.ask("again")
+            await harness.ask("again")
+            await harness.ask("again")
+            assert sum(len(endpoint.requests) for endpoint in endpoints) == 3
+
+    play(scenario)
+
+
+def test_stream_that_goes_on_elsewhere_counts_at_each_endpoint_that_ended():
+    async def scenario():
+        endpoints = [Endpoint(ends(next_event)) for _ in range(4)]
+        async with RelayHarness(*endpoints, timeout=2.0) as harness:
+            _, _, body, whole = await harness.ask("stream")
+            assert ids_of(body) == [1, 2]
+            assert not whole
+            await harness.ask("stream")
+            status, _, _, _ = await harness.ask("stream")
+            assert status == 503
+            assert sum(len(endpoint.requests) for endpoint in endpoints) == 3
+
+    play(scenario)
+
+
+def test_request_at_most_once_counts_when_its_caller_repeats_it():
+    async def scenario():
+        endpoints = [Endpoint(ends(reset())) for _ in range(4)]
+        async with RelayHarness(*endpoints) as harness:
+            statuses = [(await harness.ask("once"))[0] for _ in range(4)]
+            assert statuses == [502, 502, 502, 503]
+            assert sum(len(endpoint.requests) for endpoint in endpoints) == 3
+
+    play(scenario)
+
+
+def test_answer_clears_a_request_that_ran_beside():
+    async def scenario():
+        first, second = Endpoint(ends(reset())), Endpoint(answer())
+        async with RelayHarness(first, second, timeout=2.0) as harness:
+            harness.fleet.endpoint_by_id["e1"].own_running = 1
+            assert (await harness.ask("again"))[0] == 200
+            await asyncio.sleep(0.05)
+            items = harness.suspects.quarantine.evidence(now=monotonic())
+            assert all(item.cleared for item in items)
+
+    play(scenario)
+
+
+def test_error_that_a_living_endpoint_answers_clears_a_request_too():
+    async def scenario():
+        first, second = Endpoint(ends(reset())), Endpoint(answer(status=500))
+        async with RelayHarness(first, second, timeout=2.0) as harness:
+            harness.fleet.endpoint_by_id["e1"].own_running = 1
+            assert (await harness.ask("again"))[0] == 500
+            items = harness.suspects.quarantine.evidence(now=monotonic())
+            assert all(item.cleared for item in items)
+
+    play(scenario)
--- a/hawthornspoke/spread/_process.py
+++ b/hawthornspoke/spread/_process.py
@@ -19,6 +19,7 @@
 from hawthornspoke.spread._delivery import Delivery
 from hawthornspoke.spread._directives import Directives
 from hawthornspoke.spread._entry_links import EntryLinks
+from hawthornspoke.spread._evidence import EvidenceLinks
 from hawthornspoke.spread._state import engine_state
 from hawthornspoke.spread._upgrade import EngineSeen
 
@@ -58,6 +59,7 @@
         "metrics",
         "delivery",
         "entry_links",
+        "evidence_links",
         "directives",
         "standstill",
         "operator",
@@ -90,6 +92,7 @@
         self.entry_links = EntryLinks(
             failure_domain=settings.failure_domain, spawn=self.exchange.spawn
         )
+        self.evidence_links = EvidenceLinks()
         self.standstill = Standstill(
             on_woke=lambda seconds: self.log.change("stood_still", seconds=seconds)
         )
@@ -149,7 +152,7 @@
             self.settings.ip,
             self.settings.port,
             on_frame=self._on_frame,
-            on_closed=self.entry_links.drop,
+            on_closed=self._on_closed,
         )
         await self.operator.start()
         ticks = Ticks()
@@ -197,6 +200,8 @@
                 self._tell()
         elif frame.follows is not None:
             self.entry_links.take_follows(link, frame.follows)
+        elif frame.evidence is not None:
+            self.evidence_links.take(link, frame)
         elif frame.manifest_ask is not None:
             self.delivery.manifests.answer(link, frame)
         elif frame.directive_ask is not None:
@@ -204,6 +209,10 @@
         else:
             self.exchange.on_frame(link, frame)
 
+    def _on_closed(self, link):
+        self.entry_links.drop(link)
+        self.evidence_links.drop(link)
+
     # The engine.
 
     async def _watch_engine(self, ticks):
@@ -311,6 +320,7 @@
             "upgrade": self.upgrade.dump(now=contact_clock()),
             "link": self.entry_links.link.dump(now=now),
             "swarm": self.exchange.swarm.dump(now=now),
+            "evidence": self.evidence_links.exchange.dump(now=now),
             "metrics": self.metrics.dump(),
         }
 
--- a/idl/hawthornspoke.thrift
+++ b/idl/hawthornspoke.thrift
@@ -266,6 +266,18 @@
   6: optional i32 age_ms,
 }
 
+// A request that an endpoint was running when its process ended.
+struct EndEvidence {
+  // Of what repeats of the request have in common.
+  1: optional string fingerprint,
+  // Of the endpoint: its id, with the time of the start if that is known.
+  2: optional string endpoint_start,
+  // For how long it still holds.
+  3: optional i32 left_ms,
+  // Whether the request is known not to be the cause.
+  4: optional bool cleared,
+}
+
 // One message on a peer connection; `call` pairs a question with its answer.
 struct Frame {
   1: optional i32 call,
@@ -287,6 +299,9 @@
   // Whether the sender, an entry host, wants to hear of each change of the load. An
   // agent takes it to until it is told otherwise.
   16: optional bool follows,
+  // From an entry host: what it saw, on connecting all of it. From an agent: what
+  // entry hosts together saw.
+  17: optional list<EndEvidence> evidence,
 }
 
 service Node {
