--- a/hawthornspoke/placing/_fleet.py
+++ b/hawthornspoke/placing/_fleet.py
@@ -283,14 +283,19 @@
         endpoint = self._directory.at(address)
         return "" if endpoint is None else endpoint.entry.failure_domain
 
-    def endpoints_in_use(self):
-        """Return at how many endpoints requests of this host are.
+    def endpoints_in_use(self, service):
+        """Return at how many endpoints of a service requests of this host are.
+
+        Parameters
+        ----------
+        service : str
 
         Returns
         -------
         int
         """
-        return sum(item.own_running > 0 for item in self.endpoint_by_id.values())
+        endpoints = self._directory.of_service(service)
+        return sum(item.own_running > 0 for item in endpoints)
 
     def dump(self, *, now):
         """Return the state as plain data."""
--- a/hawthornspoke/quarantine/_quarantine.py
+++ b/hawthornspoke/quarantine/_quarantine.py
@@ -19,11 +19,11 @@
 COMPANY_ENDS = 2
 
 #: Seconds within which ends of endpoints count as one event.
-SAME_EVENT = 0.25
+SAME_EVENT = 0.1
 
 #: Endpoints that end together, and their part of those that a host uses, from which
 #: the cause is not a request: no request runs at that many.
-MASS_ENDS = 3
+MASS_ENDS = 2
 MASS_SHARE = 0.75
 
 
--- a/hawthornspoke/relay/_forward.py
+++ b/hawthornspoke/relay/_forward.py
@@ -96,7 +96,7 @@
                     reason=work.last_reason,
                     may_have_run=work.may_have_run,
                 )
-                await self._sender.settle(work, attempt)
+                await self._sender.settle(work)
             finally:
                 # Reached with an open connection only if the task was cancelled:
                 # the caller left, or the request's time is over.
--- a/hawthornspoke/relay/_sending.py
+++ b/hawthornspoke/relay/_sending.py
@@ -107,12 +107,12 @@
         work.may_have_run = True
         return None
 
-    async def settle(self, work, attempt):
+    async def settle(self, work):
         """Wait until it is known what a try that failed means for the request."""
-        await self._suspects.settle(work.fingerprint, attempt.place)
+        await self._suspects.settle(work.fingerprint)
 
     def _note_broken(self, work, attempt):
-        self._suspects.broken_off(work.fingerprint, attempt.place)
+        self._suspects.broken_off(work.fingerprint, attempt.place, service=work.service)
         self._log.change(
             "broken_off",
             request=work.request_id,
--- a/hawthornspoke/relay/_streams.py
+++ b/hawthornspoke/relay/_streams.py
@@ -56,7 +56,7 @@
                     self._chooser.succeeded(work)
                     return True
                 attempt.fail()
-                await self._sender.settle(work, attempt)
+                await self._sender.settle(work)
                 if not work.reply.started:
                     # Not an event has been passed on: it can start anew elsewhere.
                     return False
--- a/hawthornspoke/relay/_suspects.py
+++ b/hawthornspoke/relay/_suspects.py
@@ -88,7 +88,7 @@
         """Take that an endpoint ran a request to its end."""
         self._step(Answered(fingerprint=fingerprint))
 
-    def broken_off(self, fingerprint, place):
+    def broken_off(self, fingerprint, place, *, service):
         """Take that an endpoint closed its connection within a request.
 
         Parameters
@@ -96,27 +96,34 @@
         fingerprint : str
         place : Place
             Where the request was.
+        service : str
         """
         start = _start_of(place)
         self._broken_by_start.setdefault(start, set()).add(fingerprint)
         if start not in self._look_by_start:
-            look = asyncio.get_running_loop().create_task(self._look(start, place))
+            look = asyncio.get_running_loop().create_task(
+                self._look(start, place, service)
+            )
             self._look_by_start[start] = look
 
-    async def settle(self, fingerprint, place):
-        """Wait until it is known whether a suspected request ended an endpoint.
+    async def settle(self, fingerprint):
+        """Wait until it is known which endpoints ended under a suspected request.
 
-        Without it, the request would be sent to the next endpoint meanwhile.
+        Without it, the request would be sent to the next endpoint meanwhile. One that
+        was broken off for the first time doesn't wait.
 
         Parameters
         ----------
         fingerprint : str
-        place : Place
-            Where the request was.
         """
-        look = self._look_by_start.get(_start_of(place))
-        if look is not None and self.quarantine.has_evidence(fingerprint):
-            await asyncio.wait([look])
+        looks = [
+            self._look_by_start[start]
+            for start, fingerprints in self._broken_by_start.items()
+            if fingerprint in fingerprints
+        ]
+        is_suspected = self.quarantine.has_evidence(fingerprint)
+        if len(looks) > 1 or (looks and is_suspected):
+            await asyncio.wait(looks)
 
     def heard(self, address, frame):
         """Take what an agent told; see ``EvidenceSharing.heard``."""
@@ -154,7 +161,7 @@
         for look in self._look_by_start.values():
             look.cancel()
 
-    async def _look(self, start, place):
+    async def _look(self, start, place, service):
         try:
             has_ended = await refuses_connections(place.address, timeout=PROBE_TIME)
         finally:
@@ -172,7 +179,7 @@
         ended = EndpointEnded(
             start=start,
             fingerprints=tuple(sorted(fingerprints)),
-            in_use=self._fleet.endpoints_in_use(),
+            in_use=self._fleet.endpoints_in_use(service),
         )
         self._step(ended)
 
--- /dev/null
+++ b/hawthornspoke/relay/tests/test_sharing.py
@@ -0,0 +1,116 @@
+"""To which agents an entry host tells what it saw at the end of endpoints."""
+
+from hawthornspoke.base import monotonic
+from hawthornspoke.peering import read_evidence, write_evidence
+from hawthornspoke.protocol import EndEvidence, Frame, decode, encode
+from hawthornspoke.quarantine import (
+    EVIDENCE_FOR,
+    EndpointEnded,
+    Evidence,
+    EvidenceHeard,
+    Quarantine,
+)
+from hawthornspoke.relay._sharing import AGENTS_PER_DOMAIN, EvidenceSharing
+
+DOMAINS = ("a", "b", "c")
+
+
+class Link:
+    """Takes frames as they arrive at the other end."""
+
+    def __init__(self):
+        self.heard = []
+
+    def send(self, frame):
+        received = decode(Frame, encode(frame))
+        self.heard += read_evidence(received, now=monotonic())
+        return True
+
+
+class Host:
+    """An entry host with links to some agents of each failure domain."""
+
+    def __init__(self, *, agents=4):
+        self.quarantine = Quarantine()
+        self.sharing = EvidenceSharing(
+            quarantine=self.quarantine,
+            failure_domain_at=lambda address: address.partition("/")[0],
+        )
+        self.link_by_address = {}
+        for domain in DOMAINS:
+            for number in range(agents):
+                self.connect(f"{domain}/{number}")
+
+    def connect(self, address):
+        self.link_by_address[address] = Link()
+        self.sharing.connected(address, self.link_by_address[address])
+
+    def see(self, start, fingerprint="f"):
+        ended = EndpointEnded(start=start, fingerprints=(fingerprint,), in_use=9)
+        for news in self.quarantine.step(ended, now=monotonic()):
+            self.sharing.tell(news.items)
+
+    def addresses_told(self):
+        return {address for address, link in self.link_by_address.items() if link.heard}
+
+
+def test_evidence_meets_at_the_same_agents_of_each_failure_domain():
+    hosts = [Host() for _ in range(3)]
+    for number, host in enumerate(hosts):
+        host.see(f"e{number}")
+    told = hosts[0].addresses_told()
+    assert all(host.addresses_told() == told for host in hosts)
+    for domain in DOMAINS:
+        assert sum(name.startswith(domain) for name in told) == AGENTS_PER_DOMAIN
+
+
+def test_agent_that_takes_the_place_of_a_lost_one_is_told():
+    host = Host()
+    host.see("e1")
+    for address in host.addresses_told():
+        host.sharing.lost(address)
+        del host.link_by_address[address]
+    host.sharing.catch_up()
+    assert len(host.addresses_told()) == AGENTS_PER_DOMAIN * len(DOMAINS)
+
+
+def test_failure_domain_that_was_cut_off_is_told_when_it_is_back():
+    host = Host(agents=0)
+    host.connect("a/1")
+    host.see("e1")
+    assert host.addresses_told() == {"a/1"}
+    for address in ("b/1", "c/1"):
+        host.connect(address)
+    host.sharing.catch_up()
+    assert host.addresses_told() == {"a/1", "b/1", "c/1"}
+
+
+def test_agent_is_told_once():
+    host = Host()
+    host.see("e1")
+    host.sharing.catch_up()
+    host.sharing.catch_up()
+    assert all(len(link.heard) <= 1 for link in host.link_by_address.values())
+
+
+def test_what_an_agent_told_is_not_told_back():
+    host = Host(agents=1)
+    item = Evidence(fingerprint="f", start="e1", deadline=monotonic() + 50)
+    heard = host.sharing.heard("a/0", write_evidence([item], now=monotonic()))
+    host.quarantine.step(EvidenceHeard(items=heard), now=monotonic())
+    host.sharing.catch_up()
+    assert host.addresses_told() == {"b/0", "c/0"}
+
+
+def test_unusable_evidence_is_passed_over():
+    good = EndEvidence(fingerprint="f", endpoint_start="e", left_ms=10**9)
+    bad = [
+        EndEvidence(),
+        EndEvidence(fingerprint="f", endpoint_start="e"),
+        EndEvidence(fingerprint="", endpoint_start="e", left_ms=1),
+        EndEvidence(fingerprint="f" * 1000, endpoint_start="e", left_ms=1),
+        EndEvidence(fingerprint="f", endpoint_start="e", left_ms=-1),
+    ]
+    (item,) = read_evidence(Frame(evidence=[*bad, good]), now=5.0)
+    assert item.deadline == 5.0 + EVIDENCE_FOR
+    assert item.cleared is False
--- a/hawthornspoke/relay/tests/test_suspects.py
+++ b/hawthornspoke/relay/tests/test_suspects.py
@@ -3,7 +3,9 @@
 import asyncio
 
 from hawthornspoke.base import monotonic
+from hawthornspoke.httpio import refuses_connections
 from hawthornspoke.quarantine import EndpointEnded
+from hawthornspoke.relay import _suspects
 from hawthornspoke.relay.tests.endpoint import (
     Endpoint,
     RelayHarness,
@@ -129,9 +131,15 @@
     play(scenario)
 
 
-def test_third_end_is_awaited_before_a_request_is_sent_again():
+def test_third_end_is_awaited_before_a_request_is_sent_again(monkeypatch):
     """Guards against a fourth endpoint that ends while the third is looked at."""
 
+    async def far_away(address, *, timeout):
+        await asyncio.sleep(0.05)
+        return await refuses_connections(address, timeout=timeout)
+
+    monkeypatch.setattr(_suspects, "refuses_connections", far_away)
+
     async def scenario():
         endpoints = [Endpoint(ends(reset())) for _ in range(4)]
         async with RelayHarness(*endpoints, timeout=2.0) as harness:
