A request that waits at an endpoint is withdrawn when its quarantine begins

It would end one more endpoint as soon as that begins it. The try ends as one that its caller left, so that the endpoint isn't blamed; its caller gets 502, since it may run.

--- a/hawthornspoke/relay/_sending.py
+++ b/hawthornspoke/relay/_sending.py
@@ -64,6 +64,7 @@
             dialect=self._dialect,
             timers=self._timers,
             on_broken=lambda attempt: self._note_broken(work, attempt),
+            on_ended=lambda attempt: self._suspects.ended(work.fingerprint, attempt),
         )
 
     async def send(self, work, attempt, *, last_event=None, version=None):
@@ -101,6 +102,7 @@
         if failure is not None:
             self._log_not_sent(work, attempt, failure)
             return failure
+        self._suspects.sent(work.fingerprint, attempt)
         work.sent += 1
         # From here on the endpoint may run it, also when nothing is heard any more
         # before the request's time is over; only its own word takes that back.
--- a/hawthornspoke/relay/_suspects.py
+++ b/hawthornspoke/relay/_suspects.py
@@ -45,6 +45,7 @@
         "_fleet",
         "_log",
         "_metrics",
+        "_tries_by_fingerprint",
         "_broken_by_start",
         "_look_by_start",
         "_seen_here",
@@ -60,6 +61,7 @@
         self._fleet = fleet
         self._log = log
         self._metrics = metrics
+        self._tries_by_fingerprint = {}
         self._broken_by_start = {}
         self._look_by_start = {}
         self._seen_here = collections.deque(maxlen=MOST_SEEN)
@@ -88,6 +90,25 @@
         """Take that an endpoint ran a request to its end."""
         self._step(Answered(fingerprint=fingerprint))
 
+    def sent(self, fingerprint, attempt):
+        """Take that a request was sent to an endpoint.
+
+        Parameters
+        ----------
+        fingerprint : str
+        attempt : Try
+        """
+        self._tries_by_fingerprint.setdefault(fingerprint, set()).add(attempt)
+
+    def ended(self, fingerprint, attempt):
+        """Take that a try is over; see ``sent``."""
+        tries = self._tries_by_fingerprint.get(fingerprint)
+        if tries is None:
+            return
+        tries.discard(attempt)
+        if not tries:
+            del self._tries_by_fingerprint[fingerprint]
+
     def broken_off(self, fingerprint, place, *, service):
         """Take that an endpoint closed its connection within a request.
 
@@ -200,6 +221,9 @@
             fingerprint=outcome.fingerprint,
             endpoints_ended=list(outcome.starts),
         )
+        # Where it still waits for its turn, it would end one more endpoint.
+        for attempt in list(self._tries_by_fingerprint.get(outcome.fingerprint, ())):
+            attempt.withdraw(QUARANTINED)
         if outcome.fingerprint in self._seen_here:
             self._unrecorded.add(outcome.fingerprint)
             self._has_unrecorded.set()
--- a/hawthornspoke/relay/_try.py
+++ b/hawthornspoke/relay/_try.py
@@ -29,6 +29,8 @@
     timers : Timers
     on_broken : callable
         Called with the try if the endpoint broke off its connection.
+    on_ended : callable
+        Called with the try when it is over.
     """
 
     __slots__ = (
@@ -42,10 +44,11 @@
         "_dialect",
         "_timers",
         "_on_broken",
+        "_on_ended",
         "_ended",
     )
 
-    def __init__(self, *, place, pool, fleet, dialect, timers, on_broken):
+    def __init__(self, *, place, pool, fleet, dialect, timers, on_broken, on_ended):
         self.place = place
         self.connection = None
         self.exchange = None
@@ -56,6 +59,7 @@
         self._dialect = dialect
         self._timers = timers
         self._on_broken = on_broken
+        self._on_ended = on_ended
         self._ended = False
 
     async def connect(self):
@@ -185,6 +189,17 @@
         self._end("left")
         self.abort()
 
+    def withdraw(self, failure):
+        """Take the request back; whoever waits for its answer gets a failure.
+
+        Parameters
+        ----------
+        failure : Failure
+        """
+        self._end("left")
+        self.exchange.end(failure)
+        self.abort()
+
     def abort(self):
         """Close the connection, if there still is one."""
         if self.connection is not None:
@@ -228,6 +243,7 @@
         if self._ended:
             return
         self._ended = True
+        self._on_ended(self)
         if outcome == "failed" and self.exchange.failure == BROKEN:
             self._on_broken(self)
         if outcome == "unreachable" or self.sent_at is not None:
--- a/hawthornspoke/relay/tests/test_suspects.py
+++ b/hawthornspoke/relay/tests/test_suspects.py
@@ -4,14 +4,17 @@
 
 from hawthornspoke.base import monotonic
 from hawthornspoke.httpio import refuses_connections
-from hawthornspoke.quarantine import EndpointEnded
+from hawthornspoke.peering import write_evidence
+from hawthornspoke.quarantine import EndpointEnded, Evidence
 from hawthornspoke.relay import _suspects
 from hawthornspoke.relay.tests.endpoint import (
     Endpoint,
     RelayHarness,
     answer,
+    events,
     field,
     reset,
+    silent,
     stream_event,
     stream_head,
 )
@@ -45,6 +48,16 @@
         harness.suspects.quarantine.step(message, now=monotonic())
 
 
+def evidence_against(fingerprint):
+    """Return what an agent tells of a request that ended endpoints elsewhere."""
+    now = monotonic()
+    items = [
+        Evidence(fingerprint=fingerprint, start=start, deadline=now + 60)
+        for start in ("x1", "x2", "x3")
+    ]
+    return write_evidence(items, now=now)
+
+
 async def fingerprint_of_next(harness, prefix):
     """Return the fingerprint of a request, as the host makes it."""
     seen = []
@@ -119,6 +132,27 @@
     play(scenario)
 
 
+def test_request_that_waits_at_an_endpoint_is_withdrawn_when_its_quarantine_begins():
+    """Guards against endpoints that end under a request already sent to them."""
+
+    async def scenario():
+        endpoint = Endpoint(events([1]), silent())
+        async with RelayHarness(endpoint, timeout=2.0) as harness:
+            fingerprint = await fingerprint_of_next(harness, "stream")
+            asked = asyncio.create_task(harness.ask("stream"))
+            await asyncio.sleep(0.1)
+            at_endpoint = harness.fleet.endpoint_by_id["e0"]
+            assert at_endpoint.own_running == 1
+            harness.suspects.heard("a", evidence_against(fingerprint))
+            status, head, _, _ = await asyncio.wait_for(asked, 0.5)
+            assert status == 502
+            assert field(head, "Retry-After") is None
+            assert at_endpoint.own_running == 0
+            assert at_endpoint.failure_rate == 0
+
+    play(scenario)
+
+
 def test_endpoint_that_resets_and_lives_is_no_evidence():
     async def scenario():
         first, second = Endpoint(reset(), reset()), Endpoint(answer(), answer())
