--- a/hawthornspoke/standins/_engine.py
+++ b/hawthornspoke/standins/_engine.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import os
 import threading
 import time
 import uuid
@@ -105,6 +106,7 @@
                 "die_after_tokens": 0,
                 "load_seconds": 0.0,
                 "refuse_load": False,
+                "exit_on_prompt": "",
             }
         )
         self.instance = uuid.uuid4().hex
@@ -241,6 +243,9 @@
         first = int(body.get("resume_from") or 0)
         try:
             time.sleep(self._prefill(prompt) * self.faults["slow_factor"])
+            deadly = self.faults["exit_on_prompt"]
+            if deadly and deadly in prompt:
+                os._exit(1)
             for place in range(first, int(body.get("max_tokens", DEFAULT_TOKENS))):
                 limit = self.faults["die_after_tokens"]
                 if limit and place - first >= limit:
