The own interface recognizes requests that end engines too

An agent tells that its engine's process has ended, with a name of that end; entry hosts share evidence by datagrams and refuse a request in quarantine with 503 and code quarantined. The wire form of evidence moves beside the decisions, since two transports use it.

--- a/hawthornspoke/agent/_control.py
+++ b/hawthornspoke/agent/_control.py
@@ -14,6 +14,7 @@
     StageChunk,
     run_request,
 )
+from hawthornspoke.agent._engine_ends import EngineEnds
 from hawthornspoke.agent._fetch_actor import (
     FetchActor,
     GetManifest,
@@ -109,6 +110,7 @@
         )
         self.store = store
         self.engine = engine
+        self.engine_ends = EngineEnds(name=f"{settings['node']}@{self.incarnation}")
         self.link = link
         self.gate = Gate(slots=settings["slots"], queue_limit=settings["queue_limit"])
         self.swarm = Swarm(
@@ -339,7 +341,12 @@
         run = self.run_by_id[request_id]
         threading.Thread(
             target=run_request,
-            kwargs={"run": run, "engine": self.engine, "control": self.actor_ref},
+            kwargs={
+                "run": run,
+                "engine": self.engine,
+                "ends": self.engine_ends,
+                "control": self.actor_ref,
+            },
             name="run",
             daemon=True,
         ).start()
--- a/hawthornspoke/agent/_engine_actor.py
+++ b/hawthornspoke/agent/_engine_actor.py
@@ -8,7 +8,7 @@
 from hawthornspoke.agent._engines import FENCED, CutAnswer
 from hawthornspoke.base import Failure, is_failure, monotonic
 from hawthornspoke.deployment import EngineSeen, OrderEnded, OrderLoad
-from hawthornspoke.protocol import Event, EventKind
+from hawthornspoke.protocol import ENGINE_ENDED, Event, EventKind
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -136,13 +136,14 @@
             self.control.tell(message)
 
 
-def run_request(*, run, engine, control):
+def run_request(*, run, engine, ends, control):
     """Run one started request and push its events.
 
     Parameters
     ----------
     run : Run
     engine : object
+    ends : EngineEnds
     control : pykka.ActorRef
     """
     request_id = run.submit.request_id
@@ -158,7 +159,10 @@
                 return
         run.push(Event(kind=EventKind.DONE))
     except CutAnswer as error:
-        run.fail(str(error))
+        if engine.has_ended():
+            run.fail(f"{ENGINE_ENDED.code}: {ends.note()}")
+        else:
+            run.fail(str(error))
     except Exception as error:
         # The caller must get an end whatever the engine's answer did here.
         logger.exception("request {} failed in the agent", request_id)
--- a/hawthornspoke/agent/_engines.py
+++ b/hawthornspoke/agent/_engines.py
@@ -1,6 +1,8 @@
 """Drivers of what runs beside the agent, by kind."""
 
 import json
+import socket
+from urllib.parse import urlsplit
 
 import urllib3
 
@@ -89,6 +91,18 @@
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise CutAnswer(str(error))
 
+    def has_ended(self):
+        """Tell whether no process listens at the engine's address."""
+        parts = urlsplit(self.url)
+        try:
+            address = (parts.hostname, parts.port or 80)
+            socket.create_connection(address, timeout=CONNECT_TIMEOUT).close()
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            return False
+        return False
+
     def state(self):
         """Return the engine's state as JSON, or None."""
         try:
@@ -150,6 +164,15 @@
         """
         return self._http.state()
 
+    def has_ended(self):
+        """Tell whether the engine's process is gone.
+
+        Returns
+        -------
+        bool
+        """
+        return self._http.has_ended()
+
     def answer(self, run, *, timeout):
         """Run a request.
 
@@ -358,6 +381,15 @@
         """
         return self._http.state()
 
+    def has_ended(self):
+        """Tell whether the engine's process is gone.
+
+        Returns
+        -------
+        bool
+        """
+        return self._http.has_ended()
+
     def answer(self, run, *, timeout):
         """Run a request; see :meth:`ModelEngine.answer`."""
         submit = run.submit
--- a/hawthornspoke/agent/tests/test_after_a_wait.py
+++ b/hawthornspoke/agent/tests/test_after_a_wait.py
@@ -16,6 +16,7 @@
 import pytest
 
 from hawthornspoke.agent._engine_actor import run_request
+from hawthornspoke.agent._engine_ends import EngineEnds
 from hawthornspoke.agent._engines import ENGINES
 from hawthornspoke.agent._process import _Handler
 from hawthornspoke.agent._runs import Run
@@ -73,7 +74,12 @@
 
 def events_of(run, engine):
     """Start a run; return the kinds of its events."""
-    run_request(run=run, engine=engine.driver, control=NoControl())
+    run_request(
+        run=run,
+        engine=engine.driver,
+        ends=EngineEnds(name="a"),
+        control=NoControl(),
+    )
     return [event.kind for event in run.take(0.1)]
 
 
@@ -103,7 +109,12 @@
 
     def ask(self, method, **arguments):
         self.stall()
-        run_request(run=arguments["run"], engine=self.engine, control=NoControl())
+        run_request(
+            run=arguments["run"],
+            engine=self.engine,
+            ends=EngineEnds(name="a"),
+            control=NoControl(),
+        )
         self.started.set()
         return 0
 
--- a/hawthornspoke/entry/_attempt.py
+++ b/hawthornspoke/entry/_attempt.py
@@ -2,6 +2,7 @@
 
 from hawthornspoke.base import Failure, is_failure, monotonic
 from hawthornspoke.protocol import (
+    ENGINE_ENDED,
     NOT_SENT,
     PROTOCOL_VERSION,
     TOO_LATE,
@@ -47,15 +48,18 @@
     failure : Failure or None
     live : str or None, default=None
         Digest that is live at the endpoint, as a refusal told.
+    engine_end : str, default=""
+        Name of the engine's end, if its process ended under the request.
     """
 
-    __slots__ = ("done", "was_run", "failure", "live")
+    __slots__ = ("done", "was_run", "failure", "live", "engine_end")
 
-    def __init__(self, *, done, was_run, failure=None, live=None):
+    def __init__(self, *, done, was_run, failure=None, live=None, engine_end=""):
         self.done = done
         self.was_run = was_run
         self.failure = failure
         self.live = live
+        self.engine_end = engine_end
 
 
 class Attempt:
@@ -238,6 +242,11 @@
         failure = Failure(code=code, reason=reason, retry_after=retry_after)
         if event.kind == EventKind.REFUSED:
             return Ended(done=False, was_run=False, failure=failure, live=event.digest)
+        if failure == ENGINE_ENDED:
+            cut_off = CUT_OFF.because("the engine's process ended")
+            return Ended(
+                done=False, was_run=True, failure=cut_off, engine_end=failure.reason
+            )
         if monotonic() >= self.context.deadline - DEADLINE_SLACK:
             # The agent's own wait for the engine ends with the same deadline and
             # may be told first: it is the caller's time that was up.
--- a/hawthornspoke/entry/_context.py
+++ b/hawthornspoke/entry/_context.py
@@ -3,6 +3,7 @@
 import uuid
 
 from hawthornspoke.base import Failure, contact_clock, digest_of, monotonic
+from hawthornspoke.quarantine import fingerprint_of
 
 BAD_REQUEST = Failure(code="bad_request")
 
@@ -51,6 +52,7 @@
         "service",
         "claim",
         "attempts",
+        "_quarantine_fingerprint",
     )
 
     def __init__(self, *, request, default_timeout):
@@ -73,6 +75,7 @@
         self.service = None
         self.claim = None
         self.attempts = 0
+        self._quarantine_fingerprint = None
 
     def remaining(self):
         """Return the seconds that the caller will still wait.
@@ -87,6 +90,23 @@
         contact_left = self.contact_arrived_at + given - contact_clock()
         return min(contact_left, self.deadline - monotonic())
 
+    def quarantine_fingerprint(self):
+        """Return what the request has in common with its repeats.
+
+        Returns
+        -------
+        str
+        """
+        if self._quarantine_fingerprint is None:
+            self._quarantine_fingerprint = fingerprint_of(
+                organisation=self.organisation,
+                method=self.request.method,
+                host=self.service_name,
+                target=self.path,
+                body=self.request.body,
+            )
+        return self._quarantine_fingerprint
+
     def fingerprint(self):
         """Return a digest of what the request asks for.
 
--- a/hawthornspoke/entry/_control.py
+++ b/hawthornspoke/entry/_control.py
@@ -4,6 +4,7 @@
 
 from hawthornspoke.base import Failure, contact_clock, is_failure, monotonic
 from hawthornspoke.config import ServiceView
+from hawthornspoke.entry._suspects import Suspects
 from hawthornspoke.limits import (
     Admitted,
     DemandHeard,
@@ -112,6 +113,7 @@
         self.router = Router(policy=settings["policy"])
         self.limits = RateShares()
         self.retries = RetryBudget(ratio=float(settings["retry_ratio"]))
+        self.suspects = Suspects(core=self.core, socket=socket, metrics=metrics)
         self.service_by_name = {}
         self.organisation_by_key = {}
         self.organisations = {}
@@ -156,7 +158,9 @@
             lowest_urgency=self.organisations[organisation].get("lowest_urgency", 0),
         )
 
-    def recheck(self, *, authorization, organisation, service_name, node, now):
+    def recheck(
+        self, *, authorization, organisation, service_name, node, fingerprint, now
+    ):
         """Look once more at what a request needs, just before it is sent.
 
         Parameters
@@ -167,6 +171,8 @@
         service_name : str
         node : str
             The endpoint's.
+        fingerprint : str
+            Of the request.
         now : float
 
         Returns
@@ -183,7 +189,7 @@
         is_known = view is not None and view.member is not None
         if not is_known or view.status == "leaving" or view.member.leaving:
             return DRAINING.because(f"{node} leaves")
-        return None
+        return self.suspects.refusal(fingerprint, now=now)
 
     def _allow(self, authorization, service_name, now):
         """Return the organisation that may use a service, or a Failure."""
@@ -221,7 +227,7 @@
         reason = f"{failure.code}, by a configuration that may be old"
         return NOT_READY.because(reason, retry_after=1.0)
 
-    def choose(self, *, service, adapter, prefix, digest, excluded, now):
+    def choose(self, *, service, adapter, prefix, digest, excluded, fingerprint, now):
         """Choose an endpoint.
 
         Parameters
@@ -232,12 +238,17 @@
         digest : str or None
             Only endpoints with exactly these weights; None for any right ones.
         excluded : frozenset of str
+        fingerprint : str
+            Of the request.
         now : float
 
         Returns
         -------
         Endpoint or Failure
         """
+        refusal = self.suspects.refusal(fingerprint, now=now)
+        if refusal is not None:
+            return refusal
         live_by_node = self._live_endpoints(service, adapter, digest)
         message = Choose(
             traits=RequestTraits(service=service.name, prefix=prefix),
@@ -253,12 +264,19 @@
             node=view.node, address=view.address, port=view.port, digest=live
         )
 
-    def attempt_ended(self, *, node, failed, first_byte, done, now):
+    def attempt_ended(
+        self, *, node, failed, first_byte, done, fingerprint, now, engine_end=""
+    ):
         """Learn from an attempt."""
         outcome = Outcome(node=node, failed=failed, first_byte=first_byte)
         self.router.step(outcome, now=now)
         if done:
             self.retries.step(Succeeded(), now=now)
+            self.suspects.answered(fingerprint, now=now)
+        if engine_end:
+            self.suspects.engine_ended(
+                engine_end, fingerprint, in_use=self.router.in_use(), now=now
+            )
 
     def endpoint_refused(self, *, node, code, key, live, now):
         """Take an endpoint's refusal as the newest news of its state."""
@@ -320,6 +338,7 @@
         if change.after == "alive" and view is not None and view.role == "entry":
             # A fresh neighbour can't complete light records.
             self.relayed_by_node.clear()
+            self.suspects.tell_new(view, now=now)
         if change.after == "dead":
             self.router.forget(change.node)
             self.relayed_by_node.pop(change.node, None)
@@ -346,6 +365,7 @@
         self.socket.send(datagram, [(view.address, view.port) for view in own])
         if self.seq % SUMMARY_EVERY == 0 or self.leaving:
             self._send_summary(entries, own, now)
+        self.suspects.tell_all(now=now)
 
     def answer_heartbeat(self, gossip, source, *, now):
         """Tell an agent the revision, and its neighbours if it asks."""
@@ -362,10 +382,13 @@
             "router": self.router.dump(now=now),
             "limits": self.limits.dump(now=now),
             "retries": self.retries.dump(now=now),
+            "quarantine": self.suspects.quarantine.dump(now=now),
         }
 
     def _on_datagram(self, message, now):
         super()._on_datagram(message, now)
+        if message.datagram.evidence is not None:
+            self.suspects.hear(message.datagram.evidence, now=now)
         gossip = message.datagram.gossip
         if gossip is None or gossip.sender is None:
             return
--- a/hawthornspoke/entry/_forward.py
+++ b/hawthornspoke/entry/_forward.py
@@ -129,6 +129,7 @@
             prefix=self.context.prefix,
             digest=self._digest,
             excluded=frozenset(self._excluded),
+            fingerprint=self.context.quarantine_fingerprint(),
         )
         if is_failure(endpoint):
             self._give_up(endpoint)
@@ -164,6 +165,7 @@
             organisation=context.organisation,
             service_name=context.service_name,
             node=endpoint.node,
+            fingerprint=context.quarantine_fingerprint(),
         )
 
     def _is_right(self, event, endpoint):
@@ -183,6 +185,8 @@
             failed=code in BLAMED,
             first_byte=attempt.first_byte,
             done=ended.done,
+            fingerprint=self.context.quarantine_fingerprint(),
+            engine_end=ended.engine_end,
         )
         self.control.hear_revision(attempt.revision_heard)
         if ended.done:
@@ -269,6 +273,7 @@
             failed=False,
             first_byte=attempt.first_byte,
             done=False,
+            fingerprint=self.context.quarantine_fingerprint(),
         )
 
 
--- a/hawthornspoke/peering/__init__.py
+++ b/hawthornspoke/peering/__init__.py
@@ -2,7 +2,6 @@
 
 from hawthornspoke.peering._connection import CLOSED, PeerConnection, connect, listen
 from hawthornspoke.peering._directive import directive, is_usable, peer_endpoints
-from hawthornspoke.peering._evidence import read_evidence, write_evidence
 
 __all__ = [
     "CLOSED",
@@ -12,6 +11,4 @@
     "is_usable",
     "listen",
     "peer_endpoints",
-    "read_evidence",
-    "write_evidence",
 ]
--- a/hawthornspoke/protocol/__init__.py
+++ b/hawthornspoke/protocol/__init__.py
@@ -4,6 +4,7 @@
 from hawthornspoke.protocol._connection import Connection, ConnectionPool
 from hawthornspoke.protocol._datagrams import DatagramSocket
 from hawthornspoke.protocol._failures import (
+    ENGINE_ENDED,
     NOT_SENT,
     REPLY_LOST,
     TOO_LATE,
@@ -24,6 +25,7 @@
     Event,
     EventKind,
     Events,
+    EvidenceNews,
     Frame,
     Gossip,
     Holdings,
@@ -45,6 +47,7 @@
 PROTOCOL_VERSION = 1
 
 __all__ = [
+    "ENGINE_ENDED",
     "NOT_SENT",
     "PROTOCOL_VERSION",
     "REPLY_LOST",
@@ -67,6 +70,7 @@
     "Event",
     "EventKind",
     "Events",
+    "EvidenceNews",
     "Frame",
     "Gossip",
     "Holdings",
--- a/hawthornspoke/protocol/_failures.py
+++ b/hawthornspoke/protocol/_failures.py
@@ -10,3 +10,6 @@
 
 #: The deadline passed before the call was made; nothing was sent.
 TOO_LATE = Failure(code="too_late")
+
+#: The engine's process ended under the request; the reason names that end.
+ENGINE_ENDED = Failure(code="engine_ended")
--- a/hawthornspoke/protocol/_gen/ttypes.py
+++ b/hawthornspoke/protocol/_gen/ttypes.py
@@ -729,23 +729,231 @@
         return not (self == other)
 
 
+class EndEvidence(object):
+    """
+    Attributes:
+     - fingerprint
+     - endpoint_start
+     - left_ms
+     - cleared
+
+    """
+
+    __slots__ = (
+        'fingerprint',
+        'endpoint_start',
+        'left_ms',
+        'cleared',
+    )
+
+
+    def __init__(self, fingerprint=None, endpoint_start=None, left_ms=None, cleared=None,):
+        self.fingerprint = fingerprint
+        self.endpoint_start = endpoint_start
+        self.left_ms = left_ms
+        self.cleared = cleared
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.endpoint_start = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.left_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.cleared = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndEvidence')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
+            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.endpoint_start is not None:
+            oprot.writeFieldBegin('endpoint_start', TType.STRING, 2)
+            oprot.writeString(self.endpoint_start.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint_start)
+            oprot.writeFieldEnd()
+        if self.left_ms is not None:
+            oprot.writeFieldBegin('left_ms', TType.I32, 3)
+            oprot.writeI32(self.left_ms)
+            oprot.writeFieldEnd()
+        if self.cleared is not None:
+            oprot.writeFieldBegin('cleared', TType.BOOL, 4)
+            oprot.writeBool(self.cleared)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EvidenceNews(object):
+    """
+    Attributes:
+     - version
+     - revision
+     - items
+
+    """
+
+    __slots__ = (
+        'version',
+        'revision',
+        'items',
+    )
+
+
+    def __init__(self, version=None, revision=None, items=None,):
+        self.version = version
+        self.revision = revision
+        self.items = items
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.version = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.items = []
+                    (_etype35, _size32) = iprot.readListBegin()
+                    for _i36 in range(_size32):
+                        _elem37 = EndEvidence()
+                        _elem37.read(iprot)
+                        self.items.append(_elem37)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EvidenceNews')
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I32, 1)
+            oprot.writeI32(self.version)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 2)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.items is not None:
+            oprot.writeFieldBegin('items', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.items))
+            for iter38 in self.items:
+                iter38.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Datagram(object):
     """
     Attributes:
      - gossip
      - announce
+     - evidence
 
     """
 
     __slots__ = (
         'gossip',
         'announce',
+        'evidence',
     )
 
 
-    def __init__(self, gossip=None, announce=None,):
+    def __init__(self, gossip=None, announce=None, evidence=None,):
         self.gossip = gossip
         self.announce = announce
+        self.evidence = evidence
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -768,6 +976,12 @@
                     self.announce.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.evidence = EvidenceNews()
+                    self.evidence.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -786,6 +1000,10 @@
             oprot.writeFieldBegin('announce', TType.STRUCT, 2)
             self.announce.write(oprot)
             oprot.writeFieldEnd()
+        if self.evidence is not None:
+            oprot.writeFieldBegin('evidence', TType.STRUCT, 3)
+            self.evidence.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -919,11 +1137,11 @@
             elif fid == 10:
                 if ftype == TType.MAP:
                     self.headers = {}
-                    (_ktype33, _vtype34, _size32) = iprot.readMapBegin()
-                    for _i36 in range(_size32):
-                        _key37 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val38 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.headers[_key37] = _val38
+                    (_ktype40, _vtype41, _size39) = iprot.readMapBegin()
+                    for _i43 in range(_size39):
+                        _key44 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val45 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.headers[_key44] = _val45
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -991,9 +1209,9 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.MAP, 10)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.headers))
-            for kiter39, viter40 in self.headers.items():
-                oprot.writeString(kiter39.encode('utf-8') if sys.version_info[0] == 2 else kiter39)
-                oprot.writeString(viter40.encode('utf-8') if sys.version_info[0] == 2 else viter40)
+            for kiter46, viter47 in self.headers.items():
+                oprot.writeString(kiter46.encode('utf-8') if sys.version_info[0] == 2 else kiter46)
+                oprot.writeString(viter47.encode('utf-8') if sys.version_info[0] == 2 else viter47)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -1106,11 +1324,11 @@
             elif fid == 6:
                 if ftype == TType.MAP:
                     self.headers = {}
-                    (_ktype42, _vtype43, _size41) = iprot.readMapBegin()
-                    for _i45 in range(_size41):
-                        _key46 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.headers[_key46] = _val47
+                    (_ktype49, _vtype50, _size48) = iprot.readMapBegin()
+                    for _i52 in range(_size48):
+                        _key53 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val54 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.headers[_key53] = _val54
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1157,9 +1375,9 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.MAP, 6)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.headers))
-            for kiter48, viter49 in self.headers.items():
-                oprot.writeString(kiter48.encode('utf-8') if sys.version_info[0] == 2 else kiter48)
-                oprot.writeString(viter49.encode('utf-8') if sys.version_info[0] == 2 else viter49)
+            for kiter55, viter56 in self.headers.items():
+                oprot.writeString(kiter55.encode('utf-8') if sys.version_info[0] == 2 else kiter55)
+                oprot.writeString(viter56.encode('utf-8') if sys.version_info[0] == 2 else viter56)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.digest is not None:
@@ -1252,11 +1470,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.events = []
-                    (_etype53, _size50) = iprot.readListBegin()
-                    for _i54 in range(_size50):
-                        _elem55 = Event()
-                        _elem55.read(iprot)
-                        self.events.append(_elem55)
+                    (_etype60, _size57) = iprot.readListBegin()
+                    for _i61 in range(_size57):
+                        _elem62 = Event()
+                        _elem62.read(iprot)
+                        self.events.append(_elem62)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1295,8 +1513,8 @@
         if self.events is not None:
             oprot.writeFieldBegin('events', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.events))
-            for iter56 in self.events:
-                iter56.write(oprot)
+            for iter63 in self.events:
+                iter63.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.running is not None:
@@ -1928,11 +2146,11 @@
             elif fid == 7:
                 if ftype == TType.MAP:
                     self.problem_by_key = {}
-                    (_ktype58, _vtype59, _size57) = iprot.readMapBegin()
-                    for _i61 in range(_size57):
-                        _key62 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val63 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.problem_by_key[_key62] = _val63
+                    (_ktype65, _vtype66, _size64) = iprot.readMapBegin()
+                    for _i68 in range(_size64):
+                        _key69 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val70 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.problem_by_key[_key69] = _val70
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1973,9 +2191,9 @@
         if self.problem_by_key is not None:
             oprot.writeFieldBegin('problem_by_key', TType.MAP, 7)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.problem_by_key))
-            for kiter64, viter65 in self.problem_by_key.items():
-                oprot.writeString(kiter64.encode('utf-8') if sys.version_info[0] == 2 else kiter64)
-                oprot.writeString(viter65.encode('utf-8') if sys.version_info[0] == 2 else viter65)
+            for kiter71, viter72 in self.problem_by_key.items():
+                oprot.writeString(kiter71.encode('utf-8') if sys.version_info[0] == 2 else kiter71)
+                oprot.writeString(viter72.encode('utf-8') if sys.version_info[0] == 2 else viter72)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2179,11 +2397,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.peers = []
-                    (_etype69, _size66) = iprot.readListBegin()
-                    for _i70 in range(_size66):
-                        _elem71 = PeerEndpoint()
-                        _elem71.read(iprot)
-                        self.peers.append(_elem71)
+                    (_etype76, _size73) = iprot.readListBegin()
+                    for _i77 in range(_size73):
+                        _elem78 = PeerEndpoint()
+                        _elem78.read(iprot)
+                        self.peers.append(_elem78)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2247,8 +2465,8 @@
         if self.peers is not None:
             oprot.writeFieldBegin('peers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.peers))
-            for iter72 in self.peers:
-                iter72.write(oprot)
+            for iter79 in self.peers:
+                iter79.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pieces is not None:
@@ -2586,11 +2804,11 @@
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.declared = []
-                    (_etype76, _size73) = iprot.readListBegin()
-                    for _i77 in range(_size73):
-                        _elem78 = DeclaredAge()
-                        _elem78.read(iprot)
-                        self.declared.append(_elem78)
+                    (_etype83, _size80) = iprot.readListBegin()
+                    for _i84 in range(_size80):
+                        _elem85 = DeclaredAge()
+                        _elem85.read(iprot)
+                        self.declared.append(_elem85)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2664,8 +2882,8 @@
         if self.declared is not None:
             oprot.writeFieldBegin('declared', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.declared))
-            for iter79 in self.declared:
-                iter79.write(oprot)
+            for iter86 in self.declared:
+                iter86.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.started_ms is not None:
@@ -2860,10 +3078,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.digests = []
-                    (_etype83, _size80) = iprot.readListBegin()
-                    for _i84 in range(_size80):
-                        _elem85 = iprot.readBinary()
-                        self.digests.append(_elem85)
+                    (_etype90, _size87) = iprot.readListBegin()
+                    for _i91 in range(_size87):
+                        _elem92 = iprot.readBinary()
+                        self.digests.append(_elem92)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2880,8 +3098,8 @@
         if self.digests is not None:
             oprot.writeFieldBegin('digests', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.digests))
-            for iter86 in self.digests:
-                oprot.writeBinary(iter86)
+            for iter93 in self.digests:
+                oprot.writeBinary(iter93)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2936,10 +3154,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.addresses = []
-                    (_etype90, _size87) = iprot.readListBegin()
-                    for _i91 in range(_size87):
-                        _elem92 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.addresses.append(_elem92)
+                    (_etype97, _size94) = iprot.readListBegin()
+                    for _i98 in range(_size94):
+                        _elem99 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.addresses.append(_elem99)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2956,8 +3174,8 @@
         if self.addresses is not None:
             oprot.writeFieldBegin('addresses', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.addresses))
-            for iter93 in self.addresses:
-                oprot.writeString(iter93.encode('utf-8') if sys.version_info[0] == 2 else iter93)
+            for iter100 in self.addresses:
+                oprot.writeString(iter100.encode('utf-8') if sys.version_info[0] == 2 else iter100)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3250,11 +3468,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype97, _size94) = iprot.readListBegin()
-                    for _i98 in range(_size94):
-                        _elem99 = TableRow()
-                        _elem99.read(iprot)
-                        self.rows.append(_elem99)
+                    (_etype104, _size101) = iprot.readListBegin()
+                    for _i105 in range(_size101):
+                        _elem106 = TableRow()
+                        _elem106.read(iprot)
+                        self.rows.append(_elem106)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3293,8 +3511,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter100 in self.rows:
-                iter100.write(oprot)
+            for iter107 in self.rows:
+                iter107.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held_ms is not None:
@@ -3330,110 +3548,6 @@
         return not (self == other)
 
 
-class EndEvidence(object):
-    """
-    Attributes:
-     - fingerprint
-     - endpoint_start
-     - left_ms
-     - cleared
-
-    """
-
-    __slots__ = (
-        'fingerprint',
-        'endpoint_start',
-        'left_ms',
-        'cleared',
-    )
-
-
-    def __init__(self, fingerprint=None, endpoint_start=None, left_ms=None, cleared=None,):
-        self.fingerprint = fingerprint
-        self.endpoint_start = endpoint_start
-        self.left_ms = left_ms
-        self.cleared = cleared
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.STRING:
-                    self.endpoint_start = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.I32:
-                    self.left_ms = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.BOOL:
-                    self.cleared = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('EndEvidence')
-        if self.fingerprint is not None:
-            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
-            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
-            oprot.writeFieldEnd()
-        if self.endpoint_start is not None:
-            oprot.writeFieldBegin('endpoint_start', TType.STRING, 2)
-            oprot.writeString(self.endpoint_start.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint_start)
-            oprot.writeFieldEnd()
-        if self.left_ms is not None:
-            oprot.writeFieldBegin('left_ms', TType.I32, 3)
-            oprot.writeI32(self.left_ms)
-            oprot.writeFieldEnd()
-        if self.cleared is not None:
-            oprot.writeFieldBegin('cleared', TType.BOOL, 4)
-            oprot.writeBool(self.cleared)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
 class Frame(object):
     """
     Attributes:
@@ -3602,11 +3716,11 @@
             elif fid == 17:
                 if ftype == TType.LIST:
                     self.evidence = []
-                    (_etype104, _size101) = iprot.readListBegin()
-                    for _i105 in range(_size101):
-                        _elem106 = EndEvidence()
-                        _elem106.read(iprot)
-                        self.evidence.append(_elem106)
+                    (_etype111, _size108) = iprot.readListBegin()
+                    for _i112 in range(_size108):
+                        _elem113 = EndEvidence()
+                        _elem113.read(iprot)
+                        self.evidence.append(_elem113)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3687,8 +3801,8 @@
         if self.evidence is not None:
             oprot.writeFieldBegin('evidence', TType.LIST, 17)
             oprot.writeListBegin(TType.STRUCT, len(self.evidence))
-            for iter107 in self.evidence:
-                iter107.write(oprot)
+            for iter114 in self.evidence:
+                iter114.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3764,11 +3878,27 @@
     (5, TType.STRING, 'indices', 'BINARY', None, ),  # 5
     (6, TType.I32, 'held', None, None, ),  # 6
 )
+all_structs.append(EndEvidence)
+EndEvidence.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'endpoint_start', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'left_ms', None, None, ),  # 3
+    (4, TType.BOOL, 'cleared', None, None, ),  # 4
+)
+all_structs.append(EvidenceNews)
+EvidenceNews.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'version', None, None, ),  # 1
+    (2, TType.I64, 'revision', None, None, ),  # 2
+    (3, TType.LIST, 'items', (TType.STRUCT, [EndEvidence, None], False), None, ),  # 3
+)
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
     None,  # 0
     (1, TType.STRUCT, 'gossip', [Gossip, None], None, ),  # 1
     (2, TType.STRUCT, 'announce', [Announce, None], None, ),  # 2
+    (3, TType.STRUCT, 'evidence', [EvidenceNews, None], None, ),  # 3
 )
 all_structs.append(Submit)
 Submit.thrift_spec = (
@@ -3959,14 +4089,6 @@
     (5, TType.I32, 'held_ms', None, None, ),  # 5
     (6, TType.I32, 'age_ms', None, None, ),  # 6
 )
-all_structs.append(EndEvidence)
-EndEvidence.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'endpoint_start', 'UTF8', None, ),  # 2
-    (3, TType.I32, 'left_ms', None, None, ),  # 3
-    (4, TType.BOOL, 'cleared', None, None, ),  # 4
-)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
--- a/hawthornspoke/quarantine/__init__.py
+++ b/hawthornspoke/quarantine/__init__.py
@@ -12,6 +12,7 @@
     Released,
 )
 from hawthornspoke.quarantine._quarantine import Quarantine
+from hawthornspoke.quarantine._wire import read_evidence, write_evidence
 
 __all__ = [
     "EVIDENCE_FOR",
@@ -25,4 +26,6 @@
     "Quarantined",
     "Released",
     "fingerprint_of",
+    "read_evidence",
+    "write_evidence",
 ]
--- a/hawthornspoke/peering/_evidence.py
+++ b/hawthornspoke/quarantine/_wire.py
@@ -1,14 +1,14 @@
 """Evidence of requests that end endpoints, on the wire."""
 
-from hawthornspoke.protocol import EndEvidence, Frame
-from hawthornspoke.quarantine import EVIDENCE_FOR, Evidence
+from hawthornspoke.protocol import EndEvidence
+from hawthornspoke.quarantine._evidence import EVIDENCE_FOR, Evidence
 
 #: Characters of the longest fingerprint or start that is believed.
 MOST_CHARACTERS = 200
 
 
 def write_evidence(items, *, now):
-    """Return a Frame that tells some evidence.
+    """Return evidence as it is sent.
 
     Parameters
     ----------
@@ -18,27 +18,25 @@
 
     Returns
     -------
-    Frame
+    list of EndEvidence
     """
-    return Frame(
-        evidence=[
-            EndEvidence(
-                fingerprint=item.fingerprint,
-                endpoint_start=item.start,
-                left_ms=int(1000 * (item.deadline - now)),
-                cleared=item.cleared,
-            )
-            for item in items
-        ]
-    )
+    return [
+        EndEvidence(
+            fingerprint=item.fingerprint,
+            endpoint_start=item.start,
+            left_ms=int(1000 * (item.deadline - now)),
+            cleared=item.cleared,
+        )
+        for item in items
+    ]
 
 
-def read_evidence(frame, *, now):
-    """Return the evidence of a Frame, without items that can't be used.
+def read_evidence(received, *, now):
+    """Return evidence that was received, without items that can't be used.
 
     Parameters
     ----------
-    frame : Frame
+    received : list of EndEvidence or None
     now : float
 
     Returns
@@ -52,7 +50,7 @@
             deadline=now + min(item.left_ms / 1000, EVIDENCE_FOR),
             cleared=bool(item.cleared),
         )
-        for item in frame.evidence or ()
+        for item in received or ()
         if _is_usable(item)
     )
 
--- a/hawthornspoke/relay/_sharing.py
+++ b/hawthornspoke/relay/_sharing.py
@@ -1,7 +1,8 @@
 """Evidence of requests that end endpoints, told to agents, which join it."""
 
 from hawthornspoke.base import monotonic, rendezvous_order
-from hawthornspoke.peering import read_evidence, write_evidence
+from hawthornspoke.protocol import Frame
+from hawthornspoke.quarantine import read_evidence, write_evidence
 
 #: Agents of each failure domain that join the evidence of a request. One may be lost,
 #: and a failure domain that is cut off has its own.
@@ -44,7 +45,7 @@
         """
         self._link_by_address[address] = link
         self._told_by_address[address] = set()
-        link.send(write_evidence((), now=monotonic()))
+        link.send(Frame(evidence=[]))
         self._is_stale = True
 
     def lost(self, address):
@@ -65,7 +66,7 @@
         -------
         tuple of Evidence
         """
-        items = read_evidence(frame, now=monotonic())
+        items = read_evidence(frame.evidence, now=monotonic())
         told = self._told_by_address.get(address)
         if told is not None:
             told.update(_key(item) for item in items)
@@ -91,7 +92,8 @@
         now = monotonic()
         for address, untold in items_by_address.items():
             self._told_by_address[address].update(_key(item) for item in untold)
-            self._link_by_address[address].send(write_evidence(untold, now=now))
+            told = Frame(evidence=write_evidence(untold, now=now))
+            self._link_by_address[address].send(told)
 
     def catch_up(self):
         """Tell agents what they have to know since others came or went."""
--- a/hawthornspoke/relay/tests/test_sharing.py
+++ b/hawthornspoke/relay/tests/test_sharing.py
@@ -1,7 +1,6 @@
 """To which agents an entry host tells what it saw at the end of endpoints."""
 
 from hawthornspoke.base import monotonic
-from hawthornspoke.peering import read_evidence, write_evidence
 from hawthornspoke.protocol import EndEvidence, Frame, decode, encode
 from hawthornspoke.quarantine import (
     EVIDENCE_FOR,
@@ -9,6 +8,8 @@
     Evidence,
     EvidenceHeard,
     Quarantine,
+    read_evidence,
+    write_evidence,
 )
 from hawthornspoke.relay._sharing import AGENTS_PER_DOMAIN, EvidenceSharing
 
@@ -23,7 +24,7 @@
 
     def send(self, frame):
         received = decode(Frame, encode(frame))
-        self.heard += read_evidence(received, now=monotonic())
+        self.heard += read_evidence(received.evidence, now=monotonic())
         return True
 
 
@@ -96,7 +97,8 @@
 def test_what_an_agent_told_is_not_told_back():
     host = Host(agents=1)
     item = Evidence(fingerprint="f", start="e1", deadline=monotonic() + 50)
-    heard = host.sharing.heard("a/0", write_evidence([item], now=monotonic()))
+    told = Frame(evidence=write_evidence([item], now=monotonic()))
+    heard = host.sharing.heard("a/0", told)
     host.quarantine.step(EvidenceHeard(items=heard), now=monotonic())
     host.sharing.catch_up()
     assert host.addresses_told() == {"b/0", "c/0"}
@@ -111,6 +113,6 @@
         EndEvidence(fingerprint="f" * 1000, endpoint_start="e", left_ms=1),
         EndEvidence(fingerprint="f", endpoint_start="e", left_ms=-1),
     ]
-    (item,) = read_evidence(Frame(evidence=[*bad, good]), now=5.0)
+    (item,) = read_evidence([*bad, good], now=5.0)
     assert item.deadline == 5.0 + EVIDENCE_FOR
     assert item.cleared is False
--- a/hawthornspoke/relay/tests/test_suspects.py
+++ b/hawthornspoke/relay/tests/test_suspects.py
@@ -4,8 +4,8 @@
 
 from hawthornspoke.base import monotonic
 from hawthornspoke.httpio import refuses_connections
-from hawthornspoke.peering import write_evidence
-from hawthornspoke.quarantine import EndpointEnded, Evidence
+from hawthornspoke.protocol import Frame
+from hawthornspoke.quarantine import EndpointEnded, Evidence, write_evidence
 from hawthornspoke.relay import _suspects
 from hawthornspoke.relay.tests.endpoint import (
     Endpoint,
@@ -55,7 +55,7 @@
         Evidence(fingerprint=fingerprint, start=start, deadline=now + 60)
         for start in ("x1", "x2", "x3")
     ]
-    return write_evidence(items, now=now)
+    return Frame(evidence=write_evidence(items, now=now))
 
 
 async def fingerprint_of_next(harness, prefix):
--- a/hawthornspoke/routing/_router.py
+++ b/hawthornspoke/routing/_router.py
@@ -266,6 +266,15 @@
         if endpoint is not None and endpoint.in_flight == 0:
             del self.by_id[node]
 
+    def in_use(self):
+        """Return at how many endpoints requests of this host are.
+
+        Returns
+        -------
+        int
+        """
+        return sum(endpoint.in_flight > 0 for endpoint in self.by_id.values())
+
     def load(self, node, *, now):
         """Estimate the requests at an endpoint, per slot.
 
--- a/hawthornspoke/spread/_evidence.py
+++ b/hawthornspoke/spread/_evidence.py
@@ -1,8 +1,14 @@
 """An agent's part in finding requests that end endpoints: it joins what hosts saw."""
 
 from hawthornspoke.base import monotonic
-from hawthornspoke.peering import PeerConnection, read_evidence, write_evidence
-from hawthornspoke.quarantine import EvidenceExchange, EvidenceHeard
+from hawthornspoke.peering import PeerConnection
+from hawthornspoke.protocol import Frame
+from hawthornspoke.quarantine import (
+    EvidenceExchange,
+    EvidenceHeard,
+    read_evidence,
+    write_evidence,
+)
 
 
 class EvidenceLinks:
@@ -23,14 +29,16 @@
         frame : Frame
         """
         now = monotonic()
-        heard = EvidenceHeard(items=read_evidence(frame, now=now))
+        heard = EvidenceHeard(items=read_evidence(frame.evidence, now=now))
         for news in self.exchange.step(heard, now=now):
-            told = PeerConnection.encode(write_evidence(news.items, now=now))
+            told = Frame(evidence=write_evidence(news.items, now=now))
+            data = PeerConnection.encode(told)
             for other in self._links:
-                other.send_encoded(told)
+                other.send_encoded(data)
         if link not in self._links:
             self._links.add(link)
-            link.send(write_evidence(self.exchange.evidence(now=now), now=now))
+            known = write_evidence(self.exchange.evidence(now=now), now=now)
+            link.send(Frame(evidence=known))
 
     def drop(self, link):
         """Forget a connection that has ended."""
--- a/idl/hawthornspoke.thrift
+++ b/idl/hawthornspoke.thrift
@@ -65,10 +65,30 @@
   6: optional i32 held,
 }
 
+// A request that an endpoint was running when its process ended.
+struct EndEvidence {
+  // Of what repeats of the request have in common.
+  1: optional string fingerprint,
+  // Of the endpoint: its id, with the time of the start if that is known.
+  2: optional string endpoint_start,
+  // For how long it still holds.
+  3: optional i32 left_ms,
+  // Whether the request is known not to be the cause.
+  4: optional bool cleared,
+}
+
+// From one entry host to all others.
+struct EvidenceNews {
+  1: optional i32 version,
+  2: optional i64 revision,
+  3: optional list<EndEvidence> items,
+}
+
 // A datagram holds exactly one of these.
 struct Datagram {
   1: optional Gossip gossip,
   2: optional Announce announce,
+  3: optional EvidenceNews evidence,
 }
 
 struct Submit {
@@ -266,18 +286,6 @@
   6: optional i32 age_ms,
 }
 
-// A request that an endpoint was running when its process ended.
-struct EndEvidence {
-  // Of what repeats of the request have in common.
-  1: optional string fingerprint,
-  // Of the endpoint: its id, with the time of the start if that is known.
-  2: optional string endpoint_start,
-  // For how long it still holds.
-  3: optional i32 left_ms,
-  // Whether the request is known not to be the cause.
-  4: optional bool cleared,
-}
-
 // One message on a peer connection; `call` pairs a question with its answer.
 struct Frame {
   1: optional i32 call,
--- a/tests/test_deadly_requests.py
+++ b/tests/test_deadly_requests.py
@@ -55,7 +55,7 @@
                 ask_deadly(fleet, entry, stream=stream)
             time.sleep(0.2)
         assert KNOWN_AFTER <= restarter.ends <= KNOWN_AFTER + MOST_RETRIES
-        answer = ask_deadly(fleet, "entry-1")
+        answer = ask_deadly(fleet, "entry-1", stream=stream)
         assert answer.status == 503
         assert b'"code": "quarantined"' in answer.data
         assert float(answer.headers["Retry-After"]) > 60
