Evidence: no memory of what was told to each agent; ordinary words

What an entry host had told each agent was remembered without a bound. Now news goes to the agents that join it, and what others have to take over is worked out when agents come or go. The own interface sends news alone, and all of it at heartbeats only.

--- a/hawthornspoke/entry/_suspects.py
+++ b/hawthornspoke/entry/_suspects.py
@@ -88,18 +88,19 @@
     def tell_all(self, *, now):
         """Tell all entry hosts what was found out lately; called at each heartbeat."""
         if now < self._tell_deadline:
-            self._tell(self._core.reachable_entries(), now)
+            known = self.quarantine.evidence(now=now)
+            self._tell(known, self._core.reachable_entries(), now)
 
     def tell_new(self, view, *, now):
         """Tell an entry host that is new, or was cut off, all that is known."""
-        self._tell([view], now)
+        self._tell(self.quarantine.evidence(now=now), [view], now)
 
     def _step(self, message, now, *, own=True):
         for outcome in self.quarantine.step(message, now=now):
             if isinstance(outcome, News):
                 if own:
                     self._tell_deadline = now + TELL_FOR
-                    self.tell_all(now=now)
+                    self._tell(outcome.items, self._core.reachable_entries(), now)
             elif isinstance(outcome, Quarantined):
                 self._metrics.count("requests_quarantined_total")
                 logger.warning(
@@ -110,8 +111,8 @@
             else:
                 logger.info("request {} out of quarantine", outcome.fingerprint)
 
-    def _tell(self, views, now):
-        items = write_evidence(self.quarantine.evidence(now=now), now=now)
+    def _tell(self, evidence, views, now):
+        items = write_evidence(evidence, now=now)
         targets = [(view.address, view.port) for view in views]
         for first in range(0, len(items), MOST_ITEMS):
             news = EvidenceNews(
--- a/hawthornspoke/relay/_agents.py
+++ b/hawthornspoke/relay/_agents.py
@@ -236,7 +236,7 @@
         if frame.entry_hosts is not None:
             self._on_entry_hosts(address, frame.entry_hosts.addresses or ())
         if frame.evidence:
-            self._suspects.heard(address, frame)
+            self._suspects.heard(frame)
         state = frame.engine_state
         if state is None:
             return
--- a/hawthornspoke/relay/_sharing.py
+++ b/hawthornspoke/relay/_sharing.py
@@ -2,7 +2,7 @@
 
 from hawthornspoke.base import monotonic, rendezvous_order
 from hawthornspoke.protocol import Frame
-from hawthornspoke.quarantine import read_evidence, write_evidence
+from hawthornspoke.quarantine import write_evidence
 
 #: Agents of each failure domain that join the evidence of a request. One may be lost,
 #: and a failure domain that is cut off has its own.
@@ -23,19 +23,20 @@
         "_quarantine",
         "_failure_domain_at",
         "_link_by_address",
-        "_told_by_address",
-        "_is_stale",
+        "_domain_by_address",
+        "_domain_by_known_address",
     )
 
     def __init__(self, *, quarantine, failure_domain_at):
         self._quarantine = quarantine
         self._failure_domain_at = failure_domain_at
         self._link_by_address = {}
-        self._told_by_address = {}
-        self._is_stale = False
+        self._domain_by_address = {}
+        # Of the agents by which evidence was shared out last.
+        self._domain_by_known_address = {}
 
     def connected(self, address, link):
-        """Greet an agent with what it has to know; it answers with what it knows.
+        """Greet an agent; it answers with what it knows.
 
         Parameters
         ----------
@@ -44,33 +45,15 @@
         link : PeerConnection
         """
         self._link_by_address[address] = link
-        self._told_by_address[address] = set()
+        self._domain_by_address[address] = self._failure_domain_at(address)
+        # What it knew may be gone with its process.
+        self._domain_by_known_address.pop(address, None)
         link.send(Frame(evidence=[]))
-        self._is_stale = True
 
     def lost(self, address):
         """Forget an agent; others take its part at the next ``catch_up``."""
-        if self._link_by_address.pop(address, None) is not None:
-            self._told_by_address.pop(address)
-            self._is_stale = True
-
-    def heard(self, address, frame):
-        """Return the evidence that an agent told.
-
-        Parameters
-        ----------
-        address : str
-        frame : Frame
-
-        Returns
-        -------
-        tuple of Evidence
-        """
-        items = read_evidence(frame.evidence, now=monotonic())
-        told = self._told_by_address.get(address)
-        if told is not None:
-            told.update(_key(item) for item in items)
-        return items
+        self._link_by_address.pop(address, None)
+        self._domain_by_address.pop(address, None)
 
     def tell(self, items):
         """Send evidence to the agents that join it.
@@ -79,46 +62,38 @@
         ----------
         items : iterable of Evidence
         """
-        addresses_by_fingerprint = {}
-        items_by_address = {}
-        for item in items:
-            addresses = addresses_by_fingerprint.get(item.fingerprint)
-            if addresses is None:
-                addresses = self._agents_for(item.fingerprint)
-                addresses_by_fingerprint[item.fingerprint] = addresses
-            for address in addresses:
-                if _key(item) not in self._told_by_address[address]:
-                    items_by_address.setdefault(address, []).append(item)
-        now = monotonic()
-        for address, untold in items_by_address.items():
-            self._told_by_address[address].update(_key(item) for item in untold)
-            told = Frame(evidence=write_evidence(untold, now=now))
-            self._link_by_address[address].send(told)
+        for address, told in self._shared_out(items, self._domain_by_address).items():
+            self._send(address, told)
 
     def catch_up(self):
         """Tell agents what they have to know since others came or went."""
-        if not self._is_stale:
+        if self._domain_by_address == self._domain_by_known_address:
             return
-        self._is_stale = False
         items = self._quarantine.evidence(now=monotonic())
-        held = {_key(item) for item in items}
-        for told in self._told_by_address.values():
-            told &= held
-        self.tell(items)
+        before = self._shared_out(items, self._domain_by_known_address)
+        for address, due in self._shared_out(items, self._domain_by_address).items():
+            known = {id(item) for item in before.get(address, ())}
+            self._send(address, [item for item in due if id(item) not in known])
+        self._domain_by_known_address = dict(self._domain_by_address)
+
+    def _send(self, address, items):
+        if items:
+            told = Frame(evidence=write_evidence(items, now=monotonic()))
+            self._link_by_address[address].send(told)
 
-    def _agents_for(self, fingerprint):
+    @staticmethod
+    def _shared_out(items, domain_by_address):
+        """Return which agents join which evidence, as items by address."""
         addresses_by_domain = {}
-        for address in self._link_by_address:
-            domain = self._failure_domain_at(address)
+        for address, domain in domain_by_address.items():
             addresses_by_domain.setdefault(domain, []).append(address)
-        return [
-            address
-            for addresses in addresses_by_domain.values()
-            for address in rendezvous_order(key=fingerprint, nodes=addresses)[
-                :AGENTS_PER_DOMAIN
-            ]
-        ]
-
-
-def _key(item):
-    return item.fingerprint, item.start, item.cleared
+        items_by_fingerprint = {}
+        for item in items:
+            items_by_fingerprint.setdefault(item.fingerprint, []).append(item)
+        items_by_address = {}
+        for fingerprint, known in items_by_fingerprint.items():
+            for addresses in addresses_by_domain.values():
+                order = rendezvous_order(key=fingerprint, nodes=addresses)
+                for address in order[:AGENTS_PER_DOMAIN]:
+                    items_by_address.setdefault(address, []).extend(known)
+        return items_by_address
--- a/hawthornspoke/relay/_suspects.py
+++ b/hawthornspoke/relay/_suspects.py
@@ -12,6 +12,7 @@
     News,
     Quarantine,
     Quarantined,
+    read_evidence,
 )
 from hawthornspoke.relay._sharing import EvidenceSharing
 
@@ -146,11 +147,15 @@
         if len(looks) > 1 or (looks and is_suspected):
             await asyncio.wait(looks)
 
-    def heard(self, address, frame):
-        """Take what an agent told; see ``EvidenceSharing.heard``."""
-        items = self.sharing.heard(address, frame)
-        if items:
-            self._step(EvidenceHeard(items=items), tell=False)
+    def heard(self, frame):
+        """Take what an agent told.
+
+        Parameters
+        ----------
+        frame : Frame
+        """
+        items = read_evidence(frame.evidence, now=monotonic())
+        self._step(EvidenceHeard(items=items), tell=False)
 
     def take_recorded(self, items):
         """Take what was recorded before this process started.
--- a/hawthornspoke/standins/_engine.py
+++ b/hawthornspoke/standins/_engine.py
@@ -243,8 +243,8 @@
         first = int(body.get("resume_from") or 0)
         try:
             time.sleep(self._prefill(prompt) * self.faults["slow_factor"])
-            deadly = self.faults["exit_on_prompt"]
-            if deadly and deadly in prompt:
+            poison = self.faults["exit_on_prompt"]
+            if poison and poison in prompt:
                 os._exit(1)
             for place in range(first, int(body.get("max_tokens", DEFAULT_TOKENS))):
                 limit = self.faults["die_after_tokens"]
