--- a/hawthornspoke/quarantine/_quarantine.py
+++ b/hawthornspoke/quarantine/_quarantine.py
@@ -54,8 +54,8 @@
     Notes
     -----
     Not counted is a request that an endpoint answers, and one at the end of most of
-    the endpoints in use at once, unless it was seen at an earlier end. An end doesn't
-    count against a request if another one that ran there has as many ends or more: the
+    the endpoints in use at once, unless one more end is enough. An end doesn't count
+    against a request if another one that ran there has as many ends or more: the
     cause has one more as soon as it is sent again, and is refused at ``COMPANY_ENDS``
     more in any case.
     """
@@ -246,13 +246,13 @@
             for start, end in starts.items()
             for fingerprint in end.fingerprints
             if self._absences(fingerprint) >= MASS_ENDS - 1
-            and not self._is_suspected_before(fingerprint, now)
+            and not self._is_nearly_held(fingerprint, now)
         ]
 
-    def _is_suspected_before(self, fingerprint, now):
-        """Tell whether there is evidence of other ends than those of this event."""
+    def _is_nearly_held(self, fingerprint, now):
+        """Tell whether one more end than those before this event is enough."""
         suspected = self._book.suspected(fingerprint, now=now)
-        return not suspected <= self._end_by_start.keys()
+        return len(suspected - self._end_by_start.keys()) >= self.most_ends - 1
 
     def _absences(self, fingerprint):
         ends = self._end_by_start.values()
