--- a/hawthornspoke/httpio/__init__.py
+++ b/hawthornspoke/httpio/__init__.py
@@ -22,6 +22,7 @@
 from hawthornspoke.httpio._operator import OperatorHandler
 from hawthornspoke.httpio._pool import ConnectionPool
 from hawthornspoke.httpio._probe import refuses_connections
+from hawthornspoke.httpio._rate_limit import decode_rate_limit
 from hawthornspoke.httpio._server import CallerGone, HttpServer, Reply, ServerLimits
 
 __all__ = [
@@ -40,6 +41,7 @@
     "Request",
     "Response",
     "ServerLimits",
+    "decode_rate_limit",
     "encode_request",
     "fetch",
     "open_connection",
--- a/hawthornspoke/placing/_endpoint.py
+++ b/hawthornspoke/placing/_endpoint.py
@@ -45,6 +45,9 @@
         Time until which it may still get requests when it is gone.
     prefill_backlog : PrefillBacklog
         Prompts whose prefill is outstanding.
+    rate_limit : float or None
+        Requests per second that it accepts from all entry hosts together, None if its
+        responses name no limit.
     moved : bool
         Whether another endpoint answers at its address. After a host has lost power
         and returned with a new endpoint, the old entry stays listed for seconds until
@@ -60,6 +63,7 @@
         "gone",
         "moved",
         "prefill_backlog",
+        "rate_limit",
         "grace_deadline",
         "own_in_flight",
         "reported_load",
@@ -92,6 +96,7 @@
         """Reset everything that belongs to one incarnation."""
         self.moved = False
         self.prefill_backlog = PrefillBacklog()
+        self.rate_limit = None
         self.own_in_flight = 0
         self.reported_load = 0
         self.reported_at = None
@@ -288,6 +293,7 @@
             "weights_version": self.weights_version,
             "layers": self.layers,
             "loading": self.loading,
+            "rate_limit": self.rate_limit,
             "failure_rate": round(self.failure_rate, 3),
             "avoided_for": round(max(0.0, self.ejected_until - now), 3),
         }
--- a/hawthornspoke/placing/_fleet.py
+++ b/hawthornspoke/placing/_fleet.py
@@ -19,6 +19,8 @@
     Placement,
     PlacementRecheck,
     PlacementRequest,
+    RateLimitChanged,
+    RateLimitObserved,
     RequestFinished,
     RequestSent,
     WeightsDeclared,
@@ -38,6 +40,7 @@
     RequestFinished,
     LoadObserved,
     PlacementRecheck,
+    RateLimitObserved,
     RequestSent,
     DeclarationTimesUpdated,
     WeightsDeclared,
@@ -186,6 +189,23 @@
             endpoint.record_load(message.load, now)
         return []
 
+    def on_rate_limit_observed(self, message, *, now):
+        """Update the rate limit that an endpoint names in its responses.
+
+        Returns
+        -------
+        list of RateLimitChanged
+        """
+        endpoint = self._directory.request_target(message)
+        if endpoint is None or endpoint.rate_limit == message.rate:
+            return []
+        before, endpoint.rate_limit = endpoint.rate_limit, message.rate
+        return [
+            RateLimitChanged(
+                endpoint_id=message.endpoint_id, before=before, rate=message.rate
+            )
+        ]
+
     def on_request_finished(self, message, *, now):
         """Record the outcome of a request."""
         endpoint = self._directory.request_target(message)
--- a/hawthornspoke/placing/_messages.py
+++ b/hawthornspoke/placing/_messages.py
@@ -183,6 +183,41 @@
     incarnation: Incarnation = UNKNOWN_START
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class RateLimitObserved:
+    """A response arrived, with or without a rate limit of the endpoint.
+
+    Parameters
+    ----------
+    endpoint_id : str
+    rate : float or None
+        Requests per second that the endpoint accepts from all entry hosts together;
+        None if it names no limit.
+    incarnation : Incarnation
+        Incarnation selected for the request.
+    """
+
+    endpoint_id: str
+    rate: float | None
+    incarnation: Incarnation = UNKNOWN_START
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class RateLimitChanged:
+    """An endpoint named a rate limit, another one than before, or none any more.
+
+    Parameters
+    ----------
+    endpoint_id : str
+    before, rate : float or None
+        Requests per second over all entry hosts.
+    """
+
+    endpoint_id: str
+    before: float | None
+    rate: float | None
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class RequestFinished:
     """A request to an endpoint ended.
@@ -261,6 +296,8 @@
         weights expire soon after; None if no newer version is declared.
     incarnation : Incarnation
         Incarnation of the selected endpoint.
+    rate_limit : float or None
+        Requests per second that the endpoint accepts from all entry hosts together.
     """
 
     endpoint_id: str
@@ -271,6 +308,7 @@
     weights_version: int | None = None
     start_deadline: float | None = None
     incarnation: Incarnation = UNKNOWN_START
+    rate_limit: float | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/hawthornspoke/relay/_choosing.py
+++ b/hawthornspoke/relay/_choosing.py
@@ -159,6 +159,7 @@
             returned=placement_request.is_retry,
             version=placement.weights_version,
             begin_left=_seconds_until(placement.start_deadline),
+            rate_limit=placement.rate_limit,
         )
 
     def _log_declined(self, context, placement_request, decline):
--- a/hawthornspoke/relay/_dialect.py
+++ b/hawthornspoke/relay/_dialect.py
@@ -28,6 +28,9 @@
         Present if the endpoint guarantees that it has not run the request.
     load : str
         Number of running requests, of waiting ones, and of slots.
+    rate_limit : str
+        Requests per second that the endpoint accepts from all entry hosts together, as
+        long as its responses carry it.
     endpoint_id : str
         Id of the endpoint that responded.
     versions : str
@@ -50,6 +53,7 @@
         "seal",
         "not_run",
         "load",
+        "rate_limit",
         "endpoint_id",
         "versions",
         "tokens",
@@ -70,6 +74,7 @@
         seal="X-Seal",
         not_run="X-Not-Run",
         load="X-Load",
+        rate_limit="X-Rate-Limit",
         endpoint_id="X-Endpoint-Id",
         versions="X-Weights-Version",
         tokens="X-Tokens",
@@ -86,6 +91,7 @@
         self.seal = seal
         self.not_run = not_run
         self.load = load
+        self.rate_limit = rate_limit
         self.endpoint_id = endpoint_id
         self.versions = versions
         self.tokens = tokens
--- a/hawthornspoke/relay/_forward.py
+++ b/hawthornspoke/relay/_forward.py
@@ -34,6 +34,7 @@
     budget_for : callable
         Returns the RetryBudget of a service.
     suspects : PoisonRequestTracker
+    rate_limits : EndpointRateLimits
     log : EventLog
     """
 
@@ -48,7 +49,17 @@
     )
 
     def __init__(
-        self, *, admission, timers, fleet, pool, header_names, budget_for, suspects, log
+        self,
+        *,
+        admission,
+        timers,
+        fleet,
+        pool,
+        header_names,
+        budget_for,
+        suspects,
+        rate_limits,
+        log,
     ):
         self._admission = admission
         self._header_names = header_names
@@ -66,6 +77,7 @@
             pool=pool,
             header_names=header_names,
             suspects=suspects,
+            rate_limits=rate_limits,
             log=log,
         )
         self._streams = StreamForwarder(
--- a/hawthornspoke/relay/_process.py
+++ b/hawthornspoke/relay/_process.py
@@ -16,6 +16,7 @@
 from hawthornspoke.relay._dialect import HeaderNames
 from hawthornspoke.relay._forward import Forwarder
 from hawthornspoke.relay._handler import Handler
+from hawthornspoke.relay._rate_limits import EndpointRateLimits
 from hawthornspoke.relay._sink import Sink
 from hawthornspoke.relay._suspects import PoisonRequestTracker
 from hawthornspoke.relay._timers import Timers
@@ -69,6 +70,7 @@
         "budgets",
         "timers",
         "suspects",
+        "rate_limits",
         "handler",
         "stall_detector",
         "neighbours",
@@ -106,6 +108,12 @@
         self.suspects = PoisonRequestTracker(
             fleet=self.fleet, log=self.log, metrics=self.metrics
         )
+        self.rate_limits = EndpointRateLimits(
+            fleet=self.fleet,
+            header_names=self.header_names,
+            log=self.log,
+            metrics=self.metrics,
+        )
         self._stop_deadline = None
         self._stopped = None
         admission = Admission(
@@ -124,6 +132,7 @@
                 header_names=self.header_names,
                 budget_for=self.budgets.for_service,
                 suspects=self.suspects,
+                rate_limits=self.rate_limits,
                 log=self.log,
             ),
             admission=admission,
--- a/hawthornspoke/relay/_sending.py
+++ b/hawthornspoke/relay/_sending.py
@@ -17,6 +17,7 @@
     pool : ConnectionPool
     header_names : HeaderNames
     suspects : PoisonRequestTracker
+    rate_limits : EndpointRateLimits
     log : EventLog
     """
 
@@ -29,6 +30,7 @@
         "_pool",
         "_header_names",
         "_suspects",
+        "_rate_limits",
         "_log",
     )
 
@@ -43,6 +45,7 @@
         pool,
         header_names,
         suspects,
+        rate_limits,
         log,
     ):
         self._admission = admission
@@ -53,6 +56,7 @@
         self._pool = pool
         self._header_names = header_names
         self._suspects = suspects
+        self._rate_limits = rate_limits
         self._log = log
 
     def create_attempt(self, context, placement):
@@ -63,6 +67,7 @@
             fleet=self._fleet,
             header_names=self._header_names,
             timers=self._timers,
+            on_head=self._rate_limits.observe,
             on_broken=lambda attempt: self._on_connection_broken(context, attempt),
             on_ended=lambda attempt: self._suspects.remove_attempt(
                 context.fingerprint, attempt
--- a/hawthornspoke/relay/_try.py
+++ b/hawthornspoke/relay/_try.py
@@ -27,6 +27,8 @@
     fleet : Fleet
     header_names : HeaderNames
     timers : Timers
+    on_head : callable
+        Called with the attempt when the response head has arrived.
     on_broken : callable
         Called with the attempt if the endpoint closed the connection before the end of
         the response.
@@ -44,13 +46,23 @@
         "_fleet",
         "_header_names",
         "_timers",
+        "_on_head",
         "_on_broken",
         "_on_ended",
         "_ended",
     )
 
     def __init__(
-        self, *, placement, pool, fleet, header_names, timers, on_broken, on_ended
+        self,
+        *,
+        placement,
+        pool,
+        fleet,
+        header_names,
+        timers,
+        on_head,
+        on_broken,
+        on_ended,
     ):
         self.placement = placement
         self.connection = None
@@ -61,6 +73,7 @@
         self._fleet = fleet
         self._header_names = header_names
         self._timers = timers
+        self._on_head = on_head
         self._on_broken = on_broken
         self._on_ended = on_ended
         self._ended = False
@@ -147,6 +160,7 @@
             return MAY_HAVE_RUN.with_reason(f"{head.code}: {head.reason}")
         self.head = head
         self._record_load(head)
+        self._on_head(self)
         if (
             head.status == MISDIRECTED
             or head.get(self._header_names.not_run) is not None
--- a/hawthornspoke/relay/tests/relay_harness.py
+++ b/hawthornspoke/relay/tests/relay_harness.py
@@ -31,6 +31,7 @@
 from hawthornspoke.relay._admission import Admission
 from hawthornspoke.relay._forward import Forwarder
 from hawthornspoke.relay._handler import Handler
+from hawthornspoke.relay._rate_limits import EndpointRateLimits
 from hawthornspoke.relay._suspects import PoisonRequestTracker
 from hawthornspoke.relay._timers import Timers
 from hawthornspoke.retries import RetryBudget
@@ -294,6 +295,12 @@
     async def __aenter__(self):
         self.addresses = [await endpoint.start() for endpoint in self.endpoints]
         self.suspects = make_suspects(self.fleet)
+        self.rate_limits = EndpointRateLimits(
+            fleet=self.fleet,
+            header_names=self.header_names,
+            log=EventLog(node="test"),
+            metrics=self.metrics,
+        )
         admission = Admission(
             header_names=self.header_names,
             fleet=self.fleet,
@@ -311,6 +318,7 @@
             header_names=self.header_names,
             budget_for=lambda service: self.budget,
             suspects=self.suspects,
+            rate_limits=self.rate_limits,
             log=EventLog(node="test"),
         )
         self.handler = Handler(
