Send requests to endpoints with a rate limit by permits only

What callers saw: nothing; the engine did.

Cause: no entry host read the header. An idle engine of the own failure domain is the best choice by load and expected first token whatever it asks for. Ruled out by the logs: each of those requests is a first placement, none a repeat.

Change: an entry host that reads a limit reports it to an agent (the engine's own, else the first in an order that is the same on all hosts), which passes it on to all entry hosts. Each request to such an endpoint needs a permit, which hosts claim from this agent; it grants them at the rate of the limit, so that the sum holds whatever each host's part of the load is. Without a permit the request goes to another endpoint; if there is none, one request an endpoint waits for its claim, and the others are refused at once with the time of the next permit. A host that reaches no agent uses an equal part of the limit. The permit is taken in the selection and checked again right before the send.

Why it works: permits are at least 1/limit apart and valid for a second, so that 4 s get no more than 5 s of the limit and one batch (a quarter of a second's permits, at least one).

--- a/hawthornspoke/peering/_connection.py
+++ b/hawthornspoke/peering/_connection.py
@@ -35,6 +35,7 @@
     "directive_ask",
     "holdings_ask",
     "manifest_ask",
+    "permit_claim",
     "table_ask",
 )
 
--- a/hawthornspoke/placing/_choice.py
+++ b/hawthornspoke/placing/_choice.py
@@ -386,5 +386,5 @@
         expected=expected,
         weights_version=endpoint.weights_version,
         incarnation=endpoint.incarnation,
-        rate_limit=endpoint.rate_limit,
+        rate_limit=endpoint.rate_limit.rate,
     )
--- a/hawthornspoke/placing/_endpoint.py
+++ b/hawthornspoke/placing/_endpoint.py
@@ -2,6 +2,7 @@
 
 from hawthornspoke.placing._incarnation_tracker import IncarnationTracker
 from hawthornspoke.placing._prefill_backlog import PrefillBacklog
+from hawthornspoke.placing._rate_limit import RateLimit
 
 #: Smoothing factor of the failure rate. Five consecutive failures move it from 0 to
 #: two thirds, which is fast enough for an endpoint that gets several requests a
@@ -45,9 +46,8 @@
         Time until which it may still get requests when it is gone.
     prefill_backlog : PrefillBacklog
         Prompts whose prefill is outstanding.
-    rate_limit : float or None
-        Requests per second that it accepts from all entry hosts together, None if its
-        responses name no limit.
+    rate_limit : RateLimit
+        The limit that its responses name, and permits within it.
     moved : bool
         Whether another endpoint answers at its address. After a host has lost power
         and returned with a new endpoint, the old entry stays listed for seconds until
@@ -96,7 +96,7 @@
         """Reset everything that belongs to one incarnation."""
         self.moved = False
         self.prefill_backlog = PrefillBacklog()
-        self.rate_limit = None
+        self.rate_limit = RateLimit()
         self.own_in_flight = 0
         self.reported_load = 0
         self.reported_at = None
@@ -293,7 +293,7 @@
             "weights_version": self.weights_version,
             "layers": self.layers,
             "loading": self.loading,
-            "rate_limit": self.rate_limit,
+            "rate_limit": self.rate_limit.dump(now=now),
             "failure_rate": round(self.failure_rate, 3),
             "avoided_for": round(max(0.0, self.ejected_until - now), 3),
         }
--- a/hawthornspoke/placing/_fleet.py
+++ b/hawthornspoke/placing/_fleet.py
@@ -5,6 +5,11 @@
 
 from hawthornspoke.base import MACHINES, Bounds, Machine
 from hawthornspoke.catalog import EXPIRY_MARGIN, DeclaredVersions
+from hawthornspoke.permits import (
+    PermitsDenied,
+    PermitsGranted,
+    RateLimitUpdated,
+)
 from hawthornspoke.placing._avoidance import count_outcome, without_ejected
 from hawthornspoke.placing._choice import EndpointSelector
 from hawthornspoke.placing._directory import EndpointDirectory
@@ -21,10 +26,12 @@
     PlacementRequest,
     RateLimitChanged,
     RateLimitObserved,
+    Rejection,
     RequestFinished,
     RequestSent,
     WeightsDeclared,
 )
+from hawthornspoke.placing._permits import PermitDesk, recheck_permit, with_permit
 from hawthornspoke.placing._predict import prefill_time
 from hawthornspoke.placing._rejection import RejectionBuilder
 from hawthornspoke.placing._weights_eligibility import WeightsEligibility
@@ -39,8 +46,11 @@
     EntryHostsUpdated,
     RequestFinished,
     LoadObserved,
+    PermitsDenied,
+    PermitsGranted,
     PlacementRecheck,
     RateLimitObserved,
+    RateLimitUpdated,
     RequestSent,
     DeclarationTimesUpdated,
     WeightsDeclared,
@@ -74,6 +84,7 @@
         "_directory",
         "_random",
         "_rejections",
+        "_permit_desk",
         "_selector",
         "_position",
     )
@@ -101,6 +112,7 @@
         self._directory = EndpointDirectory()
         self._random = random.Random(seed)
         self._rejections = RejectionBuilder(rng=self._random)
+        self._permit_desk = PermitDesk()
         self._selector = EndpointSelector(
             failure_domain=failure_domain,
             host=str(seed),
@@ -190,21 +202,49 @@
         return []
 
     def on_rate_limit_observed(self, message, *, now):
-        """Update the rate limit that an endpoint names in its responses.
+        """Update an endpoint's rate limit from a response.
 
         Returns
         -------
         list of RateLimitChanged
         """
         endpoint = self._directory.request_target(message)
-        if endpoint is None or endpoint.rate_limit == message.rate:
+        if endpoint is None:
             return []
-        before, endpoint.rate_limit = endpoint.rate_limit, message.rate
-        return [
-            RateLimitChanged(
-                endpoint_id=message.endpoint_id, before=before, rate=message.rate
+        has_none = message.rate is None
+        if has_none and not endpoint.rate_limit.may_have_ended(message.sent_at):
+            return []
+        return _set_rate(endpoint, message.rate, now)
+
+    def on_rate_limit_updated(self, message, *, now):
+        """Update an endpoint's rate limit from what another entry host has learned.
+
+        Returns
+        -------
+        list of RateLimitChanged
+        """
+        endpoint = self.endpoint_by_id.get(message.endpoint_id)
+        if endpoint is None or not endpoint.matches(message.incarnation):
+            return []
+        return _set_rate(endpoint, message.rate, now)
+
+    def on_permits_granted(self, message, *, now):
+        """Record permits for requests to an endpoint."""
+        endpoint = self.endpoint_by_id.get(message.endpoint_id)
+        if endpoint is not None and endpoint.matches(message.incarnation):
+            endpoint.rate_limit.add_permits(
+                message.count,
+                usable_at=message.usable_at,
+                expires_at=message.expires_at,
             )
-        ]
+        return []
+
+    def on_permits_denied(self, message, *, now):
+        """Record that no permits for an endpoint are to be had yet."""
+        endpoint = self.endpoint_by_id.get(message.endpoint_id)
+        if endpoint is not None and endpoint.matches(message.incarnation):
+            endpoint.rate_limit.defer_claim(message.retry_at)
+        return []
 
     def on_request_finished(self, message, *, now):
         """Record the outcome of a request."""
@@ -246,9 +286,28 @@
             subset=self._selector.subset(message.service),
             now=now,
         )
-        if service.engine is None:
-            return [self._selector.select_plain(message, known, now)]
-        return [self._select_engine(message, known, service.engine, now)]
+        engine = service.engine
+        allowed, lacking = self._permit_desk.split(known, now)
+        if lacking and engine is not None:
+            eligibility = self._eligibility(message, now)
+            lacking = [
+                item for item in lacking if eligibility.allows(item, engine, message)
+            ]
+        if allowed:
+            decision = self._select(message, engine, allowed, now)
+        elif lacking:
+            decision = self._rejections.rate_limited(message, lacking, now)
+        else:
+            decision = self._rejections.no_weights(message, known, now)
+        if isinstance(decision, Rejection):
+            self._permit_desk.want(lacking)
+            awaited = tuple(item.endpoint_id for item in lacking)
+            return [replace(decision, awaited_permits=awaited)]
+        # Endpoints elsewhere are only needed once those nearby are full.
+        self._permit_desk.want(
+            item for item in lacking if item.is_in(self.failure_domain)
+        )
+        return [with_permit(decision, self.endpoint_by_id, now)]
 
     def on_placement_recheck(self, message, *, now):
         """Check a selected endpoint again just before the request is sent.
@@ -272,6 +331,9 @@
             or endpoint.entry.address != placement.address
         ):
             return [self._rejections.no_endpoint(request)]
+        placement = recheck_permit(placement, endpoint, now)
+        if placement is None:
+            return [self._rejections.rate_limited(request, [endpoint], now)]
         engine = service.engine
         if engine is None:
             return [placement]
@@ -281,6 +343,32 @@
         placement = replace(placement, weights_version=endpoint.weights_version)
         return [self._with_deadline(placement, engine, eligibility)]
 
+    def permit_claims(self, *, now):
+        """Return the claims of permits that are due since the last selections.
+
+        Returns
+        -------
+        list of PermitClaimed
+        """
+        return self._permit_desk.claims(now)
+
+    def rate_limits(self):
+        """Return the known rate limits, for an agent that has just connected.
+
+        Returns
+        -------
+        list of RateLimitUpdated
+        """
+        return [
+            RateLimitUpdated(
+                endpoint_id=endpoint_id,
+                rate=endpoint.rate_limit.rate,
+                incarnation=endpoint.incarnation,
+            )
+            for endpoint_id, endpoint in self.endpoint_by_id.items()
+            if endpoint.rate_limit.rate is not None
+        ]
+
     def followed_addresses(self):
         """Return the addresses of all engines in the subset of any service.
 
@@ -376,6 +464,11 @@
                 now=now,
             )
 
+    def _select(self, request, engine, known, now):
+        if engine is None:
+            return self._selector.select_plain(request, known, now)
+        return self._select_engine(request, known, engine, now)
+
     def _select_engine(self, request, known, engine, now):
         eligibility = self._eligibility(request, now)
         answer = self._selector.select_engine(request, known, engine, eligibility)
@@ -401,6 +494,20 @@
         )
 
 
+def _set_rate(endpoint, rate, now):
+    before = endpoint.rate_limit.rate
+    if not endpoint.rate_limit.set_rate(rate, now=now):
+        return []
+    return [
+        RateLimitChanged(
+            endpoint_id=endpoint.endpoint_id,
+            before=before,
+            rate=rate,
+            incarnation=endpoint.incarnation,
+        )
+    ]
+
+
 def _boottime_received_at(message, now):
     """Return the time of receipt on the clock that includes suspended time."""
     return now if message.boottime_now is None else message.boottime_now
--- a/hawthornspoke/placing/_messages.py
+++ b/hawthornspoke/placing/_messages.py
@@ -193,12 +193,15 @@
     rate : float or None
         Requests per second that the endpoint accepts from all entry hosts together;
         None if it names no limit.
+    sent_at : float
+        When the request was sent.
     incarnation : Incarnation
         Incarnation selected for the request.
     """
 
     endpoint_id: str
     rate: float | None
+    sent_at: float
     incarnation: Incarnation = UNKNOWN_START
 
 
@@ -211,11 +214,13 @@
     endpoint_id : str
     before, rate : float or None
         Requests per second over all entry hosts.
+    incarnation : Incarnation
     """
 
     endpoint_id: str
     before: float | None
     rate: float | None
+    incarnation: Incarnation = UNKNOWN_START
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -298,6 +303,9 @@
         Incarnation of the selected endpoint.
     rate_limit : float or None
         Requests per second that the endpoint accepts from all entry hosts together.
+    permit_deadline : float or None
+        Time on the monotonic clock by which the request must be sent, since its permit
+        expires then; None if it has no permit.
     """
 
     endpoint_id: str
@@ -309,6 +317,7 @@
     start_deadline: float | None = None
     incarnation: Incarnation = UNKNOWN_START
     rate_limit: float | None = None
+    permit_deadline: float | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -333,10 +342,13 @@
     Parameters
     ----------
     reason : str
-        ``"no_endpoint"``, ``"no_weights"`` or ``"full"``.
+        ``"no_endpoint"``, ``"no_weights"``, ``"full"`` or ``"rate_limited"``.
     retry_after : float
         Seconds after which capacity is expected.
+    awaited_permits : tuple of str
+        Ids of endpoints that could serve the request if this host had permits for them.
     """
 
     reason: str
     retry_after: float
+    awaited_permits: tuple = ()
--- a/hawthornspoke/placing/_rejection.py
+++ b/hawthornspoke/placing/_rejection.py
@@ -70,6 +70,23 @@
         """
         return self._reject(request, "full", seconds)
 
+    def rate_limited(self, request, endpoints, now):
+        """Return a Rejection because all endpoints are at their rate limits.
+
+        Parameters
+        ----------
+        request : PlacementRequest
+        endpoints : list of Endpoint
+            Endpoints with a rate limit.
+        now : float
+
+        Returns
+        -------
+        Rejection
+        """
+        soonest = min(item.rate_limit.permits_expected_at(now) for item in endpoints)
+        return self._reject(request, "rate_limited", soonest - now)
+
     def _reject(self, request, reason, seconds):
         # Jitter keeps callers that were rejected together from returning together.
         # They wait a third of their remaining time at most, so a longer delay is cut.
--- a/hawthornspoke/protocol/_gen/ttypes.py
+++ b/hawthornspoke/protocol/_gen/ttypes.py
@@ -3548,6 +3548,271 @@
         return not (self == other)
 
 
+class EndpointRateLimit(object):
+    """
+    Attributes:
+     - endpoint_id
+     - started_ms
+     - rate
+
+    """
+
+    __slots__ = (
+        'endpoint_id',
+        'started_ms',
+        'rate',
+    )
+
+
+    def __init__(self, endpoint_id=None, started_ms=None, rate=None,):
+        self.endpoint_id = endpoint_id
+        self.started_ms = started_ms
+        self.rate = rate
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.started_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.rate = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndpointRateLimit')
+        if self.endpoint_id is not None:
+            oprot.writeFieldBegin('endpoint_id', TType.STRING, 1)
+            oprot.writeString(self.endpoint_id.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint_id)
+            oprot.writeFieldEnd()
+        if self.started_ms is not None:
+            oprot.writeFieldBegin('started_ms', TType.I64, 2)
+            oprot.writeI64(self.started_ms)
+            oprot.writeFieldEnd()
+        if self.rate is not None:
+            oprot.writeFieldBegin('rate', TType.DOUBLE, 3)
+            oprot.writeDouble(self.rate)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PermitClaim(object):
+    """
+    Attributes:
+     - limit
+     - wanted
+
+    """
+
+    __slots__ = (
+        'limit',
+        'wanted',
+    )
+
+
+    def __init__(self, limit=None, wanted=None,):
+        self.limit = limit
+        self.wanted = wanted
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.limit = EndpointRateLimit()
+                    self.limit.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.wanted = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PermitClaim')
+        if self.limit is not None:
+            oprot.writeFieldBegin('limit', TType.STRUCT, 1)
+            self.limit.write(oprot)
+            oprot.writeFieldEnd()
+        if self.wanted is not None:
+            oprot.writeFieldBegin('wanted', TType.I32, 2)
+            oprot.writeI32(self.wanted)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PermitGrant(object):
+    """
+    Attributes:
+     - count
+     - usable_in_ms
+     - left_ms
+
+    """
+
+    __slots__ = (
+        'count',
+        'usable_in_ms',
+        'left_ms',
+    )
+
+
+    def __init__(self, count=None, usable_in_ms=None, left_ms=None,):
+        self.count = count
+        self.usable_in_ms = usable_in_ms
+        self.left_ms = left_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.usable_in_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.left_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PermitGrant')
+        if self.count is not None:
+            oprot.writeFieldBegin('count', TType.I32, 1)
+            oprot.writeI32(self.count)
+            oprot.writeFieldEnd()
+        if self.usable_in_ms is not None:
+            oprot.writeFieldBegin('usable_in_ms', TType.I32, 2)
+            oprot.writeI32(self.usable_in_ms)
+            oprot.writeFieldEnd()
+        if self.left_ms is not None:
+            oprot.writeFieldBegin('left_ms', TType.I32, 3)
+            oprot.writeI32(self.left_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Frame(object):
     """
     Attributes:
@@ -3569,6 +3834,9 @@
      - follows
      - evidence
      - entry_domain
+     - rate_limits
+     - permit_claim
+     - permit_grant
 
     """
 
@@ -3591,10 +3859,13 @@
         'follows',
         'evidence',
         'entry_domain',
+        'rate_limits',
+        'permit_claim',
+        'permit_grant',
     )
 
 
-    def __init__(self, call=None, announce=None, chunk_ask=None, chunk=None, holdings_ask=None, holdings=None, directive=None, engine_state=None, entry_hosts=None, table_ask=None, table_news=None, manifest_ask=None, manifest=None, directive_ask=None, probe=None, follows=None, evidence=None, entry_domain=None,):
+    def __init__(self, call=None, announce=None, chunk_ask=None, chunk=None, holdings_ask=None, holdings=None, directive=None, engine_state=None, entry_hosts=None, table_ask=None, table_news=None, manifest_ask=None, manifest=None, directive_ask=None, probe=None, follows=None, evidence=None, entry_domain=None, rate_limits=None, permit_claim=None, permit_grant=None,):
         self.call = call
         self.announce = announce
         self.chunk_ask = chunk_ask
@@ -3613,6 +3884,9 @@
         self.follows = follows
         self.evidence = evidence
         self.entry_domain = entry_domain
+        self.rate_limits = rate_limits
+        self.permit_claim = permit_claim
+        self.permit_grant = permit_grant
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3732,6 +4006,29 @@
                     self.entry_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.LIST:
+                    self.rate_limits = []
+                    (_etype117, _size114) = iprot.readListBegin()
+                    for _i118 in range(_size114):
+                        _elem119 = EndpointRateLimit()
+                        _elem119.read(iprot)
+                        self.rate_limits.append(_elem119)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.STRUCT:
+                    self.permit_claim = PermitClaim()
+                    self.permit_claim.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.STRUCT:
+                    self.permit_grant = PermitGrant()
+                    self.permit_grant.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3809,14 +4106,29 @@
         if self.evidence is not None:
             oprot.writeFieldBegin('evidence', TType.LIST, 17)
             oprot.writeListBegin(TType.STRUCT, len(self.evidence))
-            for iter114 in self.evidence:
-                iter114.write(oprot)
+            for iter120 in self.evidence:
+                iter120.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entry_domain is not None:
             oprot.writeFieldBegin('entry_domain', TType.STRING, 18)
             oprot.writeString(self.entry_domain.encode('utf-8') if sys.version_info[0] == 2 else self.entry_domain)
             oprot.writeFieldEnd()
+        if self.rate_limits is not None:
+            oprot.writeFieldBegin('rate_limits', TType.LIST, 19)
+            oprot.writeListBegin(TType.STRUCT, len(self.rate_limits))
+            for iter121 in self.rate_limits:
+                iter121.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.permit_claim is not None:
+            oprot.writeFieldBegin('permit_claim', TType.STRUCT, 20)
+            self.permit_claim.write(oprot)
+            oprot.writeFieldEnd()
+        if self.permit_grant is not None:
+            oprot.writeFieldBegin('permit_grant', TType.STRUCT, 21)
+            self.permit_grant.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4101,6 +4413,26 @@
     (5, TType.I32, 'held_ms', None, None, ),  # 5
     (6, TType.I32, 'age_ms', None, None, ),  # 6
 )
+all_structs.append(EndpointRateLimit)
+EndpointRateLimit.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'started_ms', None, None, ),  # 2
+    (3, TType.DOUBLE, 'rate', None, None, ),  # 3
+)
+all_structs.append(PermitClaim)
+PermitClaim.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'limit', [EndpointRateLimit, None], None, ),  # 1
+    (2, TType.I32, 'wanted', None, None, ),  # 2
+)
+all_structs.append(PermitGrant)
+PermitGrant.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'count', None, None, ),  # 1
+    (2, TType.I32, 'usable_in_ms', None, None, ),  # 2
+    (3, TType.I32, 'left_ms', None, None, ),  # 3
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -4122,6 +4454,9 @@
     (16, TType.BOOL, 'follows', None, None, ),  # 16
     (17, TType.LIST, 'evidence', (TType.STRUCT, [EndEvidence, None], False), None, ),  # 17
     (18, TType.STRING, 'entry_domain', 'UTF8', None, ),  # 18
+    (19, TType.LIST, 'rate_limits', (TType.STRUCT, [EndpointRateLimit, None], False), None, ),  # 19
+    (20, TType.STRUCT, 'permit_claim', [PermitClaim, None], None, ),  # 20
+    (21, TType.STRUCT, 'permit_grant', [PermitGrant, None], None, ),  # 21
 )
 fix_spec(all_structs)
 del all_structs
--- a/hawthornspoke/relay/_agents.py
+++ b/hawthornspoke/relay/_agents.py
@@ -61,6 +61,8 @@
         agent reports.
     suspects : PoisonRequestTracker
         Exchanges evidence of poison requests with agents.
+    rate_limits : EndpointRateLimits
+        Exchanges rate limits and permits with agents.
     earliest_arrival : callable, default=boottime_clock
         Returns a lower bound of the arrival time of data that is read now, which may
         have waited in the socket buffer while this process was stalled.
@@ -76,6 +78,7 @@
         "_directive_for",
         "_on_entry_hosts",
         "_suspects",
+        "_rate_limits",
         "_earliest_arrival",
         "_service_by_address",
         "_sent_by_address",
@@ -95,6 +98,7 @@
         directive_for,
         on_entry_hosts,
         suspects,
+        rate_limits,
         earliest_arrival=boottime_clock,
     ):
         self.port = port
@@ -104,6 +108,7 @@
         self._directive_for = directive_for
         self._on_entry_hosts = on_entry_hosts
         self._suspects = suspects
+        self._rate_limits = rate_limits
         self._earliest_arrival = earliest_arrival
         self._task_by_address = {}
         self._link_by_address = {}
@@ -238,6 +243,7 @@
         self._send_directive(address, link)
         self._send_follows(address, link)
         self._suspects.sharing.add_agent(address, link)
+        self._rate_limits.add_agent(address, link)
         try:
             await closed
         finally:
@@ -248,6 +254,7 @@
     def _remove(self, address):
         self._link_by_address.pop(address, None)
         self._suspects.sharing.remove_agent(address)
+        self._rate_limits.remove_agent(address)
         self._sent_by_address.pop(address, None)
         self._sent_follows_by_address.pop(address, None)
         self._entry_hosts_by_agent.pop(address, None)
@@ -262,6 +269,8 @@
             self._on_entry_hosts(address, frame.entry_hosts.addresses or ())
         if frame.evidence:
             self._suspects.merge_evidence(frame)
+        if frame.rate_limits:
+            self._rate_limits.receive(frame)
         state = frame.engine_state
         if state is None:
             return
--- a/hawthornspoke/relay/_choosing.py
+++ b/hawthornspoke/relay/_choosing.py
@@ -23,20 +23,24 @@
     fleet : Fleet
     budget_for : callable
         Returns the RetryBudget of a service.
+    rate_limits : EndpointRateLimits
     log : EventLog
     """
 
-    __slots__ = ("_clock", "_fleet", "_budget_for", "_log")
+    __slots__ = ("_clock", "_fleet", "_budget_for", "_rate_limits", "_log")
 
-    def __init__(self, *, clock, fleet, budget_for, log):
+    def __init__(self, *, clock, fleet, budget_for, rate_limits, log):
         self._clock = clock
         self._fleet = fleet
         self._budget_for = budget_for
+        self._rate_limits = rate_limits
         self._log = log
 
-    def select(self, context, connection_attempts):
+    async def select(self, context, connection_attempts):
         """Return the next endpoint for a request, None if there is none.
 
+        Wait for a permit if only endpoints at their rate limits could serve it.
+
         Parameters
         ----------
         context : RequestContext
@@ -55,6 +59,14 @@
         if context.sent and not self.may_retry(context):
             return None
         result = self._request_placement(context, self.make_placement_request(context))
+        if isinstance(result, Rejection) and result.awaited_permits:
+            is_granted = await self._rate_limits.wait_for_permit(
+                result.awaited_permits, time_left=context.deadline - self._clock()
+            )
+            if is_granted:
+                result = self._request_placement(
+                    context, self.make_placement_request(context)
+                )
         if isinstance(result, Rejection):
             context.last_reason = context.last_reason or result.reason
             context.retry_after = result.retry_after
@@ -139,6 +151,7 @@
 
     def _request_placement(self, context, placement_request):
         (result,) = self._fleet.step(placement_request, now=monotonic())
+        self._rate_limits.send_claims()
         if isinstance(result, Rejection):
             self._log_declined(context, placement_request, result)
         else:
--- a/hawthornspoke/relay/_forward.py
+++ b/hawthornspoke/relay/_forward.py
@@ -66,7 +66,11 @@
         self._log = log
         self._encoder = Encoder(header_names=header_names, clock=admission.clock)
         self._planner = AttemptPlanner(
-            clock=admission.clock, fleet=fleet, budget_for=budget_for, log=log
+            clock=admission.clock,
+            fleet=fleet,
+            budget_for=budget_for,
+            rate_limits=rate_limits,
+            log=log,
         )
         self._sender = Sender(
             admission=admission,
@@ -98,7 +102,7 @@
         """
         connection_attempts = 0
         while True:
-            placement = self._planner.select(context, connection_attempts)
+            placement = await self._planner.select(context, connection_attempts)
             if placement is None:
                 return
             attempt = self._sender.create_attempt(context, placement)
--- a/hawthornspoke/relay/_process.py
+++ b/hawthornspoke/relay/_process.py
@@ -111,6 +111,7 @@
         self.rate_limits = EndpointRateLimits(
             fleet=self.fleet,
             header_names=self.header_names,
+            entry_hosts=self.budgets.entry_hosts,
             log=self.log,
             metrics=self.metrics,
         )
@@ -158,6 +159,7 @@
             front=self.front,
             neighbours=self.neighbours,
             suspects=self.suspects,
+            rate_limits=self.rate_limits,
             log=self.log,
             metrics=self.metrics,
             earliest_arrival=self.stall_detector.earliest_arrival,
@@ -210,6 +212,7 @@
             for task in tasks:
                 task.cancel()
             self.suspects.close()
+            self.rate_limits.close()
             self.agents.close()
             self.neighbours.close()
             self.pool.close()
@@ -255,6 +258,7 @@
             "readers": self.neighbours.readers.dump(now=now),
             "fleet": self.fleet.dump(now=now),
             "budgets": self.budgets.dump(now=now),
+            "rate_limits": self.rate_limits.dump(now=now),
             "quarantine": self.suspects.quarantine.dump(now=now),
             "metrics": self.metrics.dump(),
         }
--- a/hawthornspoke/relay/_rate_limits.py
+++ b/hawthornspoke/relay/_rate_limits.py
@@ -1,28 +1,115 @@
-"""Rate limits that endpoints name in their responses."""
+"""Rate limits that endpoints name in their responses, and permits within them.
 
-from hawthornspoke.base import monotonic
+A limit holds for the requests of all entry hosts together. So an entry host reports the
+limits that it learns to an agent, which passes them on to all entry hosts, and claims a
+permit from it for each request to such an endpoint. All entry hosts choose the same
+agent for an endpoint.
+"""
+
+import asyncio
+import random
+from dataclasses import replace
+
+from hawthornspoke.base import is_failure, monotonic, rendezvous_order
 from hawthornspoke.httpio import decode_rate_limit
+from hawthornspoke.permits import (
+    PermitAllocator,
+    PermitsGranted,
+    RateLimitReported,
+    decode_grant,
+    decode_rate_limits,
+    encode_claim,
+    encode_rate_limit,
+)
 from hawthornspoke.placing import RateLimitObserved
+from hawthornspoke.protocol import Frame
+
+#: Timeout in seconds of a claim. After it, this host uses an equal part of the limit.
+CLAIM_TIMEOUT = 0.5
+
+#: Maximum seconds, and maximum share of its remaining time, for which a request waits
+#: for a permit.
+MAX_PERMIT_WAIT = 0.3
+MAX_WAIT_SHARE = 1 / 3
+
+
+class _Waiter:
+    """A request that waits for a permit for one of several endpoints."""
+
+    __slots__ = ("endpoint_ids", "deadline", "future")
+
+    def __init__(self, *, endpoint_ids, deadline, future):
+        self.endpoint_ids = endpoint_ids
+        self.deadline = deadline
+        self.future = future
+
+    def resolve(self, is_granted):
+        """End the wait."""
+        if not self.future.done():
+            self.future.set_result(is_granted)
 
 
 class EndpointRateLimits:
-    """Reads rate limits from responses.
+    """Learns rate limits from responses and claims permits for requests.
 
     Parameters
     ----------
     fleet : Fleet
     header_names : HeaderNames
+    entry_hosts : callable
+        Returns the estimated number of entry hosts.
     log : EventLog
     metrics : Metrics
     """
 
-    __slots__ = ("_fleet", "_header_names", "_log", "_metrics")
+    __slots__ = (
+        "_fleet",
+        "_header_names",
+        "_entry_hosts",
+        "_log",
+        "_metrics",
+        "_link_by_address",
+        "_own_allocator",
+        "_tasks",
+        "_usable_at_by_endpoint",
+        "_waiter_by_endpoint",
+    )
 
-    def __init__(self, *, fleet, header_names, log, metrics):
+    def __init__(self, *, fleet, header_names, entry_hosts, log, metrics):
         self._fleet = fleet
         self._header_names = header_names
+        self._entry_hosts = entry_hosts
         self._log = log
         self._metrics = metrics
+        self._link_by_address = {}
+        self._own_allocator = PermitAllocator()
+        self._tasks = set()
+        # When the permits of a claim become usable, None until the claim is answered.
+        self._usable_at_by_endpoint = {}
+        self._waiter_by_endpoint = {}
+
+    def add_agent(self, address, link):
+        """Add a connected agent.
+
+        Parameters
+        ----------
+        address : str
+            Address of its endpoint.
+        link : PeerConnection
+        """
+        self._link_by_address[address] = link
+        # The agent may have restarted and lost what it knew.
+        known = [
+            encode_rate_limit(item)
+            for item in self._fleet.rate_limits()
+            if self._allocator_address(item.endpoint_id) == address
+        ]
+        if known:
+            link.send(Frame(rate_limits=known))
+
+    def remove_agent(self, address):
+        """Remove an agent whose connection was closed."""
+        self._link_by_address.pop(address, None)
 
     def observe(self, attempt):
         """Record the rate limit in a response head, or that it names none.
@@ -31,19 +118,185 @@
         ----------
         attempt : Attempt
         """
-        rate = decode_rate_limit(attempt.head.get(self._header_names.rate_limit))
+        head, placement = attempt.head, attempt.placement
+        value = head.get(self._header_names.rate_limit)
+        rate = decode_rate_limit(value)
         if rate is not None:
             self._metrics.count("responses_with_rate_limit_total")
-        placement = attempt.placement
+        elif value is not None or head.status >= 300:
+            # Only a success without the field shows that there is no limit any more.
+            return
         message = RateLimitObserved(
             endpoint_id=placement.endpoint_id,
             rate=rate,
+            sent_at=attempt.sent_at,
             incarnation=placement.incarnation,
         )
-        for changed in self._fleet.step(message, now=monotonic()):
+        for changed in self._step(message, source="response"):
+            link = self._allocator(changed.endpoint_id)
+            if link is not None:
+                link.send(Frame(rate_limits=[encode_rate_limit(changed)]))
+
+    def receive(self, frame):
+        """Record the limits that other entry hosts have learned.
+
+        Parameters
+        ----------
+        frame : Frame
+        """
+        for update in decode_rate_limits(frame.rate_limits):
+            self._step(update, source="entry_host")
+
+    def send_claims(self):
+        """Claim the permits that recent selections would have needed."""
+        for claim in self._fleet.permit_claims(now=monotonic()):
+            self._usable_at_by_endpoint[claim.endpoint_id] = None
+            task = asyncio.get_running_loop().create_task(self._claim(claim))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def wait_for_permit(self, endpoint_ids, *, time_left):
+        """Wait for a permit for one of several endpoints.
+
+        Another request may use the permit first.
+
+        Parameters
+        ----------
+        endpoint_ids : tuple of str
+        time_left : float
+            Seconds until the deadline of the request.
+
+        Returns
+        -------
+        bool
+            False if there is none in time, or if other requests already wait for the
+            permits of all these endpoints.
+        """
+        seconds = min(MAX_PERMIT_WAIT, time_left * MAX_WAIT_SHARE)
+        deadline = monotonic() + seconds
+        free = {item for item in endpoint_ids if self._is_worth_waiting(item, deadline)}
+        if not free:
+            return False
+        waiter = _Waiter(
+            endpoint_ids=free,
+            deadline=deadline,
+            future=asyncio.get_running_loop().create_future(),
+        )
+        self._waiter_by_endpoint.update(dict.fromkeys(free, waiter))
+        try:
+            async with asyncio.timeout(seconds):
+                return await waiter.future
+        except TimeoutError:
+            return False
+        finally:
+            for endpoint_id in free:
+                if self._waiter_by_endpoint.get(endpoint_id) is waiter:
+                    del self._waiter_by_endpoint[endpoint_id]
+
+    def dump(self, *, now):
+        """Return the state as plain data; the limits are in that of the Fleet."""
+        return {
+            "requests_waiting": len(set(self._waiter_by_endpoint.values())),
+            "own_permits": self._own_allocator.dump(now=now),
+        }
+
+    def close(self):
+        """Cancel all claims."""
+        for task in self._tasks:
+            task.cancel()
+
+    async def _claim(self, claim):
+        result = await self._ask_allocator(claim)
+        source = "agent"
+        if result is None:
+            result, source = self._grant_own_part(claim), "own"
+        is_granted = isinstance(result, PermitsGranted)
+        outcome = "granted" if is_granted else "denied"
+        self._metrics.count("permit_claims_total", outcome=outcome, source=source)
+        now = monotonic()
+        self._fleet.step(result, now=now)
+        if not is_granted:
+            self._resolve(claim.endpoint_id, False)
+            return
+        self._usable_at_by_endpoint[claim.endpoint_id] = result.usable_at
+        waiter = self._waiter_by_endpoint.get(claim.endpoint_id)
+        if waiter is not None and result.usable_at >= waiter.deadline:
+            self._end_wait(claim.endpoint_id, False)
+        usable_in = max(0.0, result.usable_at - now)
+        asyncio.get_running_loop().call_later(
+            usable_in, self._resolve, claim.endpoint_id, True
+        )
+
+    async def _ask_allocator(self, claim):
+        """Return the allocator's answer to a claim, None if there is none."""
+        link = self._allocator(claim.endpoint_id)
+        if link is None:
+            return None
+        answer = await link.ask(
+            Frame(permit_claim=encode_claim(claim)), timeout=CLAIM_TIMEOUT
+        )
+        if is_failure(answer):
+            return None
+        return decode_grant(answer.permit_grant, claim, now=monotonic())
+
+    def _grant_own_part(self, claim):
+        """Grant permits for this host's equal part of a limit, without an allocator."""
+        rate = claim.rate / max(1, self._entry_hosts())
+        # Hosts that all lose the allocator at the same time must not all start at once.
+        first_delay = random.random() / rate if rate else 0.0
+        own_claim = replace(claim, rate=rate, wanted=1, first_delay=first_delay)
+        now = monotonic()
+        if self._own_allocator.rate_of(claim.endpoint_id) is not None:
+            report = RateLimitReported(
+                endpoint_id=claim.endpoint_id, rate=rate, incarnation=claim.incarnation
+            )
+            self._own_allocator.step(report, now=now)
+        return self._own_allocator.step(own_claim, now=now)[0]
+
+    def _is_worth_waiting(self, endpoint_id, deadline):
+        if endpoint_id in self._waiter_by_endpoint:
+            return False
+        if endpoint_id not in self._usable_at_by_endpoint:
+            return False
+        usable_at = self._usable_at_by_endpoint[endpoint_id]
+        return usable_at is None or usable_at < deadline
+
+    def _resolve(self, endpoint_id, is_granted):
+        """End a claim: its permits are usable, or were denied."""
+        self._usable_at_by_endpoint.pop(endpoint_id, None)
+        self._end_wait(endpoint_id, is_granted)
+
+    def _end_wait(self, endpoint_id, is_granted):
+        waiter = self._waiter_by_endpoint.pop(endpoint_id, None)
+        if waiter is None:
+            return
+        waiter.endpoint_ids.discard(endpoint_id)
+        if is_granted or not waiter.endpoint_ids:
+            waiter.resolve(is_granted)
+
+    def _allocator(self, endpoint_id):
+        return self._link_by_address.get(self._allocator_address(endpoint_id))
+
+    def _allocator_address(self, endpoint_id):
+        """Return the address of the agent that divides an endpoint's limit, if any.
+
+        That is the endpoint's own agent, or else the first connected one in an order
+        that is the same on all hosts.
+        """
+        endpoint = self._fleet.endpoint_by_id.get(endpoint_id)
+        if endpoint is not None and endpoint.entry.address in self._link_by_address:
+            return endpoint.entry.address
+        order = rendezvous_order(key=endpoint_id, nodes=self._link_by_address)
+        return next(iter(order), None)
+
+    def _step(self, message, *, source):
+        changes = self._fleet.step(message, now=monotonic())
+        for changed in changes:
             self._log.change(
                 "rate_limit",
                 endpoint=changed.endpoint_id,
                 before=changed.before,
                 rate=changed.rate,
+                source=source,
             )
+        return changes
--- a/hawthornspoke/relay/_sink.py
+++ b/hawthornspoke/relay/_sink.py
@@ -28,6 +28,7 @@
         Serves callers' requests.
     neighbours : Neighbours
     suspects : PoisonRequestTracker
+    rate_limits : EndpointRateLimits
     log : EventLog
     metrics : Metrics
     earliest_arrival : callable
@@ -67,6 +68,7 @@
         front,
         neighbours,
         suspects,
+        rate_limits,
         log,
         metrics,
         earliest_arrival,
@@ -84,6 +86,7 @@
             directive_for=self.directive_for,
             on_entry_hosts=neighbours.update_entry_hosts,
             suspects=suspects,
+            rate_limits=rate_limits,
             earliest_arrival=earliest_arrival,
         )
         self._fleet = fleet
--- a/hawthornspoke/relay/tests/relay_harness.py
+++ b/hawthornspoke/relay/tests/relay_harness.py
@@ -227,6 +227,17 @@
     )
 
 
+def make_rate_limits(fleet, *, entry_hosts=lambda: 1, metrics=None):
+    """Return the EndpointRateLimits of an entry host without agents."""
+    return EndpointRateLimits(
+        fleet=fleet,
+        header_names=HeaderNames(),
+        entry_hosts=entry_hosts,
+        log=EventLog(node="test"),
+        metrics=metrics or Metrics(),
+    )
+
+
 ROUTES = (
     ("once", AT_MOST_ONCE, 1),
     ("again", IDEMPOTENT, 2),
@@ -294,16 +305,14 @@
         self.budget = RetryBudget()
         self.pool = StallingPool(id_header=self.header_names.request_id)
         self.metrics = Metrics()
+        self.entry_hosts = 1
         self.server = None
 
     async def __aenter__(self):
         self.addresses = [await endpoint.start() for endpoint in self.endpoints]
         self.suspects = make_suspects(self.fleet)
-        self.rate_limits = EndpointRateLimits(
-            fleet=self.fleet,
-            header_names=self.header_names,
-            log=EventLog(node="test"),
-            metrics=self.metrics,
+        self.rate_limits = make_rate_limits(
+            self.fleet, entry_hosts=lambda: self.entry_hosts, metrics=self.metrics
         )
         admission = Admission(
             header_names=self.header_names,
--- a/hawthornspoke/relay/tests/test_agent_frames.py
+++ b/hawthornspoke/relay/tests/test_agent_frames.py
@@ -13,7 +13,11 @@
 from hawthornspoke.protocol import EngineState, Frame
 from hawthornspoke.protocol.tests.structs import structs
 from hawthornspoke.relay._agents import AgentLinks
-from hawthornspoke.relay.tests.relay_harness import ENGINE, make_suspects
+from hawthornspoke.relay.tests.relay_harness import (
+    ENGINE,
+    make_rate_limits,
+    make_suspects,
+)
 
 ADDRESSES = ("10.0.0.1:80", "10.0.0.2:80")
 
@@ -53,6 +57,7 @@
         directive_for=lambda address: None,
         on_entry_hosts=lambda agent, addresses: None,
         suspects=make_suspects(fleet),
+        rate_limits=make_rate_limits(fleet),
     )
     return agent_links, fleet
 
--- a/hawthornspoke/relay/tests/test_incarnations.py
+++ b/hawthornspoke/relay/tests/test_incarnations.py
@@ -11,6 +11,7 @@
     RelayHarness,
     ScriptedEndpoint,
     answer,
+    make_rate_limits,
     make_suspects,
     refuse_as_full,
 )
@@ -131,6 +132,7 @@
         directive_for=None,
         on_entry_hosts=None,
         suspects=make_suspects(fleet),
+        rate_limits=make_rate_limits(fleet),
     )
     state = EngineState(running=2, waiting=1, started_ms=SECOND.started_ms)
     links._on_frame(entry.address, None, Frame(engine_state=state))
--- a/hawthornspoke/spread/_process.py
+++ b/hawthornspoke/spread/_process.py
@@ -25,6 +25,7 @@
 from hawthornspoke.spread._engine_state import engine_state
 from hawthornspoke.spread._entry_links import EntryLinks
 from hawthornspoke.spread._evidence import EvidenceLinks
+from hawthornspoke.spread._rate_limits import RateLimitLinks
 from hawthornspoke.spread._upgrade import EngineObserved
 
 #: Ticks between two log lines with the engine's state. With every fifth of these lines,
@@ -67,6 +68,7 @@
         "delivery",
         "entry_links",
         "evidence_links",
+        "rate_limit_links",
         "directives",
         "stall_detector",
         "operator",
@@ -100,6 +102,7 @@
             failure_domain=settings.failure_domain, spawn=self.exchange.spawn
         )
         self.evidence_links = EvidenceLinks()
+        self.rate_limit_links = RateLimitLinks(metrics=self.metrics)
         self.stall_detector = StallDetector(
             on_resume=lambda seconds: self.log.change("stood_still", seconds=seconds)
         )
@@ -207,10 +210,15 @@
                 self._report_state()
         elif frame.entry_domain is not None:
             self.entry_links.set_failure_domain(link, frame.entry_domain)
+            self.rate_limit_links.add(link)
         elif frame.follows is not None:
             self.entry_links.set_follows(link, frame.follows)
         elif frame.evidence is not None:
             self.evidence_links.receive(link, frame)
+        elif frame.rate_limits is not None:
+            self.rate_limit_links.receive(link, frame)
+        elif frame.permit_claim is not None:
+            self.rate_limit_links.answer(link, frame)
         elif frame.manifest_ask is not None:
             self.delivery.manifests.answer(link, frame)
         elif frame.directive_ask is not None:
@@ -221,6 +229,7 @@
     def _on_closed(self, link):
         self.entry_links.drop(link)
         self.evidence_links.drop(link)
+        self.rate_limit_links.drop(link)
 
     # The engine.
 
@@ -339,6 +348,7 @@
             "upgrade": self.upgrade.dump(now=boottime_clock()),
             "link": self.entry_links.link.dump(now=now),
             "swarm": self.exchange.swarm.dump(now=now),
+            "permits": self.rate_limit_links.allocator.dump(now=now),
             "evidence": self.evidence_links.exchange.dump(now=now),
             "metrics": self.metrics.dump(),
         }
--- /dev/null
+++ b/hawthornspoke/spread/_rate_limits.py
@@ -0,0 +1,93 @@
+"""Division of the rate limits of endpoints among the entry hosts of this agent."""
+
+from hawthornspoke.base import monotonic
+from hawthornspoke.peering import PeerConnection
+from hawthornspoke.permits import (
+    PermitAllocator,
+    PermitsDenied,
+    PermitsGranted,
+    RateLimitReported,
+    RateLimitUpdated,
+    decode_claim,
+    decode_rate_limits,
+    encode_grant,
+    encode_rate_limit,
+)
+from hawthornspoke.protocol import Frame
+
+
+class RateLimitLinks:
+    """Connections over which entry hosts share limits and claim permits.
+
+    Parameters
+    ----------
+    metrics : Metrics
+    """
+
+    __slots__ = ("allocator", "_metrics", "_links")
+
+    def __init__(self, *, metrics):
+        self.allocator = PermitAllocator()
+        self._metrics = metrics
+        self._links = set()
+
+    def add(self, link):
+        """Add the connection of an entry host, and send it the known limits."""
+        self._links.add(link)
+        known = self.allocator.rate_limits(now=monotonic())
+        if known:
+            link.send(Frame(rate_limits=[encode_rate_limit(item) for item in known]))
+
+    def drop(self, link):
+        """Remove a closed connection."""
+        self._links.discard(link)
+
+    def receive(self, link, frame):
+        """Record an entry host's limits, and send what is news to the other hosts.
+
+        Parameters
+        ----------
+        link : PeerConnection
+        frame : Frame
+        """
+        for item in decode_rate_limits(frame.rate_limits):
+            report = RateLimitReported(
+                endpoint_id=item.endpoint_id,
+                rate=item.rate,
+                incarnation=item.incarnation,
+            )
+            self._share(self.allocator.step(report, now=monotonic()), without=link)
+
+    def answer(self, link, frame):
+        """Answer an entry host's claim of permits.
+
+        Parameters
+        ----------
+        link : PeerConnection
+        frame : Frame
+        """
+        claim = decode_claim(frame.permit_claim)
+        answer = Frame(call=-frame.call)
+        if claim is not None:
+            now = monotonic()
+            result, *updates = self.allocator.step(claim, now=now)
+            if isinstance(result, PermitsGranted):
+                self._metrics.count("permits_granted_total", result.count)
+            elif isinstance(result, PermitsDenied):
+                self._metrics.count("permit_claims_denied_total")
+            answer.permit_grant = encode_grant(result, now=now)
+            self._share(updates, without=link)
+        link.send(answer)
+
+    def _share(self, updates, *, without):
+        limits = [
+            encode_rate_limit(item)
+            for item in updates
+            if isinstance(item, RateLimitUpdated)
+        ]
+        if not limits:
+            return
+        data = PeerConnection.encode(Frame(rate_limits=limits))
+        for link in self._links:
+            if link is not without:
+                link.send_encoded(data)
--- a/idl/hawthornspoke.thrift
+++ b/idl/hawthornspoke.thrift
@@ -286,6 +286,31 @@
   6: optional i32 age_ms,
 }
 
+// The rate limit that an endpoint names in its responses.
+struct EndpointRateLimit {
+  1: optional string endpoint_id,
+  // Unix milliseconds of the endpoint's start; absent if unknown.
+  2: optional i64 started_ms,
+  // Requests per second from all entry hosts together; absent if it names none any more.
+  3: optional double rate,
+}
+
+// From an entry host: asks for permits to send requests to an endpoint with a limit.
+struct PermitClaim {
+  1: optional EndpointRateLimit limit,
+  2: optional i32 wanted,
+}
+
+// Answers a claim. Each permit is for one request.
+struct PermitGrant {
+  // 0: none for now.
+  1: optional i32 count,
+  // Until the permits may be used; with a count of 0, until the next claim.
+  2: optional i32 usable_in_ms,
+  // Until they expire.
+  3: optional i32 left_ms,
+}
+
 // One message on a peer connection; `call` pairs a question with its answer.
 struct Frame {
   1: optional i32 call,
@@ -313,6 +338,10 @@
   // From an entry host, on connecting: its failure domain. The agent then names
   // the neighbours to it even if it has no configuration, and so sends no directive.
   18: optional string entry_domain,
+  // From an entry host: limits that changed. From an agent: what entry hosts sent it.
+  19: optional list<EndpointRateLimit> rate_limits,
+  20: optional PermitClaim permit_claim,
+  21: optional PermitGrant permit_grant,
 }
 
 service Node {
