--- a/tests/soak/__init__.py
+++ b/tests/soak/__init__.py
@@ -7,4 +7,4 @@
 from pathlib import Path
 
 # The simulated store is part of the adapter's tests.
-sys.path.append(str(Path(__file__).parent.parent.parent / "platform" / "tests"))
+sys.path.append(str(Path(__file__).parent.parent.parent / "platform"))
