Keep rate limits exact when allocators, hosts or limits come and go

- An allocator that took over granted permits at once, beside those that the one before it had granted up to a second ahead.
It waits for that second.
The entry hosts no longer push limits to an agent that connects, as it couldn't tell these from news; their claims make it know the limit.
- The end of a limit was not passed on by an allocator that had restarted and didn't know the limit, and was lost on hosts that were cut off meanwhile.
Ends are always passed on, kept like limits, and told to hosts that connect or claim.
- An agent that had divided a limit for a while sent it to hosts that connected to it long after its end.
Hosts believe the current allocator only.

Requests that wait for permits have a module of their own.

--- a/hawthornspoke/permits/_allocator.py
+++ b/hawthornspoke/permits/_allocator.py
@@ -20,11 +20,13 @@
 #: time, the round trip of a claim would bound what an entry host can send.
 BATCH_TIME = 0.25
 
-#: Seconds after the last claim or report until a limit is forgotten.
+#: Seconds after the last claim or report until a limit, or its end, is forgotten.
 LIMIT_LIFETIME = 30.0
 
 
 class _EndpointPermits:
+    """Permits of an endpoint; its ``rate`` is None if the limit has ended."""
+
     __slots__ = ("rate", "incarnation", "next_at", "stale_deadline")
 
     def __init__(self, *, rate, incarnation, next_at):
@@ -49,17 +51,29 @@
         Seconds for which a permit is usable. Permits that are used late add to those of
         the next seconds, so any window gets at most the requests of a window that is
         longer by this time.
+    takeover_delay : float, default=1.0
+        Seconds before the first permit of a limit that is learned from a claim: another
+        allocator that has ended may have granted permits up to its ``max_lead`` ahead.
     """
 
-    __slots__ = ("max_lead", "validity", "granted", "denied", "_permits_by_endpoint")
+    __slots__ = (
+        "max_lead",
+        "validity",
+        "takeover_delay",
+        "granted",
+        "denied",
+        "_permits_by_endpoint",
+    )
     PARAMS = {
         "max_lead": Bounds(kind=(int, float), low=0),
         "validity": Bounds(kind=(int, float), low=0.01),
+        "takeover_delay": Bounds(kind=(int, float), low=0),
     }
 
-    def __init__(self, *, max_lead=1.0, validity=1.0):
+    def __init__(self, *, max_lead=1.0, validity=1.0, takeover_delay=1.0):
         self.max_lead = max_lead
         self.validity = validity
+        self.takeover_delay = takeover_delay
         self.granted = 0
         self.denied = 0
         self._permits_by_endpoint = {}
@@ -73,15 +87,12 @@
         """
         self._sweep(now)
         known = self._current(message)
-        if message.rate is None:
-            if known is None:
-                return []
-            del self._permits_by_endpoint[message.endpoint_id]
-            return [_update(message)]
         permits = self._record(message, first_at=now, now=now)
         if known is not None and known.rate == message.rate:
             return []
         permits.rate = message.rate
+        if message.rate is None:
+            return [_update(message)]
         # The next permit of a lower rate may be far away.
         permits.next_at = min(permits.next_at, now + 1 / _permit_rate(message.rate))
         return [_update(message)]
@@ -89,18 +100,32 @@
     def on_permit_claimed(self, message, *, now):
         """Grant permits, or tell when to claim again.
 
-        A limit that was not known yet is returned as well.
+        Also returned is a limit that was not known yet, or the end of a limit that this
+        entry host doesn't know of.
 
         Returns
         -------
         list of PermitsGranted, PermitsDenied and RateLimitUpdated
         """
         self._sweep(now)
-        is_news = self._current(message) is None
+        known = self._current(message)
+        if known is not None and known.rate is None:
+            denied = PermitsDenied(
+                endpoint_id=message.endpoint_id,
+                retry_at=now,
+                incarnation=message.incarnation,
+            )
+            ended = RateLimitUpdated(
+                endpoint_id=message.endpoint_id,
+                rate=None,
+                incarnation=message.incarnation,
+            )
+            return [denied, ended]
         # A report of another entry host may be newer than what this one knows, so that
         # its claim doesn't change a known limit.
-        permits = self._record(message, first_at=now + message.first_delay, now=now)
-        outcomes = [_update(message)] if is_news else []
+        first_at = now + self.takeover_delay + message.first_delay
+        permits = self._record(message, first_at=first_at, now=now)
+        outcomes = [_update(message)] if known is None else []
         rate = _permit_rate(permits.rate)
         count = max(1, min(message.wanted, int(rate * BATCH_TIME)))
         usable_at = max(now, permits.next_at)
@@ -131,6 +156,8 @@
     def rate_limits(self, *, now):
         """Return the known limits, for an entry host that has just connected.
 
+        Those that ended lately have a rate of None: the host may have missed that.
+
         Returns
         -------
         list of RateLimitUpdated
--- a/hawthornspoke/permits/_messages.py
+++ b/hawthornspoke/permits/_messages.py
@@ -49,7 +49,7 @@
     wanted : int, default=1
         Number of permits that the entry host could use now.
     first_delay : float, default=0.0
-        Seconds before which the first permit for an endpoint isn't usable.
+        Additional seconds before the first permit of a limit that wasn't known.
     """
 
     endpoint_id: str
--- a/hawthornspoke/relay/_agents.py
+++ b/hawthornspoke/relay/_agents.py
@@ -270,7 +270,7 @@
         if frame.evidence:
             self._suspects.merge_evidence(frame)
         if frame.rate_limits:
-            self._rate_limits.receive(frame)
+            self._rate_limits.receive(address, frame)
         state = frame.engine_state
         if state is None:
             return
--- a/hawthornspoke/relay/_rate_limits.py
+++ b/hawthornspoke/relay/_rate_limits.py
@@ -23,6 +23,7 @@
 )
 from hawthornspoke.placing import RateLimitObserved
 from hawthornspoke.protocol import Frame
+from hawthornspoke.relay._permit_waits import PermitWaits
 
 #: Timeout in seconds of a claim. After it, this host uses an equal part of the limit.
 CLAIM_TIMEOUT = 0.5
@@ -33,22 +34,6 @@
 MAX_WAIT_SHARE = 1 / 3
 
 
-class _Waiter:
-    """A request that waits for a permit for one of several endpoints."""
-
-    __slots__ = ("endpoint_ids", "deadline", "future")
-
-    def __init__(self, *, endpoint_ids, deadline, future):
-        self.endpoint_ids = endpoint_ids
-        self.deadline = deadline
-        self.future = future
-
-    def resolve(self, is_granted):
-        """End the wait."""
-        if not self.future.done():
-            self.future.set_result(is_granted)
-
-
 class EndpointRateLimits:
     """Learns rate limits from responses and claims permits for requests.
 
@@ -71,8 +56,7 @@
         "_link_by_address",
         "_own_allocator",
         "_tasks",
-        "_usable_at_by_endpoint",
-        "_waiter_by_endpoint",
+        "_waits",
     )
 
     def __init__(self, *, fleet, header_names, entry_hosts, log, metrics):
@@ -82,11 +66,9 @@
         self._log = log
         self._metrics = metrics
         self._link_by_address = {}
-        self._own_allocator = PermitAllocator()
+        self._own_allocator = PermitAllocator(takeover_delay=0.0)
         self._tasks = set()
-        # When the permits of a claim become usable, None until the claim is answered.
-        self._usable_at_by_endpoint = {}
-        self._waiter_by_endpoint = {}
+        self._waits = PermitWaits()
 
     def add_agent(self, address, link):
         """Add a connected agent.
@@ -98,14 +80,6 @@
         link : PeerConnection
         """
         self._link_by_address[address] = link
-        # The agent may have restarted and lost what it knew.
-        known = [
-            encode_rate_limit(item)
-            for item in self._fleet.rate_limits()
-            if self._allocator_address(item.endpoint_id) == address
-        ]
-        if known:
-            link.send(Frame(rate_limits=known))
 
     def remove_agent(self, address):
         """Remove an agent whose connection was closed."""
@@ -137,28 +111,31 @@
             if link is not None:
                 link.send(Frame(rate_limits=[encode_rate_limit(changed)]))
 
-    def receive(self, frame):
+    def receive(self, address, frame):
         """Record the limits that other entry hosts have learned.
 
         Parameters
         ----------
+        address : str
+            Address of the endpoint of the agent that sent them.
         frame : Frame
         """
         for update in decode_rate_limits(frame.rate_limits):
-            self._step(update, source="entry_host")
+            # Another agent divided the limit only while this one was away, and wasn't
+            # told of its end.
+            if self._allocator_address(update.endpoint_id) == address:
+                self._step(update, source="entry_host")
 
     def send_claims(self):
         """Claim the permits that recent selections would have needed."""
         for claim in self._fleet.permit_claims(now=monotonic()):
-            self._usable_at_by_endpoint[claim.endpoint_id] = None
+            self._waits.add_claim(claim.endpoint_id)
             task = asyncio.get_running_loop().create_task(self._claim(claim))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
     async def wait_for_permit(self, endpoint_ids, *, time_left):
-        """Wait for a permit for one of several endpoints.
-
-        Another request may use the permit first.
+        """Wait for a permit for one of several endpoints; see ``PermitWaits.wait``.
 
         Parameters
         ----------
@@ -169,34 +146,14 @@
         Returns
         -------
         bool
-            False if there is none in time, or if other requests already wait for the
-            permits of all these endpoints.
         """
         seconds = min(MAX_PERMIT_WAIT, time_left * MAX_WAIT_SHARE)
-        deadline = monotonic() + seconds
-        free = {item for item in endpoint_ids if self._is_worth_waiting(item, deadline)}
-        if not free:
-            return False
-        waiter = _Waiter(
-            endpoint_ids=free,
-            deadline=deadline,
-            future=asyncio.get_running_loop().create_future(),
-        )
-        self._waiter_by_endpoint.update(dict.fromkeys(free, waiter))
-        try:
-            async with asyncio.timeout(seconds):
-                return await waiter.future
-        except TimeoutError:
-            return False
-        finally:
-            for endpoint_id in free:
-                if self._waiter_by_endpoint.get(endpoint_id) is waiter:
-                    del self._waiter_by_endpoint[endpoint_id]
+        return await self._waits.wait(endpoint_ids, seconds=seconds)
 
     def dump(self, *, now):
         """Return the state as plain data; the limits are in that of the Fleet."""
         return {
-            "requests_waiting": len(set(self._waiter_by_endpoint.values())),
+            "requests_waiting": len(self._waits),
             "own_permits": self._own_allocator.dump(now=now),
         }
 
@@ -213,18 +170,9 @@
         is_granted = isinstance(result, PermitsGranted)
         outcome = "granted" if is_granted else "denied"
         self._metrics.count("permit_claims_total", outcome=outcome, source=source)
-        now = monotonic()
-        self._fleet.step(result, now=now)
-        if not is_granted:
-            self._resolve(claim.endpoint_id, False)
-            return
-        self._usable_at_by_endpoint[claim.endpoint_id] = result.usable_at
-        waiter = self._waiter_by_endpoint.get(claim.endpoint_id)
-        if waiter is not None and result.usable_at >= waiter.deadline:
-            self._end_wait(claim.endpoint_id, False)
-        usable_in = max(0.0, result.usable_at - now)
-        asyncio.get_running_loop().call_later(
-            usable_in, self._resolve, claim.endpoint_id, True
+        self._fleet.step(result, now=monotonic())
+        self._waits.end_claim(
+            claim.endpoint_id, usable_at=result.usable_at if is_granted else None
         )
 
     async def _ask_allocator(self, claim):
@@ -253,27 +201,6 @@
             self._own_allocator.step(report, now=now)
         return self._own_allocator.step(own_claim, now=now)[0]
 
-    def _is_worth_waiting(self, endpoint_id, deadline):
-        if endpoint_id in self._waiter_by_endpoint:
-            return False
-        if endpoint_id not in self._usable_at_by_endpoint:
-            return False
-        usable_at = self._usable_at_by_endpoint[endpoint_id]
-        return usable_at is None or usable_at < deadline
-
-    def _resolve(self, endpoint_id, is_granted):
-        """End a claim: its permits are usable, or were denied."""
-        self._usable_at_by_endpoint.pop(endpoint_id, None)
-        self._end_wait(endpoint_id, is_granted)
-
-    def _end_wait(self, endpoint_id, is_granted):
-        waiter = self._waiter_by_endpoint.pop(endpoint_id, None)
-        if waiter is None:
-            return
-        waiter.endpoint_ids.discard(endpoint_id)
-        if is_granted or not waiter.endpoint_ids:
-            waiter.resolve(is_granted)
-
     def _allocator(self, endpoint_id):
         return self._link_by_address.get(self._allocator_address(endpoint_id))
 
--- a/hawthornspoke/relay/tests/test_rate_limits.py
+++ b/hawthornspoke/relay/tests/test_rate_limits.py
@@ -4,11 +4,15 @@
 
 from hawthornspoke.base import monotonic
 from hawthornspoke.permits import PermitsGranted
+from hawthornspoke.placing import EndpointsListed, Fleet
+from hawthornspoke.placing.tests.test_rate_limits import plain_entry
+from hawthornspoke.protocol import EndpointRateLimit, Frame
 from hawthornspoke.relay.tests.relay_harness import (
     RelayHarness,
     ScriptedEndpoint,
     answer,
     field,
+    make_rate_limits,
 )
 
 
@@ -123,3 +127,69 @@
             assert len(endpoint.requests) == 3
 
     run_scenario(scenario)
+
+
+class StubLink:
+    """Connection to an agent that records what is sent."""
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, frame):
+        self.sent.append(frame)
+
+
+def test_all_hosts_choose_the_same_agent_for_an_endpoint():
+    """Guards against two agents that each grant a whole limit."""
+    fleet = Fleet()
+    endpoint_ids = [f"plain-{number}" for number in range(20)]
+    addresses = [f"10.0.0.{number}:80" for number in range(6)]
+    hosts = []
+    for order in (addresses, addresses[::-1]):
+        host = make_rate_limits(fleet)
+        for address in order:
+            host.add_agent(address, StubLink())
+        hosts.append(host)
+    chosen = [
+        [host._allocator_address(item) for item in endpoint_ids] for host in hosts
+    ]
+    assert chosen[0] == chosen[1]
+    assert len(set(chosen[0])) > 1
+    hosts[0].remove_agent(chosen[0][0])
+    assert hosts[0]._allocator_address(endpoint_ids[0]) in addresses
+
+
+def test_limit_is_reported_to_an_agent_when_it_changes():
+    async def scenario():
+        endpoint = ScriptedEndpoint(limited(20), limited(20), answer())
+        async with RelayHarness(endpoint) as harness:
+            link = StubLink()
+            harness.rate_limits.add_agent("10.0.0.1:80", link)
+            for _ in range(3):
+                await harness.ask("again")
+                now = monotonic()
+                grant = PermitsGranted(
+                    endpoint_id="e0", count=1, usable_at=now, expires_at=now + 1.0
+                )
+                harness.fleet.step(grant, now=now)
+            rates = [
+                item.rate for frame in link.sent for item in frame.rate_limits or ()
+            ]
+            assert rates == [20.0, None]
+
+    run_scenario(scenario)
+
+
+def test_limit_from_an_agent_that_does_not_divide_it_is_ignored():
+    """Guards against a limit that has ended and that a former allocator still knows."""
+    fleet = Fleet()
+    entry = plain_entry("e0")
+    fleet.step(EndpointsListed(entries=(entry,)), now=0.0)
+    host = make_rate_limits(fleet)
+    frame = Frame(rate_limits=[EndpointRateLimit(endpoint_id="e0", rate=2.0)])
+    for address in ("10.0.0.1:80", entry.address):
+        host.add_agent(address, StubLink())
+    host.receive("10.0.0.1:80", frame)
+    assert fleet.endpoint_by_id["e0"].rate_limit.rate is None
+    host.receive(entry.address, frame)
+    assert fleet.endpoint_by_id["e0"].rate_limit.rate == 2.0
--- a/hawthornspoke/spread/_rate_limits.py
+++ b/hawthornspoke/spread/_rate_limits.py
@@ -7,7 +7,6 @@
     PermitsDenied,
     PermitsGranted,
     RateLimitReported,
-    RateLimitUpdated,
     decode_claim,
     decode_rate_limits,
     encode_grant,
@@ -76,17 +75,17 @@
             elif isinstance(result, PermitsDenied):
                 self._metrics.count("permit_claims_denied_total")
             answer.permit_grant = encode_grant(result, now=now)
-            self._share(updates, without=link)
+            ended = [item for item in updates if item.rate is None]
+            if ended:
+                limits = [encode_rate_limit(item) for item in ended]
+                link.send(Frame(rate_limits=limits))
+            self._share([item for item in updates if item not in ended], without=link)
         link.send(answer)
 
     def _share(self, updates, *, without):
-        limits = [
-            encode_rate_limit(item)
-            for item in updates
-            if isinstance(item, RateLimitUpdated)
-        ]
-        if not limits:
+        if not updates:
             return
+        limits = [encode_rate_limit(item) for item in updates]
         data = PeerConnection.encode(Frame(rate_limits=limits))
         for link in self._links:
             if link is not without:
