Claim permits again within two seconds, and only for preferred endpoints

Claims are repeated within 2 s.

On fleets with more engines than a host prefers, permits were claimed for all of the failure domain and expired unused, as the host chooses the others only when its own are full.

--- a/hawthornspoke/placing/_fleet.py
+++ b/hawthornspoke/placing/_fleet.py
@@ -31,7 +31,12 @@
     RequestSent,
     WeightsDeclared,
 )
-from hawthornspoke.placing._permits import PermitDesk, recheck_permit, with_permit
+from hawthornspoke.placing._permits import (
+    MAX_CLAIM_DELAY,
+    PermitDesk,
+    recheck_permit,
+    with_permit,
+)
 from hawthornspoke.placing._predict import prefill_time
 from hawthornspoke.placing._rejection import RejectionBuilder
 from hawthornspoke.placing._weights_eligibility import WeightsEligibility
@@ -243,7 +248,8 @@
         """Record that no permits for an endpoint are to be had yet."""
         endpoint = self.endpoint_by_id.get(message.endpoint_id)
         if endpoint is not None and endpoint.matches(message.incarnation):
-            endpoint.rate_limit.defer_claim(message.retry_at)
+            latest = now + MAX_CLAIM_DELAY
+            endpoint.rate_limit.defer_claim(min(message.retry_at, latest))
         return []
 
     def on_request_finished(self, message, *, now):
@@ -303,9 +309,9 @@
             self._permit_desk.want(lacking)
             awaited = tuple(item.endpoint_id for item in lacking)
             return [replace(decision, awaited_permits=awaited)]
-        # Endpoints elsewhere are only needed once those nearby are full.
+        # The others are only needed once those that this host prefers are full.
         self._permit_desk.want(
-            item for item in lacking if item.is_in(self.failure_domain)
+            item for item in lacking if self._is_preferred(item, message.service)
         )
         return [with_permit(decision, self.endpoint_by_id, now)]
 
@@ -352,23 +358,6 @@
         """
         return self._permit_desk.claims(now)
 
-    def rate_limits(self):
-        """Return the known rate limits, for an agent that has just connected.
-
-        Returns
-        -------
-        list of RateLimitUpdated
-        """
-        return [
-            RateLimitUpdated(
-                endpoint_id=endpoint_id,
-                rate=endpoint.rate_limit.rate,
-                incarnation=endpoint.incarnation,
-            )
-            for endpoint_id, endpoint in self.endpoint_by_id.items()
-            if endpoint.rate_limit.rate is not None
-        ]
-
     def followed_addresses(self):
         """Return the addresses of all engines in the subset of any service.
 
@@ -464,6 +453,13 @@
                 now=now,
             )
 
+    def _is_preferred(self, endpoint, service):
+        """Return whether an endpoint is among those that this host chooses first."""
+        if not endpoint.is_in(self.failure_domain):
+            return False
+        subset = self._selector.subset(service)
+        return not subset.is_known or endpoint.endpoint_id in subset.added_at_by_id
+
     def _select(self, request, engine, known, now):
         if engine is None:
             return self._selector.select_plain(request, known, now)
--- a/hawthornspoke/placing/_permits.py
+++ b/hawthornspoke/placing/_permits.py
@@ -8,6 +8,10 @@
 #: of a claim, after which this host grants itself permits.
 UNANSWERED_CLAIM_TIME = 1.0
 
+#: Maximum seconds between two claims. The next permit may be far away for this host
+#: alone, but not once it reaches an agent again.
+MAX_CLAIM_DELAY = 2.0
+
 
 class PermitDesk:
     """Keeps requests away from endpoints for which this host has no permits.
--- a/hawthornspoke/placing/tests/test_rate_limits.py
+++ b/hawthornspoke/placing/tests/test_rate_limits.py
@@ -14,6 +14,7 @@
     RateLimitObserved,
     Rejection,
 )
+from hawthornspoke.placing._permits import MAX_CLAIM_DELAY
 from hawthornspoke.placing.tests.test_fleet import entry
 
 SERVICE = "plain"
@@ -88,6 +89,15 @@
     assert claimed_ids(fleet, now=3.0) == ["e0"]
 
 
+def test_claim_is_repeated_though_the_next_permit_is_far_away():
+    """Guards against a host that stays without permits once it reaches agents again."""
+    fleet = make_fleet(plain_entry("e0"), plain_entry("e1"))
+    observe(fleet, "e0", 1.0, now=1.0)
+    fleet.step(PermitsDenied(endpoint_id="e0", retry_at=60.0), now=1.0)
+    ask(fleet, now=1.0 + MAX_CLAIM_DELAY)
+    assert claimed_ids(fleet, now=1.0 + MAX_CLAIM_DELAY) == ["e0"]
+
+
 def test_permit_is_not_used_before_or_after_its_time():
     fleet = make_fleet(plain_entry("e0"))
     observe(fleet, "e0", 1.0, now=1.0)
