--- a/hawthornspoke/placing/_fleet.py
+++ b/hawthornspoke/placing/_fleet.py
@@ -33,7 +33,7 @@
 )
 from hawthornspoke.placing._permits import (
     MAX_CLAIM_DELAY,
-    PermitDesk,
+    PermitTracker,
     recheck_permit,
     with_permit,
 )
@@ -89,7 +89,7 @@
         "_directory",
         "_random",
         "_rejections",
-        "_permit_desk",
+        "_permit_tracker",
         "_selector",
         "_position",
     )
@@ -117,7 +117,7 @@
         self._directory = EndpointDirectory()
         self._random = random.Random(seed)
         self._rejections = RejectionBuilder(rng=self._random)
-        self._permit_desk = PermitDesk()
+        self._permit_tracker = PermitTracker()
         self._selector = EndpointSelector(
             failure_domain=failure_domain,
             host=str(seed),
@@ -292,28 +292,7 @@
             subset=self._selector.subset(message.service),
             now=now,
         )
-        engine = service.engine
-        allowed, lacking = self._permit_desk.split(known, now)
-        if lacking and engine is not None:
-            eligibility = self._eligibility(message, now)
-            lacking = [
-                item for item in lacking if eligibility.allows(item, engine, message)
-            ]
-        if allowed:
-            decision = self._select(message, engine, allowed, now)
-        elif lacking:
-            decision = self._rejections.rate_limited(message, lacking, now)
-        else:
-            decision = self._rejections.no_weights(message, known, now)
-        if isinstance(decision, Rejection):
-            self._permit_desk.want(lacking)
-            awaited = tuple(item.endpoint_id for item in lacking)
-            return [replace(decision, awaited_permits=awaited)]
-        # The others are only needed once those that this host prefers are full.
-        self._permit_desk.want(
-            item for item in lacking if self._is_preferred(item, message.service)
-        )
-        return [with_permit(decision, self.endpoint_by_id, now)]
+        return [self._select_within_limits(message, service.engine, known, now)]
 
     def on_placement_recheck(self, message, *, now):
         """Check a selected endpoint again just before the request is sent.
@@ -356,7 +335,7 @@
         -------
         list of PermitClaimed
         """
-        return self._permit_desk.claims(now)
+        return self._permit_tracker.claims(now)
 
     def followed_addresses(self):
         """Return the addresses of all engines in the subset of any service.
@@ -453,6 +432,30 @@
                 now=now,
             )
 
+    def _select_within_limits(self, request, engine, known, now):
+        """Select an endpoint without a rate limit, or one with a permit for it."""
+        allowed, lacking = self._permit_tracker.split(known, now)
+        if lacking and engine is not None:
+            eligibility = self._eligibility(request, now)
+            lacking = [
+                item for item in lacking if eligibility.allows(item, engine, request)
+            ]
+        if allowed:
+            decision = self._select(request, engine, allowed, now)
+        elif lacking:
+            decision = self._rejections.rate_limited(request, lacking, now)
+        else:
+            decision = self._rejections.no_weights(request, known, now)
+        if isinstance(decision, Rejection):
+            self._permit_tracker.want(lacking)
+            awaited = tuple(item.endpoint_id for item in lacking)
+            return replace(decision, awaited_permits=awaited)
+        # The others are only needed once those that this host prefers are full.
+        self._permit_tracker.want(
+            item for item in lacking if self._is_preferred(item, request.service)
+        )
+        return with_permit(decision, self.endpoint_by_id, now)
+
     def _is_preferred(self, endpoint, service):
         """Return whether an endpoint is among those that this host chooses first."""
         if not endpoint.is_in(self.failure_domain):
--- a/hawthornspoke/placing/_permits.py
+++ b/hawthornspoke/placing/_permits.py
@@ -13,7 +13,7 @@
 MAX_CLAIM_DELAY = 2.0
 
 
-class PermitDesk:
+class PermitTracker:
     """Keeps requests away from endpoints for which this host has no permits.
 
     Permits are claimed for endpoints that would have been candidates for a request.
--- a/hawthornspoke/relay/_rate_limits.py
+++ b/hawthornspoke/relay/_rate_limits.py
@@ -54,7 +54,7 @@
         "_log",
         "_metrics",
         "_link_by_address",
-        "_own_allocator",
+        "_local_allocator",
         "_tasks",
         "_waits",
     )
@@ -66,7 +66,7 @@
         self._log = log
         self._metrics = metrics
         self._link_by_address = {}
-        self._own_allocator = PermitAllocator(takeover_delay=0.0)
+        self._local_allocator = PermitAllocator(takeover_delay=0.0)
         self._tasks = set()
         self._waits = PermitWaits()
 
@@ -154,7 +154,7 @@
         """Return the state as plain data; the limits are in that of the Fleet."""
         return {
             "requests_waiting": len(self._waits),
-            "own_permits": self._own_allocator.dump(now=now),
+            "local_permits": self._local_allocator.dump(now=now),
         }
 
     def close(self):
@@ -166,7 +166,7 @@
         result = await self._ask_allocator(claim)
         source = "agent"
         if result is None:
-            result, source = self._grant_own_part(claim), "own"
+            result, source = self._grant_equal_share(claim), "local"
         is_granted = isinstance(result, PermitsGranted)
         outcome = "granted" if is_granted else "denied"
         self._metrics.count("permit_claims_total", outcome=outcome, source=source)
@@ -187,19 +187,19 @@
             return None
         return decode_grant(answer.permit_grant, claim, now=monotonic())
 
-    def _grant_own_part(self, claim):
+    def _grant_equal_share(self, claim):
         """Grant permits for this host's equal part of a limit, without an allocator."""
         rate = claim.rate / max(1, self._entry_hosts())
         # Hosts that all lose the allocator at the same time must not all start at once.
         first_delay = random.random() / rate if rate else 0.0
-        own_claim = replace(claim, rate=rate, wanted=1, first_delay=first_delay)
+        local_claim = replace(claim, rate=rate, wanted=1, first_delay=first_delay)
         now = monotonic()
-        if self._own_allocator.rate_of(claim.endpoint_id) is not None:
+        if self._local_allocator.rate_of(claim.endpoint_id) is not None:
             report = RateLimitReported(
                 endpoint_id=claim.endpoint_id, rate=rate, incarnation=claim.incarnation
             )
-            self._own_allocator.step(report, now=now)
-        return self._own_allocator.step(own_claim, now=now)[0]
+            self._local_allocator.step(report, now=now)
+        return self._local_allocator.step(local_claim, now=now)[0]
 
     def _allocator(self, endpoint_id):
         return self._link_by_address.get(self._allocator_address(endpoint_id))
--- a/hawthornspoke/relay/tests/test_rate_limits.py
+++ b/hawthornspoke/relay/tests/test_rate_limits.py
@@ -55,7 +55,7 @@
             for _ in range(5):
                 assert (await harness.ask("again"))[0] == 200
             claims = harness.metrics.counter_value(
-                "permit_claims_total", outcome="granted", source="own"
+                "permit_claims_total", outcome="granted", source="local"
             )
             assert claims >= 4
 
