Log response fields of endpoints that no code handles

Entry hosts now write response_field_unhandled once for each name and count all responses with it; names and values are bounded.

The harness of the relay's tests records log entries.

--- a/hawthornspoke/httpio/__init__.py
+++ b/hawthornspoke/httpio/__init__.py
@@ -18,7 +18,7 @@
     set_socket_options,
 )
 from hawthornspoke.httpio._fetch import fetch
-from hawthornspoke.httpio._message import Message, Request, Response
+from hawthornspoke.httpio._message import HOP_BY_HOP, Message, Request, Response
 from hawthornspoke.httpio._operator import OperatorHandler
 from hawthornspoke.httpio._pool import ConnectionPool
 from hawthornspoke.httpio._probe import refuses_connections
@@ -28,6 +28,7 @@
 __all__ = [
     "CONNECTION_BROKEN",
     "CONNECT_FAILED",
+    "HOP_BY_HOP",
     "NOT_HTTP",
     "NOT_SENT",
     "CallerGone",
--- a/hawthornspoke/relay/_dialect.py
+++ b/hawthornspoke/relay/_dialect.py
@@ -110,6 +110,19 @@
         )
         return frozenset(name.lower() for name in names)
 
+    def response_fields(self):
+        """Return the names, in lower case, of the fields that are read in responses."""
+        names = (
+            self.request_id,
+            self.seal,
+            self.not_run,
+            self.load,
+            self.rate_limit,
+            self.endpoint_id,
+            self.versions,
+        )
+        return frozenset(name.lower() for name in names)
+
     def internal(self):
         """Return the names, in lower case, that are removed from responses."""
         return frozenset((self.load.lower(), self.endpoint_id.lower()))
--- a/hawthornspoke/relay/_forward.py
+++ b/hawthornspoke/relay/_forward.py
@@ -35,6 +35,7 @@
         Returns the RetryBudget of a service.
     suspects : PoisonRequestTracker
     rate_limits : EndpointRateLimits
+    response_fields : ResponseFieldMonitor
     log : EventLog
     """
 
@@ -59,6 +60,7 @@
         budget_for,
         suspects,
         rate_limits,
+        response_fields,
         log,
     ):
         self._admission = admission
@@ -82,6 +84,7 @@
             header_names=header_names,
             suspects=suspects,
             rate_limits=rate_limits,
+            response_fields=response_fields,
             log=log,
         )
         self._streams = StreamForwarder(
--- a/hawthornspoke/relay/_process.py
+++ b/hawthornspoke/relay/_process.py
@@ -17,6 +17,7 @@
 from hawthornspoke.relay._forward import Forwarder
 from hawthornspoke.relay._handler import Handler
 from hawthornspoke.relay._rate_limits import EndpointRateLimits
+from hawthornspoke.relay._response_fields import ResponseFieldMonitor
 from hawthornspoke.relay._sink import Sink
 from hawthornspoke.relay._suspects import PoisonRequestTracker
 from hawthornspoke.relay._timers import Timers
@@ -134,6 +135,11 @@
                 budget_for=self.budgets.for_service,
                 suspects=self.suspects,
                 rate_limits=self.rate_limits,
+                response_fields=ResponseFieldMonitor(
+                    header_names=self.header_names,
+                    log=self.log,
+                    metrics=self.metrics,
+                ),
                 log=self.log,
             ),
             admission=admission,
--- a/hawthornspoke/relay/_sending.py
+++ b/hawthornspoke/relay/_sending.py
@@ -18,6 +18,7 @@
     header_names : HeaderNames
     suspects : PoisonRequestTracker
     rate_limits : EndpointRateLimits
+    response_fields : ResponseFieldMonitor
     log : EventLog
     """
 
@@ -31,6 +32,7 @@
         "_header_names",
         "_suspects",
         "_rate_limits",
+        "_response_fields",
         "_log",
     )
 
@@ -46,6 +48,7 @@
         header_names,
         suspects,
         rate_limits,
+        response_fields,
         log,
     ):
         self._admission = admission
@@ -57,6 +60,7 @@
         self._header_names = header_names
         self._suspects = suspects
         self._rate_limits = rate_limits
+        self._response_fields = response_fields
         self._log = log
 
     def create_attempt(self, context, placement):
@@ -67,7 +71,7 @@
             fleet=self._fleet,
             header_names=self._header_names,
             timers=self._timers,
-            on_head=self._rate_limits.observe,
+            on_head=self._on_head,
             on_broken=lambda attempt: self._on_connection_broken(context, attempt),
             on_ended=lambda attempt: self._suspects.remove_attempt(
                 context.fingerprint, attempt
@@ -127,6 +131,10 @@
         """Wait for probes that show whether a failed request crashed endpoints."""
         await self._suspects.wait_for_probes(context.fingerprint)
 
+    def _on_head(self, attempt):
+        self._rate_limits.observe(attempt)
+        self._response_fields.observe(attempt)
+
     def _on_connection_broken(self, context, attempt):
         self._suspects.record_disconnect(
             context.fingerprint, attempt.placement, service=context.service
--- a/hawthornspoke/relay/tests/relay_harness.py
+++ b/hawthornspoke/relay/tests/relay_harness.py
@@ -32,6 +32,7 @@
 from hawthornspoke.relay._forward import Forwarder
 from hawthornspoke.relay._handler import Handler
 from hawthornspoke.relay._rate_limits import EndpointRateLimits
+from hawthornspoke.relay._response_fields import ResponseFieldMonitor
 from hawthornspoke.relay._suspects import PoisonRequestTracker
 from hawthornspoke.relay._timers import Timers
 from hawthornspoke.retries import RetryBudget
@@ -238,6 +239,19 @@
     )
 
 
+class RecordingLog:
+    """Event log that keeps its entries."""
+
+    def __init__(self):
+        self.entries = []
+
+    def decision(self, event, **fields):
+        """Record a routine decision."""
+        self.entries.append((event, fields))
+
+    change = decision
+
+
 ROUTES = (
     ("once", AT_MOST_ONCE, 1),
     ("again", IDEMPOTENT, 2),
@@ -305,6 +319,7 @@
         self.budget = RetryBudget()
         self.pool = StallingPool(id_header=self.header_names.request_id)
         self.metrics = Metrics()
+        self.log = RecordingLog()
         self.entry_hosts = 1
         self.server = None
 
@@ -332,7 +347,10 @@
             budget_for=lambda service: self.budget,
             suspects=self.suspects,
             rate_limits=self.rate_limits,
-            log=EventLog(node="test"),
+            response_fields=ResponseFieldMonitor(
+                header_names=self.header_names, log=self.log, metrics=self.metrics
+            ),
+            log=self.log,
         )
         self.handler = Handler(
             forwarder=forwarder,
@@ -368,6 +386,10 @@
         await asyncio.sleep(0)
         assert self.handler_errors == []
 
+    def logged(self, event):
+        """Return the fields of the log entries with an event name."""
+        return [fields for name, fields in self.log.entries if name == event]
+
     async def ask(self, prefix, *, extra=(), read_time=3.0):
         """Make a request; return status, head, body and whether it is complete."""
         reader, writer = await asyncio.open_connection(
