--- a/hawthornspoke/catalog/__init__.py
+++ b/hawthornspoke/catalog/__init__.py
@@ -9,6 +9,7 @@
     UNKNOWN_TIME,
     DeclaredVersions,
     declaration_age,
+    newest_version_by_model,
 )
 from hawthornspoke.catalog._incarnation import UNKNOWN_START, Incarnation
 from hawthornspoke.catalog._table import RouteTable, choose_service
@@ -51,4 +52,5 @@
     "choose_service",
     "declaration_age",
     "event_timeout",
+    "newest_version_by_model",
 ]
--- a/hawthornspoke/catalog/_declared.py
+++ b/hawthornspoke/catalog/_declared.py
@@ -225,6 +225,24 @@
     return next((item for item in declarations if item.version == version), None)
 
 
+def newest_version_by_model(declared):
+    """Return the newest of some declared versions, by model.
+
+    Parameters
+    ----------
+    declared : iterable of DeclaredWeights
+
+    Returns
+    -------
+    dict of str to int
+    """
+    version_by_model = {}
+    for item in declared:
+        newest = version_by_model.get(item.model, 0)
+        version_by_model[item.model] = max(newest, item.version)
+    return version_by_model
+
+
 def declaration_age(declared_at, now):
     """Return the age of a declaration in seconds, None if it is unknown."""
     return None if declared_at == UNKNOWN_TIME else round(now - declared_at, 3)
