One registry for what endpoints say of themselves in responses

Now a signal is one class in hawthornspoke.signals, which decodes its field and keeps what one incarnation of an endpoint has said, and one line in the dialect. All are read in one place (relay/_signals.py), passed to the fleet as one SignalsObserved, logged as endpoint_signal when they change, counted in endpoint_signals_total{signal,outcome} and shown in the dump. A value that can't be decoded is counted, logged once for each endpoint, and ignored.

Behaviour is as before but for this: the line rate_limit is now endpoint_signal with signal=rate_limit, the counter responses_with_rate_limit_total is gone, a field with two different values is ignored, and a load such as a superscript two, for which isdigit is true and int raises, no longer ends the request with an error of ours (test_no_value_raises_an_exception). The checks of the tests are unchanged; their messages are SignalsObserved now.

RateLimit.allows_request is has_permit, so that it doesn't override the method of Signal.

--- a/hawthornspoke/httpio/__init__.py
+++ b/hawthornspoke/httpio/__init__.py
@@ -22,7 +22,6 @@
 from hawthornspoke.httpio._operator import OperatorHandler
 from hawthornspoke.httpio._pool import ConnectionPool
 from hawthornspoke.httpio._probe import refuses_connections
-from hawthornspoke.httpio._rate_limit import decode_rate_limit
 from hawthornspoke.httpio._server import CallerGone, HttpServer, Reply, ServerLimits
 
 __all__ = [
@@ -42,7 +41,6 @@
     "Request",
     "Response",
     "ServerLimits",
-    "decode_rate_limit",
     "encode_request",
     "fetch",
     "open_connection",
--- a/hawthornspoke/placing/_directory.py
+++ b/hawthornspoke/placing/_directory.py
@@ -58,7 +58,7 @@
 
         Parameters
         ----------
-        message : RequestSent, LoadObserved or RequestFinished
+        message : RequestSent, SignalsObserved or RequestFinished
 
         Returns
         -------
--- a/hawthornspoke/placing/_endpoint.py
+++ b/hawthornspoke/placing/_endpoint.py
@@ -1,8 +1,9 @@
 """State that one entry host tracks for one endpoint."""
 
+from hawthornspoke.base import is_failure
 from hawthornspoke.placing._incarnation_tracker import IncarnationTracker
 from hawthornspoke.placing._prefill_backlog import PrefillBacklog
-from hawthornspoke.placing._rate_limit import RateLimit
+from hawthornspoke.signals import LOAD, RATE_LIMIT, SIGNALS, SignalChanged
 
 #: Smoothing factor of the failure rate. Five consecutive failures move it from 0 to
 #: two thirds, which is fast enough for an endpoint that gets several requests a
@@ -46,8 +47,10 @@
         Time until which it may still get requests when it is gone.
     prefill_backlog : PrefillBacklog
         Prompts whose prefill is outstanding.
+    signal_by_name : dict of str to Signal
+        What its responses have said of it.
     rate_limit : RateLimit
-        The limit that its responses name, and permits within it.
+        One of these signals; each selection reads it for every endpoint.
     moved : bool
         Whether another endpoint answers at its address. After a host has lost power
         and returned with a new endpoint, the old entry stays listed for seconds until
@@ -63,6 +66,7 @@
         "gone",
         "moved",
         "prefill_backlog",
+        "signal_by_name",
         "rate_limit",
         "grace_deadline",
         "own_in_flight",
@@ -96,7 +100,8 @@
         """Reset everything that belongs to one incarnation."""
         self.moved = False
         self.prefill_backlog = PrefillBacklog()
-        self.rate_limit = RateLimit()
+        self.signal_by_name = {name: SIGNALS.get(name)() for name in SIGNALS.names()}
+        self.rate_limit = self.signal_by_name[RATE_LIMIT]
         self.own_in_flight = 0
         self.reported_load = 0
         self.reported_at = None
@@ -251,6 +256,44 @@
             return False
         return not self.gone or now < self.grace_deadline
 
+    def observe_signals(self, response, *, now, rng):
+        """Record what a response says of the endpoint.
+
+        Parameters
+        ----------
+        response : SignalsObserved
+        now : float
+        rng : random.Random
+
+        Returns
+        -------
+        list of SignalChanged
+        """
+        changes = []
+        for name, signal in self.signal_by_name.items():
+            value, before = response.value_by_signal.get(name), signal.value
+            if is_failure(value):
+                continue
+            if value is None:
+                is_changed = signal.observe_absence(response, now=now)
+            else:
+                is_changed = signal.observe(value, now=now, rng=rng)
+            if is_changed:
+                changes.append(self.signal_change(name, before=before))
+            if name == LOAD and value is not None:
+                self.record_load(value, now)
+        return changes
+
+    def signal_change(self, name, *, before):
+        """Return the message about a signal that has changed."""
+        return SignalChanged(
+            endpoint_id=self.endpoint_id,
+            signal=name,
+            before=before,
+            value=self.signal_by_name[name].value,
+            incarnation=self.incarnation,
+        )
+
     def record_load(self, load, now):
         """Record a load reported by the endpoint or its agent."""
         self.reported_load = load
@@ -293,7 +336,10 @@
             "weights_version": self.weights_version,
             "layers": self.layers,
             "loading": self.loading,
-            "rate_limit": self.rate_limit.dump(now=now),
+            "signals": {
+                name: signal.dump(now=now)
+                for name, signal in self.signal_by_name.items()
+            },
             "failure_rate": round(self.failure_rate, 3),
             "avoided_for": round(max(0.0, self.ejected_until - now), 3),
         }
--- a/hawthornspoke/placing/_fleet.py
+++ b/hawthornspoke/placing/_fleet.py
@@ -3,7 +3,7 @@
 import random
 from dataclasses import replace
 
-from hawthornspoke.base import MACHINES, Bounds, Machine
+from hawthornspoke.base import MACHINES, Bounds, Machine, is_failure
 from hawthornspoke.catalog import EXPIRY_MARGIN, DeclaredVersions
 from hawthornspoke.permits import (
     PermitsDenied,
@@ -20,12 +20,9 @@
     EndpointsListed,
     EngineReported,
     EntryHostsUpdated,
-    LoadObserved,
     Placement,
     PlacementRecheck,
     PlacementRequest,
-    RateLimitChanged,
-    RateLimitObserved,
     Rejection,
     RequestFinished,
     RequestSent,
@@ -40,6 +37,7 @@
 from hawthornspoke.placing._predict import prefill_time
 from hawthornspoke.placing._rejection import RejectionBuilder
 from hawthornspoke.placing._weights_eligibility import WeightsEligibility
+from hawthornspoke.signals import LOAD, RATE_LIMIT, SignalsObserved
 
 #: Messages that the machine handles.
 MESSAGES = (
@@ -50,13 +48,12 @@
     EngineReported,
     EntryHostsUpdated,
     RequestFinished,
-    LoadObserved,
     PermitsDenied,
     PermitsGranted,
     PlacementRecheck,
-    RateLimitObserved,
     RateLimitUpdated,
     RequestSent,
+    SignalsObserved,
     DeclarationTimesUpdated,
     WeightsDeclared,
 )
@@ -198,40 +195,35 @@
                 endpoint.prefill_backlog.add(seconds, now)
         return []
 
-    def on_load_observed(self, message, *, now):
-        """Update an endpoint's load from a response."""
-        endpoint = self._directory.request_target(message)
-        if endpoint is not None:
-            self._estimate_remote_prompts(endpoint, message.load, now)
-            endpoint.record_load(message.load, now)
-        return []
-
-    def on_rate_limit_observed(self, message, *, now):
-        """Update an endpoint's rate limit from a response.
+    def on_signals_observed(self, message, *, now):
+        """Update an endpoint from what a response says of it.
 
         Returns
         -------
-        list of RateLimitChanged
+        list of SignalChanged
         """
         endpoint = self._directory.request_target(message)
         if endpoint is None:
             return []
-        has_none = message.rate is None
-        if has_none and not endpoint.rate_limit.may_have_ended(message.sent_at):
-            return []
-        return _set_rate(endpoint, message.rate, now)
+        load = message.value_by_signal.get(LOAD)
+        if load is not None and not is_failure(load):
+            self._estimate_remote_prompts(endpoint, load, now)
+        return endpoint.observe_signals(message, now=now, rng=self._random)
 
     def on_rate_limit_updated(self, message, *, now):
         """Update an endpoint's rate limit from what another entry host has learned.
 
         Returns
         -------
-        list of RateLimitChanged
+        list of SignalChanged
         """
         endpoint = self.endpoint_by_id.get(message.endpoint_id)
         if endpoint is None or not endpoint.matches(message.incarnation):
             return []
-        return _set_rate(endpoint, message.rate, now)
+        before = endpoint.rate_limit.rate
+        if not endpoint.rate_limit.set_rate(message.rate, now=now):
+            return []
+        return [endpoint.signal_change(RATE_LIMIT, before=before)]
 
     def on_permits_granted(self, message, *, now):
         """Record permits for requests to an endpoint."""
@@ -493,20 +485,6 @@
         )
 
 
-def _set_rate(endpoint, rate, now):
-    before = endpoint.rate_limit.rate
-    if not endpoint.rate_limit.set_rate(rate, now=now):
-        return []
-    return [
-        RateLimitChanged(
-            endpoint_id=endpoint.endpoint_id,
-            before=before,
-            rate=rate,
-            incarnation=endpoint.incarnation,
-        )
-    ]
-
-
 def _boottime_received_at(message, now):
     """Return the time of receipt on the clock that includes suspended time."""
     return now if message.boottime_now is None else message.boottime_now
--- a/hawthornspoke/placing/_messages.py
+++ b/hawthornspoke/placing/_messages.py
@@ -166,63 +166,6 @@
     prompt_tokens: int = 0
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class LoadObserved:
-    """A response reported the endpoint's load.
-
-    Parameters
-    ----------
-    endpoint_id : str
-    load : int
-    incarnation : Incarnation
-        Incarnation selected for the request.
-    """
-
-    endpoint_id: str
-    load: int
-    incarnation: Incarnation = UNKNOWN_START
-
-
-@dataclass(slots=True, kw_only=True, frozen=True)
-class RateLimitObserved:
-    """A response arrived, with or without a rate limit of the endpoint.
-
-    Parameters
-    ----------
-    endpoint_id : str
-    rate : float or None
-        Requests per second that the endpoint accepts from all entry hosts together;
-        None if it names no limit.
-    sent_at : float
-        When the request was sent.
-    incarnation : Incarnation
-        Incarnation selected for the request.
-    """
-
-    endpoint_id: str
-    rate: float | None
-    sent_at: float
-    incarnation: Incarnation = UNKNOWN_START
-
-
-@dataclass(slots=True, kw_only=True, frozen=True)
-class RateLimitChanged:
-    """An endpoint named a rate limit, another one than before, or none any more.
-
-    Parameters
-    ----------
-    endpoint_id : str
-    before, rate : float or None
-        Requests per second over all entry hosts.
-    incarnation : Incarnation
-    """
-
-    endpoint_id: str
-    before: float | None
-    rate: float | None
-    incarnation: Incarnation = UNKNOWN_START
-
-
 @dataclass(slots=True, kw_only=True, frozen=True)
 class RequestFinished:
     """A request to an endpoint ended.
--- a/hawthornspoke/placing/_permits.py
+++ b/hawthornspoke/placing/_permits.py
@@ -40,8 +40,7 @@
         lacking = [
             item
             for item in endpoints
-            if item.rate_limit.rate is not None
-            and not item.rate_limit.allows_request(now)
+            if item.rate_limit.value is not None and not item.rate_limit.has_permit(now)
         ]
         if not lacking:
             return endpoints, []
--- a/hawthornspoke/placing/tests/test_fleet.py
+++ b/hawthornspoke/placing/tests/test_fleet.py
@@ -17,7 +17,6 @@
     EndpointsListed,
     EngineReported,
     Fleet,
-    LoadObserved,
     Placement,
     PlacementRequest,
     Rejection,
@@ -25,6 +24,7 @@
     RequestSent,
     WeightsDeclared,
 )
+from hawthornspoke.signals import SignalsObserved
 
 ENGINE = engine_profile(
     slots=16,
@@ -86,6 +86,13 @@
     machine.step(message, now=now)
 
 
+def load_observed(endpoint_id, load, **options):
+    """Return the message about a response that reports a load."""
+    return SignalsObserved(
+        endpoint_id=endpoint_id, value_by_signal={"load": load}, **options
+    )
+
+
 def test_least_loaded_endpoint_of_own_failure_domain_is_preferred():
     machine = fleet(entry("far", "b"), entry("busy"), entry("idle"))
     report(machine, "busy", load=9)
@@ -293,10 +300,10 @@
 
 def test_load_is_the_reported_load_plus_requests_sent_since():
     machine = fleet(entry("one"), entry("two"))
-    machine.step(LoadObserved(endpoint_id="one", load=3), now=1.0)
+    machine.step(load_observed("one", 3), now=1.0)
     machine.step(RequestSent(endpoint_id="one"), now=1.0)
     assert machine.endpoint_by_id["one"].load == 4
-    machine.step(LoadObserved(endpoint_id="one", load=2), now=1.1)
+    machine.step(load_observed("one", 2), now=1.1)
     assert machine.endpoint_by_id["one"].load == 2
 
 
--- a/hawthornspoke/placing/tests/test_incarnations.py
+++ b/hawthornspoke/placing/tests/test_incarnations.py
@@ -6,12 +6,17 @@
 from hawthornspoke.placing import (
     AgentLost,
     EndpointsListed,
-    LoadObserved,
     Rejection,
     RequestFinished,
     RequestSent,
 )
-from hawthornspoke.placing.tests.test_fleet import ask, entry, fleet, report
+from hawthornspoke.placing.tests.test_fleet import (
+    ask,
+    entry,
+    fleet,
+    load_observed,
+    report,
+)
 
 FIRST = Incarnation(started_ms=1_000_000)
 SECOND = Incarnation(started_ms=1_060_000)
@@ -173,7 +178,7 @@
     machine.step(RequestSent(endpoint_id="one", incarnation=SECOND), now=1.1)
     late = RequestFinished(endpoint_id="one", outcome=outcome, incarnation=FIRST)
     machine.step(late, now=1.2)
-    machine.step(LoadObserved(endpoint_id="one", load=12, incarnation=FIRST), now=1.2)
+    machine.step(load_observed("one", 12, incarnation=FIRST), now=1.2)
     assert endpoint_of(machine).own_in_flight == 1
     assert endpoint_of(machine).load == 1
     assert endpoint_of(machine).failure_rate == 0.0
@@ -266,7 +271,7 @@
     for _ in range(2):
         broken = RequestFinished(endpoint_id="one", outcome="failed", incarnation=FIRST)
         machine.step(broken, now=0.6)
-    machine.step(LoadObserved(endpoint_id="one", load=0, incarnation=FIRST), now=0.7)
+    machine.step(load_observed("one", 0, incarnation=FIRST), now=0.7)
     assert endpoint_of(machine).load == 0
     list_entries(machine, entry("one", incarnation=SECOND), now=0.8)
     assert_no_state(endpoint_of(machine))
--- a/hawthornspoke/placing/tests/test_rate_limits.py
+++ b/hawthornspoke/placing/tests/test_rate_limits.py
@@ -11,11 +11,11 @@
     Placement,
     PlacementRecheck,
     PlacementRequest,
-    RateLimitObserved,
     Rejection,
 )
 from hawthornspoke.placing._permits import MAX_CLAIM_DELAY
 from hawthornspoke.placing.tests.test_fleet import entry
+from hawthornspoke.signals import SignalsObserved
 
 SERVICE = "plain"
 
@@ -39,9 +39,9 @@
 
 
 def observe(fleet, endpoint_id, rate, *, now, sent_at=None, **options):
-    message = RateLimitObserved(
+    message = SignalsObserved(
         endpoint_id=endpoint_id,
-        rate=rate,
+        value_by_signal={} if rate is None else {"rate_limit": rate},
         sent_at=now if sent_at is None else sent_at,
         **options,
     )
@@ -162,7 +162,7 @@
     assert observe(fleet, "e0", None, now=2.1, sent_at=1.5) == []
     assert fleet.endpoint_by_id["e0"].rate_limit.rate == 1.0
     (changed,) = observe(fleet, "e0", None, now=3.1, sent_at=3.0)
-    assert (changed.before, changed.rate) == (1.0, None)
+    assert (changed.before, changed.value) == (1.0, None)
     assert isinstance(ask(fleet, now=3.2), Placement)
 
 
--- a/hawthornspoke/relay/_dialect.py
+++ b/hawthornspoke/relay/_dialect.py
@@ -1,5 +1,7 @@
 """Names of the header fields exchanged with callers and endpoints."""
 
+from hawthornspoke.signals import LOAD, SIGNALS
+
 
 class HeaderNames:
     """Header names; the defaults are those of the project's own protocol.
@@ -26,11 +28,6 @@
         Signature of the endpoint's response.
     not_run : str
         Present if the endpoint guarantees that it has not run the request.
-    load : str
-        Number of running requests, of waiting ones, and of slots.
-    rate_limit : str
-        Requests per second that the endpoint accepts from all entry hosts together, as
-        long as its responses carry it.
     endpoint_id : str
         Id of the endpoint that responded.
     versions : str
@@ -39,6 +36,14 @@
         Number of prompt tokens, and maximum number of output tokens.
     path : str
         Engines that the request passes through.
+    signals : dict of str to str
+        Fields in which endpoints say something of themselves, by name in ``SIGNALS``;
+        those left out have the names of the project's own protocol.
+
+    Raises
+    ------
+    ValueError
+        If there is no signal of a name.
     """
 
     __slots__ = (
@@ -52,12 +57,11 @@
         "last_event",
         "seal",
         "not_run",
-        "load",
-        "rate_limit",
         "endpoint_id",
         "versions",
         "tokens",
         "path",
+        "signals",
     )
 
     def __init__(
@@ -73,12 +77,11 @@
         last_event="Last-Event-Id",
         seal="X-Seal",
         not_run="X-Not-Run",
-        load="X-Load",
-        rate_limit="X-Rate-Limit",
         endpoint_id="X-Endpoint-Id",
         versions="X-Weights-Version",
         tokens="X-Tokens",
         path="X-Path",
+        signals=(),
     ):
         self.request_id = request_id
         self.deadline_ms = deadline_ms
@@ -90,12 +93,15 @@
         self.last_event = last_event
         self.seal = seal
         self.not_run = not_run
-        self.load = load
-        self.rate_limit = rate_limit
         self.endpoint_id = endpoint_id
         self.versions = versions
         self.tokens = tokens
         self.path = path
+        self.signals = {name: SIGNALS.get(name).HEADER for name in SIGNALS.names()}
+        for name, field in dict(signals).items():
+            if name not in SIGNALS:
+                raise ValueError(f"no endpoint signal is named {name!r}")
+            self.signals[name] = field
 
     def reserved(self):
         """Return the names, in lower case, that callers may not set."""
@@ -116,13 +122,12 @@
             self.request_id,
             self.seal,
             self.not_run,
-            self.load,
-            self.rate_limit,
             self.endpoint_id,
             self.versions,
+            *self.signals.values(),
         )
         return frozenset(name.lower() for name in names)
 
     def internal(self):
         """Return the names, in lower case, that are removed from responses."""
-        return frozenset((self.load.lower(), self.endpoint_id.lower()))
+        return frozenset((self.signals[LOAD].lower(), self.endpoint_id.lower()))
--- a/hawthornspoke/relay/_forward.py
+++ b/hawthornspoke/relay/_forward.py
@@ -35,7 +35,7 @@
         Returns the RetryBudget of a service.
     suspects : PoisonRequestTracker
     rate_limits : EndpointRateLimits
-    response_fields : ResponseFieldMonitor
+    signals : SignalReader
     log : EventLog
     """
 
@@ -60,7 +60,7 @@
         budget_for,
         suspects,
         rate_limits,
-        response_fields,
+        signals,
         log,
     ):
         self._admission = admission
@@ -83,8 +83,7 @@
             pool=pool,
             header_names=header_names,
             suspects=suspects,
-            rate_limits=rate_limits,
-            response_fields=response_fields,
+            signals=signals,
             log=log,
         )
         self._streams = StreamForwarder(
--- a/hawthornspoke/relay/_process.py
+++ b/hawthornspoke/relay/_process.py
@@ -17,7 +17,7 @@
 from hawthornspoke.relay._forward import Forwarder
 from hawthornspoke.relay._handler import Handler
 from hawthornspoke.relay._rate_limits import EndpointRateLimits
-from hawthornspoke.relay._response_fields import ResponseFieldMonitor
+from hawthornspoke.relay._signals import SignalReader
 from hawthornspoke.relay._sink import Sink
 from hawthornspoke.relay._suspects import PoisonRequestTracker
 from hawthornspoke.relay._timers import Timers
@@ -111,7 +111,6 @@
         )
         self.rate_limits = EndpointRateLimits(
             fleet=self.fleet,
-            header_names=self.header_names,
             entry_hosts=self.budgets.entry_hosts,
             log=self.log,
             metrics=self.metrics,
@@ -135,8 +134,10 @@
                 budget_for=self.budgets.for_service,
                 suspects=self.suspects,
                 rate_limits=self.rate_limits,
-                response_fields=ResponseFieldMonitor(
+                signals=SignalReader(
+                    fleet=self.fleet,
                     header_names=self.header_names,
+                    on_changed=self.rate_limits.share,
                     log=self.log,
                     metrics=self.metrics,
                 ),
--- a/hawthornspoke/relay/_rate_limits.py
+++ b/hawthornspoke/relay/_rate_limits.py
@@ -11,7 +11,6 @@
 from dataclasses import replace
 
 from hawthornspoke.base import is_failure, monotonic, rendezvous_order
-from hawthornspoke.httpio import decode_rate_limit
 from hawthornspoke.permits import (
     PermitAllocator,
     PermitsGranted,
@@ -21,9 +20,10 @@
     encode_claim,
     encode_rate_limit,
 )
-from hawthornspoke.placing import RateLimitObserved
 from hawthornspoke.protocol import Frame
 from hawthornspoke.relay._permit_waits import PermitWaits
+from hawthornspoke.relay._signals import log_signal_change
+from hawthornspoke.signals import RATE_LIMIT
 
 #: Timeout in seconds of a claim. After it, this host uses an equal part of the limit.
 CLAIM_TIMEOUT = 0.5
@@ -35,12 +35,11 @@
 
 
 class EndpointRateLimits:
-    """Learns rate limits from responses and claims permits for requests.
+    """Shares the rate limits that responses name, and claims permits for requests.
 
     Parameters
     ----------
     fleet : Fleet
-    header_names : HeaderNames
     entry_hosts : callable
         Returns the estimated number of entry hosts.
     log : EventLog
@@ -49,7 +48,6 @@
 
     __slots__ = (
         "_fleet",
-        "_header_names",
         "_entry_hosts",
         "_log",
         "_metrics",
@@ -59,9 +57,8 @@
         "_waits",
     )
 
-    def __init__(self, *, fleet, header_names, entry_hosts, log, metrics):
+    def __init__(self, *, fleet, entry_hosts, log, metrics):
         self._fleet = fleet
-        self._header_names = header_names
         self._entry_hosts = entry_hosts
         self._log = log
         self._metrics = metrics
@@ -85,31 +82,23 @@
         """Remove an agent whose connection was closed."""
         self._link_by_address.pop(address, None)
 
-    def observe(self, attempt):
-        """Record the rate limit in a response head, or that it names none.
+    def share(self, changed):
+        """Report a rate limit that a response has changed to the other entry hosts.
 
         Parameters
         ----------
-        attempt : Attempt
+        changed : SignalChanged
+            Changes of other signals are ignored.
         """
-        head, placement = attempt.head, attempt.placement
-        value = head.get(self._header_names.rate_limit)
-        rate = decode_rate_limit(value)
-        if rate is not None:
-            self._metrics.count("responses_with_rate_limit_total")
-        elif value is not None or head.status >= 300:
-            # Only a success without the field shows that there is no limit any more.
+        link = self._allocator(changed.endpoint_id)
+        if changed.signal != RATE_LIMIT or link is None:
             return
-        message = RateLimitObserved(
-            endpoint_id=placement.endpoint_id,
-            rate=rate,
-            sent_at=attempt.sent_at,
-            incarnation=placement.incarnation,
+        report = RateLimitReported(
+            endpoint_id=changed.endpoint_id,
+            rate=changed.value,
+            incarnation=changed.incarnation,
         )
-        for changed in self._step(message, source="response"):
-            link = self._allocator(changed.endpoint_id)
-            if link is not None:
-                link.send(Frame(rate_limits=[encode_rate_limit(changed)]))
+        link.send(Frame(rate_limits=[encode_rate_limit(report)]))
 
     def receive(self, address, frame):
         """Record the limits that other entry hosts have learned.
@@ -124,7 +113,8 @@
             # Another agent divided the limit only while this one was away, and wasn't
             # told of its end.
             if self._allocator_address(update.endpoint_id) == address:
-                self._step(update, source="entry_host")
+                for changed in self._fleet.step(update, now=monotonic()):
+                    log_signal_change(self._log, changed, source="entry_host")
 
     def send_claims(self):
         """Claim the permits that recent selections would have needed."""
@@ -215,15 +205,3 @@
             return endpoint.entry.address
         order = rendezvous_order(key=endpoint_id, nodes=self._link_by_address)
         return next(iter(order), None)
-
-    def _step(self, message, *, source):
-        changes = self._fleet.step(message, now=monotonic())
-        for changed in changes:
-            self._log.change(
-                "rate_limit",
-                endpoint=changed.endpoint_id,
-                before=changed.before,
-                rate=changed.rate,
-                source=source,
-            )
-        return changes
--- a/hawthornspoke/relay/_sending.py
+++ b/hawthornspoke/relay/_sending.py
@@ -17,8 +17,7 @@
     pool : ConnectionPool
     header_names : HeaderNames
     suspects : PoisonRequestTracker
-    rate_limits : EndpointRateLimits
-    response_fields : ResponseFieldMonitor
+    signals : SignalReader
     log : EventLog
     """
 
@@ -31,8 +30,7 @@
         "_pool",
         "_header_names",
         "_suspects",
-        "_rate_limits",
-        "_response_fields",
+        "_signals",
         "_log",
     )
 
@@ -47,8 +45,7 @@
         pool,
         header_names,
         suspects,
-        rate_limits,
-        response_fields,
+        signals,
         log,
     ):
         self._admission = admission
@@ -59,8 +56,7 @@
         self._pool = pool
         self._header_names = header_names
         self._suspects = suspects
-        self._rate_limits = rate_limits
-        self._response_fields = response_fields
+        self._signals = signals
         self._log = log
 
     def create_attempt(self, context, placement):
@@ -71,7 +67,7 @@
             fleet=self._fleet,
             header_names=self._header_names,
             timers=self._timers,
-            on_head=self._on_head,
+            on_head=self._signals.observe,
             on_broken=lambda attempt: self._on_connection_broken(context, attempt),
             on_ended=lambda attempt: self._suspects.remove_attempt(
                 context.fingerprint, attempt
@@ -131,10 +127,6 @@
         """Wait for probes that show whether a failed request crashed endpoints."""
         await self._suspects.wait_for_probes(context.fingerprint)
 
-    def _on_head(self, attempt):
-        self._rate_limits.observe(attempt)
-        self._response_fields.observe(attempt)
-
     def _on_connection_broken(self, context, attempt):
         self._suspects.record_disconnect(
             context.fingerprint, attempt.placement, service=context.service
--- a/hawthornspoke/relay/_try.py
+++ b/hawthornspoke/relay/_try.py
@@ -4,7 +4,7 @@
 
 from hawthornspoke.base import Failure, monotonic
 from hawthornspoke.httpio import CONNECTION_BROKEN
-from hawthornspoke.placing import LoadObserved, RequestFinished, RequestSent
+from hawthornspoke.placing import RequestFinished, RequestSent
 
 #: Response status if the request was meant for another endpoint and was not run.
 MISDIRECTED = 421
@@ -159,7 +159,6 @@
             self.fail()
             return MAY_HAVE_RUN.with_reason(f"{head.code}: {head.reason}")
         self.head = head
-        self._record_load(head)
         self._on_head(self)
         if (
             head.status == MISDIRECTED
@@ -261,19 +260,6 @@
         )
         self.connection = None
 
-    def _record_load(self, head):
-        load = head.get(self._header_names.load, "")
-        parts = load.split(",")
-        if len(parts) == 3 and parts[0].isdigit() and parts[1].isdigit():
-            reported = int(parts[0]) + int(parts[1])
-            self._notify_fleet(
-                LoadObserved(
-                    endpoint_id=self.placement.endpoint_id,
-                    load=reported,
-                    incarnation=self.placement.incarnation,
-                )
-            )
-
     def _end(self, outcome, *, seconds=None):
         if self._ended:
             return
--- a/hawthornspoke/relay/tests/relay_harness.py
+++ b/hawthornspoke/relay/tests/relay_harness.py
@@ -32,7 +32,7 @@
 from hawthornspoke.relay._forward import Forwarder
 from hawthornspoke.relay._handler import Handler
 from hawthornspoke.relay._rate_limits import EndpointRateLimits
-from hawthornspoke.relay._response_fields import ResponseFieldMonitor
+from hawthornspoke.relay._signals import SignalReader
 from hawthornspoke.relay._suspects import PoisonRequestTracker
 from hawthornspoke.relay._timers import Timers
 from hawthornspoke.retries import RetryBudget
@@ -232,7 +232,6 @@
     """Return the EndpointRateLimits of an entry host without agents."""
     return EndpointRateLimits(
         fleet=fleet,
-        header_names=HeaderNames(),
         entry_hosts=entry_hosts,
         log=EventLog(node="test"),
         metrics=metrics or Metrics(),
@@ -347,8 +346,12 @@
             budget_for=lambda service: self.budget,
             suspects=self.suspects,
             rate_limits=self.rate_limits,
-            response_fields=ResponseFieldMonitor(
-                header_names=self.header_names, log=self.log, metrics=self.metrics
+            signals=SignalReader(
+                fleet=self.fleet,
+                header_names=self.header_names,
+                on_changed=self.rate_limits.share,
+                log=self.log,
+                metrics=self.metrics,
             ),
             log=self.log,
         )
--- a/hawthornspoke/placing/_rate_limit.py
+++ b/hawthornspoke/signals/_rate_limit.py
@@ -1,20 +1,19 @@
 """The rate limit of one endpoint, and this host's permits to send requests to it."""
 
+from hawthornspoke.signals._signal import SIGNALS, Signal, decode_number
 
-class RateLimit:
+RATE_LIMIT = "rate_limit"
+
+
+@SIGNALS.register(RATE_LIMIT)
+class RateLimit(Signal):
     """The requests that this host may send to an endpoint that names a rate limit.
 
     Without a limit any number may be sent; with one, each needs a permit.
-
-    Attributes
-    ----------
-    rate : float or None
-        Requests per second that the endpoint accepts from all entry hosts together,
-        None if it names no limit.
     """
 
+    HEADER = "X-Rate-Limit"
     __slots__ = (
-        "rate",
         "_learned_at",
         "_permits",
         "_usable_at",
@@ -24,7 +23,7 @@
     )
 
     def __init__(self):
-        self.rate = None
+        super().__init__()
         self._learned_at = float("-inf")
         self._permits = 0
         self._usable_at = 0.0
@@ -32,32 +31,45 @@
         self._next_claim_at = 0.0
         self._wanted = 0
 
+    @property
+    def rate(self):
+        """Requests per second that the endpoint accepts from all entry hosts together.
+
+        None if it names no limit.
+        """
+        return self.value
+
+    @classmethod
+    def decode(cls, text, *, status):
+        """Return the requests per second."""
+        return decode_number(text)
+
+    def observe(self, value, *, now, rng):
+        """Set the limit; return whether it changed."""
+        return self.set_rate(value, now=now)
+
+    def observe_absence(self, response, *, now):
+        """End the limit if the response shows that there is none any more.
+
+        Only a success does. A response to an earlier request than the one that showed
+        the limit may have been overtaken.
+        """
+        is_newer = response.sent_at >= self._learned_at
+        if self.rate is None or not response.is_success or not is_newer:
+            return False
+        return self.set_rate(None, now=now)
+
     def set_rate(self, rate, *, now):
         """Set the limit; return whether it changed."""
         changed = rate != self.rate
-        self.rate = rate
+        self.value = rate
         self._learned_at = now
         if rate is None:
             self._permits = 0
             self._wanted = 0
         return changed
 
-    def may_have_ended(self, sent_at):
-        """Return whether a response without a limit shows that there is none any more.
-
-        Parameters
-        ----------
-        sent_at : float
-            When its request was sent. A response to an earlier request than the one
-            that showed the limit may have been overtaken.
-
-        Returns
-        -------
-        bool
-        """
-        return self.rate is not None and sent_at >= self._learned_at
-
-    def allows_request(self, now):
+    def has_permit(self, now):
         """Return whether a request may be sent now."""
         return self.rate is None or self._has_usable_permit(now)
 
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -392,15 +392,15 @@
     Mutation(
         name="rate limit: requests are sent without permits",
         file="placing/_permits.py",
-        old="and not item.rate_limit.allows_request(now)",
+        old="and not item.rate_limit.has_permit(now)",
         new="and False",
         test="hawthornspoke/placing/tests/test_rate_limits.py -k each_permit",
     ),
     Mutation(
         name="rate limit: responses are not read",
-        file="relay/_rate_limits.py",
-        old="        rate = decode_rate_limit(value)\n",
-        new="        rate = None\n",
+        file="signals/_rate_limit.py",
+        old="        return decode_number(text)\n",
+        new="        return None\n",
         test="platform/adapter/tests/test_rate_limits.py -k no_more_requests",
     ),
     Mutation(
