Send no more requests to endpoints that say in responses that they leave

Cause: only the platform's list was read for it, which says ready for as long as the store accepts no writes; the header was read nowhere.

Change: the signal leaving. It is kept for the incarnation, never ends, stands above a list that says ready, and is checked at selection and again right before the write, for first and second tries and resumed streams alike. An entry that lapses and returns, as after an outage of the store, finds its signals as they were: the endpoint is remembered for 300 s. If all endpoints leave, requests are refused at once. Leaving engines are replaced in the subset of a host.

--- a/hawthornspoke/placing/_directory.py
+++ b/hawthornspoke/placing/_directory.py
@@ -90,7 +90,7 @@
             if not endpoint.gone:
                 endpoint.gone = True
                 endpoint.grace_deadline = now + LAPSE_GRACE_TIME if lapsed else now
-            if endpoint.own_in_flight == 0 and now >= endpoint.grace_deadline:
+            if endpoint.may_be_forgotten(now):
                 del self.endpoint_by_id[endpoint_id]
 
     def _rebuild_index(self):
--- a/hawthornspoke/placing/_endpoint.py
+++ b/hawthornspoke/placing/_endpoint.py
@@ -3,7 +3,7 @@
 from hawthornspoke.base import is_failure
 from hawthornspoke.placing._incarnation_tracker import IncarnationTracker
 from hawthornspoke.placing._prefill_backlog import PrefillBacklog
-from hawthornspoke.signals import LOAD, RATE_LIMIT, SIGNALS, SignalChanged
+from hawthornspoke.signals import LEAVING, LOAD, RATE_LIMIT, SIGNALS, SignalChanged
 
 #: Smoothing factor of the failure rate. Five consecutive failures move it from 0 to
 #: two thirds, which is fast enough for an endpoint that gets several requests a
@@ -16,6 +16,10 @@
 #: Response time in seconds assumed for such an endpoint before its first response.
 INITIAL_RESPONSE_TIME = 0.05
 
+#: Seconds for which signals of an unlisted endpoint are remembered. Entries that lapsed
+#: return seconds after the platform does; an id isn't used again by another endpoint.
+SIGNAL_MEMORY = 300.0
+
 
 class Endpoint:
     """An endpoint, its reported load and the outcomes of requests sent to it.
@@ -51,6 +55,8 @@
         What its responses have said of it.
     rate_limit : RateLimit
         One of these signals; each selection reads it for every endpoint.
+    restrictions : tuple of Signal
+        Those of the signals that may forbid requests, mostly none.
     moved : bool
         Whether another endpoint answers at its address. After a host has lost power
         and returned with a new endpoint, the old entry stays listed for seconds until
@@ -68,6 +74,7 @@
         "prefill_backlog",
         "signal_by_name",
         "rate_limit",
+        "restrictions",
         "grace_deadline",
         "own_in_flight",
         "reported_load",
@@ -102,6 +109,7 @@
         self.prefill_backlog = PrefillBacklog()
         self.signal_by_name = {name: SIGNALS.get(name)() for name in SIGNALS.names()}
         self.rate_limit = self.signal_by_name[RATE_LIMIT]
+        self.restrictions = ()
         self.own_in_flight = 0
         self.reported_load = 0
         self.reported_at = None
@@ -248,14 +256,57 @@
             return None
         return round(now - self.reported_at, 3)
 
+    @property
+    def is_leaving(self):
+        """Whether the endpoint list or the endpoint itself says that it leaves."""
+        if self.entry.leaving and self._entry_is_current:
+            return True
+        return self.signal_by_name[LEAVING].value is not None
+
     def accepts(self, now):
         """Return whether new requests may be sent to it."""
         if self.entry.leaving and self._entry_is_current:
             return False
         if self.moved:
             return False
+        if self.restrictions and self.restricted_by(now) is not None:
+            return False
         return not self.gone or now < self.grace_deadline
 
+    def restricted_by(self, now):
+        """Return the name of a signal that forbids requests now, None if there is none.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        str or None
+        """
+        for name, signal in self.signal_by_name.items():
+            if not signal.allows_request(now):
+                return name
+        return None
+
+    def may_be_forgotten(self, now):
+        """Return whether nothing has to be known of it once it is off the list.
+
+        Its entry may only have lapsed and return as it was, after the endpoint has said
+        what the entry doesn't.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        bool
+        """
+        if self.own_in_flight or now < self.grace_deadline:
+            return False
+        return not self.restrictions or now >= self.grace_deadline + SIGNAL_MEMORY
+
     def observe_signals(self, response, *, now, rng):
         """Record what a response says of the endpoint.
 
@@ -282,6 +333,9 @@
                 changes.append(self.signal_change(name, before=before))
             if name == LOAD and value is not None:
                 self.record_load(value, now)
+        self.restrictions = tuple(
+            signal for signal in self.signal_by_name.values() if signal.restricts(now)
+        )
         return changes
 
     def signal_change(self, name, *, before):
--- a/hawthornspoke/placing/_fleet.py
+++ b/hawthornspoke/placing/_fleet.py
@@ -37,7 +37,7 @@
 from hawthornspoke.placing._predict import prefill_time
 from hawthornspoke.placing._rejection import RejectionBuilder
 from hawthornspoke.placing._weights_eligibility import WeightsEligibility
-from hawthornspoke.signals import LOAD, RATE_LIMIT, SignalsObserved
+from hawthornspoke.signals import LEAVING, LOAD, RATE_LIMIT, SignalsObserved
 
 #: Messages that the machine handles.
 MESSAGES = (
@@ -208,7 +208,10 @@
         load = message.value_by_signal.get(LOAD)
         if load is not None and not is_failure(load):
             self._estimate_remote_prompts(endpoint, load, now)
-        return endpoint.observe_signals(message, now=now, rng=self._random)
+        changes = endpoint.observe_signals(message, now=now, rng=self._random)
+        if any(changed.signal == LEAVING for changed in changes):
+            self._update_subsets(now)
+        return changes
 
     def on_rate_limit_updated(self, message, *, now):
         """Update an endpoint's rate limit from what another entry host has learned.
@@ -301,6 +304,9 @@
         request, placement = message.placement_request, message.selected
         service = self.service_by_name.get(request.service)
         endpoint = self.endpoint_by_id.get(placement.endpoint_id)
+        restriction = None if endpoint is None else endpoint.restricted_by(now)
+        if restriction is not None:
+            return [self._rejections.restricted(request, restriction)]
         is_available = endpoint is not None and endpoint.accepts(now)
         if (
             service is None
@@ -411,7 +417,7 @@
             active = [
                 item
                 for item in self._directory.of_service(name)
-                if not item.gone and not item.entry.leaving
+                if not item.gone and not item.is_leaving
             ]
             near = [item for item in active if item.is_in(self.failure_domain)]
             far = [item for item in active if not item.is_in(self.failure_domain)]
--- a/hawthornspoke/placing/_messages.py
+++ b/hawthornspoke/placing/_messages.py
@@ -285,7 +285,8 @@
     Parameters
     ----------
     reason : str
-        ``"no_endpoint"``, ``"no_weights"``, ``"full"`` or ``"rate_limited"``.
+        ``"no_endpoint"``, ``"no_weights"``, ``"full"``, ``"rate_limited"``, or the name
+        of a signal of the endpoint that forbids requests.
     retry_after : float
         Seconds after which capacity is expected.
     awaited_permits : tuple of str
--- a/hawthornspoke/placing/_rejection.py
+++ b/hawthornspoke/placing/_rejection.py
@@ -32,6 +32,21 @@
         """Return a Rejection because the service has no endpoint."""
         return self._reject(request, "no_endpoint", NO_ENDPOINT_RETRY_AFTER)
 
+    def restricted(self, request, signal):
+        """Return a Rejection because a signal of the selected endpoint forbids it.
+
+        Parameters
+        ----------
+        request : PlacementRequest
+        signal : str
+            Name of the signal.
+
+        Returns
+        -------
+        Rejection
+        """
+        return self._reject(request, signal, NO_ENDPOINT_RETRY_AFTER)
+
     def no_weights(self, request, endpoints, now):
         """Return a Rejection because no endpoint has weights that may be used.
 
--- a/hawthornspoke/signals/__init__.py
+++ b/hawthornspoke/signals/__init__.py
@@ -5,6 +5,7 @@
 response (``relay``) and obey them in the selection of endpoints (``placing``).
 """
 
+from hawthornspoke.signals._leaving import LEAVING, Leaving
 from hawthornspoke.signals._load import LOAD, Load
 from hawthornspoke.signals._messages import SignalChanged, SignalsObserved
 from hawthornspoke.signals._rate_limit import RATE_LIMIT, RateLimit
@@ -12,9 +13,11 @@
 
 __all__ = [
     "INVALID_SIGNAL",
+    "LEAVING",
     "LOAD",
     "RATE_LIMIT",
     "SIGNALS",
+    "Leaving",
     "Load",
     "RateLimit",
     "Signal",
