Send no requests to endpoints during a pause that they ask for

Cause: Retry-After in a refusal of an endpoint was read nowhere; a refusal counted neither as load nor as a failure.

Change: the signal backoff. Until its end, which is drawn up to a tenth later for each host, an endpoint gets no request; then 1, 2, 4 and 8 in steps of 0.2 s, and any number after 1 s. If all endpoints have paused, requests are refused at once, and Retry-After is the first end.

Five mutations, each fails its test.

--- a/hawthornspoke/placing/_endpoint.py
+++ b/hawthornspoke/placing/_endpoint.py
@@ -1,5 +1,7 @@
 """State that one entry host tracks for one endpoint."""
 
+import math
+
 from hawthornspoke.base import is_failure
 from hawthornspoke.placing._incarnation_tracker import IncarnationTracker
 from hawthornspoke.placing._prefill_backlog import PrefillBacklog
@@ -289,6 +291,24 @@
                 return name
         return None
 
+    def next_request_at(self, now):
+        """Return the earliest time at which a request may be sent.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        float
+            ``math.inf`` if it isn't known whether it ever may.
+        """
+        if self.accepts(now):
+            return now
+        if self.is_leaving or self.moved or self.gone:
+            return math.inf
+        return max(signal.next_request_at(now) for signal in self.restrictions)
+
     def may_be_forgotten(self, now):
         """Return whether nothing has to be known of it once it is off the list.
 
--- a/hawthornspoke/placing/_fleet.py
+++ b/hawthornspoke/placing/_fleet.py
@@ -1,5 +1,6 @@
 """State machine that selects an endpoint for each request, or rejects the request."""
 
+import math
 import random
 from dataclasses import replace
 
@@ -189,6 +190,8 @@
         if endpoint is not None:
             endpoint.own_in_flight += 1
             endpoint.sent_since_report += 1
+            for signal in endpoint.restrictions:
+                signal.count_request(now)
             engine = self._engine_profile(endpoint)
             if engine is not None:
                 seconds = prefill_time(endpoint, engine, message.prompt_tokens)
@@ -280,7 +283,7 @@
             if endpoint.accepts(now) and endpoint.entry.endpoint_id not in message.tried
         ]
         if service is None or not known:
-            return [self._rejections.no_endpoint(message)]
+            return [self._no_endpoint(message, now)]
         known = without_ejected(
             known,
             failure_domain=self.failure_domain,
@@ -430,6 +433,21 @@
                 now=now,
             )
 
+    def _no_endpoint(self, request, now):
+        """Return a Rejection with the time at which an endpoint may be used again.
+
+        The ones that the request was already sent to count as well, since its caller
+        may send it again.
+        """
+        times = [
+            endpoint.next_request_at(now)
+            for endpoint in self._directory.of_service(request.service)
+        ]
+        earliest = min(times, default=math.inf)
+        if now < earliest < math.inf:
+            return self._rejections.backing_off(request, earliest - now)
+        return self._rejections.no_endpoint(request)
+
     def _select_within_limits(self, request, engine, known, now):
         """Select an endpoint without a rate limit, or one with a permit for it."""
         allowed, lacking = self._permit_tracker.split(known, now)
--- a/hawthornspoke/placing/_rejection.py
+++ b/hawthornspoke/placing/_rejection.py
@@ -1,6 +1,7 @@
 """Builds rejections and their retry delays."""
 
 from hawthornspoke.placing._messages import Rejection
+from hawthornspoke.signals import BACKOFF
 
 #: Retry delay in seconds for a service without known endpoints.
 NO_ENDPOINT_RETRY_AFTER = 0.5
@@ -32,6 +33,21 @@
         """Return a Rejection because the service has no endpoint."""
         return self._reject(request, "no_endpoint", NO_ENDPOINT_RETRY_AFTER)
 
+    def backing_off(self, request, seconds):
+        """Return a Rejection because all endpoints asked for a pause.
+
+        Parameters
+        ----------
+        request : PlacementRequest
+        seconds : float
+            Time until the first pause ends.
+
+        Returns
+        -------
+        Rejection
+        """
+        return self._reject(request, BACKOFF, seconds)
+
     def restricted(self, request, signal):
         """Return a Rejection because a signal of the selected endpoint forbids it.
 
--- a/hawthornspoke/placing/tests/test_signals.py
+++ b/hawthornspoke/placing/tests/test_signals.py
@@ -10,6 +10,7 @@
     PlacementRecheck,
     PlacementRequest,
     Rejection,
+    RequestSent,
 )
 from hawthornspoke.placing._endpoint import SIGNAL_MEMORY
 from hawthornspoke.placing.tests.test_fleet import entry, fleet
@@ -17,7 +18,7 @@
 from hawthornspoke.signals import INVALID_SIGNAL, SignalsObserved
 
 #: Values of the signals that forbid requests.
-RESTRICTIONS = [("leaving", True)]
+RESTRICTIONS = [("leaving", True), ("backoff", 3.0)]
 each_restriction = pytest.mark.parametrize(("signal", "value"), RESTRICTIONS)
 
 
@@ -138,3 +139,59 @@
     followed = machine.followed_addresses()
     assert machine.endpoint_by_id[leaving].entry.address not in followed
     assert len(followed) == len(preferred)
+
+
+def test_refused_callers_return_when_the_first_pause_ends():
+    """Guards against callers that return in vain, or later than they need to."""
+    machine = make_fleet(plain_entry("e0"), plain_entry("e1"), plain_entry("e2"))
+    say(machine, "e0", now=1.0, backoff=9.0)
+    say(machine, "e1", now=1.0, backoff=2.0)
+    say(machine, "e2", now=1.0, leaving=True)
+    rejections = [ask(machine, now=1.0, time_left=12.0) for _ in range(30)]
+    assert {item.reason for item in rejections} == {"backoff"}
+    delays = [item.retry_after for item in rejections]
+    assert all(2.0 <= delay <= 4.0 for delay in delays)
+    assert len(set(delays)) > 10
+
+
+def test_request_refused_by_the_only_endpoint_returns_after_the_pause():
+    """Guards against a caller that returns at once as its endpoint was tried."""
+    machine = make_fleet(plain_entry("e0"))
+    say(machine, "e0", now=1.0, backoff=2.0)
+    tried = frozenset(("e0",))
+    rejection = ask(machine, now=1.0, tried=tried, time_left=12.0)
+    assert rejection.reason == "backoff"
+    assert rejection.retry_after >= 2.0
+
+
+def test_pause_does_not_hide_an_endpoint_that_was_only_tried():
+    """Guards against a caller that waits for a pause while another endpoint serves."""
+    machine = make_fleet(plain_entry("e0"), plain_entry("e1"))
+    say(machine, "e0", now=1.0, backoff=60.0)
+    rejection = ask(machine, now=1.0, tried=frozenset(("e1",)), time_left=12.0)
+    assert rejection.reason == "no_endpoint"
+
+
+def test_endpoint_is_used_again_after_its_pause():
+    machine = make_fleet(plain_entry("e0"), plain_entry("e1"))
+    say(machine, "e0", now=1.0, backoff=3.0)
+    machine.endpoint_by_id["e1"].own_in_flight = 5
+    assert chosen_ids(machine, now=3.9) == {"e1"}
+    assert chosen_ids(machine, now=4.4) == {"e0"}
+
+
+def test_requests_of_one_moment_do_not_exceed_the_ramp():
+    """Guards against requests that are selected together before any is sent."""
+    machine = make_fleet(plain_entry("e0"))
+    say(machine, "e0", now=1.0, backoff=1.0)
+    placements = [ask(machine, now=2.1) for _ in range(5)]
+    sent = 0
+    for placement in placements:
+        recheck = PlacementRecheck(
+            placement_request=PlacementRequest(service="plain"), selected=placement
+        )
+        (result,) = machine.step(recheck, now=2.1)
+        if isinstance(result, Placement):
+            machine.step(RequestSent(endpoint_id="e0"), now=2.1)
+            sent += 1
+    assert sent == 1
--- a/hawthornspoke/relay/tests/test_signals.py
+++ b/hawthornspoke/relay/tests/test_signals.py
@@ -8,6 +8,7 @@
     ScriptedEndpoint,
     answer,
     events,
+    field,
     response,
     stream_event,
     stream_head,
@@ -129,3 +130,56 @@
             assert (await harness.ask("again"))[0] == 503
 
     run_scenario(scenario)
+
+
+def backing_off(seconds):
+    """Return a step that refuses the request and asks for a pause."""
+    return answer(503, b"", ("X-Not-Run: 1", f"Retry-After: {seconds}"))
+
+
+def test_refused_request_and_later_ones_go_elsewhere():
+    """Guards against an endpoint that is preferred since it refuses requests."""
+
+    async def scenario():
+        first, second = ScriptedEndpoint(backing_off(5)), ScriptedEndpoint()
+        async with RelayHarness(first, second) as harness:
+            harness.fleet.endpoint_by_id["e1"].own_in_flight = 1
+            for _ in range(5):
+                assert (await harness.ask("again"))[0] == 200
+            assert (len(first.requests), len(second.requests)) == (1, 5)
+            (entry,) = harness.logged("endpoint_signal")
+            assert (entry["signal"], entry["value"]) == ("backoff", 5.0)
+
+    run_scenario(scenario)
+
+
+def test_requests_are_refused_at_once_during_the_pause_of_the_only_endpoint():
+    """Guards against requests that are held until the pause ends."""
+
+    async def scenario():
+        endpoint = ScriptedEndpoint(backing_off(60))
+        async with RelayHarness(endpoint) as harness:
+            began_at = monotonic()
+            for _ in range(4):
+                status, head, _, _ = await harness.ask("again")
+                assert status == 503
+                assert float(field(head, "Retry-After")) > 0
+            assert monotonic() - began_at < 0.3
+            assert len(endpoint.requests) == 1
+            reasons = {item["reason"] for item in harness.logged("declined")}
+            assert reasons == {"backoff"}
+
+    run_scenario(scenario)
+
+
+def test_pause_holds_for_routes_and_streams_alike():
+    """Guards against a pause that only binds the kind of request that was refused."""
+
+    async def scenario():
+        endpoint = ScriptedEndpoint(backing_off(60))
+        async with RelayHarness(endpoint) as harness:
+            for prefix in ("again", "once", "stream"):
+                assert (await harness.ask(prefix))[0] == 503
+            assert len(endpoint.requests) == 1
+
+    run_scenario(scenario)
--- a/hawthornspoke/signals/__init__.py
+++ b/hawthornspoke/signals/__init__.py
@@ -5,6 +5,7 @@
 response (``relay``) and obey them in the selection of endpoints (``placing``).
 """
 
+from hawthornspoke.signals._backoff import BACKOFF, Backoff
 from hawthornspoke.signals._leaving import LEAVING, Leaving
 from hawthornspoke.signals._load import LOAD, Load
 from hawthornspoke.signals._messages import SignalChanged, SignalsObserved
@@ -12,11 +13,13 @@
 from hawthornspoke.signals._signal import INVALID_SIGNAL, SIGNALS, Signal
 
 __all__ = [
+    "BACKOFF",
     "INVALID_SIGNAL",
     "LEAVING",
     "LOAD",
     "RATE_LIMIT",
     "SIGNALS",
+    "Backoff",
     "Leaving",
     "Load",
     "RateLimit",
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -410,6 +410,41 @@
         new="        return None\n",
         test="platform/adapter/tests/test_leaving_engines.py",
     ),
+    Mutation(
+        name="backoff: responses are not read",
+        file="signals/_backoff.py",
+        old="        if status != UNAVAILABLE:\n",
+        new="        if True:\n",
+        test="platform/adapter/tests/test_engines_that_back_off.py",
+    ),
+    Mutation(
+        name="backoff: a later refusal can shorten a pause",
+        file="signals/_backoff.py",
+        old="value == 0 or ends_at <= self._ends_at",
+        new="value == 0",
+        test="hawthornspoke/signals/tests/test_backoff.py -k shorten",
+    ),
+    Mutation(
+        name="backoff: requests return all at once",
+        file="signals/_backoff.py",
+        old="        return self._sent_since_end < 2 ** self._step_at(now)",
+        new="        return True",
+        test="hawthornspoke/signals/tests/test_backoff.py -k gradually",
+    ),
+    Mutation(
+        name="backoff: hosts return at the same moment",
+        file="signals/_backoff.py",
+        old="MAX_JITTER_SHARE * rng.random()",
+        new="0",
+        test="hawthornspoke/signals/tests/test_backoff.py -k same_moment",
+    ),
+    Mutation(
+        name="backoff: refused callers are not told when it ends",
+        file="placing/_fleet.py",
+        old="        if now < earliest < math.inf:",
+        new="        if False:",
+        test="hawthornspoke/placing/tests/test_signals.py -k first_pause",
+    ),
     Mutation(
         name="signals: selections ignore them",
         file="placing/_endpoint.py",
@@ -420,8 +455,8 @@
     Mutation(
         name="signals: they are not checked before the send",
         file="placing/_fleet.py",
-        old="        restriction = None if endpoint is None else endpoint.restricted_by(now)",
-        new="        restriction = None",
+        old="None if endpoint is None else endpoint.restricted_by(now)",
+        new="None",
         test="hawthornspoke/placing/tests/test_signals.py -k after_its_selection",
     ),
     Mutation(
