--- a/hawthornspoke/relay/_dialect.py
+++ b/hawthornspoke/relay/_dialect.py
@@ -46,8 +46,10 @@
         If there is no signal of a name.
     """
 
-    __slots__ = (
-        "request_id",
+    #: Fields of responses that are read besides the signals.
+    RESPONSE_FIELDS = ("request_id", "seal", "not_run", "endpoint_id", "versions")
+    #: Fields of requests only.
+    REQUEST_FIELDS = (
         "deadline_ms",
         "key",
         "organisation",
@@ -55,14 +57,10 @@
         "expected_version",
         "priority",
         "last_event",
-        "seal",
-        "not_run",
-        "endpoint_id",
-        "versions",
         "tokens",
         "path",
-        "signals",
     )
+    __slots__ = (*RESPONSE_FIELDS, *REQUEST_FIELDS, "signals")
 
     def __init__(
         self,
@@ -118,14 +116,8 @@
 
     def response_fields(self):
         """Return the names, in lower case, of the fields that are read in responses."""
-        names = (
-            self.request_id,
-            self.seal,
-            self.not_run,
-            self.endpoint_id,
-            self.versions,
-            *self.signals.values(),
-        )
+        names = [getattr(self, name) for name in self.RESPONSE_FIELDS]
+        names += self.signals.values()
         return frozenset(name.lower() for name in names)
 
     def internal(self):
