Ignore numbers in header fields that int can't read

A caller that sent a superscript two or 5,000 digits as deadline, tokens or last event got 500 or a closed connection from us (str.isdigit accepts them, int and float raise), and an endpoint whose Keep-Alive had them got its whole response taken for no HTTP: 502. One function, fields.parse_digits, reads all such numbers now.

--- a/hawthornspoke/entry/_context.py
+++ b/hawthornspoke/entry/_context.py
@@ -3,6 +3,7 @@
 import uuid
 
 from hawthornspoke.base import Failure, boottime_clock, digest_of, monotonic
+from hawthornspoke.fields import parse_digits
 from hawthornspoke.quarantine import fingerprint_of
 
 BAD_REQUEST = Failure(code="bad_request")
@@ -169,9 +170,10 @@
         name, equals, value = item.strip().partition("=")
         if name != "u" or not equals:
             continue
-        if not value.isdigit() or int(value) > MAX_URGENCY_VALUE:
+        urgency = parse_digits(value)
+        if urgency is None or urgency > MAX_URGENCY_VALUE:
             return BAD_REQUEST.with_reason("Priority: u=0 to u=7")
-        context.urgency = int(value)
+        context.urgency = urgency
     return None
 
 
--- a/hawthornspoke/fields/_fields.py
+++ b/hawthornspoke/fields/_fields.py
@@ -20,6 +20,9 @@
 #: The limit keeps messages small, as some of the strings are sent to every agent.
 MAX_TEXT_LENGTH = 1000
 
+#: Maximum number of digits of a number in a header field.
+MAX_DIGITS = 15
+
 #: The largest count that fits an i32 field of the messages between processes.
 MAX_COUNT = 2**31 - 1
 
@@ -255,6 +258,24 @@
     return default
 
 
+def parse_digits(value):
+    """Return the number that a header value spells, None if it isn't only digits.
+
+    ``str.isdigit`` also accepts characters such as a superscript two, and ``int``
+    refuses both these and very long numbers with an exception.
+
+    Parameters
+    ----------
+    value : str
+
+    Returns
+    -------
+    int or None
+    """
+    is_number = value.isascii() and value.isdigit() and len(value) <= MAX_DIGITS
+    return int(value) if is_number else None
+
+
 def _field_error(name, expected, value):
     return FieldError(f"{name}: expected {expected}, got {_abbreviate(value)}")
 
@@ -273,5 +294,5 @@
 
 
 def _is_port(value):
-    is_digits = value.isascii() and value.isdigit() and len(value) <= 5
-    return is_digits and 0 < int(value) <= MAX_PORT
+    port = parse_digits(value)
+    return port is not None and 0 < port <= MAX_PORT
--- a/hawthornspoke/fields/tests/test_fields.py
+++ b/hawthornspoke/fields/tests/test_fields.py
@@ -89,3 +89,14 @@
         outcome = decode(data)
         assert is_failure(outcome) and outcome == fields.UNUSABLE
         assert len(outcome.reason) < 200
+
+
+@pytest.mark.parametrize(("value", "number"), [("0", 0), ("15", 15), ("007", 7)])
+def test_digits_spell_a_number(value, number):
+    assert fields.parse_digits(value) == number
+
+
+@pytest.mark.parametrize("value", ["", "-1", "1.5", " 1", "\u00b2", "9" * 5000])
+def test_other_text_spells_no_number(value):
+    """Guards against header values on which ``int`` raises an exception."""
+    assert fields.parse_digits(value) is None
--- a/hawthornspoke/httpio/_client.py
+++ b/hawthornspoke/httpio/_client.py
@@ -8,6 +8,7 @@
 import httptools
 
 from hawthornspoke.base import Failure, boottime_clock, is_closed_by_peer
+from hawthornspoke.fields import parse_digits
 from hawthornspoke.httpio._message import HOP_BY_HOP, Response, encode_head
 
 #: Milliseconds that sent bytes may stay unacknowledged before the connection fails.
@@ -309,8 +310,9 @@
         announced = head.get("keep-alive", "")
         for part in announced.split(","):
             name, _, value = part.strip().partition("=")
-            if name.lower() == "timeout" and value.isdigit() and int(value) > 0:
-                self._idle_timeout = float(value)
+            seconds = parse_digits(value)
+            if name.lower() == "timeout" and seconds:
+                self._idle_timeout = float(seconds)
 
 
 def set_socket_options(sock):
--- a/hawthornspoke/relay/_events.py
+++ b/hawthornspoke/relay/_events.py
@@ -1,5 +1,7 @@
 """Splits streams of server-sent events."""
 
+from hawthornspoke.fields import parse_digits
+
 SEPARATOR = b"\n\n"
 
 #: Maximum size of an event in bytes; a longer one is treated as invalid data.
@@ -79,6 +81,5 @@
 def _parse_id(event):
     for line in event.split(b"\n"):
         if line.startswith(b"id:"):
-            value = line[3:].strip()
-            return int(value) if value.isdigit() else None
+            return parse_digits(line[3:].strip().decode("latin-1"))
     return None
--- a/hawthornspoke/relay/_handler.py
+++ b/hawthornspoke/relay/_handler.py
@@ -4,6 +4,7 @@
 
 from hawthornspoke.base import monotonic
 from hawthornspoke.catalog import choose_service
+from hawthornspoke.fields import parse_digits
 from hawthornspoke.quarantine import fingerprint_of
 from hawthornspoke.relay._admission import CALLER_LEFT, UNCONFIRMED_RETRY_AFTER
 from hawthornspoke.relay._context import RequestContext
@@ -118,7 +119,9 @@
     def _set_deadlines(self, context):
         arrived = context.request.boottime_arrived_at
         value = context.request.get(self._header_names.deadline_ms, "")
-        requested_ms = float(value) if value.isdigit() else ASSUMED_DEADLINE * 1000
+        requested_ms = parse_digits(value)
+        if requested_ms is None:
+            requested_ms = ASSUMED_DEADLINE * 1000
         max_requested_ms = self._max_deadline_by_route.get(context.route.name, 0.0)
         if requested_ms > max_requested_ms:
             self._max_deadline_by_route[context.route.name] = max_requested_ms = (
@@ -135,7 +138,7 @@
             abandoned_at = min(context.deadline, arrived + context.route.event_timeout)
             context.resend_deadline = abandoned_at - MIN_RESEND_TIME
         tokens = context.request.get(self._header_names.tokens, "").partition(",")[0]
-        context.prompt_tokens = int(tokens) if tokens.isdigit() else 0
+        context.prompt_tokens = parse_digits(tokens) or 0
 
     async def _forward(self, context):
         try:
--- a/hawthornspoke/relay/_streams.py
+++ b/hawthornspoke/relay/_streams.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from hawthornspoke.base import Failure, monotonic
+from hawthornspoke.fields import parse_digits
 from hawthornspoke.relay._events import EventSplitter
 
 #: Seconds without data from an endpoint after which a repeatable stream is restarted or
@@ -106,10 +107,11 @@
     async def _resume(self, context, head, splitter):
         """Resume at another endpoint with the same weights version."""
         version = head.get(self._header_names.versions, "")
-        if not (context.route.repeatable and version.isdigit()):
+        number = parse_digits(version)
+        if not context.route.repeatable or number is None:
             return None
         while self._planner.may_retry(context):
-            placement = self._planner.select_for_resume(context, int(version))
+            placement = self._planner.select_for_resume(context, number)
             if placement is None:
                 return None
             attempt = await self._attempt_resume(context, placement, splitter, version)
@@ -150,5 +152,4 @@
 
 
 def _last_event_id(request, header_names):
-    value = request.get(header_names.last_event, "")
-    return int(value) if value.isdigit() else None
+    return parse_digits(request.get(header_names.last_event, ""))
--- a/hawthornspoke/relay/tests/relay_harness.py
+++ b/hawthornspoke/relay/tests/relay_harness.py
@@ -68,14 +68,14 @@
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 length = 0
-                for line in head.decode().split("\r\n"):
+                for line in head.decode("latin-1").split("\r\n"):
                     if line.lower().startswith("content-length:"):
                         length = int(line.split(":")[1])
                 body = await reader.readexactly(length)
-                self.requests.append((head.decode(), body))
+                self.requests.append((head.decode("latin-1"), body))
                 self.reader = reader
                 step = self.steps.pop(0) if self.steps else answer()
-                if await step(self, head.decode(), writer) is False:
+                if await step(self, head.decode("latin-1"), writer) is False:
                     writer.transport.abort()
                     return
                 await writer.drain()
@@ -100,7 +100,7 @@
         f"Content-Length: {len(body)}",
         *extra,
     ]
-    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
 
 
 def answer(status=200, body=b"ok", extra=()):
@@ -495,7 +495,7 @@
         "Connection: close",
         *extra,
     ]
-    return "\r\n".join(lines).encode() + b"\r\n\r\nhi"
+    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\nhi"
 
 
 def unchunk(body):
--- a/hawthornspoke/relay/tests/test_forward.py
+++ b/hawthornspoke/relay/tests/test_forward.py
@@ -389,3 +389,32 @@
             assert endpoint.requests == []
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("name", ["X-Deadline-Ms", "X-Tokens", "Last-Event-Id"])
+@pytest.mark.parametrize("value", ["\u00b2", "9" * 5000])
+def test_odd_number_of_a_caller_is_ignored(name, value):
+    """Guards against a header value that ends its request with an error of ours."""
+
+    async def scenario():
+        endpoint = ScriptedEndpoint(events([1, 2]))
+        async with RelayHarness(endpoint) as harness:
+            status, _, body, complete = await harness.ask(
+                "stream", extra=[f"{name}: {value}"]
+            )
+            assert (status, event_ids(body), complete) == (200, [1, 2], True)
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("value", ["\u00b2", "9" * 5000])
+def test_odd_number_of_an_endpoint_is_ignored(value):
+    """Guards against a response field that makes a response unreadable."""
+
+    async def scenario():
+        fields = (f"Keep-Alive: timeout={value}", f"X-Load: {value},0,8")
+        endpoint = ScriptedEndpoint(answer(extra=fields))
+        async with RelayHarness(endpoint) as harness:
+            assert (await harness.ask("once"))[0] == 200
+
+    run_scenario(scenario)
--- a/hawthornspoke/signals/_load.py
+++ b/hawthornspoke/signals/_load.py
@@ -1,14 +1,12 @@
 """The requests at an endpoint."""
 
-import re
-
+from hawthornspoke.fields import parse_digits
 from hawthornspoke.signals._signal import INVALID_SIGNAL, SIGNALS, Signal
 
 LOAD = "load"
 
-#: Running requests, waiting requests and slots. The number of digits is bounded, since
-#: ``int`` refuses very long numbers.
-LOAD_PATTERN = re.compile(r"([0-9]{1,9}),([0-9]{1,9}),[^,]*")
+#: Number of parts of the field: running requests, waiting requests and slots.
+PARTS = 3
 
 
 @SIGNALS.register(LOAD)
@@ -21,10 +19,13 @@
     @classmethod
     def decode(cls, text, *, status):
         """Return the sum of running and waiting requests."""
-        match = LOAD_PATTERN.fullmatch(text)
-        if match is None:
+        parts = text.split(",")
+        if len(parts) != PARTS:
+            return INVALID_SIGNAL
+        running, waiting = parse_digits(parts[0]), parse_digits(parts[1])
+        if running is None or waiting is None:
             return INVALID_SIGNAL
-        return int(match[1]) + int(match[2])
+        return running + waiting
 
     def observe(self, value, *, now, rng):
         """Record a load; it changes with each response and isn't logged."""
--- a/tests/test_boundary.py
+++ b/tests/test_boundary.py
@@ -12,6 +12,8 @@
     "Deadline-Ms",
     "Response-Seal",
     "Not-Executed",
+    "Server-Leaving",
+    "Server-Limit",
     "Server-Load",
     "Instance-Id",
     "Weight-Versions",
