--- a/hawthornspoke/explain/_explain.py
+++ b/hawthornspoke/explain/_explain.py
@@ -5,6 +5,12 @@
 #: Seconds before and after a request in which state changes may be related to it.
 CONTEXT_SECONDS = 5.0
 
+#: Event that tells what an endpoint says of itself, which holds until it changes.
+SIGNAL_EVENT = "endpoint_signal"
+
+#: Maximum number of such events from before these seconds.
+MAX_EARLIER_SIGNALS = 20
+
 #: Events that refer to a single request.
 REQUEST_EVENTS = ("placed", "declined", "try_failed", "request")
 
@@ -25,7 +31,8 @@
     -------
     list of str
         Formatted events in order of time; empty if no event names the request. State
-        changes are limited to the hosts and endpoints involved in the request.
+        changes are limited to the hosts and endpoints involved in the request, and to
+        some seconds around it, except for what endpoints had said of themselves before.
     """
     events = EventReader(paths=paths).events
     request_events = [event for event in events if event.get("request") == request_id]
@@ -42,10 +49,23 @@
         if first <= event["t"] <= last
         and (event.get("request") == request_id or _is_related(event, involved))
     ]
+    selected = _signals_before(events, first, involved) + selected
     start_time = request_events[0]["t"]
     return [_format_line(event, start_time, request_id) for event in selected]
 
 
+def _signals_before(events, time, involved):
+    """Return the last change of each signal before a time, at the involved hosts."""
+    last_by_signal = {}
+    for event in events:
+        if event["event"] == SIGNAL_EVENT and event["t"] < time:
+            node, endpoint = event.get("node"), event.get("endpoint")
+            if node in involved:
+                last_by_signal[node, endpoint, event.get("signal")] = event
+    latest = sorted(last_by_signal.values(), key=lambda event: event["t"])
+    return latest[-MAX_EARLIER_SIGNALS:]
+
+
 def _involved_names(request_events):
     involved = set()
     for event in request_events:
--- a/hawthornspoke/explain/tests/test_explain.py
+++ b/hawthornspoke/explain/tests/test_explain.py
@@ -42,6 +42,22 @@
     assert "outcome=cut" in lines[-1]
 
 
+def test_timeline_has_what_endpoints_had_said_before(tmp_path):
+    """Guards against a refusal whose cause was logged too long before it."""
+    said = {"node": "e1", "event": "endpoint_signal", "endpoint": "i1"}
+    write(
+        tmp_path / "entry.log",
+        {"t": 1.0, "signal": "rate_limit", "value": 2.0, **said},
+        {"t": 2.0, "signal": "leaving", "value": True, **said},
+        {"t": 3.0, "signal": "rate_limit", "value": 1.0, **said},
+        {"t": 4.0, "signal": "leaving", "value": True, **said, "node": "e2"},
+        {"t": 30.0, "node": "e1", "event": "declined", "request": "r1"},
+    )
+    lines = explain_request("r1", [tmp_path])
+    assert ["leaving" in line for line in lines] == [True, False, False]
+    assert "value=1.0" in lines[1]
+
+
 def test_unknown_request_returns_no_lines(tmp_path):
     write(tmp_path / "a.log", {"t": 1.0, "node": "n", "event": "started"})
     assert explain_request("r9", [tmp_path]) == []
