Recognize mass failures at hosts with all their requests at one endpoint

Change: if the only endpoint in use has ended, two random idle ones are probed. If both refuse connections, the end counts as part of a mass failure. Idle ones that are known to have ended before, perhaps by the same request, show nothing, and two earlier ends of a request still count. It costs two connections, refused or aborted, per such end.

Weighed: telling the other hosts of a mass failure; agents share evidence from two ends on only, so this needs a message of its own.

Measured: test_mass_end_is_recognized_by_a_host_that_used_one_endpoint and test_idle_endpoints_tell_a_mass_failure_from_a_poison_request fail without it; three mutations, each fails its test.

--- a/hawthornspoke/placing/_fleet.py
+++ b/hawthornspoke/placing/_fleet.py
@@ -383,6 +383,27 @@
         endpoints = self._directory.of_service(service)
         return sum(item.own_in_flight > 0 for item in endpoints)
 
+    def idle_endpoints(self, service, *, count, now):
+        """Return some random endpoints that run no request of this host.
+
+        Parameters
+        ----------
+        service : str
+        count : int
+            Maximum number of endpoints.
+        now : float
+
+        Returns
+        -------
+        list of Endpoint
+        """
+        idle = [
+            item
+            for item in self._directory.of_service(service)
+            if item.own_in_flight == 0 and item.accepts(now)
+        ]
+        return self._random.sample(idle, min(count, len(idle)))
+
     def dump(self, *, now):
         """Return the state as plain data."""
         return {
--- a/hawthornspoke/quarantine/_evidence.py
+++ b/hawthornspoke/quarantine/_evidence.py
@@ -114,6 +114,19 @@
             if not item.cleared
         )
 
+    def incarnations(self):
+        """Return all endpoint incarnations that have ended, cleared or not.
+
+        Returns
+        -------
+        set of str
+        """
+        return {
+            incarnation_id
+            for items in self._items_by_fingerprint.values()
+            for incarnation_id in items
+        }
+
     def fingerprints(self):
         """Return the requests with evidence, latest last."""
         return list(self._items_by_fingerprint)
--- a/hawthornspoke/quarantine/_messages.py
+++ b/hawthornspoke/quarantine/_messages.py
@@ -15,11 +15,15 @@
         Of this host's requests that ran there.
     other_endpoints_in_use : int
         Number of endpoints that still run requests of this host.
+    idle_ended : tuple of str
+        Incarnations of endpoints without requests of this host that have ended as well,
+        if all that were probed have.
     """
 
     incarnation_id: str
     fingerprints: tuple
     other_endpoints_in_use: int = 0
+    idle_ended: tuple = ()
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/hawthornspoke/quarantine/_quarantine.py
+++ b/hawthornspoke/quarantine/_quarantine.py
@@ -100,6 +100,11 @@
             message.incarnation_id, _RecentEnd(at=now)
         )
         end.fingerprints.update(message.fingerprints)
+        # Idle endpoints that are known to have ended earlier, perhaps by the same
+        # request, don't show that this end is part of a mass failure.
+        if self._store.incarnations().isdisjoint(message.idle_ended):
+            for incarnation_id in message.idle_ended:
+                self._recent_end_by_incarnation[incarnation_id] = _RecentEnd(at=now)
         self._expire_ends(now)
         items = [
             Evidence(
--- a/hawthornspoke/quarantine/tests/test_quarantine.py
+++ b/hawthornspoke/quarantine/tests/test_quarantine.py
@@ -16,12 +16,13 @@
 from hawthornspoke.quarantine._evidence import MAX_REQUESTS
 
 
-def end(machine, incarnation_id, *fingerprints, now, in_use=10):
+def end(machine, incarnation_id, *fingerprints, now, in_use=10, idle_ended=()):
     """End an endpoint that runs some requests."""
     message = EndpointEnded(
         incarnation_id=incarnation_id,
         fingerprints=fingerprints,
         other_endpoints_in_use=in_use,
+        idle_ended=idle_ended,
     )
     return machine.step(message, now=now)
 
@@ -162,6 +163,26 @@
     assert not is_refused(machine, "beside")
 
 
+def test_mass_end_is_recognized_by_a_host_that_used_one_endpoint():
+    """Guards against a quarantine of all requests of a host that has few of them."""
+    machine = Quarantine()
+    for number in range(6):
+        idle = (f"i1-{number}", f"i2-{number}")
+        names = ("usual-1", "usual-2")
+        end(machine, f"e{number}", *names, now=3.0 * number, in_use=0, idle_ended=idle)
+        machine.step(RequestCompleted(fingerprint="usual-1"), now=3.0 * number + 1.0)
+        assert not is_refused(machine, "usual-2", now=3.0 * number + 1.0)
+
+
+def test_idle_ends_do_not_clear_a_request_with_two_earlier_ends():
+    """Guards against a poison request that is cleared as it ended all endpoints."""
+    machine = Quarantine()
+    end(machine, "e1", "poison", now=1.0, in_use=0)
+    end(machine, "e2", "poison", now=1.2, in_use=0)
+    end(machine, "e3", "poison", now=1.4, in_use=0, idle_ended=("e1", "e2"))
+    assert is_refused(machine, "poison")
+
+
 def test_mass_end_preceded_by_a_single_end_is_no_evidence():
     """A host that used a single endpoint must still detect later mass failures."""
     machine = Quarantine()
--- a/hawthornspoke/relay/_suspects.py
+++ b/hawthornspoke/relay/_suspects.py
@@ -26,6 +26,10 @@
 #: Timeout in seconds of the check whether an endpoint still accepts connections.
 PROBE_TIMEOUT = 0.3
 
+#: Number of idle endpoints that are probed if the only one in use has ended. Two that
+#: have ended as well can't be explained by one request, which has two attempts.
+IDLE_PROBES = 2
+
 #: Maximum number of fingerprints kept of requests that this host had sent to an
 #: endpoint and that were running there when it ended. If one of them is quarantined,
 #: this host stores the evidence.
@@ -215,13 +219,38 @@
             requests=len(fingerprints),
         )
         self._observed_locally.extend(fingerprints)
+        in_use = self._fleet.endpoints_in_use(service)
+        idle_ended = () if in_use else await self._probe_idle(placement, service)
         ended = EndpointEnded(
             incarnation_id=incarnation_id,
             fingerprints=tuple(sorted(fingerprints)),
-            other_endpoints_in_use=self._fleet.endpoints_in_use(service),
+            other_endpoints_in_use=in_use,
+            idle_ended=idle_ended,
         )
         self._step(ended)
 
+    async def _probe_idle(self, placement, service):
+        """Return idle endpoints that have ended, if all of those probed have.
+
+        A host with all its requests at one endpoint can't tell by them whether that
+        endpoint ended alone.
+        """
+        candidates = self._fleet.idle_endpoints(
+            service, count=IDLE_PROBES + 1, now=monotonic()
+        )
+        probed = [
+            item for item in candidates if item.endpoint_id != placement.endpoint_id
+        ][:IDLE_PROBES]
+        if len(probed) < IDLE_PROBES:
+            return ()
+        has_ended = await asyncio.gather(
+            *(
+                refuses_connections(item.entry.address, timeout=PROBE_TIMEOUT)
+                for item in probed
+            )
+        )
+        return tuple(map(_incarnation_id, probed)) if all(has_ended) else ()
+
     def _step(self, message, *, share=True):
         for outcome in self.quarantine.step(message, now=monotonic()):
             if isinstance(outcome, EvidenceUpdate):
@@ -247,14 +276,18 @@
             self._has_unrecorded.set()
 
 
-def _incarnation_id(placement):
+def _incarnation_id(target):
     """Return an id of one incarnation (process run) of an endpoint.
 
     It is the same on all hosts, so that their evidence can be combined.
+
+    Parameters
+    ----------
+    target : Placement or Endpoint
     """
-    started_ms = placement.incarnation.started_ms
+    started_ms = target.incarnation.started_ms
     return (
-        placement.endpoint_id
+        target.endpoint_id
         if started_ms is None
-        else f"{placement.endpoint_id}@{started_ms}"
+        else f"{target.endpoint_id}@{started_ms}"
     )
--- a/hawthornspoke/relay/tests/test_suspects.py
+++ b/hawthornspoke/relay/tests/test_suspects.py
@@ -19,6 +19,7 @@
     stream_head,
 )
 from hawthornspoke.relay.tests.test_forward import event_ids, run_scenario
+from hawthornspoke.signals import SignalsObserved
 
 
 def then_exit(step):
@@ -252,3 +253,40 @@
             assert all(item.cleared for item in items)
 
     run_scenario(scenario)
+
+
+async def end_the_only_endpoint_in_use(harness, endpoints, *, ended):
+    """Send requests that all run at the first endpoint when some endpoints end."""
+    for number in range(1, len(endpoints)):
+        busy = SignalsObserved(endpoint_id=f"e{number}", value_by_signal={"load": 99})
+        harness.fleet.step(busy, now=monotonic())
+
+    async def end_all(endpoint, head, writer):
+        for item in ended:
+            item.close()
+        return False
+
+    endpoints[0].steps = [end_all]
+    await harness.ask("once")
+    await asyncio.sleep(0.05)
+    return [
+        item.cleared for item in harness.suspects.quarantine.evidence(now=monotonic())
+    ]
+
+
+def test_idle_endpoints_tell_a_mass_failure_from_a_poison_request():
+    """Guards against a host with few requests that takes each mass end for their fault.
+
+    The other endpoints are probed only if all its requests were at one.
+    """
+
+    async def scenario(ended_count, cleared):
+        endpoints = [ScriptedEndpoint() for _ in range(3)]
+        async with RelayHarness(*endpoints) as harness:
+            evidence = await end_the_only_endpoint_in_use(
+                harness, endpoints, ended=endpoints[:ended_count]
+            )
+            assert evidence == [cleared]
+
+    for ended_count, cleared in ((1, False), (2, False), (3, True)):
+        asyncio.run(scenario(ended_count, cleared))
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -389,6 +389,27 @@
             "hawthornspoke/httpio/tests/test_checks_after_suspension.py -k its_deadline"
         ),
     ),
+    Mutation(
+        name="quarantine: idle endpoints are not probed",
+        file="relay/_suspects.py",
+        old="() if in_use else await self._probe_idle(placement, service)",
+        new="()",
+        test="hawthornspoke/relay/tests/test_suspects.py -k idle_endpoints",
+    ),
+    Mutation(
+        name="quarantine: ends of idle endpoints are not counted",
+        file="quarantine/_quarantine.py",
+        old="if self._store.incarnations().isdisjoint(message.idle_ended):",
+        new="if False:",
+        test="hawthornspoke/quarantine/tests/test_quarantine.py -k used_one_endpoint",
+    ),
+    Mutation(
+        name="quarantine: idle endpoints that ended earlier count",
+        file="quarantine/_quarantine.py",
+        old="if self._store.incarnations().isdisjoint(message.idle_ended):",
+        new="if True:",
+        test="hawthornspoke/quarantine/tests/test_quarantine.py -k earlier_ends",
+    ),
     Mutation(
         name="rate limit: requests are sent without permits",
         file="placing/_permits.py",
