--- a/hawthornspoke/agent/tests/test_checks_after_suspension.py
+++ b/hawthornspoke/agent/tests/test_checks_after_suspension.py
@@ -7,7 +7,6 @@
 given another 50 ms.
 """
 
-import random
 import threading
 import time
 
@@ -19,6 +18,7 @@
 from hawthornspoke.agent._process import _Handler
 from hawthornspoke.agent._runs import Run
 from hawthornspoke.base import monotonic
+from hawthornspoke.base.tests.addresses import random_port
 from hawthornspoke.metrics import Metrics
 from hawthornspoke.protocol import REPLY_LOST, Connection, EventKind, RpcServer, Submit
 from hawthornspoke.web import HttpServer, Response
@@ -31,7 +31,7 @@
 
     def __init__(self, kind):
         self.requested_paths = []
-        port = random.randrange(12000, 15000)
+        port = random_port(12000, 15000)
         self._server = HttpServer(address=ADDRESS, port=port, handler=self._respond)
         self._server.open()
         self.driver = ENGINES.get(kind)(url=f"http://{ADDRESS}:{port}")
@@ -128,7 +128,7 @@
     handler.engine = engine.driver
     handler.stall = stall
     handler.started = threading.Event()
-    port = random.randrange(30000, 32000)
+    port = random_port(30000, 32000)
     server = RpcServer(address=ADDRESS, port=port, handler=handler)
     server.open()
     connection = Connection(address=ADDRESS, port=port)
--- a/hawthornspoke/entry/tests/test_checks_after_suspension.py
+++ b/hawthornspoke/entry/tests/test_checks_after_suspension.py
@@ -7,13 +7,13 @@
 which stops while the host is suspended.
 """
 
-import random
 import socket
 import time
 
 import pytest
 
 from hawthornspoke.base import Failure
+from hawthornspoke.base.tests.addresses import random_port
 from hawthornspoke.entry._attempt import Attempt
 from hawthornspoke.entry._context import RequestContext
 from hawthornspoke.protocol import (
@@ -34,7 +34,7 @@
 
     def __init__(self):
         self.submits = []
-        self.port = random.randrange(30000, 32000)
+        self.port = random_port(30000, 32000)
         self.address = ADDRESS
         self.node = "runner"
         self.digest = ""
--- a/hawthornspoke/spread/tests/test_agents.py
+++ b/hawthornspoke/spread/tests/test_agents.py
@@ -4,6 +4,7 @@
 import random
 
 from hawthornspoke.base import digest_of, is_failure
+from hawthornspoke.base.tests.addresses import random_port
 from hawthornspoke.catalog import EndpointEntry
 from hawthornspoke.catalog.tests.profiles import engine_profile
 from hawthornspoke.peering import connect, make_directive, peer_endpoints
@@ -24,7 +25,7 @@
 ENGINE = engine_profile(
     step_per_request=0.0, layers=LAYERS, pieces=PIECES, piece_bytes=SIZE
 )
-PORT = random.randrange(21000, 25000)
+PORT = random_port(21000, 25000)
 
 
 def piece(version, index):
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -18,6 +18,8 @@
 
 import urllib3
 
+from hawthornspoke.base.tests.addresses import random_net
+
 FAILURE_DOMAINS = ("anderlecht", "gent-noord", "herstal")
 REGIONS = {
     "anderlecht": "bruxelles",
@@ -81,8 +83,7 @@
         self.folder = Path(tempfile.mkdtemp(prefix="hawthornspoke-"))
         self.process_by_name = {}
         self.http = urllib3.PoolManager(maxsize=64, retries=False)
-        net = random.randrange(1, 250)
-        self.net = f"127.{net}"
+        self.net = random_net()
         self.base_port = random.randrange(20000, 30000)
         self.platform_url = f"http://{self.net}.0.1:{self.base_port}"
         self.hosts = []
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -4,6 +4,7 @@
 separated by `` | ``. Empty lines and lines that start with ``#`` are ignored.
 """
 
+import os
 import re
 import subprocess
 import sys
@@ -13,6 +14,10 @@
 MAX_ENTRIES = 3
 TESTS_FAILED = 1
 
+#: Maximum number of test processes beside each other. Tests assert times, so some
+#: processor cores are left to the programs that they start.
+MAX_WORKERS = 4
+
 
 def read_known_red():
     """Print the entries of KNOWN-RED.txt and return their test ids."""
@@ -32,7 +37,10 @@
         print(f"KNOWN-RED.txt has {len(listed)} entries; at most {MAX_ENTRIES} allowed")
         return 1
     pytest = Path(sys.executable).with_name("pytest")
-    completed = subprocess.run([pytest, "-rf"], stdout=subprocess.PIPE, text=True)
+    # Each file's tests stay in one worker, since they share fleets of processes.
+    workers = str(min(MAX_WORKERS, os.cpu_count() or 1))
+    command = [pytest, "-rf", "-n", workers, "--dist", "loadfile"]
+    completed = subprocess.run(command, stdout=subprocess.PIPE, text=True)
     print(completed.stdout)
     if completed.returncode != TESTS_FAILED:
         return completed.returncode
--- a/tests/test_binary.py
+++ b/tests/test_binary.py
@@ -1,6 +1,5 @@
 """The single-file executable runs the demo without starting other processes."""
 
-import random
 import subprocess
 import sys
 import time
@@ -8,6 +7,8 @@
 
 import pytest
 
+from hawthornspoke.base.tests.addresses import random_port
+
 ROOT = Path(__file__).parent.parent
 BINARY = ROOT / "dist" / "hawthornspoke"
 
@@ -35,7 +36,7 @@
     OSError and ends the loop. Its exit code is None until ``communicate`` has waited
     for it.
     """
-    port = str(random.randrange(15000, 20000))
+    port = str(random_port(15000, 20000))
     process = subprocess.Popen(
         [sys.executable, str(binary), "demo", "--once", "--port", port],
         cwd=tmp_path,
--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -1,10 +1,10 @@
 """State of RPC connections after failed calls."""
 
-import random
 import threading
 import time
 
 from hawthornspoke.base import monotonic
+from hawthornspoke.base.tests.addresses import random_port
 from hawthornspoke.protocol import (
     NOT_SENT,
     REPLY_LOST,
@@ -26,7 +26,7 @@
 
 
 def open_server():
-    port = random.randrange(30000, 32000)
+    port = random_port(30000, 32000)
     server = RpcServer(address=ADDRESS, port=port, handler=SlowHandler())
     server.open()
     return server, port
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -1,13 +1,13 @@
 """Engine drivers: truncated responses and proof that a request was not run."""
 
 import json
-import random
 
 import pytest
 
 from hawthornspoke.agent._engines import ENGINES, IncompleteResponse
 from hawthornspoke.agent._runs import Run
 from hawthornspoke.base import is_failure, monotonic
+from hawthornspoke.base.tests.addresses import random_port
 from hawthornspoke.protocol import EventKind, Submit
 from hawthornspoke.web import HttpServer, Response
 
@@ -17,7 +17,7 @@
 
 def run_request(response):
     """Run one request against an engine that returns the given response."""
-    port = random.randrange(12000, 15000)
+    port = random_port(12000, 15000)
     server = HttpServer(address=ADDRESS, port=port, handler=lambda request: response)
     server.open()
     body = json.dumps({"model": "m", "prompt": "p", "stream": True}).encode()
