--- a/hawthornspoke/placing/_endpoint.py
+++ b/hawthornspoke/placing/_endpoint.py
@@ -5,7 +5,7 @@
 from hawthornspoke.base import is_failure
 from hawthornspoke.placing._incarnation_tracker import IncarnationTracker
 from hawthornspoke.placing._prefill_backlog import PrefillBacklog
-from hawthornspoke.signals import LEAVING, LOAD, RATE_LIMIT, SIGNALS, SignalChanged
+from hawthornspoke.signals import LEAVING, RATE_LIMIT, SIGNALS, SignalChanged
 
 #: Smoothing factor of the failure rate. Five consecutive failures move it from 0 to
 #: two thirds, which is fast enough for an endpoint that gets several requests a
@@ -351,8 +351,6 @@
                 is_changed = signal.observe(value, now=now, rng=rng)
             if is_changed:
                 changes.append(self.signal_change(name, before=before))
-            if name == LOAD and value is not None:
-                self.record_load(value, now)
         self.restrictions = tuple(
             signal for signal in self.signal_by_name.values() if signal.restricts(now)
         )
--- a/hawthornspoke/placing/_fleet.py
+++ b/hawthornspoke/placing/_fleet.py
@@ -211,6 +211,7 @@
         load = message.value_by_signal.get(LOAD)
         if load is not None and not is_failure(load):
             self._estimate_remote_prompts(endpoint, load, now)
+            endpoint.record_load(load, now)
         changes = endpoint.observe_signals(message, now=now, rng=self._random)
         if any(changed.signal == LEAVING for changed in changes):
             self._update_subsets(now)
