--- a/hawthornspoke/relay/tests/test_signals.py
+++ b/hawthornspoke/relay/tests/test_signals.py
@@ -63,6 +63,24 @@
     run_scenario(scenario)
 
 
+def test_request_that_waits_for_a_permit_is_refused_if_its_endpoint_leaves():
+    """Guards against a permit that overrules what the endpoint says meanwhile."""
+
+    async def scenario():
+        endpoint = ScriptedEndpoint(*[answer(extra=("X-Rate-Limit: 4",))] * 9)
+        async with RelayHarness(endpoint) as harness:
+            assert (await harness.ask("again"))[0] == 200
+            waiting = asyncio.create_task(harness.ask("again"))
+            while not len(harness.rate_limits._waits):
+                await asyncio.sleep(0.005)
+            say(harness, "e0", leaving=True)
+            status, *_ = await waiting
+            assert status == 503
+            assert len(endpoint.requests) == 1
+
+    run_scenario(scenario)
+
+
 def test_stream_is_not_resumed_at_a_leaving_endpoint():
     """Guards against resumptions that bypass the check of new requests."""
 
@@ -172,6 +190,21 @@
     run_scenario(scenario)
 
 
+def test_pause_holds_for_all_organisations():
+    """Guards against a pause that only binds the caller whose request was refused."""
+
+    async def scenario():
+        keys = {"k1": "first", "k2": "second"}
+        endpoint = ScriptedEndpoint(backing_off(60))
+        async with RelayHarness(endpoint, keys=keys) as harness:
+            for key in keys:
+                status, *_ = await harness.ask("again", extra=[f"X-Api-Key: {key}"])
+                assert status == 503
+            assert len(endpoint.requests) == 1
+
+    run_scenario(scenario)
+
+
 def test_pause_holds_for_routes_and_streams_alike():
     """Guards against a pause that only binds the kind of request that was refused."""
 
