Ignore what another endpoint at the address says of itself

An endpoint that has taken over an address refuses requests for the one before with 421, names itself, and carries its own signals. They counted for the one before: its load, and, new with them, that it leaves, which never ends. Found by reading; the test fails without the change.

--- a/hawthornspoke/relay/_signals.py
+++ b/hawthornspoke/relay/_signals.py
@@ -27,6 +27,7 @@
 
     __slots__ = (
         "_fleet",
+        "_endpoint_id_field",
         "_name_by_field",
         "_monitor",
         "_on_changed",
@@ -37,6 +38,7 @@
 
     def __init__(self, *, fleet, header_names, on_changed, log, metrics):
         self._fleet = fleet
+        self._endpoint_id_field = header_names.endpoint_id
         self._name_by_field = {
             field.lower(): name for name, field in header_names.signals.items()
         }
@@ -57,6 +59,10 @@
         """
         head, placement = attempt.head, attempt.placement
         self._monitor.observe(attempt)
+        responder = head.get(self._endpoint_id_field, placement.endpoint_id)
+        if responder != placement.endpoint_id:
+            # Another endpoint has the address now, and speaks of itself.
+            return
         message = SignalsObserved(
             endpoint_id=placement.endpoint_id,
             value_by_signal=self._decode(head, placement.endpoint_id),
--- a/hawthornspoke/relay/tests/test_signals.py
+++ b/hawthornspoke/relay/tests/test_signals.py
@@ -140,6 +140,22 @@
     run_scenario(scenario)
 
 
+def test_signals_of_another_endpoint_at_the_address_are_ignored():
+    """Guards against an endpoint that is left alone for what its successor said."""
+
+    async def scenario():
+        fields = ("X-Not-Run: 1", "X-Endpoint-Id: other", "X-Load: 9,9,9", LEAVING)
+        endpoint = ScriptedEndpoint(answer(421, b"", fields))
+        async with RelayHarness(endpoint) as harness:
+            await harness.ask("again")
+            state = harness.fleet.endpoint_by_id["e0"]
+            assert state.moved
+            assert not state.is_leaving
+            assert state.load == 0
+
+    run_scenario(scenario)
+
+
 def test_the_same_value_sent_twice_counts_once():
     async def scenario():
         step = answer(extra=(LEAVING, LEAVING))
