Test of a wait for a permit: no race between the wait and the news

The test polled until its request waited, without a limit. The wait itself brings the news now; the checks are the same.

--- a/hawthornspoke/relay/tests/test_signals.py
+++ b/hawthornspoke/relay/tests/test_signals.py
@@ -63,19 +63,30 @@
     run_scenario(scenario)
 
 
+class WaitingRateLimits:
+    """EndpointRateLimits with another ``wait_for_permit`` method."""
+
+    def __init__(self, rate_limits, wait_for_permit):
+        self.wait_for_permit = wait_for_permit
+        self.send_claims = rate_limits.send_claims
+
+
 def test_request_that_waits_for_a_permit_is_refused_if_its_endpoint_leaves():
     """Guards against a permit that overrules what the endpoint says meanwhile."""
 
     async def scenario():
-        endpoint = ScriptedEndpoint(*[answer(extra=("X-Rate-Limit: 4",))] * 9)
+        endpoint = ScriptedEndpoint(answer(extra=("X-Rate-Limit: 0.5",)))
         async with RelayHarness(endpoint) as harness:
             assert (await harness.ask("again"))[0] == 200
-            waiting = asyncio.create_task(harness.ask("again"))
-            while not len(harness.rate_limits._waits):
-                await asyncio.sleep(0.005)
-            say(harness, "e0", leaving=True)
-            status, *_ = await waiting
-            assert status == 503
+
+            async def wait_for_permit(endpoint_ids, *, time_left):
+                say(harness, "e0", leaving=True)
+                return True
+
+            harness.handler._forwarder._planner._rate_limits = WaitingRateLimits(
+                harness.rate_limits, wait_for_permit
+            )
+            assert (await harness.ask("again"))[0] == 503
             assert len(endpoint.requests) == 1
 
     run_scenario(scenario)
