Restore two cases of the decoding of rate limits; one limit of logged values

When the tests of the decoder moved to hawthornspoke/signals, a rate with spaces around it and a missing field were left behind; both are tested again, the second for all signals. The maximum length of a logged value stood in two modules. A comment, a docstring, a test's line and a mutation's name are worded plainly. Behaviour is as before.

--- a/hawthornspoke/relay/_rate_limits.py
+++ b/hawthornspoke/relay/_rate_limits.py
@@ -110,8 +110,8 @@
         frame : Frame
         """
         for update in decode_rate_limits(frame.rate_limits):
-            # Another agent divided the limit only while this one was away, and wasn't
-            # told of its end.
+            # Another agent divided the limit only while this one was away, and hasn't
+            # received its end.
             if self._allocator_address(update.endpoint_id) == address:
                 for changed in self._fleet.step(update, now=monotonic()):
                     log_signal_change(self._log, changed, source="entry_host")
--- a/hawthornspoke/relay/_signals.py
+++ b/hawthornspoke/relay/_signals.py
@@ -1,16 +1,16 @@
 """Reads what endpoints say of themselves in response heads."""
 
 from hawthornspoke.base import is_failure, monotonic
-from hawthornspoke.relay._response_fields import ResponseFieldMonitor
+from hawthornspoke.relay._response_fields import (
+    MAX_VALUE_LENGTH,
+    ResponseFieldMonitor,
+)
 from hawthornspoke.signals import INVALID_SIGNAL, SIGNALS, SignalsObserved
 
 #: Maximum number of endpoints and signals for which an invalid value is remembered, so
 #: that it is logged only once.
 MAX_REMEMBERED_INVALID = 500
 
-#: Maximum length of a value in the log.
-MAX_VALUE_LENGTH = 80
-
 
 class SignalReader:
     """Decodes all signals in each response head and passes them to the fleet.
@@ -126,7 +126,7 @@
     log : EventLog
     changed : SignalChanged
     source : str
-        ``"response"``, or ``"entry_host"`` if another one has told this host.
+        ``"response"``, or ``"entry_host"`` if another one has reported it.
     """
     log.change(
         "endpoint_signal",
--- a/hawthornspoke/relay/tests/test_signals.py
+++ b/hawthornspoke/relay/tests/test_signals.py
@@ -13,7 +13,7 @@
     stream_event,
     stream_head,
 )
-from hawthornspoke.signals import SignalsObserved
+from hawthornspoke.signals import SIGNALS, SignalsObserved
 
 LEAVING = "X-Leaving: 1"
 
@@ -167,6 +167,22 @@
     run_scenario(scenario)
 
 
+def test_missing_field_is_neither_valid_nor_invalid():
+    """Guards against an absent field that is decoded as a value."""
+
+    async def scenario():
+        async with RelayHarness(ScriptedEndpoint(answer())) as harness:
+            assert (await harness.ask("again"))[0] == 200
+            for name in SIGNALS.names():
+                for outcome in ("valid", "invalid"):
+                    counted = harness.metrics.counter_value(
+                        "endpoint_signals_total", signal=name, outcome=outcome
+                    )
+                    assert counted == 0
+
+    run_scenario(scenario)
+
+
 def test_the_same_value_sent_twice_counts_once():
     async def scenario():
         step = answer(extra=(LEAVING, LEAVING))
--- a/hawthornspoke/signals/tests/test_decoding.py
+++ b/hawthornspoke/signals/tests/test_decoding.py
@@ -30,6 +30,7 @@
         ("load", "8,2,8", 10),
         ("rate_limit", "1", 1.0),
         ("rate_limit", "0.5", 0.5),
+        ("rate_limit", " 2 ", 2.0),
         ("rate_limit", "0", 0.0),
     ],
 )
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -460,7 +460,7 @@
         test="hawthornspoke/signals/tests/test_backoff.py -k same_moment",
     ),
     Mutation(
-        name="backoff: refused callers are not told when it ends",
+        name="backoff: refused callers return before it ends",
         file="placing/_fleet.py",
         old="        if now < earliest < math.inf:",
         new="        if False:",
