Log what requests that an endpoint broke off have in common

`broken_off` lines list the shared features of a request (parts of its prompt), how long its answer had begun and whether it had an event; `answer_incomplete` lines show streams that end inside an event or before the first one without a broken connection. No decision changes.

--- a/hawthornspoke/quarantine/__init__.py
+++ b/hawthornspoke/quarantine/__init__.py
@@ -2,6 +2,13 @@
 
 from hawthornspoke.quarantine._evidence import EVIDENCE_LIFETIME, Evidence
 from hawthornspoke.quarantine._exchange import EvidenceExchange
+from hawthornspoke.quarantine._features import (
+    FEATURES,
+    RequestTraits,
+    features_of,
+    kind_of,
+    malformed_parts,
+)
 from hawthornspoke.quarantine._fingerprint import fingerprint_of
 from hawthornspoke.quarantine._messages import (
     EndpointEnded,
@@ -16,6 +23,7 @@
 
 __all__ = [
     "EVIDENCE_LIFETIME",
+    "FEATURES",
     "EndpointEnded",
     "Evidence",
     "EvidenceExchange",
@@ -25,7 +33,11 @@
     "Quarantined",
     "Released",
     "RequestCompleted",
+    "RequestTraits",
     "decode_evidence",
     "encode_evidence",
+    "features_of",
     "fingerprint_of",
+    "kind_of",
+    "malformed_parts",
 ]
--- a/hawthornspoke/relay/_context.py
+++ b/hawthornspoke/relay/_context.py
@@ -15,6 +15,8 @@
     fingerprint : str
         The same for identical requests of an organisation; empty until the caller is
         known.
+    features : tuple of str
+        The fingerprint, and what the request may share with others.
     catalog : Catalog or None
         The configuration by which the request was last allowed.
     deadline : float
@@ -48,6 +50,7 @@
         "reply",
         "request_id",
         "fingerprint",
+        "features",
         "catalog",
         "route",
         "service",
@@ -76,6 +79,7 @@
         self.reply = reply
         self.request_id = request_id
         self.fingerprint = ""
+        self.features = ()
         self.catalog = None
         self.route = None
         self.service = ""
--- a/hawthornspoke/relay/_dialect.py
+++ b/hawthornspoke/relay/_dialect.py
@@ -36,6 +36,9 @@
         Number of prompt tokens, and maximum number of output tokens.
     path : str
         Engines that the request passes through.
+    prompt_parts : str
+        Comma-separated ``ID:TOKENS`` parts of the prompt, which other requests may
+        share except for the last one.
     signals : dict of str to str
         Fields in which endpoints say something of themselves, by name in ``SIGNALS``;
         those left out have the names of the project's own protocol.
@@ -59,6 +62,7 @@
         "last_event",
         "tokens",
         "path",
+        "prompt_parts",
     )
     __slots__ = (*RESPONSE_FIELDS, *REQUEST_FIELDS, "signals")
 
@@ -79,6 +83,7 @@
         versions="X-Weights-Version",
         tokens="X-Tokens",
         path="X-Path",
+        prompt_parts="X-Prompt-Parts",
         signals=(),
     ):
         self.request_id = request_id
@@ -95,6 +100,7 @@
         self.versions = versions
         self.tokens = tokens
         self.path = path
+        self.prompt_parts = prompt_parts
         self.signals = {name: SIGNALS.get(name).HEADER for name in SIGNALS.names()}
         for name, field in dict(signals).items():
             if name not in SIGNALS:
--- a/hawthornspoke/relay/_handler.py
+++ b/hawthornspoke/relay/_handler.py
@@ -5,7 +5,7 @@
 from hawthornspoke.base import monotonic
 from hawthornspoke.catalog import choose_service
 from hawthornspoke.fields import parse_digits
-from hawthornspoke.quarantine import fingerprint_of
+from hawthornspoke.quarantine import RequestTraits, features_of, malformed_parts
 from hawthornspoke.relay._admission import CALLER_LEFT, UNCONFIRMED_RETRY_AFTER
 from hawthornspoke.relay._caller_retries import CallerRetryDetector
 from hawthornspoke.relay._context import RequestContext
@@ -50,6 +50,7 @@
         "_log",
         "_metrics",
         "_caller_retries",
+        "_has_logged_malformed",
     )
 
     def __init__(
@@ -64,6 +65,7 @@
         self._log = log
         self._metrics = metrics
         self._caller_retries = CallerRetryDetector()
+        self._has_logged_malformed = False
 
     @property
     def catalog(self):
@@ -114,7 +116,7 @@
             return refusal
         if context.request.lacks_memory:
             return 503, "memory", MEMORY_RETRY_AFTER
-        context.fingerprint = _fingerprint(context)
+        self._set_features(context)
         failure = self._suspects.refusal(context.fingerprint)
         if failure is not None:
             return 503, failure.code, failure.retry_after
@@ -124,6 +126,34 @@
             return 503, "no_time", None
         return None
 
+    def _set_features(self, context):
+        request, organisation = context.request, context.organisation
+        prompt_parts = request.get(self._header_names.prompt_parts, "")
+        traits = RequestTraits(
+            organisation=organisation.name if organisation else "",
+            method=request.method,
+            host=request.get("host", ""),
+            target=request.target,
+            body=request.body,
+            prompt_parts=prompt_parts,
+        )
+        context.features = features_of(traits)
+        context.fingerprint = context.features[0]
+        malformed = malformed_parts(prompt_parts)
+        if malformed:
+            self._record_malformed(context, malformed)
+
+    def _record_malformed(self, context, malformed):
+        self._metrics.count("malformed_prompt_parts_total", malformed)
+        if not self._has_logged_malformed:
+            self._has_logged_malformed = True
+            self._log.change(
+                "prompt_parts_malformed",
+                request=context.request_id,
+                route=context.route.name,
+                parts=malformed,
+            )
+
     def _set_deadlines(self, context):
         arrived = context.request.boottime_arrived_at
         value = context.request.get(self._header_names.deadline_ms, "")
@@ -236,14 +266,3 @@
             retry_after=context.retry_after,
             seconds=round(elapsed, 4),
         )
-
-
-def _fingerprint(context):
-    request, organisation = context.request, context.organisation
-    return fingerprint_of(
-        organisation=organisation.name if organisation else "",
-        method=request.method,
-        host=request.get("host", ""),
-        target=request.target,
-        body=request.body,
-    )
--- a/hawthornspoke/relay/_sending.py
+++ b/hawthornspoke/relay/_sending.py
@@ -1,6 +1,6 @@
 """Sends requests to endpoints, after a last check right before the write."""
 
-from hawthornspoke.base import Failure
+from hawthornspoke.base import Failure, monotonic
 from hawthornspoke.relay._try import Attempt
 
 
@@ -146,7 +146,24 @@
             endpoint=attempt.placement.endpoint_id,
             started_ms=attempt.placement.incarnation.started_ms,
             began=attempt.head is not None,
+            since_head=_seconds_since_head(attempt),
+            events_received=attempt.has_events,
             events_passed_on=context.reply.started,
+            shared=list(context.features[1:]),
+        )
+
+    def log_incomplete(self, context, attempt):
+        """Log a stream that ended inside an event, or before the first one."""
+        self._log.change(
+            "answer_incomplete",
+            request=context.request_id,
+            fingerprint=context.fingerprint,
+            service=context.service,
+            endpoint=attempt.placement.endpoint_id,
+            since_head=_seconds_since_head(attempt),
+            events_received=attempt.has_events,
+            reason=context.last_reason,
+            shared=list(context.features[1:]),
         )
 
     def _record_ejection(self, ejected):
@@ -168,3 +185,7 @@
             time_left=round(context.deadline - self._admission.clock(), 3),
             contact_age=self._admission.contact_age(),
         )
+
+
+def _seconds_since_head(attempt):
+    return None if attempt.head_at is None else round(monotonic() - attempt.head_at, 3)
--- a/hawthornspoke/relay/_streams.py
+++ b/hawthornspoke/relay/_streams.py
@@ -89,9 +89,13 @@
             if not data:
                 if splitter.has_partial_event():
                     context.last_reason = "the stream ended in the middle of an event"
-                return not splitter.has_partial_event() and context.reply.started
+                is_complete = not splitter.has_partial_event() and context.reply.started
+                if not is_complete:
+                    self._sender.log_incomplete(context, attempt)
+                return is_complete
             events = splitter.feed(data)
             if events:
+                attempt.has_events = True
                 self._start(context, head)
                 await context.reply.write(events)
             if splitter.error:
--- a/hawthornspoke/relay/_try.py
+++ b/hawthornspoke/relay/_try.py
@@ -38,6 +38,13 @@
         Called with an EndpointEjected if its outcome ejects the endpoint.
     account : MemoryAccount or None, default=None
         Of the caller.
+
+    Attributes
+    ----------
+    head_at : float or None
+        When the response head arrived, on the monotonic clock.
+    has_events : bool
+        Whether a complete event of a stream has arrived in this attempt.
     """
 
     __slots__ = (
@@ -46,6 +53,8 @@
         "exchange",
         "head",
         "sent_at",
+        "head_at",
+        "has_events",
         "_pool",
         "_fleet",
         "_header_names",
@@ -78,6 +87,8 @@
         self.exchange = None
         self.head = None
         self.sent_at = None
+        self.head_at = None
+        self.has_events = False
         self._pool = pool
         self._fleet = fleet
         self._header_names = header_names
@@ -175,6 +186,7 @@
             self.fail()
             return MAY_HAVE_RUN.with_reason(f"{head.code}: {head.reason}")
         self.head = head
+        self.head_at = monotonic()
         self._on_head(self)
         if (
             head.status == MISDIRECTED
