Record further ends of a request whose earlier ones were cleared

Cause: a request has room for eight ends, and cleared ones (mass failures, answers) use it up for good: each later end was dropped, at entry hosts and agents alike, so the count stayed at eight cleared ends.

Ends of either kind have their own room now; the oldest cleared one makes place. The new test failed before.

--- a/hawthornspoke/quarantine/_evidence.py
+++ b/hawthornspoke/quarantine/_evidence.py
@@ -8,7 +8,8 @@
 #: Lifetime of evidence in seconds.
 EVIDENCE_LIFETIME = 900.0
 
-#: Maximum number of requests with evidence, and of endpoint ends recorded for each.
+#: Maximum number of requests with evidence, and of endpoint ends recorded for each:
+#: of those it may have caused, and of those it is known not to have caused.
 MAX_REQUESTS = 512
 MAX_ENDS_PER_REQUEST = 8
 
@@ -70,8 +71,15 @@
         known = item_by_incarnation.get(item.incarnation_id)
         if known is not None and (known.cleared or not item.cleared):
             return False
-        if known is None and len(item_by_incarnation) >= MAX_ENDS_PER_REQUEST:
-            return False
+        alike = [
+            incarnation_id
+            for incarnation_id, other in item_by_incarnation.items()
+            if other.cleared == item.cleared
+        ]
+        if len(alike) >= MAX_ENDS_PER_REQUEST:
+            if not item.cleared:
+                return False
+            del item_by_incarnation[alike[0]]
         item_by_incarnation[item.incarnation_id] = item
         # Inserted again, so that requests are ordered by their latest evidence.
         self._items_by_fingerprint.pop(item.fingerprint, None)
--- a/hawthornspoke/quarantine/tests/test_quarantine.py
+++ b/hawthornspoke/quarantine/tests/test_quarantine.py
@@ -13,7 +13,7 @@
     Released,
     RequestCompleted,
 )
-from hawthornspoke.quarantine._evidence import MAX_REQUESTS
+from hawthornspoke.quarantine._evidence import MAX_ENDS_PER_REQUEST, MAX_REQUESTS
 
 
 def end(machine, incarnation_id, *fingerprints, now, in_use=10, idle_ended=()):
@@ -244,6 +244,19 @@
     assert len(machine.evidence(now=100.0)) < 10
 
 
+def test_cleared_ends_leave_room_for_those_that_a_request_caused():
+    """Guards against a poison request whose recorded ends are all cleared ones."""
+    machine = Quarantine()
+    for number in range(3 * MAX_ENDS_PER_REQUEST):
+        end(machine, f"m{number}", "poison", now=float(number))
+        machine.step(RequestCompleted(fingerprint="poison"), now=number + 0.5)
+    assert not is_refused(machine, "poison", now=29.0)
+    for number in range(3):
+        end(machine, f"e{number}", "poison", now=30.0 + number)
+    assert is_refused(machine, "poison", now=33.0)
+    assert len(machine.evidence(now=33.0)) <= 2 * MAX_ENDS_PER_REQUEST
+
+
 ITEMS = strategies.builds(
     Evidence,
     fingerprint=strategies.sampled_from(["a", "b", "c"]),
