--- a/hawthornspoke/entry/_quarantine_sync.py
+++ b/hawthornspoke/entry/_quarantine_sync.py
@@ -13,6 +13,7 @@
     EvidenceUpdate,
     Quarantine,
     Quarantined,
+    Released,
     RequestCompleted,
     decode_evidence,
     encode_evidence,
@@ -116,7 +117,7 @@
                     outcome.fingerprint,
                     ", ".join(outcome.incarnation_ids),
                 )
-            else:
+            elif isinstance(outcome, Released):
                 logger.info(
                     "request with fingerprint {} released from quarantine",
                     outcome.fingerprint,
--- a/hawthornspoke/fields/_fields.py
+++ b/hawthornspoke/fields/_fields.py
@@ -252,6 +252,14 @@
     return [text({name: value}, name) for value in values]
 
 
+def numbers(obj, name, default=REQUIRED):
+    """Return a list of numbers, each as accepted by :func:`number`."""
+    values = items(obj, name, default)
+    if values is default:
+        return values
+    return [number({name: value}, name) for value in values]
+
+
 def _default_or_raise(name, default):
     if default is REQUIRED:
         raise FieldError(f"{name}: missing")
--- a/hawthornspoke/mirror/_quarantine_record.py
+++ b/hawthornspoke/mirror/_quarantine_record.py
@@ -11,7 +11,7 @@
 from hawthornspoke import fields
 from hawthornspoke.base import is_failure, monotonic
 from hawthornspoke.mirror._types import RowWritten
-from hawthornspoke.quarantine import EVIDENCE_LIFETIME, Evidence
+from hawthornspoke.quarantine import EVIDENCE_LIFETIME, Evidence, counted_ends
 
 #: Table and key of the only row, whose size is bounded for any number of requests.
 QUARANTINE_TABLE = "quarantine"
@@ -33,16 +33,17 @@
 
 
 class _Entry:
-    """A request in quarantine, with the incarnations that ended while running it.
+    """A feature of requests in quarantine, with the incarnations that ended under it.
 
-    ``until`` is the end of the quarantine in seconds on the platform's clock.
+    ``until`` is the end of the quarantine in seconds on the platform's clock, and
+    ``until_by_incarnation`` that of each evidence.
     """
 
-    __slots__ = ("fingerprint", "incarnation_ids", "until")
+    __slots__ = ("fingerprint", "until_by_incarnation", "until")
 
-    def __init__(self, *, fingerprint, incarnation_ids, until):
+    def __init__(self, *, fingerprint, until_by_incarnation, until):
         self.fingerprint = fingerprint
-        self.incarnation_ids = incarnation_ids
+        self.until_by_incarnation = until_by_incarnation
         self.until = until
 
 
@@ -94,10 +95,10 @@
             Evidence(
                 fingerprint=entry.fingerprint,
                 incarnation_id=incarnation_id,
-                deadline=now + min(entry.until - made_at, EVIDENCE_LIFETIME),
+                deadline=now + min(until - made_at, EVIDENCE_LIFETIME),
             )
             for entry in entries
-            for incarnation_id in entry.incarnation_ids
+            for incarnation_id, until in entry.until_by_incarnation.items()
         )
         if items:
             self._suspects.merge_recorded(items)
@@ -157,15 +158,26 @@
     return [
         _Entry(
             fingerprint=fingerprint,
-            incarnation_ids=[item.incarnation_id for item in known][
-                :MAX_INCARNATIONS_PER_REQUEST
-            ],
+            until_by_incarnation={
+                incarnation_id: made_at + deadline - now
+                for incarnation_id, deadline in _counted_deadlines(fingerprint, known)
+            },
             until=made_at + min(item.deadline for item in known) - now,
         )
         for fingerprint, known in items_by_fingerprint.items()
     ]
 
 
+def _counted_deadlines(fingerprint, items):
+    """Return incarnation ids and deadlines of the evidence to record."""
+    deadline_by_incarnation = {item.incarnation_id: item.deadline for item in items}
+    counted = counted_ends(fingerprint, deadline_by_incarnation)
+    return [
+        (incarnation_id, deadline_by_incarnation[incarnation_id])
+        for incarnation_id in counted[:MAX_INCARNATIONS_PER_REQUEST]
+    ]
+
+
 def _merge_entries(entries, added, made_at):
     """Return the entries of the row after adding some, ordered by expiry."""
     added_fingerprints = {entry.fingerprint for entry in added}
@@ -182,8 +194,11 @@
     items = [
         {
             "fingerprint": entry.fingerprint,
-            "starts": entry.incarnation_ids,
+            "starts": list(entry.until_by_incarnation),
             "until_ms": int(entry.until * MS),
+            "until_ms_by_start": [
+                int(until * MS) for until in entry.until_by_incarnation.values()
+            ],
         }
         for entry in entries
     ]
@@ -194,10 +209,19 @@
 def _decode(data):
     tree = fields.parse_object(data)
     return [
-        _Entry(
-            fingerprint=fields.text(item, "fingerprint"),
-            incarnation_ids=fields.texts(item, "starts")[:MAX_INCARNATIONS_PER_REQUEST],
-            until=fields.number(item, "until_ms") / MS,
-        )
-        for item in fields.children(tree, "requests")[:MAX_REQUESTS]
+        _decode_entry(item) for item in fields.children(tree, "requests")[:MAX_REQUESTS]
     ]
+
+
+def _decode_entry(item):
+    incarnation_ids = fields.texts(item, "starts")[:MAX_INCARNATIONS_PER_REQUEST]
+    until = fields.number(item, "until_ms") / MS
+    # Rows of earlier builds have only the time of the whole entry.
+    untils = [value / MS for value in fields.numbers(item, "until_ms_by_start", [])]
+    if len(untils) < len(incarnation_ids):
+        untils = [until] * len(incarnation_ids)
+    return _Entry(
+        fingerprint=fields.text(item, "fingerprint"),
+        until_by_incarnation=dict(zip(incarnation_ids, untils, strict=False)),
+        until=until,
+    )
--- a/hawthornspoke/quarantine/__init__.py
+++ b/hawthornspoke/quarantine/__init__.py
@@ -1,5 +1,6 @@
 """Detection and quarantine of requests that crash the endpoints that run them."""
 
+from hawthornspoke.quarantine._blame import BLAME_RULES, counted_ends
 from hawthornspoke.quarantine._evidence import EVIDENCE_LIFETIME, Evidence
 from hawthornspoke.quarantine._exchange import EvidenceExchange
 from hawthornspoke.quarantine._features import (
@@ -11,29 +12,37 @@
 )
 from hawthornspoke.quarantine._fingerprint import fingerprint_of
 from hawthornspoke.quarantine._messages import (
+    Blocked,
     EndpointEnded,
     EvidenceReceived,
     EvidenceUpdate,
+    Isolated,
     Quarantined,
     Released,
     RequestCompleted,
+    Suspected,
 )
 from hawthornspoke.quarantine._quarantine import Quarantine
 from hawthornspoke.quarantine._wire import decode_evidence, encode_evidence
 
 __all__ = [
+    "BLAME_RULES",
     "EVIDENCE_LIFETIME",
     "FEATURES",
+    "Blocked",
     "EndpointEnded",
     "Evidence",
     "EvidenceExchange",
     "EvidenceReceived",
     "EvidenceUpdate",
+    "Isolated",
     "Quarantine",
     "Quarantined",
     "Released",
     "RequestCompleted",
     "RequestTraits",
+    "Suspected",
+    "counted_ends",
     "decode_evidence",
     "encode_evidence",
     "features_of",
--- a/hawthornspoke/quarantine/_evidence.py
+++ b/hawthornspoke/quarantine/_evidence.py
@@ -1,34 +1,42 @@
-"""Evidence of which requests were running at endpoints when these ended.
+"""Evidence of what was running at endpoints when these ended.
 
 The end of an endpoint is the exit of its process, usually by a crash.
 """
 
 from dataclasses import dataclass
 
+from hawthornspoke.quarantine._features import kind_of
+
 #: Lifetime of evidence in seconds.
 EVIDENCE_LIFETIME = 900.0
 
-#: Maximum number of requests with evidence, and of endpoint ends recorded for each:
-#: of those it may have caused, and of those it is known not to have caused.
+#: Maximum number of features with evidence, and of endpoint ends recorded for each:
+#: of those it may have caused, and of those it is known not to have caused. Shared
+#: features have more, as many requests with one may run when it is recognized.
 MAX_REQUESTS = 512
 MAX_ENDS_PER_REQUEST = 8
+MAX_ENDS_PER_SHARED_FEATURE = 32
+
+#: A full store evicts this part of its features at once, as it has to sort them.
+EVICTED_PART = 16
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Evidence:
-    """A request was running at an endpoint when the endpoint ended.
+    """A request with a feature was running at an endpoint when the endpoint ended.
 
     Parameters
     ----------
     fingerprint : str
-        Of the request.
+        Of the feature: the whole request, or something that requests share; see
+        ``features_of``.
     incarnation_id : str
         Id of one incarnation (process run) of the endpoint: the endpoint's id, and the
         start time of the process if it is known.
     deadline : float
         Expiry on the monotonic clock.
     cleared : bool, default=False
-        Whether the request is known not to have caused this end.
+        Whether the feature is known not to have caused this end.
     """
 
     fingerprint: str
@@ -36,6 +44,11 @@
     deadline: float
     cleared: bool = False
 
+    @property
+    def ended_at(self):
+        """When the endpoint ended, on the monotonic clock of this process."""
+        return self.deadline - EVIDENCE_LIFETIME
+
 
 class EvidenceStore:
     """Bounded store of evidence, by request and endpoint incarnation.
@@ -44,10 +57,11 @@
     order: adding an item is idempotent, and a cleared item stays cleared.
     """
 
-    __slots__ = ("_items_by_fingerprint",)
+    __slots__ = ("_items_by_fingerprint", "_ended_at_by_incarnation")
 
     def __init__(self):
         self._items_by_fingerprint = {}
+        self._ended_at_by_incarnation = {}
 
     def add(self, item, *, now):
         """Add an item.
@@ -76,11 +90,18 @@
             for incarnation_id, other in item_by_incarnation.items()
             if other.cleared == item.cleared
         ]
-        if len(alike) >= MAX_ENDS_PER_REQUEST:
-            if not item.cleared:
+        is_shared = kind_of(item.fingerprint).IS_SHARED
+        limit = MAX_ENDS_PER_SHARED_FEATURE if is_shared else MAX_ENDS_PER_REQUEST
+        if len(alike) >= limit:
+            if not item.cleared and not is_shared:
                 return False
+            # A mass failure may have left the older ones.
             del item_by_incarnation[alike[0]]
         item_by_incarnation[item.incarnation_id] = item
+        self._ended_at_by_incarnation[item.incarnation_id] = min(
+            item.ended_at,
+            self._ended_at_by_incarnation.get(item.incarnation_id, float("inf")),
+        )
         # Inserted again, so that requests are ordered by their latest evidence.
         self._items_by_fingerprint.pop(item.fingerprint, None)
         self._items_by_fingerprint[item.fingerprint] = item_by_incarnation
@@ -104,6 +125,27 @@
             return []
         return [item for item in item_by_incarnation.values() if now < item.deadline]
 
+    def ended_at_by_incarnation(self, fingerprint, *, now):
+        """Return when the endpoints ended that a feature may have crashed.
+
+        Evidence that another process sent ages on its way, so the earliest time known
+        of an end is the best one.
+
+        Parameters
+        ----------
+        fingerprint : str
+        now : float
+
+        Returns
+        -------
+        dict of str to float
+        """
+        return {
+            item.incarnation_id: self._ended_at_by_incarnation[item.incarnation_id]
+            for item in self.items_of(fingerprint, now=now)
+            if not item.cleared
+        }
+
     def suspected_incarnations(self, fingerprint, *, now):
         """Return the endpoint incarnations that a request may have crashed.
 
@@ -116,11 +158,7 @@
         -------
         frozenset of str
         """
-        return frozenset(
-            item.incarnation_id
-            for item in self.items_of(fingerprint, now=now)
-            if not item.cleared
-        )
+        return frozenset(self.ended_at_by_incarnation(fingerprint, now=now))
 
     def incarnations(self):
         """Return all endpoint incarnations that have ended, cleared or not.
@@ -144,6 +182,7 @@
         for fingerprint in self.fingerprints():
             if not self.items_of(fingerprint, now=now):
                 del self._items_by_fingerprint[fingerprint]
+        self._forget_ends()
 
     def __contains__(self, fingerprint):
         return fingerprint in self._items_by_fingerprint
@@ -155,11 +194,21 @@
         by_fingerprint = self._items_by_fingerprint
         if len(by_fingerprint) <= MAX_REQUESTS:
             return
-        # Many requests run alongside one that crashes endpoints. Most of them have
-        # evidence of one end only, and together they must not evict the cause, which
-        # has evidence of several.
-        oldest = next(iter(by_fingerprint))
-        seen_at_one_end = (
-            name for name, items in by_fingerprint.items() if len(items) == 1
-        )
-        del by_fingerprint[next(seen_at_one_end, oldest)]
+        # Many requests run alongside one that crashes endpoints, and a caller may name
+        # any number of parts. Most of these features have evidence of one end only,
+        # and together they must not evict the cause, which has evidence of several.
+        # The sort is stable: the oldest ones go first.
+        by_suspicion = sorted(by_fingerprint, key=self._uncleared_count)
+        for name in by_suspicion[: MAX_REQUESTS // EVICTED_PART]:
+            del by_fingerprint[name]
+        self._forget_ends()
+
+    def _forget_ends(self):
+        """Forget the times of ends that no evidence refers to any more."""
+        known = self.incarnations()
+        for incarnation_id in self._ended_at_by_incarnation.keys() - known:
+            del self._ended_at_by_incarnation[incarnation_id]
+
+    def _uncleared_count(self, fingerprint):
+        items = self._items_by_fingerprint[fingerprint].values()
+        return sum(not item.cleared for item in items)
--- a/hawthornspoke/quarantine/_messages.py
+++ b/hawthornspoke/quarantine/_messages.py
@@ -12,7 +12,7 @@
     incarnation_id : str
         Id of the endpoint's incarnation; see ``Evidence``.
     fingerprints : tuple of str
-        Of this host's requests that ran there.
+        Features of this host's requests that may have crashed it.
     other_endpoints_in_use : int
         Number of endpoints that still run requests of this host.
     idle_ended : tuple of str
@@ -45,9 +45,13 @@
     Parameters
     ----------
     fingerprint : str
+        Of the whole request.
+    shared : tuple of str, default=()
+        Its other features, if the answer proves that they crash no endpoint.
     """
 
     fingerprint: str
+    shared: tuple = ()
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -64,22 +68,41 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Quarantined:
-    """A request was quarantined and is no longer sent to endpoints.
+    """Requests with a feature were quarantined and are no longer sent to endpoints.
 
     Parameters
     ----------
     fingerprint : str
+        Of the feature.
     incarnation_ids : tuple of str
-        Incarnations of the endpoints that ended while running it.
+        Incarnations of the endpoints that ended while running such requests.
     """
 
     fingerprint: str
     incarnation_ids: tuple
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Suspected:
+    """One of some features crashes endpoints, and nothing tells yet which one.
+
+    Requests with all of them are no longer sent, those with some one at a time.
+
+    Parameters
+    ----------
+    fingerprints : tuple of str
+        Of the features.
+    incarnation_ids : tuple of str
+        Incarnations of the endpoints that ended while running such requests.
+    """
+
+    fingerprints: tuple
+    incarnation_ids: tuple
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Released:
-    """A request was released from quarantine.
+    """A feature is no longer suspected or in quarantine.
 
     Parameters
     ----------
@@ -87,3 +110,35 @@
     """
 
     fingerprint: str
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Blocked:
+    """A request may not be sent.
+
+    Parameters
+    ----------
+    features : frozenset of str
+        Those of its features that are in quarantine.
+    deadline : float
+        End of the quarantine.
+    """
+
+    features: frozenset
+    deadline: float
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Isolated:
+    """A request may be sent while no other such request of this host is running.
+
+    Parameters
+    ----------
+    features : frozenset of str
+        Those of its features that are suspected.
+    free_at : float
+        Time from which it may be sent.
+    """
+
+    features: frozenset
+    free_at: float
--- a/hawthornspoke/quarantine/_quarantine.py
+++ b/hawthornspoke/quarantine/_quarantine.py
@@ -1,30 +1,43 @@
 """State machine that decides which requests are no longer sent to endpoints."""
 
+import collections
+
 from hawthornspoke.base import MACHINES, Bounds, Machine
+from hawthornspoke.quarantine._blame import (
+    BLAME_RULES,
+    SIMULTANEOUS_WINDOW,
+    count_ends,
+)
 from hawthornspoke.quarantine._evidence import (
     EVIDENCE_LIFETIME,
     Evidence,
     EvidenceStore,
 )
+from hawthornspoke.quarantine._features import kind_of
 from hawthornspoke.quarantine._messages import (
+    Blocked,
     EndpointEnded,
     EvidenceReceived,
     EvidenceUpdate,
+    Isolated,
     Quarantined,
     Released,
     RequestCompleted,
+    Suspected,
 )
+from hawthornspoke.quarantine._trials import Trials
 
 #: Messages that the machine handles.
 MESSAGES = (RequestCompleted, EndpointEnded, EvidenceReceived)
 
-#: A request isn't quarantined while another request that was running when the same
-#: endpoints ended may be the cause. Once it has this many ends more than the threshold,
-#: it is quarantined anyway.
+#: Number of ends above the threshold from which a request that never ran alone is
+#: refused, and a feature that was answered before as well.
 SHARED_ENDS_MARGIN = 2
 
-#: Window in seconds within which endpoint ends count as one event.
-SIMULTANEOUS_WINDOW = 0.1
+#: Seconds for which an answer makes it unlikely that its features crash endpoints, and
+#: maximum number of features with such an answer.
+ANSWER_LIFETIME = 60.0
+MAX_ANSWERED = 4096
 
 #: Number of endpoints that end together, and their share of the endpoints in use by a
 #: host, from which the cause is assumed not to be a request: no request runs at that
@@ -48,44 +61,72 @@
     """Separates requests that crash endpoints from those that ran beside them.
 
     A "query of death" may crash each process that starts to run it. The caller repeats
-    it under new ids and at other hosts, so that more and more endpoints are lost. A
-    request that was running when enough endpoints ended, and whose ends aren't
-    explained by another request, is refused without being sent.
+    it under new ids and at other hosts, or other requests share the part that crashes,
+    so that more and more endpoints are lost. Requests with a feature that was running
+    when enough endpoints ended, and whose ends aren't explained by another feature, are
+    refused without being sent.
 
     Parameters
     ----------
     end_threshold : int, default=3
-        Number of endpoint ends from which a request is quarantined.
+        Number of endpoint ends from which a feature is suspected.
+    rule : str, default="explanation"
+        Name in ``BLAME_RULES``.
+    phase : float, default=0.0
+        Position of this host among all hosts, drawn from 0 to 1, which keeps them from
+        testing a suspected feature at the same time.
+    hosts : int, default=1
+        Number of these hosts.
 
     Notes
     -----
-    The ends of a request are those of endpoints at which it was running. A request that
-    an endpoint completes is cleared: its earlier ends no longer count. If most
-    endpoints in use end at once, these ends don't count against requests that ran at
-    only some of them, unless a request had been one end short of the threshold before.
-
-    An end doesn't count against a request if another request that ran there has at
-    least as many ends. The one that is the cause gets another end as soon as it is sent
-    again; with ``SHARED_ENDS_MARGIN`` ends above the threshold, a request is refused in
-    any case.
+    The ends of a feature are those of endpoints at which a request with it was running.
+    A feature of a request that an endpoint completes is cleared: its earlier ends no
+    longer count. If most endpoints in use end at once, these ends don't count against
+    requests that ran at only some of them, unless a request had been one end short of
+    the threshold before.
+
+    If nothing tells some features apart, requests with all of them are refused, and
+    those with some of them run one at a time: an answer clears them, and an end shows
+    which one is the cause. Whole requests that nothing tells apart are refused with
+    ``SHARED_ENDS_MARGIN`` ends above the threshold. A feature that was answered not
+    long before is run one at a time until it has that many ends as well, as it has
+    probably only been beside the cause.
     """
 
     __slots__ = (
         "end_threshold",
+        "rule",
+        "phase",
+        "hosts",
         "_store",
         "_recent_end_by_incarnation",
+        "_suspicions",
         "_quarantined",
+        "_answered_at_by_feature",
+        "_trials",
     )
-    PARAMS = {"end_threshold": Bounds(kind=int, low=1)}
-
-    def __init__(self, *, end_threshold=3):
+    PARAMS = {
+        "end_threshold": Bounds(kind=int, low=1),
+        "rule": Bounds(kind=str),
+        "phase": Bounds(kind=float, low=0.0, high=1.0),
+        "hosts": Bounds(kind=int, low=1),
+    }
+
+    def __init__(self, *, end_threshold=3, rule="explanation", phase=0.0, hosts=1):
         self.end_threshold = end_threshold
+        self.rule = rule
+        self.phase = phase
+        self.hosts = hosts
         self._store = EvidenceStore()
         self._recent_end_by_incarnation = {}
+        self._suspicions = []
         self._quarantined = set()
+        self._answered_at_by_feature = collections.OrderedDict()
+        self._trials = Trials()
 
     def on_endpoint_ended(self, message, *, now):
-        """Add an endpoint's end as evidence against the requests that it was running.
+        """Add an endpoint's end as evidence against what it was running.
 
         Parameters
         ----------
@@ -94,12 +135,16 @@
 
         Returns
         -------
-        list of EvidenceUpdate, Quarantined or Released
+        list of EvidenceUpdate, Quarantined, Suspected or Released
         """
         end = self._recent_end_by_incarnation.setdefault(
             message.incarnation_id, _RecentEnd(at=now)
         )
-        end.fingerprints.update(message.fingerprints)
+        # Ends of shared features at the same time count once, so that a mass failure
+        # needs no further care.
+        end.fingerprints.update(
+            name for name in message.fingerprints if not kind_of(name).IS_SHARED
+        )
         # Idle endpoints that are known to have ended earlier, perhaps by the same
         # request, don't show that this end is part of a mass failure.
         if self._store.incarnations().isdisjoint(message.idle_ended):
@@ -114,7 +159,7 @@
             )
             for name in message.fingerprints
         ]
-        if self._is_mass_failure(message, now):
+        if self._is_mass_failure(message):
             items += self._clear_mass_failure(now)
         return self._merge(items, now)
 
@@ -128,12 +173,12 @@
 
         Returns
         -------
-        list of EvidenceUpdate, Quarantined or Released
+        list of EvidenceUpdate, Quarantined, Suspected or Released
         """
         return self._merge(message.items, now)
 
     def on_request_completed(self, message, *, now):
-        """Clear a request that an endpoint has completed.
+        """Clear the features of a request that an endpoint has completed.
 
         Parameters
         ----------
@@ -144,13 +189,65 @@
         -------
         list of EvidenceUpdate or Released
         """
-        if message.fingerprint not in self._store:
-            return []
-        known = self._store.items_of(message.fingerprint, now=now)
-        return self._merge([_cleared(item) for item in known], now)
+        for feature in message.shared:
+            self._answered_at_by_feature[feature] = now
+            self._answered_at_by_feature.move_to_end(feature)
+        while len(self._answered_at_by_feature) > MAX_ANSWERED:
+            self._answered_at_by_feature.popitem(last=False)
+        cleared = [
+            _cleared(item)
+            for feature in (message.fingerprint, *message.shared)
+            if feature in self._store
+            for item in self._store.items_of(feature, now=now)
+        ]
+        return self._merge(cleared, now) if cleared else []
+
+    def verdict(self, features, *, now):
+        """Decide whether a request may be sent.
+
+        Parameters
+        ----------
+        features : collection of str
+            Of the request.
+        now : float
+
+        Returns
+        -------
+        None, Blocked or Isolated
+            None if it may be sent.
+        """
+        isolated = set()
+        free_at = now
+        for suspicion, present, deadline in self._suspected_among(features, now):
+            if deadline <= now:
+                may_start_at = self._trials.free_at(
+                    suspicion, present, phase=self.phase, hosts=self.hosts, now=now
+                )
+                free_at = max(free_at, may_start_at)
+            elif not self._trials.is_due(present, now=now):
+                return Blocked(features=present, deadline=deadline)
+            isolated |= present
+        if not isolated:
+            return None
+        return Isolated(features=frozenset(isolated), free_at=free_at)
+
+    def begin_trial(self, features, *, now):
+        """Record that an isolated request is sent.
+
+        Parameters
+        ----------
+        features : collection of str
+            See ``Isolated``.
+        now : float
+        """
+        self._trials.begin(features, now=now)
+
+    def end_trial(self):
+        """Record that the isolated request has ended."""
+        self._trials.end()
 
     def quarantined_until(self, fingerprint, *, now):
-        """Return until when a request is quarantined.
+        """Return until when requests with a feature are quarantined.
 
         Parameters
         ----------
@@ -160,25 +257,18 @@
         Returns
         -------
         float or None
-            On the monotonic clock; None if it isn't quarantined.
+            On the monotonic clock; None if the feature alone is no reason to refuse a
+            request.
         """
-        if fingerprint not in self._quarantined:
-            return None
         deadlines = [
-            item.deadline
-            for item in self._store.items_of(fingerprint, now=now)
-            if not item.cleared
+            deadline
+            for _, _, deadline in self._suspected_among((fingerprint,), now)
+            if deadline > now
         ]
-        if len(deadlines) < self.end_threshold:
-            # The evidence has expired, which no message reports.
-            self._quarantined.discard(fingerprint)
-            return None
-        # The quarantine ends when so much evidence has expired that fewer ends than the
-        # threshold are left.
-        return sorted(deadlines)[-self.end_threshold]
+        return max(deadlines, default=None)
 
     def has_evidence(self, fingerprint):
-        """Return whether a request was running at an endpoint that ended.
+        """Return whether a feature was running at an endpoint that ended.
 
         Parameters
         ----------
@@ -214,52 +304,153 @@
                 if (deadline := self.quarantined_until(fingerprint, now=now))
                 is not None
             },
+            "suspected": [
+                sorted(suspicion.features)
+                for suspicion in self._suspicions
+                if len(suspicion.features) > 1
+            ],
+            "answered": len(self._answered_at_by_feature),
         }
 
     def _merge(self, items, now):
         added = tuple(item for item in items if self._store.add(item, now=now))
         if not added:
             return []
+        for item in added:
+            if not item.cleared:
+                self._trials.record_end(item.fingerprint, now=now)
         return [EvidenceUpdate(items=added), *self._update_quarantine(now)]
 
     def _update_quarantine(self, now):
-        """Update the quarantined requests; return the changes."""
-        incarnations_by_fingerprint = {
-            fingerprint: incarnations
+        """Update the suspected features; return the changes."""
+        ended_at_by_feature = {
+            fingerprint: ended_at
             for fingerprint in self._store.fingerprints()
             if len(
-                incarnations := self._store.suspected_incarnations(fingerprint, now=now)
+                ended_at := self._store.ended_at_by_incarnation(fingerprint, now=now)
             )
             >= self.end_threshold
         }
-        current = {
-            fingerprint
-            for fingerprint, incarnations in incarnations_by_fingerprint.items()
-            if self._is_cause(fingerprint, incarnations, incarnations_by_fingerprint)
+        answered = {
+            feature
+            for feature in ended_at_by_feature
+            if now < self._answered_until(feature)
         }
-        previous, self._quarantined = self._quarantined, current
+        previous = {item.features: item for item in self._suspicions}
+        self._suspicions = BLAME_RULES.get(self.rule)(
+            ended_at_by_feature, threshold=self.end_threshold, answered=answered
+        )
+        previously_quarantined = self._quarantined
+        self._quarantined = {
+            feature
+            for suspicion in self._suspicions
+            for feature in suspicion.features
+            if self._is_quarantined_alone(suspicion, feature, now)
+        }
+        for suspicion in self._suspicions:
+            for feature in suspicion.features:
+                self._trials.suspect(feature, phase=self.phase, now=now)
         quarantined = [
             Quarantined(
-                fingerprint=fingerprint,
-                incarnation_ids=tuple(sorted(incarnations_by_fingerprint[fingerprint])),
+                fingerprint=feature,
+                incarnation_ids=tuple(sorted(ended_at_by_feature[feature])),
+            )
+            for feature in sorted(self._quarantined - previously_quarantined)
+        ]
+        suspected = [
+            Suspected(
+                fingerprints=tuple(sorted(suspicion.features)),
+                incarnation_ids=tuple(sorted(suspicion.incarnation_ids)),
             )
-            for fingerprint in sorted(current - previous)
+            for suspicion in self._suspicions
+            if len(suspicion.features) > 1 and suspicion.features not in previous
         ]
-        return quarantined + [
-            Released(fingerprint=fingerprint)
-            for fingerprint in sorted(previous - current)
+        current = {feature for item in self._suspicions for feature in item.features}
+        released = sorted(
+            ({feature for features in previous for feature in features} - current)
+            | (previously_quarantined - self._quarantined - current)
+        )
+        for feature in released:
+            self._trials.forget(feature)
+        return [
+            *quarantined,
+            *suspected,
+            *(Released(fingerprint=feature) for feature in released),
         ]
 
-    def _is_cause(self, fingerprint, incarnations, incarnations_by_fingerprint):
-        if len(incarnations) >= self.end_threshold + SHARED_ENDS_MARGIN:
-            return True
-        unexplained = set(incarnations)
-        for other, other_incarnations in incarnations_by_fingerprint.items():
-            if other != fingerprint and len(other_incarnations) >= len(incarnations):
-                unexplained -= other_incarnations
-        return len(unexplained) >= self.end_threshold
+    def _suspected_among(self, features, now):
+        """Return the suspected ones of a request's features, by suspicion.
+
+        Returns
+        -------
+        list of tuple of (Suspicion, frozenset of str, float)
+            The suspicion, the features, and until when they are a reason to refuse the
+            request; ``now`` if it may run by itself.
+        """
+        if not self._suspicions:
+            return []
+        features = frozenset(features)
+        found = [
+            (suspicion, present, self._blocked_until(suspicion, present, now))
+            for suspicion in self._suspicions
+            if (present := suspicion.features & features)
+        ]
+        return [item for item in found if item[2] is not None]
+
+    def _is_quarantined_alone(self, suspicion, feature, now):
+        """Return whether requests with one feature of a suspicion are refused."""
+        count = self._count_ends(feature, now)
+        is_certain = count >= self.end_threshold + SHARED_ENDS_MARGIN
+        if len(suspicion.features) > 1:
+            return is_certain and not kind_of(feature).IS_SHARED
+        return is_certain or now >= self._answered_until(feature)
+
+    def _blocked_until(self, suspicion, present, now):
+        """Return until when requests with some features of a suspicion are refused.
+
+        Returns
+        -------
+        float or None
+            ``now`` if they may run one at a time; None if the evidence has expired,
+            which no message reports.
+        """
+        deadlines = {
+            feature: deadline
+            for feature in suspicion.features
+            if (deadline := self._suspected_until(feature, now)) is not None
+        }
+        if len(deadlines) < len(suspicion.features):
+            self._update_quarantine(now)
+            return None
+        alone = [deadlines[name] for name in present if name in self._quarantined]
+        if alone:
+            return max(alone)
+        if len(suspicion.features) > 1 and present == suspicion.features:
+            return min(deadlines.values())
+        return now
+
+    def _suspected_until(self, feature, now):
+        """Return when so much evidence has expired that too few ends are left."""
+        deadlines = sorted(
+            item.deadline
+            for item in self._store.items_of(feature, now=now)
+            if not item.cleared
+        )
+        if len(deadlines) < self.end_threshold:
+            return None
+        return deadlines[-self.end_threshold]
+
+    def _count_ends(self, feature, now):
+        return count_ends(
+            feature, self._store.ended_at_by_incarnation(feature, now=now)
+        )
+
+    def _answered_until(self, feature):
+        """Return until when an answer makes it unlikely that a feature is the cause."""
+        answered_at = self._answered_at_by_feature.get(feature, float("-inf"))
+        return answered_at + ANSWER_LIFETIME
 
-    def _is_mass_failure(self, message, now):
+    def _is_mass_failure(self, message):
         ended_together = len(self._recent_end_by_incarnation)
         in_use = ended_together + message.other_endpoints_in_use
         return (
--- /dev/null
+++ b/hawthornspoke/quarantine/tests/test_blame.py
@@ -0,0 +1,80 @@
+"""Rules that blame features for the ends of endpoints, and plays of them."""
+
+import pytest
+
+from hawthornspoke.quarantine import BLAME_RULES, counted_ends
+from hawthornspoke.quarantine.tests.play import MAX_REFUSED, cases, run_case
+
+
+def ended_at(*incarnations, step=1.0):
+    return {name: step * number for number, name in enumerate(incarnations)}
+
+
+def blamed(ended_at_by_feature, *, rule="explanation", answered=()):
+    suspicions = BLAME_RULES.get(rule)(
+        ended_at_by_feature, threshold=3, answered=frozenset(answered)
+    )
+    return [set(suspicion.features) for suspicion in suspicions]
+
+
+@pytest.mark.parametrize("rule", BLAME_RULES.names())
+def test_rule_blames_the_only_feature_with_enough_ends(rule):
+    evidence = {"part:a1": ended_at("e1", "e2", "e3"), "part:b1": ended_at("e1", "e2")}
+    assert blamed(evidence, rule=rule) == [{"part:a1"}]
+    assert blamed({}, rule=rule) == []
+
+
+@pytest.mark.parametrize("rule", BLAME_RULES.names())
+def test_rule_blames_no_part_for_a_mass_failure(rule):
+    """Guards against refusing a popular part after a rack has lost power."""
+    names = [f"e{number}" for number in range(12)]
+    evidence = {"part:a1": ended_at(*names, step=0.005)}
+    assert blamed(evidence, rule=rule) == []
+
+
+def test_whole_request_counts_at_each_end_and_a_part_at_each_event():
+    together = ended_at("e1", "e2", "e3", "e4", step=0.01)
+    assert len(counted_ends("f" * 24, together)) == 4
+    assert len(counted_ends("part:a1", together)) == 2
+    assert counted_ends("part:a1", ended_at("e1", "e2", "e3")) == ["e1", "e2", "e3"]
+
+
+def test_cause_explains_the_ends_of_parts_beside_it():
+    """Guards against refusing common parts while all endpoints are down."""
+    evidence = {
+        "part:dead": ended_at("e1", "e2", "e3", "e4", "e5", "e6"),
+        "part:a1": ended_at("e1", "e3", "e5"),
+        "part:a2": ended_at("e2", "e4", "e6"),
+    }
+    assert blamed(evidence) == [{"part:dead"}]
+
+
+def test_two_causes_are_both_blamed():
+    """Guards against a rare crashing part whose ends the frequent one explains."""
+    evidence = {
+        "part:dead": ended_at("e1", "e2", "e3", "e4", "e5", "e6"),
+        "part:rare": ended_at("e7", "e8", "e9"),
+        "part:a1": ended_at("e1", "e2", "e3", "e7"),
+    }
+    assert blamed(evidence) == [{"part:dead"}, {"part:rare"}]
+
+
+def test_parts_that_always_come_together_are_suspected_together():
+    ends = ended_at("e1", "e2", "e3")
+    evidence = {"part:dead": ends, "part:a1": dict(ends)}
+    assert blamed(evidence) == [{"part:dead", "part:a1"}]
+    assert blamed(evidence, answered=["part:a1"]) == [{"part:dead"}]
+
+
+def test_answered_part_is_blamed_for_ends_that_nothing_else_explains():
+    """Guards against new weights that bring the fault to a part answered before."""
+    evidence = {"part:a1": ended_at("e1", "e2", "e3")}
+    assert blamed(evidence, answered=["part:a1"]) == [{"part:a1"}]
+
+
+@pytest.mark.parametrize("case", cases(seeds=range(36), rules=["explanation"]))
+def test_crashing_part_is_recognized_and_sound_ones_are_served(case):
+    """Guards against more crashes after the third, and sound parts that are refused."""
+    _, result = run_case(case)
+    assert result.sent_late == 0
+    assert result.longest_refusal <= MAX_REFUSED
--- /dev/null
+++ b/hawthornspoke/quarantine/tests/test_trials.py
@@ -0,0 +1,148 @@
+"""Requests with suspected features, which are sent one at a time."""
+
+from hawthornspoke.quarantine import (
+    Blocked,
+    EndpointEnded,
+    EvidenceReceived,
+    EvidenceUpdate,
+    Isolated,
+    Quarantine,
+    Quarantined,
+    RequestCompleted,
+    Suspected,
+)
+from hawthornspoke.quarantine._quarantine import ANSWER_LIFETIME
+from hawthornspoke.quarantine._trials import (
+    LEADER_DELAY,
+    RETRIAL_DELAY,
+    TIE_DELAY,
+    TRIAL_INTERVAL,
+    TRIAL_TIMEOUT,
+)
+
+DEAD, COMMON = "part:dead", "part:a1"
+
+
+def end(machine, incarnation_id, *features, now):
+    message = EndpointEnded(
+        incarnation_id=incarnation_id, fingerprints=features, other_endpoints_in_use=9
+    )
+    return machine.step(message, now=now)
+
+
+def suspect(machine, *features, count=3, now=0.0):
+    """End endpoints that run requests with some features."""
+    outcomes = []
+    for number in range(count):
+        outcomes += end(machine, f"e{now + number}", *features, now=now + number)
+    return outcomes
+
+
+def complete(machine, *shared, now):
+    message = RequestCompleted(fingerprint="f" * 24, shared=shared)
+    return machine.step(message, now=now)
+
+
+def test_requests_with_the_only_suspect_are_refused():
+    machine = Quarantine()
+    outcomes = suspect(machine, DEAD)
+    assert any(isinstance(outcome, Quarantined) for outcome in outcomes)
+    assert isinstance(machine.verdict((COMMON, DEAD), now=3.0), Blocked)
+    assert machine.verdict((COMMON,), now=3.0) is None
+
+
+def test_suspects_that_nothing_tells_apart_run_one_at_a_time():
+    """Guards against refusing a sound part that always comes with the crashing one."""
+    machine = Quarantine()
+    outcomes = suspect(machine, DEAD, COMMON)
+    (suspected,) = (item for item in outcomes if isinstance(item, Suspected))
+    assert suspected.fingerprints == (COMMON, DEAD)
+    now = 2.0 + TIE_DELAY
+    assert isinstance(machine.verdict((DEAD, COMMON), now=now), Blocked)
+    verdict = machine.verdict((COMMON,), now=now)
+    assert isinstance(verdict, Isolated) and verdict.free_at <= now
+    machine.begin_trial(verdict.features, now=now)
+    assert machine.verdict((COMMON,), now=now).free_at >= now + TRIAL_TIMEOUT
+    complete(machine, COMMON, now=now + 1.0)
+    machine.end_trial()
+    assert machine.verdict((COMMON,), now=now + 1.0) is None
+    assert isinstance(machine.verdict((DEAD,), now=now + 1.0), Blocked)
+
+
+def test_crash_of_an_isolated_request_tells_suspects_apart():
+    machine = Quarantine()
+    suspect(machine, DEAD, COMMON)
+    end(machine, "e9", DEAD, now=4.0)
+    assert isinstance(machine.verdict((DEAD,), now=4.0), Blocked)
+    assert machine.verdict((COMMON,), now=4.0) is None
+
+
+def test_requests_with_the_most_suspected_feature_wait_longer():
+    machine = Quarantine()
+    suspect(machine, DEAD, COMMON, count=4)
+    end(machine, "e9", DEAD, now=4.0)
+    assert machine.verdict((DEAD,), now=5.0).free_at >= 2.0 + LEADER_DELAY
+    assert machine.verdict((COMMON,), now=5.0).free_at == 5.0
+
+
+def test_hosts_send_isolated_requests_in_turn():
+    """Guards against one isolated request at each host in the same moment."""
+    hosts = 10
+    starts = []
+    for number in range(hosts):
+        machine = Quarantine(phase=number / hosts, hosts=hosts)
+        suspect(machine, DEAD, COMMON)
+        starts.append(machine.verdict((COMMON,), now=10.0).free_at)
+    starts.sort()
+    gaps = [later - first for first, later in zip(starts, starts[1:], strict=False)]
+    assert min(gaps) >= TRIAL_INTERVAL - 1e-6
+
+
+def test_part_that_was_answered_is_isolated_before_it_is_refused():
+    """Guards against refusing a popular part that was beside other crashes."""
+    machine = Quarantine()
+    complete(machine, COMMON, now=0.0)
+    suspect(machine, COMMON, now=1.0)
+    assert isinstance(machine.verdict((COMMON,), now=4.0), Isolated)
+    suspect(machine, COMMON, count=2, now=5.0)
+    assert isinstance(machine.verdict((COMMON,), now=7.0), Blocked)
+
+
+def test_answer_of_long_ago_is_no_reason_to_isolate():
+    machine = Quarantine()
+    complete(machine, COMMON, now=0.0)
+    suspect(machine, COMMON, now=ANSWER_LIFETIME + 1.0)
+    assert isinstance(machine.verdict((COMMON,), now=ANSWER_LIFETIME + 4.0), Blocked)
+
+
+def test_quarantined_part_is_tried_again_by_few_requests_of_all_hosts():
+    """Guards against a part that stays refused though its fault has been mended."""
+    hosts = [Quarantine(phase=number / 10, hosts=10) for number in range(10)]
+    for machine in hosts:
+        suspect(machine, DEAD)
+    sent = 0
+    for tick in range(int(4 * RETRIAL_DELAY / 0.1)):
+        now = 3.0 + 0.1 * tick
+        for machine in hosts:
+            verdict = machine.verdict((DEAD,), now=now)
+            if isinstance(verdict, Isolated) and verdict.free_at <= now:
+                machine.begin_trial(verdict.features, now=now)
+                sent += 1
+                news = [
+                    item
+                    for outcome in end(machine, f"t{sent}", DEAD, now=now)
+                    if isinstance(outcome, EvidenceUpdate)
+                    for item in outcome.items
+                ]
+                for other in hosts:
+                    other.step(EvidenceReceived(items=tuple(news)), now=now + 0.1)
+    assert 1 <= sent <= 3
+
+
+def test_answer_of_a_retrial_ends_the_quarantine():
+    machine = Quarantine()
+    suspect(machine, DEAD)
+    now = 3.0 + 2 * RETRIAL_DELAY
+    assert isinstance(machine.verdict((DEAD,), now=now), Isolated)
+    complete(machine, DEAD, now=now + 1.0)
+    assert machine.verdict((DEAD,), now=now + 1.0) is None
--- a/hawthornspoke/relay/_admission.py
+++ b/hawthornspoke/relay/_admission.py
@@ -123,7 +123,7 @@
         """
         failure = self._check_configuration(context)
         if failure is None:
-            failure = self._suspects.refusal(context.fingerprint)
+            failure = self._suspects.refusal(context.features)
         if failure is None:
             # The regions may be those of a newer configuration now.
             message = PlacementRecheck(
--- a/hawthornspoke/relay/_handler.py
+++ b/hawthornspoke/relay/_handler.py
@@ -9,6 +9,7 @@
 from hawthornspoke.relay._admission import CALLER_LEFT, UNCONFIRMED_RETRY_AFTER
 from hawthornspoke.relay._caller_retries import CallerRetryDetector
 from hawthornspoke.relay._context import RequestContext
+from hawthornspoke.relay._suspects import QUARANTINED, SUSPECTED
 
 #: Deadline in seconds of a request that gives none.
 ASSUMED_DEADLINE = 30.0
@@ -95,7 +96,9 @@
             else:
                 await self._forward(context)
                 if context.outcome == "answered" or context.last_response is not None:
-                    self._suspects.record_answered(context.fingerprint)
+                    self._suspects.record_answered(
+                        context.features, is_success=context.outcome == "answered"
+                    )
         except asyncio.CancelledError:
             if context.reply.is_cut:
                 context.outcome, context.last_reason = "cut", "memory"
@@ -117,8 +120,9 @@
         if context.request.lacks_memory:
             return 503, "memory", MEMORY_RETRY_AFTER
         self._set_features(context)
-        failure = self._suspects.refusal(context.fingerprint)
+        failure = self._suspects.refusal(context.features)
         if failure is not None:
+            context.rejection = failure
             return 503, failure.code, failure.retry_after
         context.service = choose_service(context.route, context.request_id)
         self._set_deadlines(context)
@@ -263,6 +267,15 @@
             resumed=context.resumed,
             outcome=outcome,
             reason=context.last_reason,
+            blamed=_blamed_features(context),
             retry_after=context.retry_after,
             seconds=round(elapsed, 4),
         )
+
+
+def _blamed_features(context):
+    """Return the features for which a request was refused, None if it wasn't."""
+    rejection = context.rejection
+    if rejection is None or rejection.code not in (QUARANTINED.code, SUSPECTED.code):
+        return None
+    return rejection.reason
--- a/hawthornspoke/relay/_process.py
+++ b/hawthornspoke/relay/_process.py
@@ -123,7 +123,10 @@
         )
         self.timers = Timers(clock=boottime_clock)
         self.suspects = PoisonRequestTracker(
-            fleet=self.fleet, log=self.log, metrics=self.metrics
+            fleet=self.fleet,
+            log=self.log,
+            metrics=self.metrics,
+            entry_hosts=self.budgets.entry_hosts,
         )
         self.rate_limits = EndpointRateLimits(
             fleet=self.fleet,
--- a/hawthornspoke/relay/_sending.py
+++ b/hawthornspoke/relay/_sending.py
@@ -1,6 +1,7 @@
 """Sends requests to endpoints, after a last check right before the write."""
 
 from hawthornspoke.base import Failure, monotonic
+from hawthornspoke.catalog import STREAM
 from hawthornspoke.relay._try import Attempt
 
 
@@ -73,9 +74,7 @@
             timers=self._timers,
             on_head=self._signals.observe,
             on_broken=lambda attempt: self._on_connection_broken(context, attempt),
-            on_ended=lambda attempt: self._suspects.remove_attempt(
-                context.fingerprint, attempt
-            ),
+            on_ended=self._suspects.remove_attempt,
             on_ejected=self._record_ejection,
             account=context.reply.account,
         )
@@ -123,7 +122,7 @@
         if failure is not None:
             self._log_not_sent(context, attempt, failure)
             return failure
-        self._suspects.add_attempt(context.fingerprint, attempt)
+        self._suspects.add_attempt(context.features, attempt)
         context.sent += 1
         # From here on the endpoint may run the request, even if no response
         # arrives before the deadline; only an explicit refusal by it clears the flag.
@@ -132,11 +131,14 @@
 
     async def wait_for_probes(self, context):
         """Wait for probes that show whether a failed request crashed endpoints."""
-        await self._suspects.wait_for_probes(context.fingerprint)
+        await self._suspects.wait_for_probes(context.features)
 
     def _on_connection_broken(self, context, attempt):
         self._suspects.record_disconnect(
-            context.fingerprint, attempt.placement, service=context.service
+            context.features,
+            attempt,
+            service=context.service,
+            is_stream=context.route.kind == STREAM,
         )
         self._log.change(
             "broken_off",
--- a/hawthornspoke/relay/_suspects.py
+++ b/hawthornspoke/relay/_suspects.py
@@ -1,28 +1,40 @@
 """Detection and quarantine of poison requests, which crash endpoints.
 
-Suspects are requests here, not hosts or endpoints. Evidence against a request is that
-it was running at an endpoint when the endpoint's process ended. Enough of it puts the
-request into quarantine: no endpoint gets it.
+Suspects are features of requests here, not hosts or endpoints: the whole request, or
+something that requests share. Evidence against a feature is that a request with it was
+running at an endpoint when the endpoint's process ended. Enough of it puts requests
+with that feature into quarantine: no endpoint gets them.
 """
 
 import asyncio
 import collections
+import random
 
 from hawthornspoke.base import Failure, monotonic
 from hawthornspoke.httpio import refuses_connections
 from hawthornspoke.quarantine import (
+    Blocked,
     EndpointEnded,
     EvidenceReceived,
     EvidenceUpdate,
+    Isolated,
     Quarantine,
     Quarantined,
     RequestCompleted,
+    Suspected,
     decode_evidence,
+    kind_of,
 )
 from hawthornspoke.relay._sharing import EvidenceSharing
 
 QUARANTINED = Failure(code="quarantined")
 
+#: The request may be sent once another one with the same suspected features has ended.
+SUSPECTED = Failure(code="suspected")
+
+#: Minimum Retry-After in seconds of a suspected request.
+MIN_SUSPECTED_RETRY_AFTER = 0.2
+
 #: Timeout in seconds of the check whether an endpoint still accepts connections.
 PROBE_TIMEOUT = 0.3
 
@@ -30,10 +42,14 @@
 #: have ended as well can't be explained by one request, which has two attempts.
 IDLE_PROBES = 2
 
-#: Maximum number of fingerprints kept of requests that this host had sent to an
-#: endpoint and that were running there when it ended. If one of them is quarantined,
-#: this host stores the evidence.
-MAX_OBSERVED = 512
+#: Maximum number of features kept of requests that this host had sent to an endpoint
+#: and that were running there when it ended. If one of them is quarantined, this host
+#: stores the evidence.
+MAX_OBSERVED = 4096
+
+#: Seconds from the head of an answer for which an endpoint counts as just beginning it,
+#: if it has sent an event since.
+JUST_BEGUN = 0.25
 
 
 class PoisonRequestTracker:
@@ -44,6 +60,8 @@
     fleet : Fleet
     log : EventLog
     metrics : Metrics
+    entry_hosts : callable or None, default=None
+        Returns the number of entry hosts.
 
     Attributes
     ----------
@@ -57,89 +75,135 @@
         "_fleet",
         "_log",
         "_metrics",
-        "_attempts_by_fingerprint",
-        "_requests_by_incarnation",
+        "_entry_hosts",
+        "_features_by_attempt",
+        "_isolated_attempt",
+        "_features_by_incarnation",
         "_probe_by_incarnation",
         "_observed_locally",
         "_unrecorded",
         "_has_unrecorded",
     )
 
-    def __init__(self, *, fleet, log, metrics):
-        self.quarantine = Quarantine()
+    def __init__(self, *, fleet, log, metrics, entry_hosts=None):
+        self.quarantine = Quarantine(phase=random.random())
         self.sharing = EvidenceSharing(
             quarantine=self.quarantine, failure_domain_at=fleet.failure_domain_at
         )
         self._fleet = fleet
         self._log = log
         self._metrics = metrics
-        self._attempts_by_fingerprint = {}
-        self._requests_by_incarnation = {}
+        self._entry_hosts = entry_hosts or (lambda: 1)
+        self._features_by_attempt = {}
+        self._isolated_attempt = None
+        self._features_by_incarnation = {}
         self._probe_by_incarnation = {}
         self._observed_locally = collections.deque(maxlen=MAX_OBSERVED)
         self._unrecorded = set()
         self._has_unrecorded = asyncio.Event()
 
-    def refusal(self, fingerprint):
+    def refusal(self, features):
         """Return why a request may not be sent to any endpoint.
 
         Parameters
         ----------
-        fingerprint : str
+        features : tuple of str
+            Of the request.
 
         Returns
         -------
         None or Failure
-            ``QUARANTINED``, with the seconds until it may be sent again.
+            ``QUARANTINED`` or ``SUSPECTED``, with the features and the seconds until it
+            may be sent.
         """
         now = monotonic()
-        until = self.quarantine.quarantined_until(fingerprint, now=now)
-        if until is None:
+        verdict = self._verdict(features, now)
+        if verdict is None:
             return None
-        return QUARANTINED.with_reason(fingerprint, retry_after=round(until - now, 1))
+        names = " ".join(sorted(verdict.features))
+        if isinstance(verdict, Blocked):
+            return QUARANTINED.with_reason(
+                names, retry_after=round(verdict.deadline - now, 1)
+            )
+        if verdict.free_at <= now:
+            return None
+        retry_after = max(MIN_SUSPECTED_RETRY_AFTER, round(verdict.free_at - now, 2))
+        return SUSPECTED.with_reason(names, retry_after=retry_after)
+
+    def record_answered(self, features, *, is_success):
+        """Clear the evidence against a request that an endpoint answered.
 
-    def record_answered(self, fingerprint):
-        """Clear the evidence against a request that an endpoint answered."""
-        self._step(RequestCompleted(fingerprint=fingerprint))
+        Parameters
+        ----------
+        features : tuple of str
+        is_success : bool
+            Only a success clears the features that it shares with other requests: an
+            endpoint may fail a request without having run it.
+        """
+        if not features:
+            return
+        fingerprint, *shared = features
+        message = RequestCompleted(
+            fingerprint=fingerprint, shared=tuple(shared) if is_success else ()
+        )
+        self._step(message)
 
-    def add_attempt(self, fingerprint, attempt):
-        """Track an attempt of a request, so that a quarantine can cancel it.
+    def add_attempt(self, features, attempt):
+        """Track an attempt that was just sent, so that a quarantine can cancel it.
 
         Parameters
         ----------
-        fingerprint : str
+        features : tuple of str
         attempt : Attempt
         """
-        self._attempts_by_fingerprint.setdefault(fingerprint, set()).add(attempt)
+        self._features_by_attempt[attempt] = features
+        now = monotonic()
+        verdict = self._verdict(features, now)
+        if isinstance(verdict, Isolated):
+            self.quarantine.begin_trial(verdict.features, now=now)
+            self._isolated_attempt = attempt
+            self._metrics.count("requests_isolated_total")
+            self._log.change(
+                "isolated",
+                endpoint=attempt.placement.endpoint_id,
+                features=sorted(verdict.features),
+            )
 
-    def remove_attempt(self, fingerprint, attempt):
+    def remove_attempt(self, attempt):
         """Stop tracking an attempt that has ended; see ``add_attempt``."""
-        attempts = self._attempts_by_fingerprint.get(fingerprint)
-        if attempts is None:
-            return
-        attempts.discard(attempt)
-        if not attempts:
-            del self._attempts_by_fingerprint[fingerprint]
-
-    def record_disconnect(self, fingerprint, placement, *, service):
+        self._features_by_attempt.pop(attempt, None)
+        if attempt is self._isolated_attempt:
+            self._isolated_attempt = None
+            # The result of the probe decides on the next one otherwise.
+            if not attempt.is_broken:
+                self.quarantine.end_trial()
+
+    def record_disconnect(self, features, attempt, *, service, is_stream):
         """Record a connection closed during a request; probe if the endpoint ended.
 
         Parameters
         ----------
-        fingerprint : str
-        placement : Placement
-            The endpoint that had the request.
+        features : tuple of str
+        attempt : Attempt
+            The attempt whose connection was closed.
         service : str
+        is_stream : bool
+            Whether a response head shows that the answer has begun. A shared feature
+            is no suspect before that, nor if its answer had begun long ago.
         """
+        placement = attempt.placement
         incarnation_id = _incarnation_id(placement)
-        self._requests_by_incarnation.setdefault(incarnation_id, set()).add(fingerprint)
+        may_be_beginning = attempt.head_at is None and not is_stream
+        if not (may_be_beginning or attempt.is_beginning(JUST_BEGUN)):
+            features = features[:1]
+        self._features_by_incarnation.setdefault(incarnation_id, set()).update(features)
         if incarnation_id not in self._probe_by_incarnation:
             probe = asyncio.get_running_loop().create_task(
                 self._probe(incarnation_id, placement, service)
             )
             self._probe_by_incarnation[incarnation_id] = probe
 
-    async def wait_for_probes(self, fingerprint):
+    async def wait_for_probes(self, features):
         """Wait until it is known which endpoints a suspected request has crashed.
 
         Otherwise it would be sent to another endpoint in the meantime and might crash
@@ -148,14 +212,14 @@
 
         Parameters
         ----------
-        fingerprint : str
+        features : tuple of str
         """
         probes = [
             self._probe_by_incarnation[incarnation_id]
-            for incarnation_id, fingerprints in self._requests_by_incarnation.items()
-            if fingerprint in fingerprints
+            for incarnation_id, present in self._features_by_incarnation.items()
+            if features[0] in present
         ]
-        is_suspected = self.quarantine.has_evidence(fingerprint)
+        is_suspected = any(map(self.quarantine.has_evidence, features))
         if len(probes) > 1 or (probes and is_suspected):
             await asyncio.wait(probes)
 
@@ -209,21 +273,22 @@
             )
         finally:
             del self._probe_by_incarnation[incarnation_id]
-            fingerprints = self._requests_by_incarnation.pop(incarnation_id)
+            features = self._features_by_incarnation.pop(incarnation_id)
         if not has_ended:
             return
         self._log.change(
             "endpoint_ended",
             endpoint=placement.endpoint_id,
             started_ms=placement.incarnation.started_ms,
-            requests=len(fingerprints),
+            requests=sum(not kind_of(feature).IS_SHARED for feature in features),
+            shared=sorted(name for name in features if kind_of(name).IS_SHARED),
         )
-        self._observed_locally.extend(fingerprints)
+        self._observed_locally.extend(features)
         in_use = self._fleet.endpoints_in_use(service)
         idle_ended = () if in_use else await self._probe_idle(placement, service)
         ended = EndpointEnded(
             incarnation_id=incarnation_id,
-            fingerprints=tuple(sorted(fingerprints)),
+            fingerprints=tuple(sorted(features)),
             other_endpoints_in_use=in_use,
             idle_ended=idle_ended,
         )
@@ -258,9 +323,15 @@
                     self.sharing.share(outcome.items)
             elif isinstance(outcome, Quarantined):
                 self._on_quarantined(outcome)
+            elif isinstance(outcome, Suspected):
+                self._on_suspected(outcome)
             else:
                 self._log.change("released", fingerprint=outcome.fingerprint)
 
+    def _verdict(self, features, now):
+        self.quarantine.hosts = self._entry_hosts()
+        return self.quarantine.verdict(features, now=now)
+
     def _on_quarantined(self, outcome):
         self._metrics.count("requests_quarantined_total")
         self._log.change(
@@ -268,11 +339,38 @@
             fingerprint=outcome.fingerprint,
             endpoints_ended=list(outcome.incarnation_ids),
         )
-        # The request may still be queued at other endpoints and would crash them too.
-        for attempt in list(self._attempts_by_fingerprint.get(outcome.fingerprint, ())):
-            attempt.withdraw(QUARANTINED)
-        if outcome.fingerprint in self._observed_locally:
-            self._unrecorded.add(outcome.fingerprint)
+        self._withdraw_blocked({outcome.fingerprint})
+        self._record_observed({outcome.fingerprint})
+
+    def _on_suspected(self, outcome):
+        self._metrics.count("features_suspected_total", len(outcome.fingerprints))
+        self._log.change(
+            "suspected",
+            features=list(outcome.fingerprints),
+            endpoints_ended=list(outcome.incarnation_ids),
+        )
+        self._withdraw_blocked(set(outcome.fingerprints))
+        self._record_observed(set(outcome.fingerprints))
+
+    def _withdraw_blocked(self, changed):
+        """Cancel requests queued at endpoints, which would crash these as well."""
+        now = monotonic()
+        for attempt, features in list(self._features_by_attempt.items()):
+            if changed.isdisjoint(features):
+                continue
+            verdict = self._verdict(features, now)
+            if not isinstance(verdict, Blocked):
+                continue
+            # A request that gets events while others with a shared feature crash
+            # endpoints as they begin may be sound.
+            is_shared = all(kind_of(name).IS_SHARED for name in verdict.features)
+            if not (is_shared and attempt.has_events):
+                attempt.withdraw(QUARANTINED)
+
+    def _record_observed(self, features):
+        observed = features.intersection(self._observed_locally)
+        if observed:
+            self._unrecorded |= observed
             self._has_unrecorded.set()
 
 
--- a/hawthornspoke/relay/_try.py
+++ b/hawthornspoke/relay/_try.py
@@ -101,6 +101,27 @@
         self._tokens = 0
         self._ended = False
 
+    @property
+    def is_broken(self):
+        """Whether the endpoint closed the connection before the end of the response."""
+        return self.exchange is not None and self.exchange.failure == CONNECTION_BROKEN
+
+    def is_beginning(self, seconds):
+        """Return whether the endpoint was just beginning to answer.
+
+        Parameters
+        ----------
+        seconds : float
+            Since the response head, if a stream has had an event.
+
+        Returns
+        -------
+        bool
+        """
+        if self.head_at is None:
+            return False
+        return not self.has_events or monotonic() < self.head_at + seconds
+
     async def connect(self):
         """Acquire a connection from the pool.
 
@@ -299,7 +320,7 @@
             return
         self._ended = True
         self._on_ended(self)
-        if outcome == "failed" and self.exchange.failure == CONNECTION_BROKEN:
+        if outcome == "failed" and self.is_broken:
             self._on_broken(self)
         if outcome == "unreachable" or self.sent_at is not None:
             self._notify_fleet(
--- a/hawthornspoke/relay/tests/test_suspects.py
+++ b/hawthornspoke/relay/tests/test_suspects.py
@@ -70,9 +70,9 @@
     recorded = []
     refusal = harness.suspects.refusal
 
-    def record(fingerprint):
-        recorded.append(fingerprint)
-        return refusal(fingerprint)
+    def record(features):
+        recorded.append(features[0])
+        return refusal(features)
 
     harness.handler._suspects = RecordingSuspects(harness.suspects, record)
     await harness.ask(prefix)
