Don't blame common parts beside several causes and mass failures

Cause: what explains an end was lost for parts. Ends that count as a mass failure were cleared for whole requests and kept for parts; a request that had crashed more than eight endpoints dropped its later ends, which were then blamed on parts beside it; and with several causes and no history a common part may be at more ends than each cause.

Mass failures clear parts as well. A full record keeps the latest ends, and a quarantined feature the earlier ones too. A part that leaves recent ends unexplained is tried again after 1 s by one request over the hosts, and not only after 30 s.

--- a/hawthornspoke/quarantine/_evidence.py
+++ b/hawthornspoke/quarantine/_evidence.py
@@ -17,6 +17,9 @@
 MAX_ENDS_PER_REQUEST = 8
 MAX_ENDS_PER_SHARED_FEATURE = 32
 
+#: Seconds for which an end counts as recent.
+RECENT_TIME = 10.0
+
 #: A full store evicts this part of its features at once, as it has to sort them.
 EVICTED_PART = 16
 
@@ -93,9 +96,7 @@
         is_shared = kind_of(item.fingerprint).IS_SHARED
         limit = MAX_ENDS_PER_SHARED_FEATURE if is_shared else MAX_ENDS_PER_REQUEST
         if len(alike) >= limit:
-            if not item.cleared and not is_shared:
-                return False
-            # A mass failure may have left the older ones.
+            # Later ends, which other features have as well, must be explained too.
             del item_by_incarnation[alike[0]]
         item_by_incarnation[item.incarnation_id] = item
         self._ended_at_by_incarnation[item.incarnation_id] = min(
@@ -173,6 +174,23 @@
             for incarnation_id in items
         }
 
+    def recent_incarnations(self, *, now):
+        """Return the incarnations that ended not long ago, cleared or not.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        set of str
+        """
+        return {
+            incarnation_id
+            for incarnation_id, ended_at in self._ended_at_by_incarnation.items()
+            if now < ended_at + RECENT_TIME
+        }
+
     def fingerprints(self):
         """Return the requests with evidence, latest last."""
         return list(self._items_by_fingerprint)
--- a/hawthornspoke/quarantine/_quarantine.py
+++ b/hawthornspoke/quarantine/_quarantine.py
@@ -39,6 +39,13 @@
 ANSWER_LIFETIME = 60.0
 MAX_ANSWERED = 4096
 
+#: Number of recent ends that a feature doesn't explain, as a share of those that it
+#: does, from which it isn't certain to be their cause.
+MAX_UNEXPLAINED_SHARE = 0.2
+
+#: Maximum number of ends kept of a quarantined feature.
+MAX_KEPT_ENDS = 64
+
 #: Number of endpoints that end together, and their share of the endpoints in use by a
 #: host, from which the cause is assumed not to be a request: no request runs at that
 #: many endpoints at once.
@@ -104,6 +111,7 @@
         "_suspicions",
         "_quarantined",
         "_answered_at_by_feature",
+        "_earlier_ends_by_feature",
         "_trials",
     )
     PARAMS = {
@@ -123,6 +131,7 @@
         self._suspicions = []
         self._quarantined = set()
         self._answered_at_by_feature = collections.OrderedDict()
+        self._earlier_ends_by_feature = {}
         self._trials = Trials()
 
     def on_endpoint_ended(self, message, *, now):
@@ -140,11 +149,7 @@
         end = self._recent_end_by_incarnation.setdefault(
             message.incarnation_id, _RecentEnd(at=now)
         )
-        # Ends of shared features at the same time count once, so that a mass failure
-        # needs no further care.
-        end.fingerprints.update(
-            name for name in message.fingerprints if not kind_of(name).IS_SHARED
-        )
+        end.fingerprints.update(message.fingerprints)
         # Idle endpoints that are known to have ended earlier, perhaps by the same
         # request, don't show that this end is part of a mass failure.
         if self._store.incarnations().isdisjoint(message.idle_ended):
@@ -219,13 +224,12 @@
         isolated = set()
         free_at = now
         for suspicion, present, deadline in self._suspected_among(features, now):
-            if deadline <= now:
-                may_start_at = self._trials.free_at(
-                    suspicion, present, phase=self.phase, hosts=self.hosts, now=now
-                )
-                free_at = max(free_at, may_start_at)
-            elif not self._trials.is_due(present, now=now):
+            if deadline > now and not self._trials.is_due(present, now=now):
                 return Blocked(features=present, deadline=deadline)
+            may_start_at = self._trials.free_at(
+                suspicion, present, phase=self.phase, hosts=self.hosts, now=now
+            )
+            free_at = max(free_at, may_start_at)
             isolated |= present
         if not isolated:
             return None
@@ -317,14 +321,19 @@
         if not added:
             return []
         for item in added:
-            if not item.cleared:
+            if item.cleared:
+                self._earlier_ends_by_feature.pop(item.fingerprint, None)
+            else:
                 self._trials.record_end(item.fingerprint, now=now)
         return [EvidenceUpdate(items=added), *self._update_quarantine(now)]
 
     def _update_quarantine(self, now):
         """Update the suspected features; return the changes."""
         ended_at_by_feature = {
-            fingerprint: ended_at
+            fingerprint: {
+                **self._earlier_ends_by_feature.get(fingerprint, {}),
+                **ended_at,
+            }
             for fingerprint in self._store.fingerprints()
             if len(
                 ended_at := self._store.ended_at_by_incarnation(fingerprint, now=now)
@@ -347,9 +356,15 @@
             for feature in suspicion.features
             if self._is_quarantined_alone(suspicion, feature, now)
         }
+        self._keep_earlier_ends(ended_at_by_feature)
         for suspicion in self._suspicions:
             for feature in suspicion.features:
-                self._trials.suspect(feature, phase=self.phase, now=now)
+                self._trials.suspect(
+                    feature,
+                    is_doubtful=self._is_doubtful(suspicion, feature, now),
+                    phase=self.phase,
+                    now=now,
+                )
         quarantined = [
             Quarantined(
                 fingerprint=feature,
@@ -378,6 +393,28 @@
             *(Released(fingerprint=feature) for feature in released),
         ]
 
+    def _is_doubtful(self, suspicion, feature, now):
+        """Return whether a shared feature may merely have been beside the causes.
+
+        A single cause explains all ends. If there are several, a common feature may be
+        at more of their ends than each of them.
+        """
+        if not kind_of(feature).IS_SHARED:
+            return False
+        others = self._store.recent_incarnations(now=now) - suspicion.incarnation_ids
+        return len(others) > MAX_UNEXPLAINED_SHARE * len(suspicion.incarnation_ids)
+
+    def _keep_earlier_ends(self, ended_at_by_feature):
+        """Keep ends under quarantined features beyond their bounded evidence.
+
+        Other features that were at more of these ends would be blamed for those that
+        the evidence no longer covers.
+        """
+        self._earlier_ends_by_feature = {
+            feature: dict(list(ended_at_by_feature[feature].items())[-MAX_KEPT_ENDS:])
+            for feature in self._quarantined
+        }
+
     def _suspected_among(self, features, now):
         """Return the suspected ones of a request's features, by suspicion.
 
--- a/hawthornspoke/quarantine/_trials.py
+++ b/hawthornspoke/quarantine/_trials.py
@@ -20,6 +20,9 @@
 #: have been mended; doubled after each such request. Hosts spread it over as long.
 RETRIAL_DELAY = 30.0
 
+#: The same for the first such request, if the feature may have been beside the causes.
+DOUBTFUL_RETRIAL_DELAY = 1.0
+
 
 class Trials:
     """Paces isolated requests of a host, and retrials of quarantined features.
@@ -36,21 +39,24 @@
         self._since_by_feature = {}
         self._retrial_by_feature = {}
 
-    def suspect(self, feature, *, phase, now):
-        """Record that a feature is suspected; no effect if it has been.
+    def suspect(self, feature, *, is_doubtful, phase, now):
+        """Record that a feature is suspected.
 
         Parameters
         ----------
         feature : str
+        is_doubtful : bool
+            Whether the feature may merely have been beside the causes.
         phase : float
             See ``Quarantine``.
         now : float
         """
-        if feature in self._since_by_feature:
-            return
-        self._since_by_feature[feature] = now
-        delay = (1.0 + phase) * RETRIAL_DELAY
-        self._retrial_by_feature[feature] = _Retrial(delay=delay, now=now)
+        if feature not in self._since_by_feature:
+            self._since_by_feature[feature] = now
+            delay = (1.0 + phase) * RETRIAL_DELAY
+            self._retrial_by_feature[feature] = _Retrial(delay=delay, now=now)
+        if is_doubtful:
+            self._retrial_by_feature[feature].advance(now)
 
     def record_end(self, feature, *, now):
         """Record that an endpoint ended under a suspected feature, at any host.
@@ -128,7 +134,7 @@
         for feature in features:
             retrial = self._retrial_by_feature.get(feature)
             if retrial is not None and now >= retrial.due_at:
-                retrial.due_at = now + retrial.delay
+                retrial.begin(now)
 
     def end(self):
         """Record that the isolated request has ended."""
@@ -138,12 +144,22 @@
 class _Retrial:
     """When a request with a quarantined feature is sent next."""
 
-    __slots__ = ("delay", "due_at", "_last_end_at")
+    __slots__ = ("delay", "due_at", "_last_end_at", "_has_begun")
 
     def __init__(self, *, delay, now):
         self.delay = delay
         self.due_at = now + delay
         self._last_end_at = now
+        self._has_begun = False
+
+    def advance(self, now):
+        """Bring the first one forward."""
+        if not self._has_begun:
+            self.due_at = min(self.due_at, now + DOUBTFUL_RETRIAL_DELAY)
+
+    def begin(self, now):
+        self._has_begun = True
+        self.due_at = now + self.delay
 
     def record_end(self, now):
         """Postpone it: twice as long if the end was that of a retrial."""
--- a/hawthornspoke/quarantine/tests/test_blame.py
+++ b/hawthornspoke/quarantine/tests/test_blame.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from hawthornspoke.quarantine import BLAME_RULES, counted_ends
+from hawthornspoke.quarantine import (
+    BLAME_RULES,
+    EndpointEnded,
+    Quarantine,
+    counted_ends,
+)
+from hawthornspoke.quarantine._evidence import MAX_ENDS_PER_REQUEST
 from hawthornspoke.quarantine.tests.play import MAX_REFUSED, cases, run_case
 
 
@@ -78,3 +84,34 @@
     _, result = run_case(case)
     assert result.sent_late == 0
     assert result.longest_refusal <= MAX_REFUSED
+
+
+def test_ends_beyond_the_bounded_evidence_stay_explained():
+    """Guards against blaming a part that ran beside more ends than are recorded."""
+    machine = Quarantine()
+    incarnations = [f"e{number}" for number in range(2 * MAX_ENDS_PER_REQUEST)]
+    for number, incarnation_id in enumerate(incarnations):
+        names = ("poison", "part:a1") if number % 3 else ("poison",)
+        message = EndpointEnded(
+            incarnation_id=incarnation_id,
+            fingerprints=names,
+            other_endpoints_in_use=9,
+        )
+        machine.step(message, now=float(number))
+    now = float(len(incarnations))
+    assert machine.quarantined_until("poison", now=now) is not None
+    assert machine.verdict(("part:a1",), now=now) is None
+
+
+def test_mass_failure_is_no_evidence_against_parts():
+    """Guards against refusing common parts after several mass failures."""
+    machine = Quarantine()
+    for number in range(4):
+        for endpoint in range(2):
+            message = EndpointEnded(
+                incarnation_id=f"e{endpoint}-{number}",
+                fingerprints=(f"usual-{endpoint}", f"part:a{endpoint}"),
+                other_endpoints_in_use=1 - endpoint,
+            )
+            machine.step(message, now=5.0 * number + 0.01 * endpoint)
+    assert machine.verdict(("part:a0",), now=20.0) is None
--- a/hawthornspoke/quarantine/tests/test_trials.py
+++ b/hawthornspoke/quarantine/tests/test_trials.py
@@ -13,6 +13,7 @@
 )
 from hawthornspoke.quarantine._quarantine import ANSWER_LIFETIME
 from hawthornspoke.quarantine._trials import (
+    DOUBTFUL_RETRIAL_DELAY,
     LEADER_DELAY,
     RETRIAL_DELAY,
     TIE_DELAY,
@@ -146,3 +147,20 @@
     assert isinstance(machine.verdict((DEAD,), now=now), Isolated)
     complete(machine, DEAD, now=now + 1.0)
     assert machine.verdict((DEAD,), now=now + 1.0) is None
+
+
+def test_doubtful_part_is_tried_again_soon():
+    """Guards against a common part that stays refused beside several causes."""
+    machine = Quarantine()
+    suspect(machine, COMMON)
+    end(machine, "x1", "other-request", now=2.0)
+    assert isinstance(machine.verdict((COMMON,), now=2.5), Blocked)
+    verdict = machine.verdict((COMMON,), now=2.0 + DOUBTFUL_RETRIAL_DELAY)
+    assert isinstance(verdict, Isolated)
+
+
+def test_part_that_explains_all_ends_is_not_tried_again_soon():
+    """Guards against further crashes by the part that is known to cause them."""
+    machine = Quarantine()
+    suspect(machine, DEAD)
+    assert isinstance(machine.verdict((DEAD,), now=RETRIAL_DELAY), Blocked)
