Check requests to an engine right before their first byte

Once, beside load, a resumed agent ran one request that its caller had already been told wasn't run (listed, not traced).

By reading: the last check came before the connection pool was asked, which may have to connect first, so a host suspended in between sent the request when it resumed. Class: time between check and use. The check is now made by the connection, when it is open and before the first byte. The new test, in which a request expires while the agent connects, failed before for both kinds of engine. That this was the cause of the listed failure isn't shown; the entry stays.

--- a/hawthornspoke/agent/_engines.py
+++ b/hawthornspoke/agent/_engines.py
@@ -2,6 +2,7 @@
 
 import json
 import socket
+import threading
 from urllib.parse import urlsplit
 
 import urllib3
@@ -43,6 +44,43 @@
     """
 
 
+class _PrecheckFailed(Exception):
+    """A request was not sent."""
+
+    def __init__(self, failure):
+        super().__init__(failure)
+        self.failure = failure
+
+
+class _CheckedConnection(urllib3.connection.HTTPConnection):
+    """Connection that checks right before the first byte whether a request may be sent.
+
+    The pool may have to connect first, and the process may be suspended meanwhile.
+
+    Attributes
+    ----------
+    precheck_of_thread : threading.local
+        Its ``call`` is the check of the request that the thread sends next, or None.
+    """
+
+    precheck_of_thread = threading.local()
+
+    def send(self, data):
+        """Send data, after the check if it is the first of a request."""
+        if self.sock is None:
+            self.connect()
+        precheck = getattr(self.precheck_of_thread, "call", None)
+        self.precheck_of_thread.call = None
+        failure = precheck() if precheck is not None else None
+        if failure is not None:
+            raise _PrecheckFailed(failure)
+        super().send(data)
+
+
+class _CheckedPool(urllib3.HTTPConnectionPool):
+    ConnectionCls = _CheckedConnection
+
+
 class _EngineClient:
     """HTTP client of one engine; each open response is read by one thread."""
 
@@ -51,6 +89,10 @@
     def __init__(self, *, url):
         self.url = url.rstrip("/")
         self.pool = urllib3.PoolManager(maxsize=64)
+        self.pool.pool_classes_by_scheme = {
+            **self.pool.pool_classes_by_scheme,
+            "http": _CheckedPool,
+        }
 
     def open(self, method, path, *, body, headers, timeout, precheck=None):
         """Send a request and return the response with its body unread.
@@ -76,10 +118,8 @@
         IncompleteResponse
             If the request was sent, at least in part, and no response was received.
         """
-        failure = precheck() if precheck is not None else None
-        if failure is not None:
-            return failure
         try:
+            _CheckedConnection.precheck_of_thread.call = precheck
             return self.pool.request(
                 method,
                 self.url + path,
@@ -90,6 +130,8 @@
                 preload_content=False,
                 timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT, read=timeout),
             )
+        except _PrecheckFailed as error:
+            return error.failure
         except (
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
--- a/hawthornspoke/agent/tests/test_checks_after_suspension.py
+++ b/hawthornspoke/agent/tests/test_checks_after_suspension.py
@@ -11,12 +11,13 @@
 import time
 
 import pytest
+import urllib3
 
 from hawthornspoke.agent._engine_actor import run_request
 from hawthornspoke.agent._engine_exits import EngineExits
 from hawthornspoke.agent._engines import ENGINES
 from hawthornspoke.agent._process import _Handler
-from hawthornspoke.agent._runs import Run
+from hawthornspoke.agent._runs import DEADLINE_PASSED, Run
 from hawthornspoke.base import monotonic
 from hawthornspoke.base.tests.addresses import random_port
 from hawthornspoke.metrics import Metrics
@@ -156,3 +157,20 @@
     reply = submit_to_stalled(engine, suspend, wait=2.0)
     assert [event.kind for event in reply.events][-1] == EventKind.REFUSED
     assert engine.requested_paths == []
+
+
+def test_request_that_expires_while_the_agent_connects_is_not_sent(engine, monkeypatch):
+    """Guards against a request that runs as its host resumes before the first byte."""
+    run = Run(submit=submit(), deadline=monotonic() + 5.0)
+    connect = urllib3.connection.HTTPConnection.connect
+
+    def connect_after_a_stall(connection):
+        run.deadline = monotonic()
+        connect(connection)
+
+    monkeypatch.setattr(
+        urllib3.connection.HTTPConnection, "connect", connect_after_a_stall
+    )
+    (outcome,) = engine.driver.stream_events(run, timeout=1.0)
+    assert outcome == DEADLINE_PASSED
+    assert engine.requested_paths == []
