Decide on suspects only when their ends change

Only features with enough ends are judged, 48 at most, when one of them changes, and only uncleared ends are cleared.

--- a/hawthornspoke/quarantine/_quarantine.py
+++ b/hawthornspoke/quarantine/_quarantine.py
@@ -43,6 +43,10 @@
 #: does, from which it isn't certain to be their cause.
 MAX_UNEXPLAINED_SHARE = 0.2
 
+#: Maximum number of features among which the causes are looked for: those with most
+#: ends. After a mass failure hundreds of parts may have some.
+MAX_CANDIDATES = 48
+
 #: Maximum number of ends kept of a quarantined feature.
 MAX_KEPT_ENDS = 64
 
@@ -108,6 +112,7 @@
         "hosts",
         "_store",
         "_recent_end_by_incarnation",
+        "_candidates",
         "_suspicions",
         "_quarantined",
         "_answered_at_by_feature",
@@ -128,6 +133,7 @@
         self.hosts = hosts
         self._store = EvidenceStore()
         self._recent_end_by_incarnation = {}
+        self._candidates = set()
         self._suspicions = []
         self._quarantined = set()
         self._answered_at_by_feature = collections.OrderedDict()
@@ -204,6 +210,7 @@
             for feature in (message.fingerprint, *message.shared)
             if feature in self._store
             for item in self._store.items_of(feature, now=now)
+            if not item.cleared
         ]
         return self._merge(cleared, now) if cleared else []
 
@@ -325,21 +332,50 @@
                 self._earlier_ends_by_feature.pop(item.fingerprint, None)
             else:
                 self._trials.record_end(item.fingerprint, now=now)
-        return [EvidenceUpdate(items=added), *self._update_quarantine(now)]
-
-    def _update_quarantine(self, now):
-        """Update the suspected features; return the changes."""
+        changed = {item.fingerprint for item in added}
+        known = self._candidates & changed
+        self._candidates = (self._candidates - changed) | {
+            feature
+            for feature in changed
+            if len(self._store.suspected_incarnations(feature, now=now))
+            >= self.end_threshold
+        }
+        update = EvidenceUpdate(items=added)
+        # Most evidence is about features with too few ends to be suspected. Another end
+        # may still make a suspicion doubtful.
+        has_ends = not all(item.cleared for item in added)
+        is_relevant = known or not self._candidates.isdisjoint(changed)
+        if not is_relevant and not (has_ends and self._suspicions):
+            return [update]
+        return [update, *self._update_quarantine(now)]
+
+    def _select_candidates(self, now):
+        """Return the ends of the features that may be suspected, by feature."""
         ended_at_by_feature = {
-            fingerprint: {
-                **self._earlier_ends_by_feature.get(fingerprint, {}),
-                **ended_at,
-            }
-            for fingerprint in self._store.fingerprints()
-            if len(
-                ended_at := self._store.ended_at_by_incarnation(fingerprint, now=now)
-            )
+            feature: {**self._earlier_ends_by_feature.get(feature, {}), **ended_at}
+            for feature in self._candidates
+            if len(ended_at := self._store.ended_at_by_incarnation(feature, now=now))
             >= self.end_threshold
         }
+        self._candidates = set(ended_at_by_feature)
+        if len(ended_at_by_feature) <= MAX_CANDIDATES:
+            return ended_at_by_feature
+        most_likely = sorted(
+            ended_at_by_feature,
+            key=lambda feature: (
+                now < self._answered_until(feature),
+                -len(ended_at_by_feature[feature]),
+                feature,
+            ),
+        )
+        return {
+            feature: ended_at_by_feature[feature]
+            for feature in most_likely[:MAX_CANDIDATES]
+        }
+
+    def _update_quarantine(self, now):
+        """Update the suspected features; return the changes."""
+        ended_at_by_feature = self._select_candidates(now)
         answered = {
             feature
             for feature in ended_at_by_feature
