Test refusals by parts at an entry host, and bound their Retry-After

A suspected request was told to come back when its host's turn comes, up to half a second for each entry host; an answer at any other host may clear it long before, so at most 1 s is asked now.

--- a/hawthornspoke/relay/_suspects.py
+++ b/hawthornspoke/relay/_suspects.py
@@ -33,8 +33,9 @@
 #: The request may be sent once another one with the same suspected features has ended.
 SUSPECTED = Failure(code="suspected")
 
-#: Minimum Retry-After in seconds of a suspected request.
-MIN_SUSPECTED_RETRY_AFTER = 0.2
+#: Minimum and maximum Retry-After in seconds of a suspected request. An answer at any
+#: host may clear it before its turn.
+SUSPECTED_RETRY_AFTER = (0.2, 1.0)
 
 #: Number of idle endpoints that are probed if the only one in use has ended. Two that
 #: have ended as well can't be explained by one request, which has two attempts.
@@ -125,7 +126,8 @@
             )
         if verdict.free_at <= now:
             return None
-        retry_after = max(MIN_SUSPECTED_RETRY_AFTER, round(verdict.free_at - now, 2))
+        low, high = SUSPECTED_RETRY_AFTER
+        retry_after = min(high, max(low, round(verdict.free_at - now, 2)))
         return SUSPECTED.with_reason(names, retry_after=retry_after)
 
     def record_answered(self, features, *, is_success):
--- a/hawthornspoke/relay/tests/test_suspects.py
+++ b/hawthornspoke/relay/tests/test_suspects.py
@@ -11,6 +11,7 @@
     RelayHarness,
     ScriptedEndpoint,
     answer,
+    delayed_stream,
     events,
     field,
     reset_connection,
@@ -43,14 +44,15 @@
 
 
 def quarantine(harness, fingerprint, *, incarnation_ids=("x1", "x2", "x3")):
-    """Put a request into quarantine."""
-    for incarnation_id in incarnation_ids:
+    """Put requests with a feature into quarantine, by ends one second apart."""
+    now = monotonic() - len(incarnation_ids)
+    for number, incarnation_id in enumerate(incarnation_ids):
         message = EndpointEnded(
             incarnation_id=incarnation_id,
             fingerprints=(fingerprint,),
             other_endpoints_in_use=9,
         )
-        harness.suspects.quarantine.step(message, now=monotonic())
+        harness.suspects.quarantine.step(message, now=now + number)
 
 
 def evidence_against(fingerprint):
@@ -58,9 +60,11 @@
     now = monotonic()
     items = [
         Evidence(
-            fingerprint=fingerprint, incarnation_id=incarnation_id, deadline=now + 60
+            fingerprint=fingerprint,
+            incarnation_id=incarnation_id,
+            deadline=now + 60 + number,
         )
-        for incarnation_id in ("x1", "x2", "x3")
+        for number, incarnation_id in enumerate(("x1", "x2", "x3"))
     ]
     return Frame(evidence=encode_evidence(items, now=now))
 
@@ -293,3 +297,78 @@
 
     for ended_count, cleared in ((1, False), (2, False), (3, True)):
         asyncio.run(scenario(ended_count, cleared))
+
+
+def test_requests_with_a_quarantined_part_are_refused_and_others_served():
+    """Guards against refusing a caller or a route for one part of some prompts."""
+
+    async def scenario():
+        endpoint = ScriptedEndpoint()
+        async with RelayHarness(endpoint) as harness:
+            quarantine(harness, "part:dead")
+            status, head, _, _ = await harness.ask(
+                "again", extra=["X-Prompt-Parts: a1:5,DEAD:5,f1:5"]
+            )
+            assert status == 503
+            assert float(field(head, "Retry-After")) > 60
+            own = await harness.ask("again", extra=["X-Prompt-Parts: a1:5,dead:5"])
+            assert own[0] == 200
+            assert len(endpoint.requests) == 1
+            refusal = harness.suspects.refusal(("f", "part:a1", "part:dead"))
+            assert refusal.reason == "part:dead"
+
+    run_scenario(scenario)
+
+
+def test_stream_with_events_is_not_cut_by_the_quarantine_of_a_part():
+    """Guards against breaking off sound streams when a part they have is blamed."""
+
+    async def scenario():
+        endpoint = ScriptedEndpoint(delayed_stream(0.0, [], pause=0.3))
+        async with RelayHarness(endpoint, timeout=2.0) as harness:
+            request = asyncio.create_task(
+                harness.ask("stream", extra=["X-Prompt-Parts: a1:5,f1:5"])
+            )
+            await asyncio.sleep(0.15)
+            harness.suspects.merge_evidence(evidence_against("part:a1"))
+            assert harness.suspects.refusal(("f", "part:a1")) is not None
+            _, _, body, complete = await request
+            assert event_ids(body) == [1, 2] and complete
+
+    run_scenario(scenario)
+
+
+def test_waiting_request_is_cancelled_by_the_quarantine_of_its_part():
+    """Guards against an endpoint that crashes from a request queued there before."""
+
+    async def scenario():
+        endpoint = ScriptedEndpoint(silent())
+        async with RelayHarness(endpoint, timeout=2.0) as harness:
+            request = asyncio.create_task(
+                harness.ask("stream", extra=["X-Prompt-Parts: a1:5,f1:5"])
+            )
+            await asyncio.sleep(0.1)
+            harness.suspects.merge_evidence(evidence_against("part:a1"))
+            status, _, _, _ = await asyncio.wait_for(request, 0.5)
+            assert status == 502
+            assert harness.fleet.endpoint_by_id["e0"].own_in_flight == 0
+
+    run_scenario(scenario)
+
+
+def test_failing_endpoint_clears_no_part():
+    """Guards against a part that an endpoint's 500 clears though it wasn't run."""
+
+    async def scenario():
+        endpoint = ScriptedEndpoint(answer(status=500), answer(status=500))
+        async with RelayHarness(endpoint) as harness:
+            quarantine(harness, "part:b1", incarnation_ids=("x1", "x2"))
+            await harness.ask("once", extra=["X-Prompt-Parts: b1:5,f1:5"])
+            items = harness.suspects.quarantine.evidence(now=monotonic())
+            assert [item.cleared for item in items] == [False, False]
+            endpoint.steps = [answer()]
+            await harness.ask("once", extra=["X-Prompt-Parts: b1:5,f2:5"])
+            items = harness.suspects.quarantine.evidence(now=monotonic())
+            assert [item.cleared for item in items] == [True, True]
+
+    run_scenario(scenario)
