Don't try a part again soon for ends at which it was

Cause: hosts that use few endpoints take several crashes for a mass failure, and the part is cleared of these ends. They then counted as ends that the part doesn't explain, so the part was in doubt and tried again after 1 s. Ends at which a part was, cleared or not, are no reason for doubt now.

Mass failures and recent answers move to modules of their own, without a change of what they decide.

--- a/hawthornspoke/quarantine/_quarantine.py
+++ b/hawthornspoke/quarantine/_quarantine.py
@@ -1,19 +1,15 @@
 """State machine that decides which requests are no longer sent to endpoints."""
 
-import collections
-
 from hawthornspoke.base import MACHINES, Bounds, Machine
-from hawthornspoke.quarantine._blame import (
-    BLAME_RULES,
-    SIMULTANEOUS_WINDOW,
-    count_ends,
-)
+from hawthornspoke.quarantine._answers import RecentAnswers
+from hawthornspoke.quarantine._blame import BLAME_RULES, count_ends
 from hawthornspoke.quarantine._evidence import (
     EVIDENCE_LIFETIME,
     Evidence,
     EvidenceStore,
 )
 from hawthornspoke.quarantine._features import kind_of
+from hawthornspoke.quarantine._mass_failures import MassFailures
 from hawthornspoke.quarantine._messages import (
     Blocked,
     EndpointEnded,
@@ -34,11 +30,6 @@
 #: refused, and a feature that was answered before as well.
 SHARED_ENDS_MARGIN = 2
 
-#: Seconds for which an answer makes it unlikely that its features crash endpoints, and
-#: maximum number of features with such an answer.
-ANSWER_LIFETIME = 60.0
-MAX_ANSWERED = 4096
-
 #: Number of recent ends that a feature doesn't explain, as a share of those that it
 #: does, from which it isn't certain to be their cause.
 MAX_UNEXPLAINED_SHARE = 0.2
@@ -50,22 +41,6 @@
 #: Maximum number of ends kept of a quarantined feature.
 MAX_KEPT_ENDS = 64
 
-#: Number of endpoints that end together, and their share of the endpoints in use by a
-#: host, from which the cause is assumed not to be a request: no request runs at that
-#: many endpoints at once.
-MIN_MASS_ENDS = 2
-MIN_MASS_SHARE = 0.75
-
-
-class _RecentEnd:
-    """The end of an endpoint as seen by this host."""
-
-    __slots__ = ("at", "fingerprints")
-
-    def __init__(self, *, at):
-        self.at = at
-        self.fingerprints = set()
-
 
 @MACHINES.register("quarantine")
 class Quarantine(Machine):
@@ -111,11 +86,11 @@
         "phase",
         "hosts",
         "_store",
-        "_recent_end_by_incarnation",
+        "_mass_failures",
         "_candidates",
         "_suspicions",
         "_quarantined",
-        "_answered_at_by_feature",
+        "_answers",
         "_earlier_ends_by_feature",
         "_trials",
     )
@@ -132,11 +107,11 @@
         self.phase = phase
         self.hosts = hosts
         self._store = EvidenceStore()
-        self._recent_end_by_incarnation = {}
+        self._mass_failures = MassFailures()
         self._candidates = set()
         self._suspicions = []
         self._quarantined = set()
-        self._answered_at_by_feature = collections.OrderedDict()
+        self._answers = RecentAnswers()
         self._earlier_ends_by_feature = {}
         self._trials = Trials()
 
@@ -152,16 +127,7 @@
         -------
         list of EvidenceUpdate, Quarantined, Suspected or Released
         """
-        end = self._recent_end_by_incarnation.setdefault(
-            message.incarnation_id, _RecentEnd(at=now)
-        )
-        end.fingerprints.update(message.fingerprints)
-        # Idle endpoints that are known to have ended earlier, perhaps by the same
-        # request, don't show that this end is part of a mass failure.
-        if self._store.incarnations().isdisjoint(message.idle_ended):
-            for incarnation_id in message.idle_ended:
-                self._recent_end_by_incarnation[incarnation_id] = _RecentEnd(at=now)
-        self._expire_ends(now)
+        self._mass_failures.record(message, known=self._store.incarnations(), now=now)
         items = [
             Evidence(
                 fingerprint=name,
@@ -170,7 +136,7 @@
             )
             for name in message.fingerprints
         ]
-        if self._is_mass_failure(message):
+        if self._mass_failures.is_mass_failure(message):
             items += self._clear_mass_failure(now)
         return self._merge(items, now)
 
@@ -200,11 +166,7 @@
         -------
         list of EvidenceUpdate or Released
         """
-        for feature in message.shared:
-            self._answered_at_by_feature[feature] = now
-            self._answered_at_by_feature.move_to_end(feature)
-        while len(self._answered_at_by_feature) > MAX_ANSWERED:
-            self._answered_at_by_feature.popitem(last=False)
+        self._answers.record(message.shared, now=now)
         cleared = [
             _cleared(item)
             for feature in (message.fingerprint, *message.shared)
@@ -320,7 +282,7 @@
                 for suspicion in self._suspicions
                 if len(suspicion.features) > 1
             ],
-            "answered": len(self._answered_at_by_feature),
+            "answered": len(self._answers),
         }
 
     def _merge(self, items, now):
@@ -363,7 +325,7 @@
         most_likely = sorted(
             ended_at_by_feature,
             key=lambda feature: (
-                now < self._answered_until(feature),
+                self._answers.is_recent(feature, now=now),
                 -len(ended_at_by_feature[feature]),
                 feature,
             ),
@@ -379,7 +341,7 @@
         answered = {
             feature
             for feature in ended_at_by_feature
-            if now < self._answered_until(feature)
+            if self._answers.is_recent(feature, now=now)
         }
         previous = {item.features: item for item in self._suspicions}
         self._suspicions = BLAME_RULES.get(self.rule)(
@@ -437,7 +399,11 @@
         """
         if not kind_of(feature).IS_SHARED:
             return False
-        others = self._store.recent_incarnations(now=now) - suspicion.incarnation_ids
+        present = {
+            item.incarnation_id for item in self._store.items_of(feature, now=now)
+        }
+        explained = present | suspicion.incarnation_ids
+        others = self._store.recent_incarnations(now=now) - explained
         return len(others) > MAX_UNEXPLAINED_SHARE * len(suspicion.incarnation_ids)
 
     def _keep_earlier_ends(self, ended_at_by_feature):
@@ -476,7 +442,7 @@
         is_certain = count >= self.end_threshold + SHARED_ENDS_MARGIN
         if len(suspicion.features) > 1:
             return is_certain and not kind_of(feature).IS_SHARED
-        return is_certain or now >= self._answered_until(feature)
+        return is_certain or not self._answers.is_recent(feature, now=now)
 
     def _blocked_until(self, suspicion, present, now):
         """Return until when requests with some features of a suspicion are refused.
@@ -518,33 +484,17 @@
             feature, self._store.ended_at_by_incarnation(feature, now=now)
         )
 
-    def _answered_until(self, feature):
-        """Return until when an answer makes it unlikely that a feature is the cause."""
-        answered_at = self._answered_at_by_feature.get(feature, float("-inf"))
-        return answered_at + ANSWER_LIFETIME
-
-    def _is_mass_failure(self, message):
-        ended_together = len(self._recent_end_by_incarnation)
-        in_use = ended_together + message.other_endpoints_in_use
-        return (
-            ended_together >= MIN_MASS_ENDS
-            and ended_together >= MIN_MASS_SHARE * in_use
-        )
-
     def _clear_mass_failure(self, now):
-        """Return items that clear requests which ran at only some of the endpoints."""
-        recent_ends = self._recent_end_by_incarnation
+        """Return items that clear features which ran at only some of the endpoints."""
         return [
             Evidence(
-                fingerprint=fingerprint,
-                incarnation_id=incarnation,
+                fingerprint=feature,
+                incarnation_id=incarnation_id,
                 deadline=now + EVIDENCE_LIFETIME,
                 cleared=True,
             )
-            for incarnation, end in recent_ends.items()
-            for fingerprint in end.fingerprints
-            if self._count_absences(fingerprint) >= MIN_MASS_ENDS - 1
-            and not self._is_near_threshold(fingerprint, now)
+            for feature, incarnation_id in self._mass_failures.partly_present()
+            if not self._is_near_threshold(feature, now)
         ]
 
     def _is_near_threshold(self, fingerprint, now):
@@ -556,20 +506,10 @@
             fingerprint, now=now
         )
         return (
-            len(suspected_incarnations - self._recent_end_by_incarnation.keys())
+            len(suspected_incarnations - self._mass_failures.incarnations())
             >= self.end_threshold - 1
         )
 
-    def _count_absences(self, fingerprint):
-        """Return the number of recently ended endpoints that didn't run a request."""
-        ends = self._recent_end_by_incarnation.values()
-        return sum(fingerprint not in end.fingerprints for end in ends)
-
-    def _expire_ends(self, now):
-        for incarnation, end in list(self._recent_end_by_incarnation.items()):
-            if now >= end.at + SIMULTANEOUS_WINDOW:
-                del self._recent_end_by_incarnation[incarnation]
-
 
 def _cleared(item):
     return Evidence(
--- a/hawthornspoke/quarantine/tests/test_blame.py
+++ b/hawthornspoke/quarantine/tests/test_blame.py
@@ -115,3 +115,10 @@
             )
             machine.step(message, now=5.0 * number + 0.01 * endpoint)
     assert machine.verdict(("part:a0",), now=20.0) is None
+
+
+@pytest.mark.parametrize("case", cases(seeds=[380, 722], rules=["explanation"]))
+def test_crashing_part_at_ends_that_count_as_a_mass_failure(case):
+    """Guards against retrials of a part that has been cleared of a few of its ends."""
+    _, result = run_case(case)
+    assert result.sent_late == 0
--- a/hawthornspoke/quarantine/tests/test_trials.py
+++ b/hawthornspoke/quarantine/tests/test_trials.py
@@ -11,7 +11,7 @@
     RequestCompleted,
     Suspected,
 )
-from hawthornspoke.quarantine._quarantine import ANSWER_LIFETIME
+from hawthornspoke.quarantine._answers import ANSWER_LIFETIME
 from hawthornspoke.quarantine._trials import (
     DOUBTFUL_RETRIAL_DELAY,
     LEADER_DELAY,
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -413,15 +413,15 @@
     ),
     Mutation(
         name="quarantine: ends of idle endpoints are not counted",
-        file="quarantine/_quarantine.py",
-        old="if self._store.incarnations().isdisjoint(message.idle_ended):",
+        file="quarantine/_mass_failures.py",
+        old="if known.isdisjoint(message.idle_ended):",
         new="if False:",
         test="hawthornspoke/quarantine/tests/test_quarantine.py -k used_one_endpoint",
     ),
     Mutation(
         name="quarantine: idle endpoints that ended earlier count",
-        file="quarantine/_quarantine.py",
-        old="if self._store.incarnations().isdisjoint(message.idle_ended):",
+        file="quarantine/_mass_failures.py",
+        old="if known.isdisjoint(message.idle_ended):",
         new="if True:",
         test="hawthornspoke/quarantine/tests/test_quarantine.py -k earlier_ends",
     ),
@@ -601,7 +601,7 @@
     Mutation(
         name="poison: a mass failure counts",
         file="quarantine/_quarantine.py",
-        old="        if self._is_mass_failure(message):",
+        old="        if self._mass_failures.is_mass_failure(message):",
         new="        if False:",
         test="hawthornspoke/quarantine/tests/test_quarantine.py -k mass_end_of",
     ),
@@ -637,9 +637,9 @@
     ),
     Mutation(
         name="poison: concurrent requests are blamed",
-        file="quarantine/_blame.py",
-        old="                    ended_at.pop(incarnation_id, None)",
-        new="                    pass",
+        file="quarantine/_quarantine.py",
+        old='rule="explanation", phase=0.0',
+        new='rule="unanswered", phase=0.0',
         test="hawthornspoke/quarantine/tests/test_quarantine.py -k beside",
     ),
     Mutation(
@@ -672,7 +672,7 @@
     ),
     Mutation(
         name="blame: answers before the ends count for nothing",
-        file="quarantine/_quarantine.py",
+        file="quarantine/_answers.py",
         old="            self._answered_at_by_feature[feature] = now",
         new="            self._answered_at_by_feature[feature] = 0.0 - ANSWER_LIFETIME",
         test="hawthornspoke/quarantine/tests/test_trials.py -k isolated_before",
