--- a/hawthornspoke/quarantine/tests/play.py
+++ b/hawthornspoke/quarantine/tests/blame_simulation.py
@@ -1,9 +1,9 @@
-"""Play of hosts, agents and endpoints, without a network, that a prompt part crashes.
+"""Simulation of hosts, agents and endpoints that a prompt part crashes, without I/O.
 
 Answers the load of requests that share one crashing part, no two alike, beside sound
 requests with common parts. Run many seeds by hand::
 
-    python -m hawthornspoke.quarantine.tests.play --seeds 1000
+    python -m hawthornspoke.quarantine.tests.blame_simulation --seeds 1000
 """
 
 import argparse
@@ -128,7 +128,7 @@
         self.longest_refusal = 0.0
 
 
-class Play:
+class BlameSimulation:
     """One random run.
 
     Parameters
@@ -353,11 +353,11 @@
 
 def run_case(case):
     """Run one seed; return the case and its Result."""
-    return case, Play(**case).run()
+    return case, BlameSimulation(**case).run()
 
 
 def cases(*, seeds, rules, rates=(2.0, 5.0, 20.0), endpoints=(9, 40)):
-    """Return the parameters of all plays; a third of them has no history."""
+    """Return the parameters of all runs; a third of them has no history."""
     return [
         {
             "seed": seed,
--- a/hawthornspoke/quarantine/tests/test_blame.py
+++ b/hawthornspoke/quarantine/tests/test_blame.py
@@ -1,4 +1,4 @@
-"""Rules that blame features for the ends of endpoints, and plays of them."""
+"""Rules that blame features for the ends of endpoints, and simulations of them."""
 
 import pytest
 
@@ -9,7 +9,7 @@
     counted_ends,
 )
 from hawthornspoke.quarantine._evidence import MAX_ENDS_PER_REQUEST
-from hawthornspoke.quarantine.tests.play import MAX_REFUSED, cases, run_case
+from hawthornspoke.quarantine.tests.blame_simulation import MAX_REFUSED, cases, run_case
 
 
 def ended_at(*incarnations, step=1.0):
