--- a/hawthornspoke/mirror/tests/test_quarantine_record.py
+++ b/hawthornspoke/mirror/tests/test_quarantine_record.py
@@ -196,3 +196,36 @@
     events = run_record(store, FakeSuspects(evidence()))
     assert "quarantine_unreadable" in events
     assert store.written[0][0] == 7
+
+
+def test_row_keeps_the_time_of_each_end():
+    """Guards against ends of a part that a restarted host takes for one event."""
+    items = [
+        Evidence(
+            fingerprint="part:a1",
+            incarnation_id=incarnation_id,
+            deadline=monotonic() + 100.0 + number,
+        )
+        for number, incarnation_id in enumerate(INCARNATION_IDS)
+    ]
+    store = FakeStore(
+        empty_table_update(), empty_table_update(), RowWritten(revision=8)
+    )
+    run_record(store, FakeSuspects(items))
+    ((_, written),) = store.written
+    suspects = FakeSuspects()
+    run_record(FakeStore(table_update(*written)), suspects)
+    deadlines = sorted(item.deadline for item in suspects.merged)
+    gaps = [
+        later - first for first, later in zip(deadlines, deadlines[1:], strict=False)
+    ]
+    assert len(deadlines) == 3
+    assert all(0.9 < gap < 1.1 for gap in gaps)
+
+
+def test_unusable_times_of_ends_make_the_row_unreadable_and_not_the_host():
+    broken = {**entry("f"), "until_ms_by_start": ["soon", -1, None]}
+    suspects = FakeSuspects()
+    events = run_record(FakeStore(table_update(broken)), suspects)
+    assert events == ["quarantine_unreadable"]
+    assert suspects.merged == []
--- a/hawthornspoke/quarantine/tests/test_blame.py
+++ b/hawthornspoke/quarantine/tests/test_blame.py
@@ -8,7 +8,7 @@
     Quarantine,
     counted_ends,
 )
-from hawthornspoke.quarantine._evidence import MAX_ENDS_PER_REQUEST
+from hawthornspoke.quarantine._evidence import MAX_ENDS_PER_REQUEST, MAX_REQUESTS
 from hawthornspoke.quarantine.tests.blame_simulation import MAX_REFUSED, cases, run_case
 
 
@@ -122,3 +122,20 @@
     """Guards against retrials of a part that has been cleared of a few of its ends."""
     _, result = run_case(case)
     assert result.sent_late == 0
+
+
+def test_parts_named_by_a_hostile_caller_do_not_displace_the_cause():
+    """Guards against evicting the evidence of the cause, and unbounded memory."""
+    machine = Quarantine()
+    for number in range(2 * MAX_REQUESTS // 8):
+        names = [f"part:{number:04x}{place:02x}" for place in range(64)]
+        if number < 3:
+            names.append("part:dead")
+        message = EndpointEnded(
+            incarnation_id=f"e{number}",
+            fingerprints=tuple(names),
+            other_endpoints_in_use=9,
+        )
+        machine.step(message, now=float(number))
+    assert machine.quarantined_until("part:dead", now=200.0) is not None
+    assert machine.dump(now=200.0)["requests"] <= MAX_REQUESTS
