Refuse a whole request with five ends whatever explains them

Cause: the rule that a request with two ends more than the threshold is refused in any case was kept only for requests that nothing tells apart from others. A common part is at all ends of a request that has it, so it may always explain them. The rule is whole again.

The new test failed before.

--- a/hawthornspoke/quarantine/_quarantine.py
+++ b/hawthornspoke/quarantine/_quarantine.py
@@ -2,7 +2,7 @@
 
 from hawthornspoke.base import MACHINES, Bounds, Machine
 from hawthornspoke.quarantine._answers import RecentAnswers
-from hawthornspoke.quarantine._blame import BLAME_RULES, count_ends
+from hawthornspoke.quarantine._blame import BLAME_RULES, Suspicion, count_ends
 from hawthornspoke.quarantine._evidence import (
     EVIDENCE_LIFETIME,
     Evidence,
@@ -347,6 +347,7 @@
         self._suspicions = BLAME_RULES.get(self.rule)(
             ended_at_by_feature, threshold=self.end_threshold, answered=answered
         )
+        self._suspicions += self._certain_requests(ended_at_by_feature)
         previously_quarantined = self._quarantined
         self._quarantined = {
             feature
@@ -391,6 +392,25 @@
             *(Released(fingerprint=feature) for feature in released),
         ]
 
+    def _certain_requests(self, ended_at_by_feature):
+        """Return suspicions of whole requests with more ends than chance explains.
+
+        A common part may be at all ends of a request, and explain them, but the request
+        wouldn't run at as many endpoints that end.
+        """
+        suspected = {name for item in self._suspicions for name in item.features}
+        return [
+            Suspicion(
+                features=frozenset((feature,)),
+                leaders=frozenset((feature,)),
+                incarnation_ids=frozenset(ended_at),
+            )
+            for feature, ended_at in ended_at_by_feature.items()
+            if feature not in suspected
+            and not kind_of(feature).IS_SHARED
+            and len(ended_at) >= self.end_threshold + SHARED_ENDS_MARGIN
+        ]
+
     def _is_doubtful(self, suspicion, feature, now):
         """Return whether a shared feature may merely have been beside the causes.
 
--- a/hawthornspoke/quarantine/tests/test_blame.py
+++ b/hawthornspoke/quarantine/tests/test_blame.py
@@ -139,3 +139,17 @@
         machine.step(message, now=float(number))
     assert machine.quarantined_until("part:dead", now=200.0) is not None
     assert machine.dump(now=200.0)["requests"] <= MAX_REQUESTS
+
+
+def test_request_with_five_ends_is_refused_whatever_explains_them():
+    """Guards against releasing a poison request for a part that is at its ends too."""
+    machine = Quarantine()
+    for number in range(9):
+        names = ("poison", "part:a1") if number < 5 else ("part:a1",)
+        message = EndpointEnded(
+            incarnation_id=f"e{number}",
+            fingerprints=names,
+            other_endpoints_in_use=9,
+        )
+        machine.step(message, now=float(number))
+    assert machine.quarantined_until("poison", now=9.0) is not None
