--- a/hawthornspoke/mirror/_follow.py
+++ b/hawthornspoke/mirror/_follow.py
@@ -66,6 +66,7 @@
             neighbours=neighbours,
             on_confirmed=sink.on_confirmed,
             on_lost=sink.on_contact_lost,
+            log=sink.log,
             first_start=self._first_start,
             discovery_timeout=self._discovery_timeout,
         )
--- a/hawthornspoke/mirror/_tables.py
+++ b/hawthornspoke/mirror/_tables.py
@@ -65,7 +65,9 @@
                     table.row_by_key[key] = Row(
                         key=key, data=None, revision=table_update.revision
                     )
-        newer_rows = [row for row in table_update.rows if not table.is_older(row)]
+        newer_rows, outdated_rows = [], []
+        for row in table_update.rows:
+            (outdated_rows if table.is_older(row) else newer_rows).append(row)
         for row in newer_rows:
             table.row_by_key[row.key] = row
         table.revision = max(table.revision, table_update.revision)
@@ -78,6 +80,7 @@
             confirmed_at=table_update.confirmed_at,
             made_at=table_update.made_at,
             known_until=table_update.known_until,
+            outdated_rows=outdated_rows,
         )
 
     def set_write_times(self, name, table_update, write_time_bound):
--- a/hawthornspoke/mirror/_types.py
+++ b/hawthornspoke/mirror/_types.py
@@ -69,6 +69,8 @@
     known_until : float, default=UNKNOWN_TIME
         Time up to which this process knew the complete table before this answer, in
         seconds of ``boottime_clock``; ``UNKNOWN_TIME`` if it did not.
+    outdated_rows : list of Row, default=()
+        Rows of the answer that the mirror ignored, as it knows newer ones.
     """
 
     __slots__ = (
@@ -78,6 +80,7 @@
         "confirmed_at",
         "made_at",
         "known_until",
+        "outdated_rows",
     )
 
     def __init__(
@@ -89,6 +92,7 @@
         confirmed_at=None,
         made_at=None,
         known_until=UNKNOWN_TIME,
+        outdated_rows=(),
     ):
         self.rows = rows
         self.revision = revision
@@ -96,3 +100,4 @@
         self.confirmed_at = confirmed_at
         self.made_at = made_at
         self.known_until = known_until
+        self.outdated_rows = outdated_rows
--- a/hawthornspoke/mirror/_watch.py
+++ b/hawthornspoke/mirror/_watch.py
@@ -60,6 +60,9 @@
 #: when the outage began, the weights declared before might already have expired.
 MIN_OUTAGE = 2.0
 
+#: Maximum number of keys in a log line about ignored rows.
+MAX_LOGGED_KEYS = 5
+
 #: Bounds of the random delay in seconds between attempts while the platform fails: all
 #: hosts lose it together and would otherwise retry together.
 RETRY_PAUSE = (0.2, 0.5)
@@ -108,6 +111,7 @@
     on_lost : callable
         Called with the reason when neither this host nor a neighbour can read the
         platform.
+    log : EventLog
     first_start : bool, default=False
         Whether all hosts start for the first time.
     discovery_timeout : float, default=0.0
@@ -138,6 +142,8 @@
         "_neighbours",
         "_on_confirmed",
         "_on_lost",
+        "_log",
+        "_logged_outdated_rows",
         "_reads_platform",
         "_first_start",
         "_discovery_timeout",
@@ -152,6 +158,7 @@
         neighbours,
         on_confirmed,
         on_lost,
+        log,
         first_start=False,
         discovery_timeout=0.0,
     ):
@@ -161,6 +168,8 @@
         self._neighbours = neighbours
         self._on_confirmed = on_confirmed
         self._on_lost = on_lost
+        self._log = log
+        self._logged_outdated_rows = set()
         self.clock = PlatformClock()
         self.current_until = float("-inf")
         self._change_event = asyncio.Event()
@@ -292,6 +301,7 @@
         # The platform sends every version of a changed row; only the newest is kept.
         answer.rows = list({row.key: row for row in answer.rows}.values())
         answer = self.mirror.update(table.name, answer)
+        self._log_outdated_rows(table, answer)
         table.on_update(answer)
         if answer.rows:
             self._notify_waiters()
@@ -302,6 +312,23 @@
             self._confirm(answer.confirmed_at)
         return answer
 
+    def _log_outdated_rows(self, table, answer):
+        """Log ignored rows, once for each while answers repeat them."""
+        outdated = {(table.name, row.key, row.revision) for row in answer.outdated_rows}
+        logged_before = self._logged_outdated_rows
+        new = sorted(outdated - logged_before)
+        if new:
+            self._log.change(
+                "rows_outdated",
+                table=table.name,
+                count=len(new),
+                newest=max(row.revision for row in answer.outdated_rows),
+                keys=[key for _, key, _ in new[:MAX_LOGGED_KEYS]],
+                known=answer.revision,
+            )
+        other_tables = {item for item in logged_before if item[0] != table.name}
+        self._logged_outdated_rows = other_tables | outdated
+
     async def _query_neighbour(self, reader, table, revision):
         if table.confirms_configuration:
             self._reads_platform = False
--- a/hawthornspoke/mirror/tests/test_watch.py
+++ b/hawthornspoke/mirror/tests/test_watch.py
@@ -87,6 +87,7 @@
             neighbours=self.neighbours,
             on_confirmed=self.confirmed.append,
             on_lost=self.lost.append,
+            log=self,
             first_start=first_start,
             discovery_timeout=discovery_timeout,
         )
