Order what is read from the store by era before revision

What callers saw: after the store had come back from an older copy, accepted configurations were not in force until its counter passed the earlier one, and hosts that ask a neighbour sent requests to endpoints that had said they leave.

Cause: revisions of two lives of the store were compared. The mirror dropped rows below the revision it knew; readers and their neighbours asked for changes after a revision that the store didn't have any more or gave out again.

The first answer of an era is a whole read. Across eras a row's content decides where it has an order of its own (configuration and weights by version, endpoints by start and write), so that a copy takes nothing back; what it lacks or has in an older version is kept until it is written again, for a bounded time. Neighbours exchange eras; one that is still in an earlier era is asked no further. A host that reads a new era first asks its neighbours what they know from before. Times of declarations, expected revisions and the platform's clock are of one era; own rows that were lost are written again by the host that wrote them.

--- a/hawthornspoke/mirror/__init__.py
+++ b/hawthornspoke/mirror/__init__.py
@@ -1,6 +1,7 @@
 """Local copies of the platform's tables, read by one host per failure domain."""
 
 from hawthornspoke.mirror import poll
+from hawthornspoke.mirror._content_order import ContentOrder
 from hawthornspoke.mirror._declaration_recorder import DeclarationRecorder
 from hawthornspoke.mirror._follow import PlatformFollower
 from hawthornspoke.mirror._neighbours import Neighbours
@@ -11,6 +12,13 @@
     ReaderFailed,
     ReaderSelector,
 )
+from hawthornspoke.mirror._revision import (
+    OUTDATED_ERA,
+    EraTracker,
+    era_of,
+    make_revision,
+    number_of,
+)
 from hawthornspoke.mirror._row_dispatcher import RowDispatcher
 from hawthornspoke.mirror._tables import Mirror
 from hawthornspoke.mirror._types import HISTORY_GONE, Row, RowWritten, TableUpdate
@@ -29,8 +37,11 @@
     "ENDPOINT",
     "EVACUATION",
     "HISTORY_GONE",
+    "OUTDATED_ERA",
     "WEIGHTS",
+    "ContentOrder",
     "DeclarationRecorder",
+    "EraTracker",
     "FollowedTable",
     "Mirror",
     "NeighbourListReceived",
@@ -46,6 +57,9 @@
     "TableWatcher",
     "UnusableRows",
     "decode_rows",
+    "era_of",
+    "make_revision",
+    "number_of",
     "poll",
     "read_pages",
 ]
--- a/hawthornspoke/mirror/_clock.py
+++ b/hawthornspoke/mirror/_clock.py
@@ -3,6 +3,7 @@
 import collections
 
 from hawthornspoke.catalog import UNKNOWN_TIME
+from hawthornspoke.mirror._revision import era_of, is_newer, is_newer_in_era
 
 #: Maximum number of answers kept: about ten seconds at three per second.
 MAX_ANSWERS = 32
@@ -20,15 +21,25 @@
     therefore written after that answer was made. The platform can't make an answer
     before the query was sent, so each answer gives a lower bound on the offset between
     the clocks; the query with the shortest transit time gives the tightest one.
+
+    A restore of the store begins a new era, in which its clock may show another time
+    and its revisions are given out again. Nothing is derived from another era's
+    answers.
     """
 
-    __slots__ = ("_offset", "_answers")
+    __slots__ = ("_offset", "_max_offset", "_answers", "_newest_revision")
 
     def __init__(self):
+        self._newest_revision = 0
+        self._clear()
+
+    def _clear(self):
+        # Bounds on this host's time minus that of the platform.
         self._offset = float("-inf")
+        self._max_offset = float("inf")
         self._answers = collections.deque(maxlen=MAX_ANSWERS)
 
-    def add_answer(self, *, asked_at, made_at, revision):
+    def add_answer(self, *, asked_at, made_at, revision, received_at=float("inf")):
         """Add an answer of the platform.
 
         Parameters
@@ -39,10 +50,23 @@
             When the platform made the answer, in seconds on its own clock.
         revision : int
             Revision of the newest transaction at that time.
+        received_at : float, default=inf
+            When the answer arrived, in seconds on the clock of this host.
         """
+        if era_of(revision) != era_of(self._newest_revision):
+            if is_newer(self._newest_revision, revision):
+                return
+            self._clear()
+        self._newest_revision = revision
         self._offset = max(self._offset, asked_at - made_at)
+        self._max_offset = min(self._max_offset, received_at - made_at)
         self._answers.append((revision, made_at))
 
+    @property
+    def era(self):
+        """Era of the answers, the unknown one before the first."""
+        return era_of(self._newest_revision)
+
     def answer_time_bound(self, made_at, *, received_at):
         """Return a lower bound on the time at which an answer was made.
 
@@ -74,9 +98,28 @@
         float or None
             Seconds on the platform's clock; None if there is no such answer.
         """
-        before = [made_at for seen, made_at in self._answers if seen < revision]
+        before = [
+            made_at
+            for seen, made_at in self._answers
+            if is_newer_in_era(revision, seen)
+        ]
         return max(before, default=None)
 
+    def earliest_platform_time(self, at):
+        """Return a lower bound on the platform's time at a time of this host.
+
+        Parameters
+        ----------
+        at : float
+            Seconds on the clock of this host.
+
+        Returns
+        -------
+        float or None
+            Seconds on the platform's clock in the current era; None if not known.
+        """
+        return None if self._max_offset == float("inf") else at - self._max_offset
+
     def write_time_bound(self, revision, *, received_at):
         """Return a lower bound on the time at which a row was written.
 
--- a/hawthornspoke/mirror/_declaration_recorder.py
+++ b/hawthornspoke/mirror/_declaration_recorder.py
@@ -7,7 +7,7 @@
 import asyncio
 import random
 
-from hawthornspoke.base import boottime_clock, is_failure
+from hawthornspoke.base import Failure, boottime_clock, is_failure
 from hawthornspoke.catalog import UNKNOWN_TIME
 from hawthornspoke.mirror._declaration_times import (
     RECORD_TABLE,
@@ -16,6 +16,7 @@
     decode_record,
     encode_record,
 )
+from hawthornspoke.mirror._revision import era_of, is_newer
 from hawthornspoke.mirror._types import RowWritten
 
 #: Seconds after a declaration was received for which a failed call is retried. Requests
@@ -40,6 +41,10 @@
 MIN_IMPROVEMENT = 1.0
 
 
+#: The store was restored while a row was written.
+RESTORED = Failure(code="restored")
+
+
 class _PendingDeclaration:
     """A declaration whose time has to be written to the platform or read from it."""
 
@@ -120,10 +125,15 @@
         from_platform : bool, default=True
             Whether the row was read from the platform and not from a neighbour.
         """
-        if row.revision <= self._newest_revision_by_model.get(declared.model, 0):
+        if not is_newer(
+            row.revision, self._newest_revision_by_model.get(declared.model, 0)
+        ):
             return
         self._newest_revision_by_model[declared.model] = row.revision
         not_before = self._clock.last_answer_before(row.revision)
+        if not_before is None and from_platform and row.written_at != UNKNOWN_TIME:
+            # Declared before the store was restored; its record may be lost.
+            not_before = self._clock.earliest_platform_time(row.written_at)
         if row.written_at != UNKNOWN_TIME and (not_before is None or not from_platform):
             # The neighbour that sent this row with its write time has recorded that
             # time. This process may know an earlier bound from when it read the
@@ -176,6 +186,7 @@
                 asked_at=asked_at,
                 made_at=table_update.made_at,
                 revision=table_update.revision,
+                received_at=received_at,
             )
         bounds = []
         for declaration_time in self._remember_row(
@@ -201,7 +212,13 @@
             revision=pending.revision,
             not_before=pending.not_before,
         )
+        if era_of(own.revision) != self._clock.era:
+            # Lost by a restore; its row has another revision once it is back.
+            return None
         stored = self._stored_by_model.get(model) or _StoredRow()
+        if era_of(stored.revision) != era_of(own.revision):
+            # Another row may have its revision now; a conflict shows the current one.
+            stored = _StoredRow()
         for _ in range(MAX_WRITE_ATTEMPTS):
             if _is_already_recorded(stored.declaration_times, own):
                 return None
@@ -215,6 +232,10 @@
             if is_failure(answer):
                 return answer
             if isinstance(answer, RowWritten):
+                if era_of(answer.revision) != era_of(own.revision):
+                    # Restored meanwhile: the expected revision may have been that of
+                    # another version of the row.
+                    return RESTORED.with_reason("the store was restored meanwhile")
                 # The answer may name the revision of a later write by another host. The
                 # next write then conflicts and gets the actual row.
                 self._stored_by_model[model] = _StoredRow(
@@ -251,7 +272,7 @@
     the first writer may have been partitioned from the platform for long, so that its
     bound is too early. Of two lower bounds the later one is more precise.
     """
-    if any(item.revision > own.revision for item in declaration_times):
+    if any(is_newer(item.revision, own.revision) for item in declaration_times):
         return True
     return any(
         item.revision == own.revision
@@ -264,7 +285,6 @@
     """Return whether a time is that of the pending declaration or an earlier one."""
     if declaration_time.version == pending.version:
         return declaration_time.revision == pending.revision
-    return (
-        declaration_time.version < pending.version
-        and declaration_time.revision < pending.revision
+    return declaration_time.version < pending.version and is_newer(
+        pending.revision, declaration_time.revision
     )
--- a/hawthornspoke/mirror/_declaration_times.py
+++ b/hawthornspoke/mirror/_declaration_times.py
@@ -3,6 +3,12 @@
 import json
 
 from hawthornspoke import fields
+from hawthornspoke.mirror._revision import (
+    era_of,
+    is_newer,
+    make_revision,
+    number_of,
+)
 
 #: Name of the table. Rows are keyed by model, so that the number of rows is bounded by
 #: the number of models, however many versions are declared.
@@ -23,7 +29,8 @@
     ----------
     version : int
     revision : int
-        Revision of the transaction that declared it.
+        Revision of the transaction that declared it; the time is on the platform's
+        clock in the era of this revision.
     not_before : float
         Seconds on the platform's clock.
     """
@@ -51,7 +58,8 @@
     items = [
         {
             "version": declaration_time.version,
-            "revision": declaration_time.revision,
+            "revision": number_of(declaration_time.revision),
+            "era": era_of(declaration_time.revision),
             # Rounded down, so that it remains a lower bound.
             "not_before_ms": int(declaration_time.not_before * MS),
         }
@@ -66,7 +74,8 @@
     Any client of the platform may have written the row. A time that is too late would
     let requests start on old weights for longer than permitted. So the whole row is
     rejected if it has a time later than the answer that contains it, or records a
-    declaration that was made after the row was written.
+    declaration that was made after the row was written. Times of an earlier era are
+    left out: the store's clock and revisions may have gone back since.
 
     Parameters
     ----------
@@ -83,14 +92,18 @@
         return []
     if made_at is None:
         return fields.UNUSABLE.with_reason("the platform's answer has no time")
-    declaration_times = _decode(row.data)
+    declaration_times = _decode(row.data, era_of(row.revision))
     if not isinstance(declaration_times, list):
         return declaration_times
+    declaration_times = [
+        item
+        for item in declaration_times
+        if era_of(item.revision) == era_of(row.revision)
+    ]
     previous = None
     for declaration_time in declaration_times:
-        if (
-            declaration_time.not_before > made_at
-            or declaration_time.revision >= row.revision
+        if declaration_time.not_before > made_at or not is_newer(
+            row.revision, declaration_time.revision
         ):
             return fields.UNUSABLE.with_reason(
                 f"version {declaration_time.version}: declared in the future"
@@ -119,7 +132,7 @@
     older = [
         item
         for item in declaration_times
-        if item.version < added.version and item.revision < added.revision
+        if item.version < added.version and is_newer(added.revision, item.revision)
     ]
     if older:
         # A newer version was not declared before an older one.
@@ -132,14 +145,18 @@
 
 
 @fields.failure_on_field_error
-def _decode(data):
+def _decode(data, era):
     tree = fields.parse_object(data)
     return [
         DeclarationTime(
             version=fields.whole_number(
                 item, "version", low=1, high=fields.MAX_EXACT_INT
             ),
-            revision=fields.whole_number(item, "revision", high=fields.MAX_EXACT_INT),
+            revision=make_revision(
+                # Earlier builds don't write the era.
+                fields.whole_number(item, "era", era, high=fields.MAX_EXACT_INT),
+                fields.whole_number(item, "revision", high=fields.MAX_EXACT_INT),
+            ),
             not_before=fields.number(item, "not_before_ms") / MS,
         )
         for item in fields.children(tree, "versions")
@@ -149,6 +166,6 @@
 def _is_after(declaration_time, previous):
     return (
         declaration_time.version > previous.version
-        and declaration_time.revision > previous.revision
+        and is_newer(declaration_time.revision, previous.revision)
         and declaration_time.not_before >= previous.not_before
     )
--- a/hawthornspoke/mirror/_follow.py
+++ b/hawthornspoke/mirror/_follow.py
@@ -16,6 +16,8 @@
         See ``TableWatcher``, ``DeclarationRecorder`` and ``QuarantineRecorder``.
     operators_table, endpoints_table : str
         Names of the tables.
+    operators_order, endpoints_order : ContentOrder
+        Orders of their rows.
     decode_entry, decoder_for_operators_key : callable
         See ``RowDispatcher``.
     first_start : bool, default=False
@@ -28,6 +30,8 @@
         "_store",
         "_operators_table",
         "_endpoints_table",
+        "_operators_order",
+        "_endpoints_order",
         "_decode_entry",
         "_decoder_for_operators_key",
         "_first_start",
@@ -40,6 +44,8 @@
         store,
         operators_table,
         endpoints_table,
+        operators_order,
+        endpoints_order,
         decode_entry,
         decoder_for_operators_key,
         first_start=False,
@@ -48,6 +54,8 @@
         self._store = store
         self._operators_table = operators_table
         self._endpoints_table = endpoints_table
+        self._operators_order = operators_order
+        self._endpoints_order = endpoints_order
         self._decode_entry = decode_entry
         self._decoder_for_operators_key = decoder_for_operators_key
         self._first_start = first_start
@@ -61,6 +69,7 @@
         sink : Sink
         neighbours : Neighbours
         """
+        neighbours.eras = self._store.eras
         watch = TableWatcher(
             store=self._store,
             neighbours=neighbours,
@@ -82,6 +91,7 @@
             log=sink.log,
             first_start=self._first_start,
         )
+        watch.on_restored = quarantine.on_restored
         dispatcher = RowDispatcher(
             sink=sink,
             recorder=recorder,
@@ -100,6 +110,7 @@
             wait=poll.OPERATORS_POLL_WAIT,
             pause=poll.OPERATORS_CHANGE_PAUSE,
             on_update=dispatcher.apply_operators,
+            content_order=self._operators_order,
             confirms_configuration=True,
         )
         endpoints = FollowedTable(
@@ -107,5 +118,6 @@
             wait=poll.ENDPOINTS_POLL_WAIT,
             pause=poll.ENDPOINTS_CHANGE_PAUSE,
             on_update=dispatcher.apply_endpoints,
+            content_order=self._endpoints_order,
         )
         return operators, endpoints
--- a/hawthornspoke/mirror/_neighbours.py
+++ b/hawthornspoke/mirror/_neighbours.py
@@ -15,6 +15,12 @@
     ReaderFailed,
     ReaderSelector,
 )
+from hawthornspoke.mirror._revision import (
+    EraTracker,
+    era_of,
+    make_revision,
+    number_of,
+)
 from hawthornspoke.mirror._types import NOT_READING, Row, TableUpdate
 from hawthornspoke.peering import connect, listen
 from hawthornspoke.protocol import Frame, TableAsk, TableNews, TableRow
@@ -50,9 +56,15 @@
 #: Maximum bytes of a decompressed row; an answer of the platform has up to 1 MB.
 MAX_ROW_BYTES = 4 * 1024 * 1024
 
+#: Timeout in seconds of a query for rows of earlier eras, which is answered at once.
+EARLIER_ERAS_TIMEOUT = 0.3
+
 #: The answer of a neighbour is malformed.
 UNREADABLE = Failure(code="neighbour_unreadable")
 
+#: The neighbour knows the store only as it was before it was restored.
+OUTDATED = Failure(code="neighbour_outdated")
+
 
 class Neighbours:
     """Connections to the other entry hosts of this host's failure domain.
@@ -64,10 +76,17 @@
     port : int
         Port on which every entry host listens for neighbours.
     log : EventLog
+
+    Attributes
+    ----------
+    readers : ReaderSelector
+    eras : EraTracker
+        Eras of the platform's store; shared with its client.
     """
 
     __slots__ = (
         "readers",
+        "eras",
         "_address",
         "_port",
         "_log",
@@ -80,6 +99,7 @@
 
     def __init__(self, *, address, port, log):
         self.readers = ReaderSelector(address=address)
+        self.eras = EraTracker()
         self._address = address
         self._port = port
         self._log = log
@@ -131,7 +151,7 @@
         self._log.change("platform_unread", reason=reason)
         self.readers.step(ReaderFailed(address=self._address), now=monotonic())
 
-    async def ask(self, address, table, *, after, wait):
+    async def ask(self, address, table, *, after, wait, generation=0):
         """Query a neighbour for changes of a table.
 
         Parameters
@@ -142,6 +162,8 @@
             Revision up to which the table is known; None requests the whole table.
         wait : float
             Seconds for which the neighbour may wait for a change.
+        generation : int, default=0
+            That of the answer by which the table is known.
 
         Returns
         -------
@@ -150,27 +172,68 @@
             any other failure this host has to read the platform itself.
         """
         asked_at = boottime_clock()
-        answer = await self._query(address, table, after, wait)
+        eras = self.eras
+        ask = TableAsk(
+            table=table,
+            after=-1 if after is None else number_of(after),
+            after_era=None if after is None else era_of(after),
+            wait_ms=int(wait * 1000),
+            era=eras.era,
+            generation=generation,
+        )
+        answer = await self._query(address, ask, timeout=wait + ANSWER_TIMEOUT)
         if not is_failure(answer) and not _validate_and_decompress(answer):
             answer = UNREADABLE.with_reason(
                 "a field is missing or can't be decompressed"
             )
+        if not is_failure(answer):
+            # A neighbour of an earlier build doesn't name the era.
+            era = eras.era if answer.era is None else answer.era
+            eras.learn(era)
+            if era < eras.era:
+                answer = OUTDATED.with_reason(f"its era is {era}, not {eras.era}")
         if is_failure(answer):
             self._log.change("neighbour_failed", peer=address, reason=answer.reason)
             self.readers.step(ReaderFailed(address=address), now=monotonic())
             return answer
-        return _decode_answer(answer, asked_at)
+        return _decode_answer(answer, asked_at, era)
+
+    async def ask_earlier_eras(self, table):
+        """Query all neighbours for rows that they know from before a restore.
+
+        Parameters
+        ----------
+        table : str
 
-    async def _query(self, address, table, after, wait):
+        Returns
+        -------
+        list of Row
+            A key may have several.
+        """
+        era = self.eras.era
+        ask = TableAsk(table=table, after=-1, wait_ms=0, era=era, earlier_eras=True)
+        answers = await asyncio.gather(
+            *(
+                self._query(address, copy.copy(ask), timeout=EARLIER_ERAS_TIMEOUT)
+                for address in self.readers.neighbour_addresses()
+            )
+        )
+        asked_at = boottime_clock()
+        rows = []
+        for answer in answers:
+            if is_failure(answer) or not _validate_and_decompress(answer):
+                continue
+            if answer.era is not None:
+                rows += _decode_answer(answer, asked_at, answer.era).rows
+        return rows
+
+    async def _query(self, address, ask, *, timeout):
         link = self._link_by_address.get(address)
         if link is None:
             link = await self._connect(address)
             if is_failure(link):
                 return link
-        ask = TableAsk(
-            table=table, after=-1 if after is None else after, wait_ms=int(wait * 1000)
-        )
-        answer = await link.ask(Frame(table_ask=ask), timeout=wait + ANSWER_TIMEOUT)
+        answer = await link.ask(Frame(table_ask=ask), timeout=timeout)
         if is_failure(answer):
             link.close()
             return answer
@@ -214,12 +277,23 @@
 
     async def _answer(self, link, frame):
         ask = frame.table_ask
-        after = None if ask.after < 0 else ask.after
+        eras = self.eras
+        # Neighbours of earlier builds don't name eras.
+        eras.learn(ask.era or 0)
+        if ask.earlier_eras:
+            link.send(Frame(call=-frame.call, table_news=self._earlier_eras(ask)))
+            return
+        after = None
+        if ask.after >= 0:
+            after_era = eras.era if ask.after_era is None else ask.after_era
+            after = make_revision(after_era, ask.after)
         asked_at = boottime_clock()
         table_update = None
         while self._watch.is_current() or self._may_take_over(asked_at):
             if self._watch.is_current():
-                table_update = self._watch.mirror.changes_since(ask.table, after)
+                table_update = self._watch.mirror.changes_since(
+                    ask.table, after, generation=ask.generation or 0
+                )
             waited = boottime_clock() - asked_at
             if waited >= ask.wait_ms / 1000 or (
                 table_update is not None and table_update.rows
@@ -234,7 +308,10 @@
             answer = TableNews(
                 current=True,
                 whole=table_update.whole,
-                up_to=table_update.revision,
+                up_to=number_of(table_update.revision),
+                era=era_of(table_update.revision),
+                generation=table_update.generation,
+                copied_until=number_of(table_update.copied_until),
                 rows=[
                     self._encode_row_with_age(ask.table, row, now)
                     for row in table_update.rows
@@ -244,6 +321,19 @@
             )
         link.send(Frame(call=-frame.call, table_news=answer))
 
+    def _earlier_eras(self, ask):
+        """Return the rows that this host knows from before the era of a query."""
+        now = boottime_clock()
+        rows = self._watch.mirror.rows_before_era(ask.table, ask.era)
+        return TableNews(
+            current=True,
+            up_to=0,
+            era=ask.era,
+            held_ms=0,
+            age_ms=0,
+            rows=[self._encode_row_with_age(ask.table, row, now) for row in rows],
+        )
+
     async def _wait_for_changes(self, deadline):
         """Wait until there may be changes to answer with.
 
@@ -280,9 +370,16 @@
 
     def _encode_row(self, table, row):
         known = self._encoded_row_by_key.get((table, row.key))
-        if known is not None and known.row_revision == row.revision:
+        number, era = number_of(row.revision), era_of(row.revision)
+        if known is not None and (known.row_revision, known.era) == (number, era):
             return known
-        encoded = TableRow(key=row.key, row_revision=row.revision, data=row.data)
+        encoded = TableRow(
+            key=row.key,
+            row_revision=number,
+            era=era,
+            data=row.data,
+            removed_data=row.removed_data,
+        )
         if row.data is not None and len(row.data) >= COMPRESSION_THRESHOLD:
             encoded.data = zlib.compress(row.data, COMPRESSION_LEVEL)
             encoded.compressed = True
@@ -315,23 +412,34 @@
     return decompressor.eof
 
 
-def _decode_answer(answer, asked_at):
+def _decode_answer(answer, asked_at, era):
     """Decode a neighbour's answer, converting its ages to this host's clock."""
     # The neighbour's state was confirmed `age_ms` before it answered, and it answered
     # no earlier than `held_ms` after the query was sent.
     answered_at = asked_at + answer.held_ms / 1000
     return TableUpdate(
-        rows=[_decode_row(row, answered_at) for row in answer.rows or ()],
-        revision=answer.up_to,
+        rows=[_decode_row(row, answered_at, era) for row in answer.rows or ()],
+        revision=make_revision(era, answer.up_to),
         whole=bool(answer.whole),
+        generation=answer.generation or 0,
+        copied_until=(
+            None
+            if answer.copied_until is None
+            else make_revision(era, answer.copied_until)
+        ),
         confirmed_at=min(answered_at - answer.age_ms / 1000, boottime_clock()),
     )
 
 
-def _decode_row(row, answered_at):
+def _decode_row(row, answered_at, era):
     written_at = UNKNOWN_TIME
     if row.written_age_ms is not None:
         written_at = answered_at - row.written_age_ms / 1000
+    row_era = era if row.era is None else row.era
     return Row(
-        key=row.key, data=row.data, revision=row.row_revision, written_at=written_at
+        key=row.key,
+        data=row.data,
+        revision=make_revision(row_era, row.row_revision),
+        written_at=written_at,
+        removed_data=row.removed_data,
     )
--- a/hawthornspoke/mirror/_pages.py
+++ b/hawthornspoke/mirror/_pages.py
@@ -1,6 +1,13 @@
 """Reading of a table that the platform divides into pages."""
 
-from hawthornspoke.base import is_failure
+from hawthornspoke.base import Failure, is_failure
+from hawthornspoke.mirror._revision import era_of
+
+#: Maximum number of times that a read starts again since the store was restored.
+MAX_RESTARTS = 3
+
+#: The store was restored again during each read.
+RESTORED = Failure(code="restored")
 
 
 async def read_pages(read_page, *, first_key=""):
@@ -16,14 +23,26 @@
     Returns
     -------
     TableUpdate or Failure
-        All rows with the revision of the first page: following the changes from there
-        on repeats newer rows of the later pages.
+        All rows, of one era, with the revision of the first page: following the changes
+        from there on repeats newer rows of the later pages.
     """
+    for _ in range(1 + MAX_RESTARTS):
+        result = await _read_pages_of_era(read_page, first_key)
+        if result != RESTORED:
+            return result
+    return result
+
+
+async def _read_pages_of_era(read_page, first_key):
     result = None
     while True:
         page = await read_page(first_key)
         if is_failure(page):
             return page
+        if result is not None and (
+            era_of(page.update.revision) != era_of(result.revision)
+        ):
+            return RESTORED.with_reason("the store was restored while it was read")
         if result is None:
             result = page.update
             result.whole = True
--- a/hawthornspoke/mirror/_quarantine_record.py
+++ b/hawthornspoke/mirror/_quarantine_record.py
@@ -64,21 +64,56 @@
         Whether the whole system starts for the first time, so that no row exists.
     """
 
-    __slots__ = ("_store", "_suspects", "_log", "_first_start")
+    __slots__ = (
+        "_store",
+        "_suspects",
+        "_log",
+        "_first_start",
+        "_written_by_key",
+        "_restored",
+    )
 
     def __init__(self, *, store, suspects, log, first_start=False):
         self._store = store
         self._suspects = suspects
         self._log = log
         self._first_start = first_start
+        # Evidence that this process has written, by fingerprint and incarnation.
+        self._written_by_key = {}
+        self._restored = asyncio.Event()
 
     async def run(self):
         """Read and write until cancelled."""
         if not self._first_start:
             await self._retry_until_done(self._read)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._write_new_evidence())
+            group.create_task(self._write_again_after_restores())
+
+    def on_restored(self):
+        """Write again what this process had written before the store was restored."""
+        self._restored.set()
+
+    async def _write_new_evidence(self):
         while True:
             items = await self._suspects.wait_for_unstored_evidence()
             await self._retry_until_done(lambda items=items: self._write(items))
+            for item in items:
+                self._written_by_key[item.fingerprint, item.incarnation_id] = item
+
+    async def _write_again_after_restores(self):
+        while True:
+            await self._restored.wait()
+            self._restored.clear()
+            now = monotonic()
+            self._written_by_key = {
+                key: item
+                for key, item in self._written_by_key.items()
+                if item.deadline > now
+            }
+            items = tuple(self._written_by_key.values())
+            if items:
+                await self._retry_until_done(lambda items=items: self._write(items))
 
     async def _retry_until_done(self, operation):
         while is_failure(outcome := await operation()):
--- a/hawthornspoke/mirror/_readers.py
+++ b/hawthornspoke/mirror/_readers.py
@@ -104,6 +104,10 @@
             return None if address == self.address else address
         return None
 
+    def neighbour_addresses(self):
+        """Return the addresses of the other hosts of this failure domain, ordered."""
+        return sorted(self._failure_domain_addresses() - {self.address})
+
     def is_avoided(self, address, now):
         """Return whether a host failed within the last ``avoid_for`` seconds."""
         return now < self._avoid_deadline_by_address.get(address, 0.0)
--- a/hawthornspoke/mirror/_row_dispatcher.py
+++ b/hawthornspoke/mirror/_row_dispatcher.py
@@ -136,7 +136,7 @@
         if is_failure(outcome):
             reason_by_key[row.key] = outcome.reason
         elif kind == CONFIGURATION:
-            self._apply_catalog(outcome)
+            self._apply_catalog(outcome, row)
         elif kind == EVACUATION:
             self._evacuation_by_key[row.key] = outcome
         else:
@@ -152,9 +152,9 @@
             item.failure_domain for item in self._evacuation_by_key.values()
         )
 
-    def _apply_catalog(self, catalog):
-        self._sink.on_catalog(catalog)
-        if catalog.revision < self._revision:
+    def _apply_catalog(self, catalog, row):
+        self._sink.on_catalog(catalog, is_correction=row.is_correction)
+        if catalog.revision < self._revision and not row.is_correction:
             return
         self._revision = catalog.revision
         services = frozenset(catalog.service_by_name)
--- a/hawthornspoke/mirror/_types.py
+++ b/hawthornspoke/mirror/_types.py
@@ -19,19 +19,38 @@
     data : bytes or None
         None if the row was removed.
     revision : int
-        Revision of the transaction that wrote it.
+        Revision of the transaction that wrote it; see ``make_revision``.
     written_at : float, default=UNKNOWN_TIME
         Lower bound on the time of writing, in seconds of ``boottime_clock``, which
         continues while a host is suspended; ``UNKNOWN_TIME`` if there is none.
+    removed_data : bytes or None, default=None
+        Last known data of a removed row.
+
+    Attributes
+    ----------
+    is_correction : bool
+        Whether it replaces a known version although its content is not newer, since a
+        restored store has it.
     """
 
-    __slots__ = ("key", "data", "revision", "written_at")
+    __slots__ = (
+        "key",
+        "data",
+        "revision",
+        "written_at",
+        "removed_data",
+        "is_correction",
+    )
 
-    def __init__(self, *, key, data, revision, written_at=UNKNOWN_TIME):
+    def __init__(
+        self, *, key, data, revision, written_at=UNKNOWN_TIME, removed_data=None
+    ):
         self.key = key
         self.data = data
         self.revision = revision
         self.written_at = written_at
+        self.removed_data = removed_data
+        self.is_correction = False
 
 
 class RowWritten:
@@ -69,6 +88,11 @@
     known_until : float, default=UNKNOWN_TIME
         Time up to which this process knew the complete table before this answer, in
         seconds of ``boottime_clock``; ``UNKNOWN_TIME`` if it did not.
+    generation : int, default=0
+        Of the sender's table; see ``Mirror.generation``.
+    copied_until : int or None, default=None
+        Revision up to which rows may come from the copy that the store was restored
+        from; None if not known.
     outdated_rows : list of Row, default=()
         Rows of the answer that the mirror ignored, as it knows newer ones.
     """
@@ -80,6 +104,8 @@
         "confirmed_at",
         "made_at",
         "known_until",
+        "generation",
+        "copied_until",
         "outdated_rows",
     )
 
@@ -92,6 +118,8 @@
         confirmed_at=None,
         made_at=None,
         known_until=UNKNOWN_TIME,
+        generation=0,
+        copied_until=None,
         outdated_rows=(),
     ):
         self.rows = rows
@@ -100,4 +128,6 @@
         self.confirmed_at = confirmed_at
         self.made_at = made_at
         self.known_until = known_until
+        self.generation = generation
+        self.copied_until = copied_until
         self.outdated_rows = outdated_rows
--- a/hawthornspoke/mirror/_watch.py
+++ b/hawthornspoke/mirror/_watch.py
@@ -12,6 +12,14 @@
 from hawthornspoke.base import boottime_clock, is_failure
 from hawthornspoke.catalog import UNKNOWN_TIME
 from hawthornspoke.mirror._clock import PlatformClock
+from hawthornspoke.mirror._content_order import NO_ORDER
+from hawthornspoke.mirror._revision import (
+    OUTDATED_ERA,
+    era_of,
+    is_newer,
+    newest,
+    number_of,
+)
 from hawthornspoke.mirror._tables import Mirror
 from hawthornspoke.mirror._types import HISTORY_GONE, NOT_READING
 
@@ -80,21 +88,64 @@
         Seconds between an answer with changes and the next query.
     on_update : callable
         Called with TableUpdate.
+    content_order : ContentOrder, default=NO_ORDER
+        Of its rows.
     confirms_configuration : bool, default=False
         Whether the table contains the configuration, so that an answer confirms which
         API keys were valid when it was made.
     """
 
-    __slots__ = ("name", "wait", "pause", "on_update", "confirms_configuration")
+    __slots__ = (
+        "name",
+        "wait",
+        "pause",
+        "on_update",
+        "content_order",
+        "confirms_configuration",
+    )
 
-    def __init__(self, *, name, wait, pause, on_update, confirms_configuration=False):
+    def __init__(
+        self,
+        *,
+        name,
+        wait,
+        pause,
+        on_update,
+        content_order=NO_ORDER,
+        confirms_configuration=False,
+    ):
         self.name = name
         self.wait = wait
         self.pause = pause
         self.on_update = on_update
+        self.content_order = content_order
         self.confirms_configuration = confirms_configuration
 
 
+class _Progress:
+    """How far a table has been followed, and how the last queries went.
+
+    ``revision`` is None if the whole table has to be read, and ``failed`` is whether
+    the platform has to be queried, as no neighbour can be.
+    """
+
+    __slots__ = (
+        "revision",
+        "generation",
+        "failed",
+        "newest_seen",
+        "changed_at",
+        "history_lost_at",
+    )
+
+    def __init__(self):
+        self.revision = None
+        self.generation = 0
+        self.failed = False
+        self.newest_seen = 0
+        self.changed_at = self.history_lost_at = float("-inf")
+
+
 class TableWatcher:
     """Maintains a mirror of some tables.
 
@@ -130,6 +181,8 @@
     current_until : float
         Time until which this host answers neighbours from its mirror, in seconds of
         ``boottime_clock``.
+    on_restored : callable
+        Called when a table was read for the first time since the store was restored.
     """
 
     __slots__ = (
@@ -137,6 +190,7 @@
         "confirmed_at",
         "clock",
         "current_until",
+        "on_restored",
         "_change_event",
         "_store",
         "_neighbours",
@@ -172,6 +226,7 @@
         self._logged_outdated_rows = set()
         self.clock = PlatformClock()
         self.current_until = float("-inf")
+        self.on_restored = lambda: None
         self._change_event = asyncio.Event()
         self._reads_platform = False
         self._first_start = first_start
@@ -220,6 +275,8 @@
         """
         # In a task group an error of one task cancels the others. Otherwise they would
         # continue with a mirror that is no longer updated.
+        for table in tables:
+            self.mirror.order_by_table[table.name] = table.content_order
         async with asyncio.TaskGroup() as group:
             for table in tables:
                 group.create_task(self._follow(table))
@@ -227,57 +284,86 @@
                 group.create_task(coroutine_function())
 
     async def _follow(self, table):
-        revision = None
-        failed = False
-        newest_seen = 0
-        changed_at = history_lost_at = float("-inf")
+        progress = _Progress()
         if table.confirms_configuration:
             await self._await_neighbours()
         while True:
-            in_burst = (
-                table.confirms_configuration
-                and boottime_clock() < changed_at + BURST_GAP
-            )
-            reader = None if failed else self._neighbours.reader()
+            if self._has_to_read_whole(table, progress.revision):
+                progress.revision = None
+            reader = None if progress.failed else self._neighbours.reader()
             if reader is not None:
-                answer = await self._query_neighbour(reader, table, revision)
+                answer = await self._query_neighbour(reader, table, progress)
             else:
-                answer = await self._query_store(table, revision, failed, in_burst)
-            if answer == HISTORY_GONE:
-                revision = None
-                # The table is read again without delay at first, since it may have
-                # changed. If the platform answers like this each time, that would be a
-                # busy loop.
-                if boottime_clock() < history_lost_at + RETRY_PAUSE[1]:
-                    await asyncio.sleep(random.uniform(*RETRY_PAUSE))
-                history_lost_at = boottime_clock()
-                continue
+                answer = await self._query_store(table, progress)
             if is_failure(answer):
-                # If a neighbour does not answer, others may not either, so the platform
-                # is queried immediately. If it answers that it does not read the
-                # platform, the next neighbour in order is queried: otherwise all hosts
-                # would query the platform, and the answers for all of them would share
-                # the link on which the answer for that neighbour was late.
-                if reader is not None:
-                    failed = answer != NOT_READING
-                    continue
-                failed = self._record_failure(table, answer)
+                await self._handle_failure(table, progress, answer, reader)
+            elif self._is_restored(table, answer) and not answer.whole:
+                # Changes since a revision of an earlier era may lack some.
+                progress.revision = None
+            else:
+                progress.failed = False
+                await self._handle_answer(table, progress, answer, reader)
+
+    async def _handle_failure(self, table, progress, failure, reader):
+        if failure == HISTORY_GONE:
+            progress.revision = None
+            # The table is read again without delay at first, since it may have changed.
+            # If the platform answers like this each time, that would be a busy loop.
+            if boottime_clock() < progress.history_lost_at + RETRY_PAUSE[1]:
                 await asyncio.sleep(random.uniform(*RETRY_PAUSE))
-                continue
-            failed = False
-            answer = self._apply(table, answer)
-            revision = max(revision or 0, answer.revision)
-            newest = max((row.revision for row in answer.rows), default=0)
-            if newest <= newest_seen:
-                continue
-            in_burst = (
-                table.confirms_configuration
-                and boottime_clock() < changed_at + BURST_GAP
-            )
-            newest_seen, changed_at = newest, boottime_clock()
-            await asyncio.sleep(self._pause_after_change(table, reader))
-            if in_burst and reader is None:
-                revision = None
+            progress.history_lost_at = boottime_clock()
+            return
+        if failure == OUTDATED_ERA:
+            # From before the restore that another answer has shown.
+            await asyncio.sleep(random.uniform(*RETRY_PAUSE))
+            return
+        # If a neighbour does not answer, others may not either, so the platform is
+        # queried immediately. If it answers that it does not read the platform, the
+        # next neighbour in order is queried: otherwise all hosts would query the
+        # platform, and the answers for all of them would share the link on which the
+        # answer for that neighbour was late.
+        if reader is not None:
+            progress.failed = failure != NOT_READING
+            return
+        progress.failed = self._record_failure(table, failure)
+        await asyncio.sleep(random.uniform(*RETRY_PAUSE))
+
+    async def _handle_answer(self, table, progress, answer, reader):
+        is_restored = self._is_restored(table, answer)
+        progress.generation = answer.generation
+        answer = self._apply(table, answer)
+        if is_restored:
+            self.on_restored()
+        progress.revision = newest(progress.revision or 0, answer.revision)
+        newest_row = newest(0, *(row.revision for row in answer.rows))
+        if not is_newer(newest_row, progress.newest_seen):
+            return
+        in_burst = self._is_in_burst(table, progress)
+        progress.newest_seen, progress.changed_at = newest_row, boottime_clock()
+        await asyncio.sleep(self._pause_after_change(table, reader))
+        if in_burst and reader is None:
+            progress.revision = None
+
+    def _is_in_burst(self, table, progress):
+        return (
+            table.confirms_configuration
+            and boottime_clock() < progress.changed_at + BURST_GAP
+        )
+
+    def _has_to_read_whole(self, table, revision):
+        """Return whether changes since a revision would not be enough.
+
+        The store may have been restored, and may have given out the revision again, so
+        that it answers without an error. Any of its answers shows that.
+        """
+        if revision is not None and era_of(revision) < self._neighbours.eras.era:
+            return True
+        return self.mirror.has_expired_holds(table.name)
+
+    def _is_restored(self, table, answer):
+        """Return whether an answer is of a newer era than the known table."""
+        known_era = self.mirror.era(table.name)
+        return known_era is not None and era_of(answer.revision) > known_era
 
     async def _await_neighbours(self):
         """Wait until an agent has reported the neighbours, or for the timeout."""
@@ -303,6 +389,8 @@
         answer = self.mirror.update(table.name, answer)
         self._log_outdated_rows(table, answer)
         table.on_update(answer)
+        for row in answer.rows:
+            row.is_correction = False
         if answer.rows:
             self._notify_waiters()
         if table.confirms_configuration:
@@ -322,18 +410,23 @@
                 "rows_outdated",
                 table=table.name,
                 count=len(new),
-                newest=max(row.revision for row in answer.outdated_rows),
+                newest=number_of(newest(*(revision for _, _, revision in new))),
                 keys=[key for _, key, _ in new[:MAX_LOGGED_KEYS]],
-                known=answer.revision,
+                era=era_of(answer.revision),
+                known=number_of(answer.revision),
             )
         other_tables = {item for item in logged_before if item[0] != table.name}
         self._logged_outdated_rows = other_tables | outdated
 
-    async def _query_neighbour(self, reader, table, revision):
+    async def _query_neighbour(self, reader, table, progress):
         if table.confirms_configuration:
             self._reads_platform = False
         answer = await self._neighbours.ask(
-            reader, table.name, after=revision, wait=NEIGHBOUR_WAIT
+            reader,
+            table.name,
+            after=progress.revision,
+            wait=NEIGHBOUR_WAIT,
+            generation=progress.generation,
         )
         if is_failure(answer):
             return answer
@@ -344,17 +437,18 @@
             self._set_current_until(float("-inf"))
         return answer
 
-    async def _query_store(self, table, revision, failed, in_burst):
+    async def _query_store(self, table, progress):
         # After a failure the first query does not wait for changes, so that its answer
         # shows immediately that the platform is reachable again.
-        whole = revision is None
-        wait = 0.0 if whole or failed else table.wait * random.uniform(*WAIT_SPREAD)
+        revision, whole = progress.revision, progress.revision is None
+        is_first = whole or progress.failed
+        wait = 0.0 if is_first else table.wait * random.uniform(*WAIT_SPREAD)
         asked_at = boottime_clock()
         if table.confirms_configuration:
             self._reads_platform = True
             overdue_after = (
                 LARGE_ANSWER_OVERDUE_AFTER
-                if whole or in_burst
+                if whole or self._is_in_burst(table, progress)
                 else ANSWER_OVERDUE_AFTER
             )
             self._set_current_until(
@@ -364,28 +458,35 @@
             answer = await self._store.read(table.name)
         else:
             answer = await self._store.follow(table.name, after=revision, wait=wait)
+        answered_at = boottime_clock()
         if is_failure(answer):
             return answer
+        if whole and self.mirror.era(table.name) != era_of(answer.revision):
+            # A copy that the store was restored from may lack what neighbours know.
+            self.mirror.merge(
+                table.name, await self._neighbours.ask_earlier_eras(table.name)
+            )
         # The answer confirms the platform's state at the time it was made: an empty one
         # at the end of the wait, any other one when there were changes, possibly
         # immediately.
         hold_time = wait if not answer.rows else 0.0
-        now = boottime_clock()
-        confirmed_at = min(asked_at + hold_time, now)
+        confirmed_at = min(asked_at + hold_time, answered_at)
         answer.confirmed_at = confirmed_at
-        self._set_write_times(table, answer, asked_at, confirmed_at)
+        self._set_write_times(table, answer, asked_at, confirmed_at, answered_at)
         if table.confirms_configuration:
             self._set_current_until(
-                now + table.pause + table.wait + LARGE_ANSWER_OVERDUE_AFTER
+                answered_at + table.pause + table.wait + LARGE_ANSWER_OVERDUE_AFTER
             )
         return answer
 
-    def _set_write_times(self, table, answer, asked_at, confirmed_at):
+    def _set_write_times(self, table, answer, asked_at, confirmed_at, answered_at):
         """Set lower bounds on the write times of the rows of an answer."""
-        clock, now = self.clock, boottime_clock()
+        clock, now = self.clock, answered_at
         answer.known_until = self._known_until(table)
         if (
             table.name in self._failed_tables
+            # A copy has rows that were written before the outage.
+            and not self._is_restored(table, answer)
             and asked_at - answer.known_until >= MIN_OUTAGE
         ):
             answer.known_until = asked_at
@@ -395,6 +496,7 @@
                 asked_at=asked_at,
                 made_at=answer.made_at,
                 revision=answer.revision,
+                received_at=now,
             )
             confirmed_at = max(
                 confirmed_at,
--- a/hawthornspoke/mirror/tests/test_declaration_recorder.py
+++ b/hawthornspoke/mirror/tests/test_declaration_recorder.py
@@ -20,8 +20,8 @@
 
 MADE_AT = 50.0
 REVISION = 40
-TWO = {"version": 2, "revision": 20, "not_before_ms": 21000}
-THREE = {"version": 3, "revision": 30, "not_before_ms": 25000}
+TWO = {"version": 2, "revision": 20, "era": 0, "not_before_ms": 21000}
+THREE = {"version": 3, "revision": 30, "era": 0, "not_before_ms": 25000}
 
 VALUES = st.recursive(
     st.one_of(st.none(), st.integers(), st.floats(), st.text(max_size=4)),
--- a/hawthornspoke/mirror/tests/test_watch.py
+++ b/hawthornspoke/mirror/tests/test_watch.py
@@ -320,9 +320,9 @@
         call_times = []
         changes_since = reader.watch.mirror.changes_since
 
-        def counting_changes_since(name, after):
+        def counting_changes_since(name, after, **options):
             call_times.append(boottime_clock())
-            return changes_since(name, after)
+            return changes_since(name, after, **options)
 
         reader.watch.mirror = CountingMirror(
             reader.watch.mirror, counting_changes_since
--- a/hawthornspoke/protocol/_gen/ttypes.py
+++ b/hawthornspoke/protocol/_gen/ttypes.py
@@ -3235,6 +3235,8 @@
      - row_revision
      - compressed
      - written_age_ms
+     - era
+     - removed_data
 
     """
 
@@ -3244,15 +3246,19 @@
         'row_revision',
         'compressed',
         'written_age_ms',
+        'era',
+        'removed_data',
     )
 
 
-    def __init__(self, key=None, data=None, row_revision=None, compressed=None, written_age_ms=None,):
+    def __init__(self, key=None, data=None, row_revision=None, compressed=None, written_age_ms=None, era=None, removed_data=None,):
         self.key = key
         self.data = data
         self.row_revision = row_revision
         self.compressed = compressed
         self.written_age_ms = written_age_ms
+        self.era = era
+        self.removed_data = removed_data
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3288,6 +3294,16 @@
                     self.written_age_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.removed_data = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3318,6 +3334,14 @@
             oprot.writeFieldBegin('written_age_ms', TType.I64, 5)
             oprot.writeI64(self.written_age_ms)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 6)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.removed_data is not None:
+            oprot.writeFieldBegin('removed_data', TType.STRING, 7)
+            oprot.writeBinary(self.removed_data)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3349,6 +3373,10 @@
      - table
      - after
      - wait_ms
+     - era
+     - after_era
+     - generation
+     - earlier_eras
 
     """
 
@@ -3356,13 +3384,21 @@
         'table',
         'after',
         'wait_ms',
+        'era',
+        'after_era',
+        'generation',
+        'earlier_eras',
     )
 
 
-    def __init__(self, table=None, after=None, wait_ms=None,):
+    def __init__(self, table=None, after=None, wait_ms=None, era=None, after_era=None, generation=None, earlier_eras=None,):
         self.table = table
         self.after = after
         self.wait_ms = wait_ms
+        self.era = era
+        self.after_era = after_era
+        self.generation = generation
+        self.earlier_eras = earlier_eras
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3388,6 +3424,26 @@
                     self.wait_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.after_era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.generation = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.earlier_eras = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3410,6 +3466,22 @@
             oprot.writeFieldBegin('wait_ms', TType.I32, 3)
             oprot.writeI32(self.wait_ms)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 4)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.after_era is not None:
+            oprot.writeFieldBegin('after_era', TType.I64, 5)
+            oprot.writeI64(self.after_era)
+            oprot.writeFieldEnd()
+        if self.generation is not None:
+            oprot.writeFieldBegin('generation', TType.I32, 6)
+            oprot.writeI32(self.generation)
+            oprot.writeFieldEnd()
+        if self.earlier_eras is not None:
+            oprot.writeFieldBegin('earlier_eras', TType.BOOL, 7)
+            oprot.writeBool(self.earlier_eras)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3444,6 +3516,9 @@
      - rows
      - held_ms
      - age_ms
+     - era
+     - generation
+     - copied_until
 
     """
 
@@ -3454,16 +3529,22 @@
         'rows',
         'held_ms',
         'age_ms',
+        'era',
+        'generation',
+        'copied_until',
     )
 
 
-    def __init__(self, current=None, whole=None, up_to=None, rows=None, held_ms=None, age_ms=None,):
+    def __init__(self, current=None, whole=None, up_to=None, rows=None, held_ms=None, age_ms=None, era=None, generation=None, copied_until=None,):
         self.current = current
         self.whole = whole
         self.up_to = up_to
         self.rows = rows
         self.held_ms = held_ms
         self.age_ms = age_ms
+        self.era = era
+        self.generation = generation
+        self.copied_until = copied_until
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3510,6 +3591,21 @@
                     self.age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.generation = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.copied_until = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3547,6 +3643,18 @@
             oprot.writeFieldBegin('age_ms', TType.I32, 6)
             oprot.writeI32(self.age_ms)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 7)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.generation is not None:
+            oprot.writeFieldBegin('generation', TType.I32, 8)
+            oprot.writeI32(self.generation)
+            oprot.writeFieldEnd()
+        if self.copied_until is not None:
+            oprot.writeFieldBegin('copied_until', TType.I64, 9)
+            oprot.writeI64(self.copied_until)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4421,6 +4529,8 @@
     (3, TType.I64, 'row_revision', None, None, ),  # 3
     (4, TType.BOOL, 'compressed', None, None, ),  # 4
     (5, TType.I64, 'written_age_ms', None, None, ),  # 5
+    (6, TType.I64, 'era', None, None, ),  # 6
+    (7, TType.STRING, 'removed_data', 'BINARY', None, ),  # 7
 )
 all_structs.append(TableAsk)
 TableAsk.thrift_spec = (
@@ -4428,6 +4538,10 @@
     (1, TType.STRING, 'table', 'UTF8', None, ),  # 1
     (2, TType.I64, 'after', None, None, ),  # 2
     (3, TType.I32, 'wait_ms', None, None, ),  # 3
+    (4, TType.I64, 'era', None, None, ),  # 4
+    (5, TType.I64, 'after_era', None, None, ),  # 5
+    (6, TType.I32, 'generation', None, None, ),  # 6
+    (7, TType.BOOL, 'earlier_eras', None, None, ),  # 7
 )
 all_structs.append(TableNews)
 TableNews.thrift_spec = (
@@ -4438,6 +4552,9 @@
     (4, TType.LIST, 'rows', (TType.STRUCT, [TableRow, None], False), None, ),  # 4
     (5, TType.I32, 'held_ms', None, None, ),  # 5
     (6, TType.I32, 'age_ms', None, None, ),  # 6
+    (7, TType.I64, 'era', None, None, ),  # 7
+    (8, TType.I32, 'generation', None, None, ),  # 8
+    (9, TType.I64, 'copied_until', None, None, ),  # 9
 )
 all_structs.append(EndpointRateLimit)
 EndpointRateLimit.thrift_spec = (
--- a/hawthornspoke/relay/_sink.py
+++ b/hawthornspoke/relay/_sink.py
@@ -102,10 +102,19 @@
         self._neighbours = neighbours
         self._rate_limits = rate_limits
 
-    def on_catalog(self, catalog):
-        """Apply a configuration; one that is not newer is ignored."""
+    def on_catalog(self, catalog, *, is_correction=False):
+        """Apply a configuration.
+
+        Parameters
+        ----------
+        catalog : Catalog
+        is_correction : bool, default=False
+            Whether it replaces the known one although its version is not newer.
+            Otherwise it is ignored then.
+        """
         known = self._handler.catalog
-        if known is not None and catalog.revision <= known.revision:
+        is_newer = known is None or catalog.revision > known.revision
+        if not is_newer and not is_correction:
             return
         changed = CatalogChanged(
             service_by_name=catalog.service_by_name,
--- a/idl/hawthornspoke.thrift
+++ b/idl/hawthornspoke.thrift
@@ -269,6 +269,10 @@
   4: optional bool compressed,
   // Milliseconds before the answer from which the row may date; absent if unknown.
   5: optional i64 written_age_ms,
+  // Of the row's revision; absent if it is the answer's.
+  6: optional i64 era,
+  // Last known data of a removed row.
+  7: optional binary removed_data,
 }
 
 // Asks a neighbour what changed in a table since a revision, -1 for all of it.
@@ -276,6 +280,13 @@
   1: optional string table,
   2: optional i64 after,
   3: optional i32 wait_ms,
+  // The newest era of the platform's store that the sender knows, and that of `after`.
+  4: optional i64 era,
+  5: optional i64 after_era,
+  // Of the answer by which the sender knows the table.
+  6: optional i32 generation,
+  // Whether only rows known from earlier eras are asked for, from any host.
+  7: optional bool earlier_eras,
 }
 
 struct TableNews {
@@ -288,6 +299,12 @@
   // platform confirmed what the sender knows.
   5: optional i32 held_ms,
   6: optional i32 age_ms,
+  // Era of `up_to`, and of rows that name none.
+  7: optional i64 era,
+  // Grows when the sender's table changes in a way that revisions don't show.
+  8: optional i32 generation,
+  // Rows after it were written after the restore that began the era.
+  9: optional i64 copied_until,
 }
 
 // The rate limit that an endpoint names in its responses.
