Log each restore of the store once for each process, and explain it

A host that learns of it from a neighbour logs it too; explain shows the last one before a request, the state dump the era and the rows that are kept.

--- a/hawthornspoke/explain/_explain.py
+++ b/hawthornspoke/explain/_explain.py
@@ -11,8 +11,10 @@
 #: Maximum number of such events from before these seconds.
 MAX_EARLIER_SIGNALS = 20
 
-#: Event that tells which failure domains are evacuated, which holds until the next one.
+#: Events with a state of a host that holds until the next one: the evacuated failure
+#: domains, and how often the platform's store was restored from a copy.
 EVACUATIONS_EVENT = "evacuations"
+ERA_EVENT = "store_era"
 
 #: Events that refer to a single request.
 REQUEST_EVENTS = ("placed", "declined", "try_failed", "request")
@@ -35,8 +37,8 @@
     list of str
         Formatted events in order of time; empty if no event names the request. State
         changes are limited to the hosts and endpoints involved in the request, and to
-        some seconds around it, except for what endpoints had said of themselves before
-        and the evacuations that were in force.
+        some seconds around it, except for what endpoints had said of themselves before,
+        the evacuations that were in force and the last restore of the store.
     """
     events = EventReader(paths=paths).events
     request_events = [event for event in events if event.get("request") == request_id]
@@ -54,7 +56,8 @@
         and (event.get("request") == request_id or _is_related(event, involved))
     ]
     selected = (
-        _evacuations_before(events, first, involved)
+        _last_before(ERA_EVENT, events, first, involved)
+        + _evacuations_before(events, first, involved)
         + _signals_before(events, first, involved)
         + selected
     )
@@ -64,17 +67,22 @@
 
 def _evacuations_before(events, time, involved):
     """Return the evacuations in force at a time, by what the involved hosts logged."""
-    last_by_node = {}
-    for event in events:
-        if event["event"] == EVACUATIONS_EVENT and event["t"] < time:
-            last_by_node[event.get("node")] = event
     return [
         event
-        for node, event in last_by_node.items()
-        if node in involved and event.get("failure_domains")
+        for event in _last_before(EVACUATIONS_EVENT, events, time, involved)
+        if event.get("failure_domains")
     ]
 
 
+def _last_before(name, events, time, involved):
+    """Return the last event of a name before a time at each of the involved hosts."""
+    last_by_node = {}
+    for event in events:
+        if event["event"] == name and event["t"] < time:
+            last_by_node[event.get("node")] = event
+    return [event for node, event in last_by_node.items() if node in involved]
+
+
 def _signals_before(events, time, involved):
     """Return the last change of each signal before a time, at the involved hosts."""
     last_by_signal = {}
--- a/hawthornspoke/mirror/_neighbours.py
+++ b/hawthornspoke/mirror/_neighbours.py
@@ -146,6 +146,14 @@
         """Return the neighbour to query; None if this host has to read the platform."""
         return self.readers.reader(monotonic())
 
+    def dump_store(self):
+        """Return what is known of the platform's store as plain data."""
+        return {
+            "era": self.eras.era,
+            "era_is_usable": self.eras.is_usable,
+            "tables": {} if self._watch is None else self._watch.mirror.dump(),
+        }
+
     def report_platform_failure(self, reason):
         """Log that this host can't read the platform, and don't select it as reader."""
         self._log.change("platform_unread", reason=reason)
--- a/hawthornspoke/mirror/_revision.py
+++ b/hawthornspoke/mirror/_revision.py
@@ -68,6 +68,12 @@
     Answers may overtake each other, so one of an earlier era is refused. A store whose
     era is missing, unusable or goes back for good is taken to be in the current era.
 
+    Parameters
+    ----------
+    on_change : callable or None, default=None
+        Called with the era before and where the current one was found: ``"store"`` or
+        ``"neighbour"``.
+
     Attributes
     ----------
     era : int
@@ -76,9 +82,10 @@
         Whether the last answer named an era that can be used.
     """
 
-    __slots__ = ("era", "is_usable", "_outdated_answers")
+    __slots__ = ("era", "is_usable", "_on_change", "_outdated_answers")
 
-    def __init__(self):
+    def __init__(self, *, on_change=None):
+        self._on_change = on_change
         self.era = UNKNOWN_ERA
         self.is_usable = True
         self._outdated_answers = 0
@@ -100,8 +107,9 @@
         """
         named = _parse_era(value)
         if named is not None and named >= self.era:
-            self.era, self.is_usable = named, True
+            self.is_usable = True
             self._outdated_answers = 0
+            self._advance(named, "store")
             return named
         if named is None:
             self.is_usable = False
@@ -123,8 +131,13 @@
         era : int
         """
         if era > self.era:
-            self.era = era
             self._outdated_answers = 0
+            self._advance(era, "neighbour")
+
+    def _advance(self, era, source):
+        before, self.era = self.era, era
+        if era != before and self._on_change is not None:
+            self._on_change(before, source)
 
 
 def _parse_era(value):
--- a/hawthornspoke/relay/_process.py
+++ b/hawthornspoke/relay/_process.py
@@ -298,6 +298,7 @@
             "revision": getattr(self.handler.catalog, "revision", None),
             "contact": self.contact.dump(now=boottime_clock()),
             "readers": self.neighbours.readers.dump(now=now),
+            "store": self.neighbours.dump_store(),
             "fleet": self.fleet.dump(now=now),
             "caller_retries": self.handler.dump_caller_retries(),
             "budgets": self.budgets.dump(now=now),
