--- a/hawthornspoke/mirror/_neighbours.py
+++ b/hawthornspoke/mirror/_neighbours.py
@@ -218,17 +218,24 @@
         list of Row
             A key may have several.
         """
-        era = self.eras.era
-        ask = TableAsk(table=table, after=-1, wait_ms=0, era=era, earlier_eras=True)
-        answers = await asyncio.gather(
-            *(
-                self._query(address, copy.copy(ask), timeout=EARLIER_ERAS_TIMEOUT)
-                for address in self.readers.neighbour_addresses()
-            )
+        ask = TableAsk(
+            table=table, after=-1, wait_ms=0, era=self.eras.era, earlier_eras=True
         )
         asked_at = boottime_clock()
+        queries = [
+            asyncio.ensure_future(
+                self._query(address, copy.copy(ask), timeout=EARLIER_ERAS_TIMEOUT)
+            )
+            for address in self.readers.neighbour_addresses()
+        ]
+        if not queries:
+            return []
+        done, late = await asyncio.wait(queries, timeout=EARLIER_ERAS_TIMEOUT)
+        for query in late:
+            query.cancel()
         rows = []
-        for answer in answers:
+        for query in done:
+            answer = query.result()
             if is_failure(answer) or not _validate_and_decompress(answer):
                 continue
             if answer.era is not None:
@@ -330,13 +337,13 @@
         link.send(Frame(call=-frame.call, table_news=answer))
 
     def _earlier_eras(self, ask):
-        """Return the rows that this host knows from before the era of a query."""
-        now = boottime_clock()
-        rows = self._watch.mirror.rows_before_era(ask.table, ask.era)
+        """Return the rows that this host knows from before the newest era."""
+        now, era = boottime_clock(), self.eras.era
+        rows = self._watch.mirror.rows_before_era(ask.table, era)
         return TableNews(
             current=True,
             up_to=0,
-            era=ask.era,
+            era=era,
             held_ms=0,
             age_ms=0,
             rows=[self._encode_row_with_age(ask.table, row, now) for row in rows],
--- a/hawthornspoke/mirror/_watch.py
+++ b/hawthornspoke/mirror/_watch.py
@@ -455,17 +455,12 @@
                 min(self.current_until, asked_at + wait + overdue_after)
             )
         if whole:
-            answer = await self._store.read(table.name)
+            answer, answered_at = await self._read_whole(table)
         else:
             answer = await self._store.follow(table.name, after=revision, wait=wait)
-        answered_at = boottime_clock()
+            answered_at = boottime_clock()
         if is_failure(answer):
             return answer
-        if whole and self.mirror.era(table.name) != era_of(answer.revision):
-            # A copy that the store was restored from may lack what neighbours know.
-            self.mirror.merge(
-                table.name, await self._neighbours.ask_earlier_eras(table.name)
-            )
         # The answer confirms the platform's state at the time it was made: an empty one
         # at the end of the wait, any other one when there were changes, possibly
         # immediately.
@@ -479,6 +474,21 @@
             )
         return answer
 
+    async def _read_whole(self, table):
+        """Read a whole table; return the answer and when it was received.
+
+        In the first answer of an era the store may lack what neighbours know, so these
+        are asked before it is applied.
+        """
+        answer = await self._store.read(table.name)
+        answered_at = boottime_clock()
+        if is_failure(answer):
+            return answer, answered_at
+        if era_of(answer.revision) != self.mirror.era(table.name):
+            rows = await self._neighbours.ask_earlier_eras(table.name)
+            self.mirror.merge(table.name, rows)
+        return answer, answered_at
+
     def _set_write_times(self, table, answer, asked_at, confirmed_at, answered_at):
         """Set lower bounds on the write times of the rows of an answer."""
         clock, now = self.clock, answered_at
