End holds of rows that are removed both before and after a restore

A row that was known as removed, and that the copy had, was held; when it was removed again, nothing ended the hold, and once its time was over the whole table was read without a pause. A whole read ends all holds that it doesn't renew now.

--- a/hawthornspoke/mirror/_tables.py
+++ b/hawthornspoke/mirror/_tables.py
@@ -144,6 +144,8 @@
             is_accepted = self._accept(table, row)
             (newer_rows if is_accepted else outdated_rows).append(row)
         table.revision = newest(table.revision, table_update.revision)
+        if table_update.whole:
+            self._end_expired_holds(table)
         accepted_rows = table.live_rows() if table_update.whole else newer_rows
         self._drop_old_tombstones(table)
         return TableUpdate(
@@ -227,6 +229,15 @@
         del table.hold_deadline_by_key[key]
         return False
 
+    def _end_expired_holds(self, table):
+        """Forget holds that a whole read did not renew, as of rows removed twice."""
+        now = self._clock()
+        table.hold_deadline_by_key = {
+            key: deadline
+            for key, deadline in table.hold_deadline_by_key.items()
+            if now < deadline
+        }
+
     def era(self, name):
         """Return the era in which a table was read, None if it was not read yet."""
         table = self._table_by_name.get(name)
--- a/hawthornspoke/mirror/tests/test_tables.py
+++ b/hawthornspoke/mirror/tests/test_tables.py
@@ -1,6 +1,13 @@
 """Changes and tombstones in local copies of tables."""
 
-from hawthornspoke.mirror import Mirror, Row, TableUpdate
+from hawthornspoke.mirror import (
+    ContentOrder,
+    Mirror,
+    Row,
+    TableUpdate,
+    make_revision,
+)
+from hawthornspoke.mirror._tables import OUTDATED_HOLD
 
 
 def row(key, revision, data=b"x"):
@@ -129,3 +136,24 @@
     )
     assert contents(accepted) == [("a", b"x")]
     assert contents(mirror.changes_since("t", 5)) == [("b", None)]
+
+
+def test_row_that_is_removed_twice_is_not_held_for_good():
+    """Guards against whole reads without a pause after a hold that nothing ended."""
+    now = 0.0
+    order = ContentOrder(position=lambda key, data: (data,))
+    mirror = Mirror(order_by_table={"t": order}, clock=lambda: now)
+
+    def read(era, number, *rows):
+        revision = make_revision(era, number)
+        rows = [row(key, make_revision(era, at), data) for key, at, data in rows]
+        mirror.update("t", TableUpdate(rows=rows, revision=revision, whole=True))
+
+    read(1, 5, ("a", 3, b"1"))
+    read(1, 8)
+    read(2, 5, ("a", 3, b"1"))
+    read(2, 6)
+    now = OUTDATED_HOLD + 1.0
+    assert mirror.has_expired_holds("t")
+    read(2, 6)
+    assert not mirror.has_expired_holds("t")
