Search for the reader of a failure domain without a walk over its hosts

Callers had requests handled by an old configuration: after an outage of the store for 8 s, no host of a failure domain of 13 read the platform for 1.9 s, and a configuration was in force later than its bound.

Cause: a host that had read the platform again still counted itself as failed and asked one neighbour after the other, each of which held the query for up to 0.3 s, while the others waited at this host, whose last answer counted as current. A failed read of one table did the same to the other table: with the reader alone cut off, no host had a change for 3.8 to 4.5 s, with 3, 13 and 25 hosts.

Now a host that reads or has a reader leaves it only for a host that reads. After a second "does not read" all neighbours are asked at once; an answer says whether its host reads, or how long ago it failed (a new optional field of TableNews, which older programs skip). While the platform fails for several hosts, the one whose attempt is the longest ago tries next, at most one each 0.3 s.

--- a/hawthornspoke/mirror/_neighbours.py
+++ b/hawthornspoke/mirror/_neighbours.py
@@ -12,8 +12,11 @@
 from hawthornspoke.catalog import UNKNOWN_TIME
 from hawthornspoke.mirror._readers import (
     NeighbourListReceived,
+    ReaderCandidate,
     ReaderFailed,
+    ReaderFound,
     ReaderSelector,
+    select_reader,
 )
 from hawthornspoke.mirror._revision import (
     EraTracker,
@@ -33,6 +36,13 @@
 #: change must be in force (2 s).
 ANSWER_TIMEOUT = 0.5
 
+#: Timeout in seconds of an answer whether a neighbour reads the platform. It answers
+#: immediately.
+SEARCH_TIMEOUT = 0.2
+
+#: Revision after which no neighbour has changes, so that its answer contains no rows.
+LAST_REVISION = 2**62
+
 #: Seconds between two checks whether this host has become the reader.
 POLL_INTERVAL = 0.05
 
@@ -79,6 +89,7 @@
 
     Attributes
     ----------
+    address : str
     readers : ReaderSelector
     eras : EraTracker
         Eras of the platform's store; shared with its client.
@@ -87,7 +98,7 @@
     __slots__ = (
         "readers",
         "eras",
-        "_address",
+        "address",
         "_port",
         "_log",
         "_watch",
@@ -100,7 +111,7 @@
     def __init__(self, *, address, port, log):
         self.readers = ReaderSelector(address=address)
         self.eras = EraTracker()
-        self._address = address
+        self.address = address
         self._port = port
         self._log = log
         self._watch = None
@@ -122,7 +133,7 @@
         if self._server is not None:
             return
         self._server = await listen(
-            self._address,
+            self.address,
             self._port,
             on_frame=self._on_frame,
             on_closed=lambda link: None,
@@ -157,7 +168,7 @@
     def report_platform_failure(self, reason):
         """Log that this host can't read the platform, and don't select it as reader."""
         self._log.change("platform_unread", reason=reason)
-        self.readers.step(ReaderFailed(address=self._address), now=monotonic())
+        self.readers.step(ReaderFailed(address=self.address), now=monotonic())
 
     async def ask(self, address, table, *, after, wait, generation=0):
         """Query a neighbour for changes of a table.
@@ -176,8 +187,8 @@
         Returns
         -------
         TableUpdate or Failure
-            After ``NOT_READING`` the next neighbour in order has to be queried; after
-            any other failure this host has to read the platform itself.
+            After ``NOT_READING`` the reader has to be searched for; after any other
+            failure this host has to read the platform itself.
         """
         asked_at = boottime_clock()
         eras = self.eras
@@ -242,12 +253,80 @@
                 rows += _decode_answer(answer, asked_at, answer.era).rows
         return rows
 
-    async def _query(self, address, ask, *, timeout):
+    async def search(self, table, *, excluded=()):
+        """Ask all neighbours at once who reads the platform, and select a host.
+
+        Parameters
+        ----------
+        table : str
+        excluded : container of str, default=()
+            IPs of hosts that are not selected unless they read the platform.
+
+        Returns
+        -------
+        SelectedReader
+        """
+        answers = await asyncio.gather(
+            *(
+                self._query_state(address, table)
+                for address in self.readers.neighbour_addresses()
+            )
+        )
+        candidates = [
+            candidate
+            for candidate in answers
+            if candidate is not None
+            and (candidate.reads or candidate.address not in excluded)
+        ]
+        candidates.append(
+            ReaderCandidate(
+                address=self.address,
+                reads=self._watch.is_current(),
+                failed_age=self._failed_age(),
+            )
+        )
+        selected = select_reader(candidates)
+        is_own_turn = selected.address == self.address and selected.is_due
+        if is_own_turn or not selected.is_retry:
+            found = ReaderFound(address=selected.address)
+            self.readers.step(found, now=monotonic())
+        return selected
+
+    async def _query_state(self, address, table):
+        """Return a neighbour as a candidate; None if it does not answer."""
+        link = await self._link(address)
+        if is_failure(link):
+            return None
+        ask = TableAsk(table=table, after=LAST_REVISION, wait_ms=0, era=self.eras.era)
+        # The link stays open after a timeout: others may wait for answers on it.
+        answer = await link.ask(Frame(table_ask=ask), timeout=SEARCH_TIMEOUT)
+        if is_failure(answer) or answer.table_news is None:
+            return None
+        failed_age_ms = answer.table_news.failed_age_ms
+        return ReaderCandidate(
+            address=address,
+            reads=bool(answer.table_news.current),
+            failed_age=None if failed_age_ms is None else failed_age_ms / 1000,
+        )
+
+    def _failed_age(self):
+        """Return the seconds since this host failed to read the platform, or None."""
+        age = boottime_clock() - self._watch.failed_at
+        if self._watch.is_failing or age < self.readers.avoid_for:
+            return age
+        return None
+
+    async def _link(self, address):
+        """Return the open connection to a neighbour, or a new one, or a Failure."""
         link = self._link_by_address.get(address)
         if link is None:
             link = await self._connect(address)
-            if is_failure(link):
-                return link
+        return link
+
+    async def _query(self, address, ask, *, timeout):
+        link = await self._link(address)
+        if is_failure(link):
+            return link
         answer = await link.ask(Frame(table_ask=ask), timeout=timeout)
         if is_failure(answer):
             link.close()
@@ -306,8 +385,12 @@
         table_update = None
         while self._watch.is_current() or self._may_take_over(asked_at):
             if self._watch.is_current():
+                # A search for the reader asks for no rows.
+                is_search = ask.after == LAST_REVISION
                 table_update = self._watch.mirror.changes_since(
-                    ask.table, after, generation=ask.generation or 0
+                    ask.table,
+                    after,
+                    generation=None if is_search else ask.generation or 0,
                 )
             waited = boottime_clock() - asked_at
             if waited >= ask.wait_ms / 1000 or (
@@ -334,6 +417,8 @@
                 held_ms=int((now - asked_at) * 1000),
                 age_ms=int((now - self._watch.confirmed_at) * 1000) + 1,
             )
+        elif (failed_age := self._failed_age()) is not None:
+            answer.failed_age_ms = int(failed_age * 1000)
         link.send(Frame(call=-frame.call, table_news=answer))
 
     def _earlier_eras(self, ask):
@@ -372,8 +457,7 @@
         """
         if self._watch.is_first_read_pending():
             return True
-        now = monotonic()
-        if self.readers.is_avoided(self._address, now):
+        if self._failed_age() is not None:
             return False
         return boottime_clock() < asked_at + TAKEOVER_WINDOW
 
--- a/hawthornspoke/mirror/_readers.py
+++ b/hawthornspoke/mirror/_readers.py
@@ -4,6 +4,9 @@
 
 from hawthornspoke.base import MACHINES, Bounds, Machine
 
+#: Minimum seconds between attempts of different hosts to read a failing platform.
+RETRY_INTERVAL = 0.3
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class NeighbourListReceived:
@@ -34,6 +37,150 @@
     address: str
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class ReaderFound:
+    """A search has found the host that reads the platform or has to try next.
+
+    Parameters
+    ----------
+    address : str
+        IP of the host, possibly this one.
+    """
+
+    address: str
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class ReaderCandidate:
+    """What a host of this failure domain answers during a search for the reader.
+
+    Parameters
+    ----------
+    address : str
+        IP of the host, possibly this one.
+    reads : bool
+        Whether it reads the platform and gets answers in time.
+    failed_age : float or None
+        Seconds since it last failed to read the platform; None if it could read it or
+        has not tried lately.
+    """
+
+    address: str
+    reads: bool
+    failed_age: float | None
+
+    def rank(self):
+        """Return a sort key; the first candidate is selected."""
+        if self.reads or self.failed_age is None:
+            return (not self.reads, float("-inf"), self.address)
+        return (True, -self.failed_age, self.address)
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class SelectedReader:
+    """Result of a search for the reader.
+
+    Parameters
+    ----------
+    address : str
+        IP of the host, possibly this one.
+    is_retry : bool
+        Whether the platform fails for several hosts and this one has the next attempt,
+        so that there is nothing to query it for yet.
+    is_due : bool
+        Whether the host may read the platform now.
+    """
+
+    address: str
+    is_retry: bool
+    is_due: bool
+
+
+def select_reader(candidates):
+    """Select the host that reads the platform or has to try next.
+
+    While the platform fails, the host whose last attempt is the longest ago has the
+    next one. So the number of attempts does not grow with the number of hosts, and a
+    host that stays partitioned does not keep others from trying.
+
+    Parameters
+    ----------
+    candidates : list of ReaderCandidate
+        At least one.
+
+    Returns
+    -------
+    SelectedReader
+    """
+    selected = min(candidates, key=ReaderCandidate.rank)
+    other_ages = [
+        candidate.failed_age
+        for candidate in candidates
+        if candidate.failed_age is not None and candidate is not selected
+    ]
+    # After a single failure the next host takes over and can be queried immediately.
+    is_retry = not selected.reads and (
+        selected.failed_age is not None or len(other_ages) > 1
+    )
+    is_due = not is_retry or min(other_ages, default=RETRY_INTERVAL) >= RETRY_INTERVAL
+    return SelectedReader(address=selected.address, is_retry=is_retry, is_due=is_due)
+
+
+class ReaderHistory:
+    """Which host provided a table last, and which ones did not read since.
+
+    Attributes
+    ----------
+    not_reading : set of str
+        IPs of neighbours that answered since that they do not read the platform.
+    """
+
+    __slots__ = ("not_reading", "_has_answer", "_last_reader", "_is_search_due")
+
+    def __init__(self):
+        self.not_reading = set()
+        self._has_answer = False
+        self._last_reader = None
+        self._is_search_due = False
+
+    def needs_search(self, reader):
+        """Return whether to ask all neighbours before a host is queried.
+
+        A host that reads the platform or has a reader first asks whether another host
+        reads: otherwise its neighbours would wait for the changes that it lacks.
+
+        Parameters
+        ----------
+        reader : str or None
+            The neighbour to query; None if this host would read the platform.
+        """
+        is_other = self._has_answer and reader != self._last_reader
+        return self._is_search_due or (is_other and not self.not_reading)
+
+    def record_answer(self, reader):
+        """Record that a neighbour, or the platform if None, has provided the table."""
+        self._has_answer, self._last_reader = True, reader
+        self._is_search_due = False
+        self.not_reading.clear()
+
+    def record_not_reading(self, reader, *, answered):
+        """Record that a neighbour does not read; after a second answer all are asked.
+
+        Parameters
+        ----------
+        reader : str
+        answered : bool
+            Whether it answered so; False if it did not answer.
+        """
+        self._is_search_due = answered and bool(self.not_reading)
+        self.not_reading.add(reader)
+
+    def record_platform_failure(self):
+        """Record that this host could not read the platform."""
+        self._is_search_due = True
+        self.not_reading.clear()
+
+
 @MACHINES.register("readers")
 class ReaderSelector(Machine):
     """Selects the host that reads the platform for all hosts of its failure domain.
@@ -86,6 +233,14 @@
         self._avoid_deadline_by_address[message.address] = now + self.avoid_for
         return []
 
+    def on_reader_found(self, message, *, now):
+        """Select a host, and don't select those before it for ``avoid_for`` seconds."""
+        self._avoid_deadline_by_address.pop(message.address, None)
+        for address in self._failure_domain_addresses():
+            if address < message.address:
+                self._avoid_deadline_by_address[address] = now + self.avoid_for
+        return []
+
     def reader(self, now):
         """Return the neighbour to query.
 
@@ -104,14 +259,14 @@
             return None if address == self.address else address
         return None
 
-    def neighbour_addresses(self):
-        """Return the addresses of the other hosts of this failure domain, ordered."""
-        return sorted(self._failure_domain_addresses() - {self.address})
-
     def is_avoided(self, address, now):
         """Return whether a host failed within the last ``avoid_for`` seconds."""
         return now < self._avoid_deadline_by_address.get(address, 0.0)
 
+    def neighbour_addresses(self):
+        """Return the IPs of the other known hosts of this failure domain."""
+        return self._failure_domain_addresses() - {self.address}
+
     def host_count(self):
         """Return the number of known hosts of this failure domain, with this one."""
         return len(self._failure_domain_addresses())
--- a/hawthornspoke/mirror/_tables.py
+++ b/hawthornspoke/mirror/_tables.py
@@ -292,8 +292,8 @@
         name : str
         after : int or None
             Revision up to which the table is known; None returns the whole table.
-        generation : int, default=0
-            That of the answer by which it is known.
+        generation : int or None, default=0
+            That of the answer by which it is known; None if it doesn't matter.
 
         Returns
         -------
@@ -309,7 +309,7 @@
         is_whole = (
             after is None
             or is_newer(table.complete_from, after)
-            or generation != table.generation
+            or generation not in (None, table.generation)
         )
         if is_whole:
             rows = table.live_rows()
--- a/hawthornspoke/mirror/_watch.py
+++ b/hawthornspoke/mirror/_watch.py
@@ -13,6 +13,7 @@
 from hawthornspoke.catalog import UNKNOWN_TIME
 from hawthornspoke.mirror._clock import PlatformClock
 from hawthornspoke.mirror._content_order import NO_ORDER
+from hawthornspoke.mirror._readers import ReaderHistory
 from hawthornspoke.mirror._revision import (
     OUTDATED_ERA,
     era_of,
@@ -75,6 +76,10 @@
 #: hosts lose it together and would otherwise retry together.
 RETRY_PAUSE = (0.2, 0.5)
 
+#: Seconds after which the attempt of a neighbour to read the platform is no longer
+#: awaited. The neighbour may wait for an answer of another host.
+TURN_TIMEOUT = 1.0
+
 
 class FollowedTable:
     """A table to follow, with its polling intervals.
@@ -136,9 +141,11 @@
         "newest_seen",
         "changed_at",
         "history_lost_at",
+        "history",
     )
 
     def __init__(self):
+        self.history = ReaderHistory()
         self.revision = None
         self.generation = 0
         self.failed = False
@@ -183,6 +190,12 @@
         ``boottime_clock``.
     on_restored : callable
         Called when a table was read for the first time since the store was restored.
+    is_failing : bool
+        Whether the last attempt to read a table failed, and no neighbour has provided
+        one since.
+    failed_at : float
+        Time of the last failure since the platform answered, or of the start of the
+        last attempt while failing, in seconds of ``boottime_clock``.
     """
 
     __slots__ = (
@@ -191,6 +204,8 @@
         "clock",
         "current_until",
         "on_restored",
+        "is_failing",
+        "failed_at",
         "_change_event",
         "_store",
         "_neighbours",
@@ -227,6 +242,8 @@
         self.clock = PlatformClock()
         self.current_until = float("-inf")
         self.on_restored = lambda: None
+        self.is_failing = False
+        self.failed_at = float("-inf")
         self._change_event = asyncio.Event()
         self._reads_platform = False
         self._first_start = first_start
@@ -290,7 +307,7 @@
         while True:
             if self._has_to_read_whole(table, progress.revision):
                 progress.revision = None
-            reader = None if progress.failed else self._neighbours.reader()
+            reader = await self._choose_reader(table, progress)
             if reader is not None:
                 answer = await self._query_neighbour(reader, table, progress)
             else:
@@ -302,6 +319,7 @@
                 progress.revision = None
             else:
                 progress.failed = False
+                progress.history.record_answer(reader)
                 await self._handle_answer(table, progress, answer, reader)
 
     async def _handle_failure(self, table, progress, failure, reader):
@@ -319,13 +337,15 @@
             return
         # If a neighbour does not answer, others may not either, so the platform is
         # queried immediately. If it answers that it does not read the platform, the
-        # next neighbour in order is queried: otherwise all hosts would query the
-        # platform, and the answers for all of them would share the link on which the
-        # answer for that neighbour was late.
+        # next neighbour in order is queried, and after that all of them: otherwise all
+        # hosts would query the platform, and the answers for all of them would share
+        # the link on which the answer for that neighbour was late.
         if reader is not None:
             progress.failed = failure != NOT_READING
+            progress.history.record_not_reading(reader, answered=not progress.failed)
             return
         progress.failed = self._record_failure(table, failure)
+        progress.history.record_platform_failure()
         await asyncio.sleep(random.uniform(*RETRY_PAUSE))
 
     async def _handle_answer(self, table, progress, answer, reader):
@@ -365,6 +385,35 @@
         known_era = self.mirror.era(table.name)
         return known_era is not None and era_of(answer.revision) > known_era
 
+    async def _choose_reader(self, table, progress):
+        """Return the neighbour to query; None once this host has to read the platform.
+
+        Parameters
+        ----------
+        table : FollowedTable
+        progress : _Progress
+        """
+        reader = None if progress.failed else self._neighbours.reader()
+        if not progress.history.needs_search(reader):
+            return reader
+        not_reading = progress.history.not_reading
+        awaited = None
+        while True:
+            selected = await self._neighbours.search(table.name, excluded=not_reading)
+            if selected.is_retry and self.is_failing and table.confirms_configuration:
+                self._on_lost("no neighbour reads the platform")
+            is_own_turn = selected.address == self._neighbours.address
+            if is_own_turn and selected.is_due:
+                return None
+            if not selected.is_retry:
+                return selected.address
+            now = boottime_clock()
+            if is_own_turn or selected.address != awaited:
+                awaited, deadline = selected.address, now + TURN_TIMEOUT
+            elif now >= deadline:
+                not_reading.add(awaited)
+            await asyncio.sleep(random.uniform(*RETRY_PAUSE))
+
     async def _await_neighbours(self):
         """Wait until an agent has reported the neighbours, or for the timeout."""
         readers = self._neighbours.readers
@@ -431,6 +480,7 @@
         if is_failure(answer):
             return answer
         self._failed_tables.discard(table.name)
+        self.is_failing = False
         answer.known_until = self._known_until(table)
         self._known_until_by_table[table.name] = answer.confirmed_at
         if table.confirms_configuration:
@@ -441,9 +491,11 @@
         # After a failure the first query does not wait for changes, so that its answer
         # shows immediately that the platform is reachable again.
         revision, whole = progress.revision, progress.revision is None
-        is_first = whole or progress.failed
-        wait = 0.0 if is_first else table.wait * random.uniform(*WAIT_SPREAD)
+        is_immediate = whole or progress.failed or self.is_failing
+        wait = 0.0 if is_immediate else table.wait * random.uniform(*WAIT_SPREAD)
         asked_at = boottime_clock()
+        if self.is_failing:
+            self.failed_at = asked_at
         if table.confirms_configuration:
             self._reads_platform = True
             overdue_after = (
@@ -461,6 +513,8 @@
             answered_at = boottime_clock()
         if is_failure(answer):
             return answer
+        self.is_failing = False
+        self.failed_at = float("-inf")
         # The answer confirms the platform's state at the time it was made: an empty one
         # at the end of the wait, any other one when there were changes, possibly
         # immediately.
@@ -525,6 +579,8 @@
     def _record_failure(self, table, failure):
         """Record a failed read; return whether there is no neighbour to query."""
         self._failed_tables.add(table.name)
+        self.is_failing = True
+        self.failed_at = boottime_clock()
         self._neighbours.report_platform_failure(failure.reason)
         no_neighbour_left = self._neighbours.reader() is None
         if table.confirms_configuration:
--- a/hawthornspoke/protocol/_gen/ttypes.py
+++ b/hawthornspoke/protocol/_gen/ttypes.py
@@ -3519,6 +3519,7 @@
      - era
      - generation
      - copied_until
+     - failed_age_ms
 
     """
 
@@ -3532,10 +3533,11 @@
         'era',
         'generation',
         'copied_until',
+        'failed_age_ms',
     )
 
 
-    def __init__(self, current=None, whole=None, up_to=None, rows=None, held_ms=None, age_ms=None, era=None, generation=None, copied_until=None,):
+    def __init__(self, current=None, whole=None, up_to=None, rows=None, held_ms=None, age_ms=None, era=None, generation=None, copied_until=None, failed_age_ms=None,):
         self.current = current
         self.whole = whole
         self.up_to = up_to
@@ -3545,6 +3547,7 @@
         self.era = era
         self.generation = generation
         self.copied_until = copied_until
+        self.failed_age_ms = failed_age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3606,6 +3609,11 @@
                     self.copied_until = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.failed_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3655,6 +3663,10 @@
             oprot.writeFieldBegin('copied_until', TType.I64, 9)
             oprot.writeI64(self.copied_until)
             oprot.writeFieldEnd()
+        if self.failed_age_ms is not None:
+            oprot.writeFieldBegin('failed_age_ms', TType.I32, 10)
+            oprot.writeI32(self.failed_age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4555,6 +4567,7 @@
     (7, TType.I64, 'era', None, None, ),  # 7
     (8, TType.I32, 'generation', None, None, ),  # 8
     (9, TType.I64, 'copied_until', None, None, ),  # 9
+    (10, TType.I32, 'failed_age_ms', None, None, ),  # 10
 )
 all_structs.append(EndpointRateLimit)
 EndpointRateLimit.thrift_spec = (
--- a/idl/hawthornspoke.thrift
+++ b/idl/hawthornspoke.thrift
@@ -305,6 +305,9 @@
   8: optional i32 generation,
   // Rows after it were written after the restore that began the era.
   9: optional i64 copied_until,
+  // How long ago the sender last failed to read the platform; absent if it could read
+  // it or has not tried lately.
+  10: optional i32 failed_age_ms,
 }
 
 // The rate limit that an endpoint names in its responses.
