Shut down on a signal that the kernel gives to another thread

Callers saw nothing yet, operators did: an entry host stayed ready after SIGTERM and never left; its supervisor would have to kill it, which cuts its streams.

Trace (four fleets beside three busy processes, load 15 to 26): 3 of 53 stops hung. One was still ready after 20 s and ran after 60 s; the two others were looked at after 4 s: no signal pending in any thread, the main thread in futex_do_wait, no line "draining" in the log, the control actor answering in 2 to 50 ms. SIGUSR1 to the same process made it drain at once. So another thread had received SIGTERM.

Cause: Python runs handlers on the main thread only, and the main thread waited for a lock, which ends early only if the signal interrupts that very thread. Ruled out: an actor that is behind, a late handler, an old value at the readiness server.

Change: base.StopSignals waits for the interpreter's wake-up socket, which is written to on whichever thread receives the signal. Nodes, stand-ins and the demo use it; their handlers set no event any more. A dump asked for by SIGUSR1 could be late for the same reason.

--- a/hawthornspoke/base/__init__.py
+++ b/hawthornspoke/base/__init__.py
@@ -7,6 +7,7 @@
 from hawthornspoke.base._machine import MACHINES, Machine
 from hawthornspoke.base._partition import PARTITION
 from hawthornspoke.base._registry import Registry
+from hawthornspoke.base._signals import StopSignals
 from hawthornspoke.base._sockets import is_closed_by_peer, unacknowledged_bytes
 from hawthornspoke.base._stall import StallDetector
 from hawthornspoke.base._ticks import Ticks
@@ -21,6 +22,7 @@
     "Machine",
     "Registry",
     "StallDetector",
+    "StopSignals",
     "Ticks",
     "boottime_clock",
     "check_params",
--- a/hawthornspoke/cli/_app.py
+++ b/hawthornspoke/cli/_app.py
@@ -381,14 +381,12 @@
 
 
 def _serve(server):
-    import signal
-    import threading
+    from hawthornspoke.base import StopSignals
 
-    stop_requested = threading.Event()
-    signal.signal(signal.SIGTERM, lambda *_: stop_requested.set())
-    signal.signal(signal.SIGINT, lambda *_: stop_requested.set())
+    stop_signals = StopSignals()
+    stop_signals.install()
     server.open()
-    stop_requested.wait()
+    stop_signals.wait()
     server.close()
     return codes.OK
 
--- a/hawthornspoke/demo/_demo.py
+++ b/hawthornspoke/demo/_demo.py
@@ -1,15 +1,13 @@
 """The ``hawthornspoke demo`` command."""
 
 import json
-import signal
 import sys
-import threading
 import time
 from importlib.resources import files
 
 import urllib3
 
-from hawthornspoke.base import monotonic
+from hawthornspoke.base import StopSignals, monotonic
 from hawthornspoke.cli._logs import configure_logging
 from hawthornspoke.demo._fleet import (
     ADDRESS,
@@ -174,7 +172,6 @@
 
 
 def _wait_for_interrupt():
-    interrupted = threading.Event()
-    signal.signal(signal.SIGTERM, lambda *_: interrupted.set())
-    signal.signal(signal.SIGINT, lambda *_: interrupted.set())
-    interrupted.wait()
+    stop_signals = StopSignals()
+    stop_signals.install()
+    stop_signals.wait()
--- a/hawthornspoke/node/_process.py
+++ b/hawthornspoke/node/_process.py
@@ -8,7 +8,7 @@
 import pykka
 from loguru import logger
 
-from hawthornspoke.base import monotonic
+from hawthornspoke.base import StopSignals, monotonic
 from hawthornspoke.metrics import Metrics
 from hawthornspoke.node._messages import Call, DrainRequested, DumpRequested
 from hawthornspoke.node._operator import OperatorServer
@@ -128,12 +128,11 @@
 
     def run(self):
         """Serve until SIGTERM or SIGINT, then shut down gracefully."""
-        stop_requested = threading.Event()
-        signal.signal(signal.SIGTERM, lambda *_: stop_requested.set())
-        signal.signal(signal.SIGINT, lambda *_: stop_requested.set())
+        stop_signals = StopSignals()
+        stop_signals.install()
         signal.signal(signal.SIGUSR1, self._start_dump)
         self.start()
-        stop_requested.wait()
+        stop_signals.wait()
         self.stop()
 
     def ask(self, method):
--- a/tests/test_promise_shutdown.py
+++ b/tests/test_promise_shutdown.py
@@ -1,5 +1,6 @@
 """Guarantee: a graceful shutdown of a host aborts no running request."""
 
+import os
 import signal
 
 from tests.callers import VerifyingClients
@@ -40,6 +41,20 @@
     assert fleet.process_by_name["entry-0"].returncode == 0
 
 
+def test_signal_on_any_thread_shuts_an_entry_host_down(fresh_fleet):
+    """Guards against an entry host that never leaves after SIGTERM.
+
+    The kernel delivered the signal to a thread other than the main one, which kept
+    waiting for a lock.
+    """
+    fleet = fresh_fleet
+    process = fleet.process_by_name["entry-0"]
+    thread_ids = {int(name) for name in os.listdir(f"/proc/{process.pid}/task")}
+    os.kill(max(thread_ids - {process.pid}), signal.SIGTERM)
+    fleet.wait_for(lambda: not fleet.is_ready("entry-0"), seconds=2)
+    assert process.wait(10) == 0
+
+
 def test_agent_finishes_its_streams_also_during_a_load(fresh_fleet):
     """Guards against aborted streams and partially loaded weights at shutdown.
 
