Probe silent entry hosts, so that a returned one is heard again

Callers of an entry host that had restarted were served by engines of other failure domains only, as long as its agents ran; if such domains were cut off, by none. After five redeployments among three entry hosts no request was answered for 60 s (3 of 3 fleets).

Trace: entry-0 killed, started again after 4.5 s and after 12 s; 40 s after its start it still held its two agents as "listed", never heard, and they held it as dead for 45 and 52 s while they reported to the entry hosts of other domains.

Cause: an agent hears of entry hosts only by the replies to its own heartbeats, and sends none to a host that is suspect, leaving or dead. A restart that takes longer than suspect_after (2.5 s: beside load) or that begins with a drain was therefore final. Likewise two entry hosts that hold each other as dead: after a partition of their domains, and without any failure where two share a domain, since summaries reach each of them only every 4 s. With six entry hosts, from the tenth second on, 8 % of what they held of entry hosts of other domains was "dead".

Change: agents send their heartbeat also to at most two silent entry hosts that they would prefer to their present relays, entry hosts to one silent one of their domain, in turn; summaries go to silent hosts too, at the same number. Nothing more is sent while all hosts are heard. Hosts that the host list marks as leaving are left out.

Both new mutations fail their tests. Not measured: bytes at the design size.

--- a/hawthornspoke/agent/_control.py
+++ b/hawthornspoke/agent/_control.py
@@ -50,7 +50,7 @@
     Start,
     Tick as GateTick,
 )
-from hawthornspoke.membership import STATIC_FIELDS, relay_targets
+from hawthornspoke.membership import STATIC_FIELDS, probe_targets, relay_targets
 from hawthornspoke.node import ControlActor, connect_platform
 from hawthornspoke.protocol import (
     PROTOCOL_VERSION,
@@ -294,6 +294,13 @@
             failure_domain=self.settings["failure_domain"],
             entries=entries,
         )
+        targets += probe_targets(
+            node=self.settings["node"],
+            failure_domain=self.settings["failure_domain"],
+            entries=entries,
+            silent=self.core.silent_entries(),
+            round_number=self.seq,
+        )
         datagram = self.core.gossip(self.own_member(now=now), reply_wanted=True)
         self.socket.send(datagram, [(view.address, view.port) for view in targets])
 
--- a/hawthornspoke/entry/_control.py
+++ b/hawthornspoke/entry/_control.py
@@ -13,7 +13,7 @@
     RateShares,
     SetLimits,
 )
-from hawthornspoke.membership import may_relay, summary_targets
+from hawthornspoke.membership import may_relay, silent_peers, summary_targets
 from hawthornspoke.node import ControlActor
 from hawthornspoke.protocol import Live, Member, Role
 from hawthornspoke.retries import RequestSucceeded, RetryBudget, RetryRequest
@@ -379,9 +379,13 @@
         own = [view for view in entries if view.failure_domain == self.own_domain]
         members = self._direct_reports(now)
         datagram = self.core.gossip(self._member(self.limits.demand(now=now)), members)
-        self.socket.send(datagram, [(view.address, view.port) for view in own])
+        silent = self.core.silent_entries()
+        targets = own + silent_peers(
+            failure_domain=self.own_domain, silent=silent, round_number=self.seq
+        )
+        self.socket.send(datagram, [(view.address, view.port) for view in targets])
         if self.seq % HEARTBEATS_PER_SUMMARY == 0 or self.leaving:
-            self._send_summary(entries, own, now)
+            self._send_summary(entries + silent, own, now)
         self.quarantine_sync.resend_recent(now=now)
 
     def reply_to_heartbeat(self, gossip, source, *, now):
--- a/hawthornspoke/membership/__init__.py
+++ b/hawthornspoke/membership/__init__.py
@@ -9,7 +9,13 @@
     MemberView,
     Tick,
 )
-from hawthornspoke.membership._relay import may_relay, relay_targets, summary_targets
+from hawthornspoke.membership._relay import (
+    may_relay,
+    probe_targets,
+    relay_targets,
+    silent_peers,
+    summary_targets,
+)
 
 __all__ = [
     "STATIC_FIELDS",
@@ -20,6 +26,8 @@
     "Membership",
     "Tick",
     "may_relay",
+    "probe_targets",
     "relay_targets",
+    "silent_peers",
     "summary_targets",
 ]
--- a/hawthornspoke/membership/_relay.py
+++ b/hawthornspoke/membership/_relay.py
@@ -31,6 +31,74 @@
     return [by_name[name] for name in order[:N_RELAYS]]
 
 
+def probe_targets(*, node, failure_domain, entries, silent, round_number):
+    """Return the silent entry hosts that an agent sends a heartbeat to as well.
+
+    An agent hears of an entry host only by the replies to its own heartbeats. Without
+    these probes it would never notice that a silent entry host has returned, and the
+    host would not get the reports of the agents of its own failure domain.
+
+    Parameters
+    ----------
+    node : str
+        The agent.
+    failure_domain : str
+        Failure domain of the agent.
+    entries : list of MemberView
+        Entry hosts that are not known to be dead.
+    silent : list of MemberView
+        Entry hosts that are suspect, leaving or dead, but may return.
+    round_number : int
+        Number of the heartbeat. Takes turns if there are many silent entry hosts.
+
+    Returns
+    -------
+    list of MemberView
+        At most ``N_RELAYS`` of those that :func:`relay_targets` would prefer to the
+        present relays if they were not silent.
+    """
+    candidates = [*entries, *silent]
+    same_domain = [view for view in candidates if view.failure_domain == failure_domain]
+    by_name = {view.node: view for view in same_domain or candidates}
+    silent_names = {view.node for view in silent}
+    preferred = []
+    relay_count = 0
+    for name in rendezvous_order(key=node, nodes=by_name):
+        if name in silent_names:
+            preferred.append(by_name[name])
+        else:
+            relay_count += 1
+        if relay_count == N_RELAYS:
+            break
+    return _take_turns(preferred, N_RELAYS, round_number)
+
+
+def silent_peers(*, failure_domain, silent, round_number):
+    """Return the silent entry host that an entry host sends its next heartbeat to.
+
+    Two entry hosts that consider each other dead, for example after a network partition
+    between them, would otherwise never hear each other again.
+
+    Parameters
+    ----------
+    failure_domain : str
+        Failure domain of the sender. Those of other failure domains are among the
+        targets of summaries.
+    silent : list of MemberView
+        Entry hosts that are suspect, leaving or dead, but may return.
+    round_number : int
+        Number of the heartbeat. The silent hosts take turns.
+
+    Returns
+    -------
+    list of MemberView
+        At most one.
+    """
+    same_domain = [view for view in silent if view.failure_domain == failure_domain]
+    ordered = sorted(same_domain, key=lambda view: view.node)
+    return _take_turns(ordered, 1, round_number)
+
+
 def may_relay(*, relay, node, failure_domain, entries, copy_deadline, now):
     """Return whether an entry host relays the state of an agent reporting to it.
 
@@ -73,7 +141,9 @@
     failure_domain : str
         Failure domain of the sender.
     entries : list of MemberView
-        Entry hosts that are not known to be dead.
+        All entry hosts that may receive summaries, also silent ones: an entry host
+        hears a single one of another failure domain so rarely that its silence does
+        not show a failure.
     sender_index : int
         Index of the sender among the entry hosts of its failure domain.
     round_number : int
@@ -93,3 +163,11 @@
         ordered = sorted(views, key=lambda view: view.node)
         targets.append(ordered[(sender_index + round_number) % len(ordered)])
     return targets
+
+
+def _take_turns(views, count, round_number):
+    """Return some of the views, others each round."""
+    if not views:
+        return []
+    start = round_number * count % len(views)
+    return [*views[start:], *views[:start]][:count]
--- a/hawthornspoke/membership/tests/test_relay.py
+++ b/hawthornspoke/membership/tests/test_relay.py
@@ -2,7 +2,13 @@
 
 from types import SimpleNamespace
 
-from hawthornspoke.membership import may_relay, relay_targets, summary_targets
+from hawthornspoke.membership import (
+    may_relay,
+    probe_targets,
+    relay_targets,
+    silent_peers,
+    summary_targets,
+)
 
 
 def view(name, domain="x"):
@@ -62,3 +68,50 @@
         for sender_index in range(4)
     ]
     assert all(target_nodes.count(item) == 4 for item in entries)
+
+
+def probed(entries, silent, round_number=0):
+    views = probe_targets(
+        node="runner-0",
+        failure_domain="x",
+        entries=entries,
+        silent=silent,
+        round_number=round_number,
+    )
+    return [item.node for item in views]
+
+
+def test_agents_probe_the_silent_relays_that_they_prefer():
+    """Guards against a returned entry host without the reports of its agents."""
+    preferred = relay_targets(node="runner-0", failure_domain="x", entries=ENTRIES)
+    others = [item for item in ENTRIES if item not in preferred]
+    assert probed(ENTRIES, []) == []
+    assert set(probed(others, preferred)) == {item.node for item in preferred}
+    assert probed(preferred, others) == []
+
+
+def test_probes_of_agents_reach_every_silent_relay_in_turn():
+    """Guards against waiting for two dead entry hosts while a third has returned."""
+    far = [view("far", "y")]
+    rounds = [probed(far, ENTRIES, number) for number in range(len(ENTRIES))]
+    assert {len(names) for names in rounds} == {2}
+    assert {name for names in rounds for name in names} == {
+        item.node for item in ENTRIES
+    }
+
+
+def test_silent_relays_of_other_failure_domains_are_not_probed():
+    assert probed(ENTRIES, [view("far", "y")]) == []
+
+
+def test_silent_peers_are_probed_in_turn():
+    """Guards against two entry hosts that consider each other dead for ever."""
+    silent = [*ENTRIES, view("far", "y")]
+    targets = [
+        silent_peers(failure_domain="x", silent=silent, round_number=number)
+        for number in range(len(ENTRIES))
+    ]
+    assert sorted(item.node for views in targets for item in views) == [
+        item.node for item in ENTRIES
+    ]
+    assert silent_peers(failure_domain="z", silent=silent, round_number=0) == []
--- a/hawthornspoke/node/_core.py
+++ b/hawthornspoke/node/_core.py
@@ -301,6 +301,23 @@
             if view.role == "entry" and view.status in ("listed", "alive")
         ]
 
+    def silent_entries(self):
+        """Return the entry hosts that can't be reached now but may return.
+
+        Returns
+        -------
+        list of MemberView
+            Those that are suspect, dead or leaving, without those that the host list
+            marks as leaving.
+        """
+        return [
+            view
+            for view in self.membership.by_id.values()
+            if view.role == "entry"
+            and view.status in ("suspect", "dead", "leaving")
+            and not view.listed_leaving
+        ]
+
     def gossip(self, sender, members=(), *, reply_wanted=False):
         """Return a gossip datagram of this node.
 
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -207,6 +207,20 @@
         ),
         test="tests/test_traces.py -k stale_peer",
     ),
+    Mutation(
+        name="agents don't probe silent entry hosts",
+        file="membership/_relay.py",
+        old="    return _take_turns(preferred, N_RELAYS, round_number)",
+        new="    return []",
+        test="tests/test_rejoining.py -k restarted_entry",
+    ),
+    Mutation(
+        name="summaries don't go to silent entry hosts",
+        file="entry/_control.py",
+        old="self._send_summary(entries + silent, own, now)",
+        new="self._send_summary(entries, own, now)",
+        test="tests/test_rejoining.py -k after_a_partition",
+    ),
     Mutation(
         name="a pause of this process counts as peer failure",
         file="membership/_detector.py",
