--- a/hawthornspoke/mirror/_revision.py
+++ b/hawthornspoke/mirror/_revision.py
@@ -62,6 +62,16 @@
     return max(revisions)
 
 
+def oldest(*revisions):
+    """Return the revision of the earliest transaction."""
+    return min(revisions)
+
+
+def in_order(rows):
+    """Return a list of rows, those of earlier transactions first."""
+    return sorted(rows, key=lambda row: row.revision)
+
+
 class EraTracker:
     """Determines to which era of the store an answer belongs.
 
--- a/hawthornspoke/mirror/_tables.py
+++ b/hawthornspoke/mirror/_tables.py
@@ -4,11 +4,13 @@
 from hawthornspoke.mirror._content_order import NO_ORDER
 from hawthornspoke.mirror._revision import (
     era_of,
+    in_order,
     is_newer,
     is_newer_in_era,
     make_revision,
     newest,
     number_of,
+    oldest,
 )
 from hawthornspoke.mirror._types import Row, TableUpdate
 
@@ -136,7 +138,7 @@
         if is_first_of_era:
             table.enter_era(table_update)
         if table_update.copied_until is not None:
-            table.copied_until = min(table.copied_until, table_update.copied_until)
+            table.copied_until = oldest(table.copied_until, table_update.copied_until)
         if table_update.whole:
             self._remove_missing(table, table_update)
         newer_rows, outdated_rows = [], []
@@ -314,10 +316,7 @@
         if is_whole:
             rows = table.live_rows()
         else:
-            rows = sorted(
-                (row for row in rows if is_newer(row.revision, after)),
-                key=lambda row: row.revision,
-            )
+            rows = in_order(row for row in rows if is_newer(row.revision, after))
         return TableUpdate(
             rows=rows,
             revision=table.revision,
@@ -365,14 +364,12 @@
         return table
 
     def _drop_old_tombstones(self, table):
-        tombstones = sorted(
-            (row.revision, key)
-            for key, row in table.row_by_key.items()
-            if row.data is None
+        tombstones = in_order(
+            row for row in table.row_by_key.values() if row.data is None
         )
-        for revision, key in tombstones[:-MAX_TOMBSTONES]:
-            del table.row_by_key[key]
-            table.complete_from = newest(table.complete_from, revision)
+        for row in tombstones[:-MAX_TOMBSTONES]:
+            del table.row_by_key[row.key]
+            table.complete_from = newest(table.complete_from, row.revision)
 
 
 def _is_same_version(row, known):
