--- a/hawthornspoke/mirror/_revision.py
+++ b/hawthornspoke/mirror/_revision.py
@@ -124,13 +124,12 @@
         if named is None:
             self.is_usable = False
             return self.era
-        if self.is_usable:
-            # Only a query that was sent in the current era shows that the store itself
-            # has gone back; any other answer may just be late.
-            self._outdated_answers += asked_in == self.era
-            if self._outdated_answers < MAX_OUTDATED_ANSWERS:
-                return OUTDATED_ERA.with_reason(f"era {named} after {self.era}")
-            self.is_usable = False
+        # Only a query that was sent in the current era shows that the store itself has
+        # gone back; any other answer may just be late.
+        self._outdated_answers += asked_in == self.era
+        if self._outdated_answers < MAX_OUTDATED_ANSWERS:
+            return OUTDATED_ERA.with_reason(f"era {named} after {self.era}")
+        self.is_usable = False
         return self.era
 
     def learn(self, era):
