--- a/hawthornspoke/mirror/tests/test_restored_play.py
+++ b/hawthornspoke/mirror/tests/test_restored_play.py
@@ -458,6 +458,7 @@
         RestoredPlay,
         settings=settings(
             max_examples=PLAYS,
+            derandomize="RESTORED_PLAYS" not in os.environ,
             stateful_step_count=STEPS,
             deadline=None,
             report_multiple_bugs=False,
