--- a/hawthornspoke/mirror/tests/test_restored.py
+++ b/hawthornspoke/mirror/tests/test_restored.py
@@ -173,6 +173,20 @@
     assert table.read(era=2, up_to=6, whole=False, a=(6, b"7")) == []
 
 
+@pytest.mark.parametrize("data", [b"7", b"8 again"])
+def test_version_after_a_lost_row_was_dropped_is_in_force(data):
+    """Guards against a rewritten configuration that is ignored as not newer.
+
+    What was in force before is still in force when the row is no longer kept.
+    """
+    table = Table()
+    table.read(era=1, up_to=9, a=(9, b"8"))
+    table.read(era=2, up_to=5)
+    table.now = MISSING_HOLD
+    table.read(era=2, up_to=5)
+    assert table.read(era=2, up_to=6, whole=False, a=(6, data)) == ["a"]
+
+
 @pytest.mark.parametrize("data, corrections", [(b"8 again", ["a"]), (b"8", [])])
 def test_same_version_written_again_is_in_force_at_once(data, corrections):
     """Guards against a rewritten version with other content that is ignored."""
