--- a/hawthornspoke/mirror/_tables.py
+++ b/hawthornspoke/mirror/_tables.py
@@ -27,12 +27,24 @@
 REPEATED_HOLD = 1.0
 
 
+class _Hold:
+    """A row that is kept although the restored store may have an older one or none.
+
+    ``compare_at`` is when the whole table has to be read to compare the row again.
+    """
+
+    __slots__ = ("since", "compare_at")
+
+    def __init__(self, *, since, compare_at):
+        self.since = since
+        self.compare_at = compare_at
+
+
 class _Table:
     """Rows by key, with what is known about the copy that the store was restored from.
 
     ``copied_until`` is the revision up to which rows of the current era may come from
-    the copy, and ``hold_deadline_by_key`` has the rows that are kept although the
-    restored store has an older version of them or none.
+    the copy, and ``hold_by_key`` has the rows of earlier eras.
     """
 
     __slots__ = (
@@ -41,7 +53,7 @@
         "revision",
         "complete_from",
         "copied_until",
-        "hold_deadline_by_key",
+        "hold_by_key",
         "generation",
         "is_read",
     )
@@ -52,7 +64,7 @@
         self.revision = 0
         self.complete_from = 0
         self.copied_until = 0
-        self.hold_deadline_by_key = {}
+        self.hold_by_key = {}
         self.generation = 0
         self.is_read = False
 
@@ -62,6 +74,8 @@
         # There are no tombstones of rows removed before this revision.
         self.complete_from = newest(self.complete_from, table_update.revision)
         self.copied_until = table_update.revision
+        # Whoever wrote a lost row needs the whole time again.
+        self.hold_by_key.clear()
 
     def supersedes(self, row, known):
         """Return whether a row is a newer version than the known one, or the same.
@@ -143,7 +157,7 @@
             self._remove_missing(table, table_update)
         newer_rows, outdated_rows = [], []
         for row in table_update.rows:
-            is_accepted = self._accept(table, row)
+            is_accepted = self._accept(table, row, table_update.revision)
             (newer_rows if is_accepted else outdated_rows).append(row)
         table.revision = newest(table.revision, table_update.revision)
         if table_update.whole:
@@ -179,7 +193,10 @@
     def _remove_missing(self, table, table_update):
         present_keys = {row.key for row in table_update.rows}
         for key, row in list(table.row_by_key.items()):
-            if key in present_keys or row.data is None:
+            if key in present_keys:
+                continue
+            if row.data is None:
+                table.hold_by_key.pop(key, None)
                 continue
             if is_newer(row.revision, table_update.revision):
                 continue
@@ -194,14 +211,14 @@
                 removed_data=row.data,
             )
 
-    def _accept(self, table, row):
+    def _accept(self, table, row, revision):
         """Keep a row if it is newer than the known one; return whether it is."""
         known = table.row_by_key.get(row.key)
         if known is not None:
-            is_repeated = known.revision == row.revision
-            if is_repeated and row.key in table.hold_deadline_by_key:
+            if known.revision == row.revision and row.key in table.hold_by_key:
                 # From a neighbour that keeps the row as well.
-                self._hold(table, row.key, REPEATED_HOLD)
+                hold = table.hold_by_key[row.key]
+                hold.compare_at = max(hold.compare_at, self._clock() + REPEATED_HOLD)
                 return True
             if not table.supersedes(row, known):
                 is_copy = is_newer(row.revision, known.revision)
@@ -215,20 +232,25 @@
                 row.removed_data = (
                     known.removed_data if known.data is None else known.data
                 )
-        table.hold_deadline_by_key.pop(row.key, None)
         table.row_by_key[row.key] = row
+        table.hold_by_key.pop(row.key, None)
+        if row.data is not None and era_of(row.revision) < era_of(revision):
+            # Of a neighbour that keeps it. If that one fails, this host reads on at the
+            # store, whose changes don't contain the row.
+            self._hold(table, row.key, table.order.missing_hold)
         return True
 
     def _hold(self, table, key, seconds):
-        table.hold_deadline_by_key[key] = self._clock() + seconds
+        now = self._clock()
+        hold = table.hold_by_key.setdefault(key, _Hold(since=now, compare_at=now))
+        hold.compare_at = hold.since + seconds
+        return hold
 
     def _is_held(self, table, key, seconds):
-        """Return whether a known row is kept; the first call sets its deadline."""
-        now = self._clock()
-        deadline = table.hold_deadline_by_key.setdefault(key, now + seconds)
-        if now < deadline:
+        """Return whether a known row is kept; its time counts from the first call."""
+        if self._clock() < self._hold(table, key, seconds).compare_at:
             return True
-        del table.hold_deadline_by_key[key]
+        del table.hold_by_key[key]
         return False
 
     def _end_expired_holds(self, table):
@@ -258,9 +280,9 @@
             Whether the whole table has to be read again.
         """
         table = self._table_by_name.get(name)
-        if table is None or not table.hold_deadline_by_key:
-            return False
-        return min(table.hold_deadline_by_key.values()) <= self._clock()
+        holds = () if table is None else table.hold_by_key.values()
+        now = self._clock()
+        return any(hold.compare_at <= now for hold in holds)
 
     def set_write_times(self, name, table_update, write_time_bound):
         """Set lower bounds on the write times of the rows of an answer of the platform.
@@ -351,7 +373,7 @@
             name: {
                 "era": era_of(table.revision),
                 "revision": number_of(table.revision),
-                "held": sorted(table.hold_deadline_by_key),
+                "held": sorted(table.hold_by_key),
             }
             for name, table in self._table_by_name.items()
         }
@@ -369,6 +391,7 @@
         )
         for row in tombstones[:-MAX_TOMBSTONES]:
             del table.row_by_key[row.key]
+            table.hold_by_key.pop(row.key, None)
             table.complete_from = newest(table.complete_from, row.revision)
 
 
