--- a/hawthornspoke/mirror/_tables.py
+++ b/hawthornspoke/mirror/_tables.py
@@ -100,6 +100,13 @@
             return position > known_position
         return position >= known_position
 
+    def is_not_later(self, row, known):
+        """Return whether a row's content is not newer, so far as it has an order."""
+        position, known_position = self.order.position(row), self.order.position(known)
+        if position is None or known_position is None:
+            return False
+        return position <= known_position
+
     def _is_rewritten(self, row):
         """Return whether a row was written after the restore."""
         return is_newer_in_era(row.revision, self.copied_until)
@@ -228,6 +235,8 @@
                 table.generation += 1
             elif era_of(row.revision) != era_of(known.revision):
                 row.is_correction = row.data != known.data
+            elif known.data is None and row.data is not None:
+                row.is_correction = table.is_not_later(row, known)
             if row.data is None and row.removed_data is None:
                 row.removed_data = (
                     known.removed_data if known.data is None else known.data
