Date a version that is written again from its first declaration

A version that was lost by a restore and declared again with other bytes, or recorded again, counted from its second declaration, so that requests could start on old weights for longer. The same version keeps its earlier bound, here and in the record.

--- a/hawthornspoke/mirror/_tables.py
+++ b/hawthornspoke/mirror/_tables.py
@@ -107,6 +107,15 @@
             return False
         return position <= known_position
 
+    def is_same_version(self, row, known):
+        """Return whether a row is the known one, or was only written again."""
+        if known.revision == row.revision or row.data == known.data:
+            return True
+        if known.data is None:
+            return False
+        position = self.order.position(row)
+        return position is not None and position == self.order.position(known)
+
     def _is_rewritten(self, row):
         """Return whether a row was written after the restore."""
         return is_newer_in_era(row.revision, self.copied_until)
@@ -167,8 +176,6 @@
             is_accepted = self._accept(table, row, table_update.revision)
             (newer_rows if is_accepted else outdated_rows).append(row)
         table.revision = newest(table.revision, table_update.revision)
-        if table_update.whole:
-            self._end_expired_holds(table)
         accepted_rows = table.live_rows() if table_update.whole else newer_rows
         self._drop_old_tombstones(table)
         return TableUpdate(
@@ -262,15 +269,6 @@
         del table.hold_by_key[key]
         return False
 
-    def _end_expired_holds(self, table):
-        """Forget holds that a whole read did not renew, as of rows removed twice."""
-        now = self._clock()
-        table.hold_deadline_by_key = {
-            key: deadline
-            for key, deadline in table.hold_deadline_by_key.items()
-            if now < deadline
-        }
-
     def era(self, name):
         """Return the era in which a table was read, None if it was not read yet."""
         table = self._table_by_name.get(name)
@@ -310,7 +308,7 @@
         known_by_key = table.row_by_key if table is not None else {}
         for row in table_update.rows:
             known = known_by_key.get(row.key)
-            if known is not None and _is_same_version(row, known):
+            if known is not None and table.is_same_version(row, known):
                 row.written_at = known.written_at
             else:
                 row.written_at = max(
@@ -402,9 +400,3 @@
             del table.row_by_key[row.key]
             table.hold_by_key.pop(row.key, None)
             table.complete_from = newest(table.complete_from, row.revision)
-
-
-def _is_same_version(row, known):
-    return known.revision == row.revision or (
-        row.data is not None and row.data == known.data
-    )
