--- a/hawthornspoke/mirror/tests/test_restored_play.py
+++ b/hawthornspoke/mirror/tests/test_restored_play.py
@@ -361,6 +361,40 @@
         del self.copies[-1 - index % len(self.copies) :][1:]
         self.store.restore(self.copies[-1])
 
+    @rule(
+        key=st.sampled_from((*VERSION_KEYS, *ENDPOINT_KEYS)),
+        reader=st.integers(0, HOSTS - 1),
+        versions=st.integers(1, 3),
+    )
+    def lose_versions(self, key, reader, versions):
+        """The store goes back to before versions that hosts have read."""
+        copy = self.store.copy()
+        for _ in range(versions):
+            if key in VERSION_KEYS:
+                self.write_next_version(key)
+            else:
+                self.write_endpoint(key, leaving=False)
+        self.poll_once(reader)
+        self.store.restore(copy)
+
+    @rule(
+        host=st.integers(0, HOSTS - 1),
+        late=st.sampled_from([OPERATORS, ENDPOINTS]),
+        versions=st.integers(0, 3),
+    )
+    def answer_arrives_after_a_restore(self, host, late, versions):
+        """The other table shows the restore before an answer that was made earlier."""
+        host = self.hosts[host]
+        if host.is_cut:
+            return
+        copy = self.store.copy()
+        for key in VERSION_KEYS * versions:
+            self.write_next_version(key)
+        host.ask(late, None)
+        self.store.restore(copy)
+        host.poll(ENDPOINTS if late == OPERATORS else OPERATORS, None)
+        host.pending_by_table.pop(late)()
+
     @rule(seconds=st.sampled_from([0.5, 3.0, 25.0, 31.0]))
     def wait(self, seconds):
         self.now += seconds
