Parse the parts of a prompt once for each request

Each request's header of prompt parts was split twice, for its features and for the count of malformed parts. parse_prompt_parts returns both, and RequestTraits carries its result.

The benchmark now includes the parsing and what is built for it, so that its column of features isn't comparable with earlier ones. The tests and mutations of parts are adapted; no check is weaker.

--- a/benchmarks/quarantine.py
+++ b/benchmarks/quarantine.py
@@ -16,6 +16,7 @@
     RequestTraits,
     encode_evidence,
     features_of,
+    parse_prompt_parts,
 )
 
 HEADING = [
@@ -34,18 +35,25 @@
 RUNNING = 16
 
 
-def traits(number, parts):
-    """Return a request with a number of parts, of which the last one is its own."""
+def header_of(number, parts):
+    """Return the header with a number of shared parts and the request's own one."""
+    if not parts:
+        return ""
     shared = [f"{(number * 7 + place) % 40 + 64 * place:x}" for place in range(parts)]
-    items = [f"{part}:100" for part in [*shared, f"{number:x}"]]
-    return RequestTraits(
+    return ",".join(f"{part}:100" for part in [*shared, f"{number:x}"])
+
+
+def features_for(header):
+    """Return the features of a request whose prompt has the parts of a header."""
+    traits = RequestTraits(
         organisation="o",
         method="POST",
         host="h.example",
         target="/draft/x",
         body=BODY,
-        prompt_parts=",".join(items) if parts else "",
+        prompt_parts=parse_prompt_parts(header),
     )
+    return features_of(traits)
 
 
 def seconds(call):
@@ -56,9 +64,9 @@
     return (time.perf_counter() - started) / REPEATS
 
 
-def handle(machine, request):
+def handle(machine, header):
     """Handle a request as an entry host does, from its arrival to its answer."""
-    features = features_of(request)
+    features = features_for(header)
     machine.verdict(features, now=monotonic())
     machine.verdict(features, now=monotonic())
     message = RequestCompleted(fingerprint=features[0], shared=features[1:])
@@ -68,12 +76,12 @@
 def measure(endpoints, parts):
     """Return a row of the table."""
     machine = Quarantine()
-    requests = [traits(number, parts) for number in range(REPEATS)]
+    headers = [header_of(number, parts) for number in range(REPEATS)]
     size = 0
     spent = 0.0
     for number in range(endpoints):
-        running = [requests[(number * RUNNING + k) % REPEATS] for k in range(RUNNING)]
-        features = {name for item in running for name in features_of(item)}
+        running = [headers[(number * RUNNING + k) % REPEATS] for k in range(RUNNING)]
+        features = {name for item in running for name in features_for(item)}
         message = EndpointEnded(
             incarnation_id=f"e{number}",
             fingerprints=tuple(sorted(features)),
@@ -86,10 +94,10 @@
             if isinstance(outcome, EvidenceUpdate):
                 evidence = encode_evidence(outcome.items, now=monotonic())
                 size += len(encode(Frame(evidence=evidence)))
-    only_features = seconds(lambda number: features_of(requests[number]))
+    only_features = seconds(lambda number: features_for(headers[number]))
     calm = Quarantine()
-    calm_request = seconds(lambda number: handle(calm, requests[number]))
-    request_after_ends = seconds(lambda number: handle(machine, requests[number]))
+    calm_request = seconds(lambda number: handle(calm, headers[number]))
+    request_after_ends = seconds(lambda number: handle(machine, headers[number]))
     return [
         endpoints,
         parts,
--- a/hawthornspoke/quarantine/__init__.py
+++ b/hawthornspoke/quarantine/__init__.py
@@ -5,10 +5,11 @@
 from hawthornspoke.quarantine._exchange import EvidenceExchange
 from hawthornspoke.quarantine._features import (
     FEATURES,
+    PromptParts,
     RequestTraits,
     features_of,
     kind_of,
-    malformed_parts,
+    parse_prompt_parts,
 )
 from hawthornspoke.quarantine._fingerprint import fingerprint_of
 from hawthornspoke.quarantine._messages import (
@@ -36,6 +37,7 @@
     "EvidenceReceived",
     "EvidenceUpdate",
     "Isolated",
+    "PromptParts",
     "Quarantine",
     "Quarantined",
     "Released",
@@ -48,5 +50,5 @@
     "features_of",
     "fingerprint_of",
     "kind_of",
-    "malformed_parts",
+    "parse_prompt_parts",
 ]
--- a/hawthornspoke/quarantine/_features.py
+++ b/hawthornspoke/quarantine/_features.py
@@ -21,6 +21,23 @@
 _HEX_DIGITS = frozenset(string.hexdigits)
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class PromptParts:
+    """Parts of a prompt, as its caller names them.
+
+    Parameters
+    ----------
+    shared_ids : tuple of str, default=()
+        Valid ids in lower case, in the order of the prompt and without repetition. The
+        last part is left out: it is the request's own.
+    malformed_count : int, default=0
+        Number of parts with an invalid id.
+    """
+
+    shared_ids: tuple = ()
+    malformed_count: int = 0
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class RequestTraits:
     """What the features of a request are derived from.
@@ -31,8 +48,7 @@
         Name of the caller's organisation, empty if none is required.
     method, host, target : str
     body : bytes-like
-    prompt_parts : str, default=""
-        Comma-separated ``ID:TOKENS`` items, the last of which is the request's own.
+    prompt_parts : PromptParts, default=PromptParts()
     """
 
     organisation: str
@@ -40,7 +56,7 @@
     host: str
     target: str
     body: bytes
-    prompt_parts: str = ""
+    prompt_parts: PromptParts = PromptParts()
 
 
 class FeatureKind:
@@ -96,15 +112,10 @@
     @classmethod
     def keys_of(cls, traits):
         """Return the parts except the last one, which no other request has."""
-        items = traits.prompt_parts.split(",", MAX_PARTS)[:-1]
-        part_ids = (item.partition(":")[0].strip().lower() for item in items)
-        return list(
-            dict.fromkeys(
-                f"part{KIND_SEPARATOR}{part_id}"
-                for part_id in part_ids
-                if _is_part_id(part_id)
-            )
-        )
+        return [
+            f"part{KIND_SEPARATOR}{part_id}"
+            for part_id in traits.prompt_parts.shared_ids
+        ]
 
 
 def features_of(traits):
@@ -146,23 +157,32 @@
     return FEATURES.get(name) if name in FEATURES else PromptPart
 
 
-def malformed_parts(prompt_parts):
-    """Return the number of parts with an invalid id.
+def parse_prompt_parts(header):
+    """Parse the header in which a caller names the parts of a prompt.
 
     Parameters
     ----------
-    prompt_parts : str
-        See ``RequestTraits``.
+    header : str
+        Comma-separated ``ID:TOKENS`` items, empty if the caller names none. Those after
+        the first ``MAX_PARTS`` are ignored.
 
     Returns
     -------
-    int
+    PromptParts
     """
-    if not prompt_parts:
-        return 0
-    items = prompt_parts.split(",", MAX_PARTS)[:MAX_PARTS]
-    return sum(
-        not _is_part_id(item.partition(KIND_SEPARATOR)[0].strip()) for item in items
+    if not header:
+        return PromptParts()
+    items = header.split(",", MAX_PARTS)
+    part_ids = [item.partition(":")[0].strip() for item in items[:MAX_PARTS]]
+    validity = [_is_part_id(part_id) for part_id in part_ids]
+    shared_ids = (
+        part_id.lower()
+        for part_id, is_valid in zip(part_ids[: len(items) - 1], validity, strict=False)
+        if is_valid
+    )
+    return PromptParts(
+        shared_ids=tuple(dict.fromkeys(shared_ids)),
+        malformed_count=validity.count(False),
     )
 
 
--- a/hawthornspoke/quarantine/tests/test_features.py
+++ b/hawthornspoke/quarantine/tests/test_features.py
@@ -7,7 +7,7 @@
     RequestTraits,
     features_of,
     kind_of,
-    malformed_parts,
+    parse_prompt_parts,
 )
 from hawthornspoke.quarantine._features import MAX_PARTS, PromptPart, WholeRequest
 
@@ -19,7 +19,7 @@
         host="h",
         target="/",
         body=body,
-        prompt_parts=prompt_parts,
+        prompt_parts=parse_prompt_parts(prompt_parts),
     )
 
 
@@ -44,13 +44,13 @@
 )
 def test_malformed_parts_are_ignored_and_counted(header):
     assert parts(header) == ()
-    assert malformed_parts(header) > 0
+    assert parse_prompt_parts(header).malformed_count > 0
 
 
 def test_number_of_parts_is_bounded():
     header = ",".join(f"{number:x}:1" for number in range(100_000))
     assert len(parts(header)) == MAX_PARTS
-    assert malformed_parts(header) == 0
+    assert parse_prompt_parts(header).malformed_count == 0
 
 
 def test_first_feature_is_the_whole_request_whatever_its_parts():
--- a/hawthornspoke/relay/_handler.py
+++ b/hawthornspoke/relay/_handler.py
@@ -5,7 +5,7 @@
 from hawthornspoke.base import monotonic
 from hawthornspoke.catalog import choose_service
 from hawthornspoke.fields import parse_digits
-from hawthornspoke.quarantine import RequestTraits, features_of, malformed_parts
+from hawthornspoke.quarantine import RequestTraits, features_of, parse_prompt_parts
 from hawthornspoke.relay._admission import CALLER_LEFT, UNCONFIRMED_RETRY_AFTER
 from hawthornspoke.relay._caller_retries import CallerRetryDetector
 from hawthornspoke.relay._context import RequestContext
@@ -132,7 +132,8 @@
 
     def _set_features(self, context):
         request, organisation = context.request, context.organisation
-        prompt_parts = request.get(self._header_names.prompt_parts, "")
+        header = request.get(self._header_names.prompt_parts, "")
+        prompt_parts = parse_prompt_parts(header)
         traits = RequestTraits(
             organisation=organisation.name if organisation else "",
             method=request.method,
@@ -143,9 +144,8 @@
         )
         context.features = features_of(traits)
         context.fingerprint = context.features[0]
-        malformed = malformed_parts(prompt_parts)
-        if malformed:
-            self._record_malformed(context, malformed)
+        if prompt_parts.malformed_count:
+            self._record_malformed(context, prompt_parts.malformed_count)
 
     def _record_malformed(self, context, malformed):
         self._metrics.count("malformed_prompt_parts_total", malformed)
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -659,15 +659,15 @@
     Mutation(
         name="blame: parts of prompts are no features",
         file="quarantine/_features.py",
-        old='items = traits.prompt_parts.split(",", MAX_PARTS)[:-1]',
-        new="items = []",
+        old="in traits.prompt_parts.shared_ids",
+        new="in ()",
         test="platform/adapter/tests/test_prompt_parts_that_end_engines.py -k chunked",
     ),
     Mutation(
         name="blame: the last part of a prompt is a feature",
         file="quarantine/_features.py",
-        old='items = traits.prompt_parts.split(",", MAX_PARTS)[:-1]',
-        new='items = traits.prompt_parts.split(",", MAX_PARTS)',
+        old="part_ids[: len(items) - 1]",
+        new="part_ids",
         test="hawthornspoke/quarantine/tests/test_features.py -k last_part",
     ),
     Mutation(
