--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -670,6 +670,13 @@
         new="part_ids",
         test="hawthornspoke/quarantine/tests/test_features.py -k last_part",
     ),
+    Mutation(
+        name="blame: a part may explain five ends of a whole request",
+        file="quarantine/_quarantine.py",
+        old="        self._suspicions += self._certain_requests(ended_at_by_feature)\n",
+        new="",
+        test="hawthornspoke/quarantine/tests/test_blame.py -k with_five_ends",
+    ),
     Mutation(
         name="blame: endpoints that end together all count against a part",
         file="quarantine/_blame.py",
