--- a/hawthornspoke/explain/tests/test_explain.py
+++ b/hawthornspoke/explain/tests/test_explain.py
@@ -86,3 +86,20 @@
     lines = explain_request("r1", [tmp_path])
     assert ["z2" in line for line in lines] == [True, False]
     assert len(explain_request("r2", [tmp_path])) == 1
+
+
+def test_timeline_has_the_last_restore_of_the_store(tmp_path):
+    """Guards against a refusal by a configuration that was lost long before it."""
+
+    def restored(time, era, node="e1"):
+        return {"t": time, "node": node, "event": "store_era", "era": era}
+
+    write(
+        tmp_path / "entry.log",
+        restored(1.0, 1),
+        restored(2.0, 2),
+        restored(3.0, 3, node="e2"),
+        {"t": 30.0, "node": "e1", "event": "declined", "request": "r1"},
+    )
+    lines = explain_request("r1", [tmp_path])
+    assert ["era=2" in line for line in lines] == [True, False]
--- a/hawthornspoke/mirror/tests/test_tables.py
+++ b/hawthornspoke/mirror/tests/test_tables.py
@@ -7,6 +7,7 @@
     TableUpdate,
     make_revision,
 )
+from hawthornspoke.mirror._content_order import NO_ORDER
 from hawthornspoke.mirror._tables import OUTDATED_HOLD
 
 
@@ -155,3 +156,25 @@
     read(2, 6)
     now = OUTDATED_HOLD + 1.0
     assert not mirror.has_expired_holds("t")
+
+
+def test_neighbour_learns_that_a_row_is_no_longer_kept():
+    """Guards against a row that is dropped without a new revision."""
+    now = 0.0
+    mirror = Mirror(clock=lambda: now)
+    mirror.update(
+        "t",
+        TableUpdate(
+            rows=[row("a", make_revision(1, 3))],
+            revision=make_revision(1, 5),
+            whole=True,
+        ),
+    )
+    restored = make_revision(2, 5)
+    mirror.update("t", TableUpdate(rows=[], revision=restored, whole=True))
+    known = mirror.changes_since("t", None)
+    assert contents(known) == [("a", b"x")]
+    now = NO_ORDER.missing_hold
+    mirror.update("t", TableUpdate(rows=[], revision=restored, whole=True))
+    late = mirror.changes_since("t", restored, generation=known.generation)
+    assert (late.whole, late.rows) == (True, [])
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -783,6 +783,35 @@
         new="if evacuated != evacuated_before:",
         test="hawthornspoke/mirror/tests/test_evacuations.py -k nothing_was_read",
     ),
+    Mutation(
+        name="restores: revisions are ordered without their era",
+        file="mirror/_revision.py",
+        old="    return era * _ERA_STEP + number",
+        new="    return number",
+        test="platform/adapter/tests/test_restored_store.py -k accepted_after",
+    ),
+    Mutation(
+        name="restores: contents have no order",
+        file="mirror/_tables.py",
+        old="        if position is None or known_position is None:\n"
+        "            return is_from_newer_era",
+        new="        if True:\n            return is_from_newer_era",
+        test="hawthornspoke/mirror/tests/test_restored.py",
+    ),
+    Mutation(
+        name="restores: neighbours are not asked what they know from before",
+        file="mirror/_watch.py",
+        old="        if era_of(answer.revision) != self.mirror.era(table.name):",
+        new="        if False:",
+        test="platform/adapter/tests/test_restored_store.py -k refuses_a_revoked_key",
+    ),
+    Mutation(
+        name="restores: neighbours don't learn of rows that are dropped",
+        file="mirror/_tables.py",
+        old="                table.generation += 1\n            table.row_by_key[key]",
+        new="                pass\n            table.row_by_key[key]",
+        test="hawthornspoke/mirror/tests/test_tables.py -k no_longer_kept",
+    ),
     Mutation(
         name="admission: no slots are reserved for urgent ranks",
         file="admission/_trunk_reservation.py",
