--- a/hawthornspoke/relay/tests/relay_harness.py
+++ b/hawthornspoke/relay/tests/relay_harness.py
@@ -207,6 +207,31 @@
     return step
 
 
+def undroppable_stream(delay, start_times):
+    """Return a step that starts a stream although its connection has been closed.
+
+    Like every engine, it drops a request whose deadline passes before it starts.
+
+    Parameters
+    ----------
+    delay : float
+        Seconds until the stream starts.
+    start_times : list
+        Receives the time at which the stream started.
+    """
+
+    async def step(endpoint, head, writer):
+        deadline = monotonic() + int(field(head, "X-Deadline-Ms")) / 1000
+        await asyncio.sleep(delay)
+        if monotonic() >= deadline:
+            writer.write(response(head, 503, b"", ("X-Not-Run: 1",)))
+            return
+        start_times.append(monotonic())
+        writer.write(stream_head(head) + stream_event(1) + b"0\r\n\r\n")
+
+    return step
+
+
 def make_relay(*, source=None, memory_bytes=0):
     """Return a relay that listens on free loopback ports."""
     return Relay(
--- a/hawthornspoke/relay/tests/test_old_weights.py
+++ b/hawthornspoke/relay/tests/test_old_weights.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from hawthornspoke.base import boottime_clock, monotonic
 from hawthornspoke.catalog import Catalog, DeclaredWeights, EndpointEntry, Service
 from hawthornspoke.placing import Fleet, PlacementRequest, Rejection, WeightsDeclared
@@ -12,14 +14,15 @@
     delayed_stream,
     events,
     make_relay,
+    undroppable_stream,
 )
 
 BOUND = 0.8
 
 
-def fleet():
+def fleet(*, bound=BOUND):
     """Return a fleet in which requests may start on old weights for 0.8 s."""
-    return Fleet(failure_domain="a", version_bound=BOUND, version_margin=0.3)
+    return Fleet(failure_domain="a", version_bound=bound, version_margin=0.3)
 
 
 def declare(harness, version):
@@ -27,7 +30,7 @@
     declared = DeclaredWeights(model="m", version=version)
     message = WeightsDeclared(declared=declared, at=boottime_clock())
     harness.fleet.step(message, now=monotonic())
-    return monotonic() + BOUND
+    return monotonic() + harness.fleet.version_bound
 
 
 def test_request_waiting_at_an_engine_is_cancelled_before_the_bound():
@@ -89,6 +92,28 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(
+    "sent_after", [0.0, 1.2], ids=["long_before", "shortly_before"]
+)
+def test_engine_that_ignores_closed_connections_starts_nothing_after_the_bound(
+    sent_after,
+):
+    """Guards against old weights whose expiry depends on a close that has an effect."""
+
+    async def scenario():
+        start_times = []
+        engine = ScriptedEndpoint(undroppable_stream(2.5, start_times))
+        async with RelayHarness(engine, timeout=3.0, fleet=fleet(bound=2.2)) as harness:
+            bound = declare(harness, 2)
+            await asyncio.sleep(sent_after)
+            would_start_at = monotonic() + 2.5
+            await harness.ask("stream")
+            await asyncio.sleep(would_start_at + 0.1 - monotonic())
+            assert [started for started in start_times if started > bound] == []
+
+    asyncio.run(scenario())
+
+
 def test_request_that_started_in_time_is_not_cancelled():
     """A stream that started before the bound continues after it."""
 
