Agents make an engine refuse requests as its weights expire

A request that was placed on old weights in time may start late. Its entry host then closes its connection, 0.4 s before the bound. The close may leave or arrive late, and an engine need not drop a request whose connection closed; then the request starts on expired weights. The same holds for a request that is on its way for longer than the margin.

The agent beside the engine depends on neither. From 0.25 s before the bound it orders the engine to give up a layer if requests wait there, or once none runs: the engine then refuses those that wait and those that arrive later, and loads the next version as before. Until then, a request that arrives after the bound while others run, and finds a free slot, still starts. Running streams are cut only if a request waits. An expired version is no longer fetched. A declaration whose time the agent doesn't know has no effect.

--- a/hawthornspoke/spread/_delivery.py
+++ b/hawthornspoke/spread/_delivery.py
@@ -14,6 +14,7 @@
     Install,
     InstallEnded,
     PiecesComplete,
+    Retire,
     StartTransfer,
     Upgrade,
 )
@@ -121,6 +122,8 @@
                 self._cancel_transfer(outcome.version)
             elif isinstance(outcome, Install):
                 self._start_install(outcome.version)
+            elif isinstance(outcome, Retire) and "retire" not in self._tasks:
+                self._start_task("retire", self.installer.retire(self.model, outcome))
 
     def reset_engine(self):
         """Discard the state that belongs to an earlier incarnation of the engine.
--- a/hawthornspoke/spread/_installer.py
+++ b/hawthornspoke/spread/_installer.py
@@ -184,6 +184,32 @@
                 break
         return result
 
+    async def retire(self, model, order):
+        """Make the engine refuse requests before its weights expire.
+
+        It is ordered to give up a layer: then it refuses the requests that wait and
+        those that arrive later, and cuts those that run. Unlike the withdrawal of a
+        request by its entry host, this doesn't depend on a link or on another host.
+
+        Parameters
+        ----------
+        model : str
+        order : Retire
+        """
+        before = await self._engine.snapshot()
+        if is_failure(before) or before.busy or before.version != order.version:
+            return
+        result = await self._engine.retire(
+            model, order.version, layers=before.layers, sequence=before.sequence
+        )
+        self._log.change(
+            "weights_retired",
+            version=order.version,
+            running=before.running,
+            waiting=before.waiting,
+            result=str(result),
+        )
+
     async def _stage_all(self, weights):
         indices = range(len(weights.digests))
         for _ in range(MAX_ROUNDS):
--- a/hawthornspoke/spread/_process.py
+++ b/hawthornspoke/spread/_process.py
@@ -311,7 +311,11 @@
             return EngineObserved(version=None, is_complete=False, busy=True)
         is_complete = observed.layers is not None and observed.layers[0] == 0
         return EngineObserved(
-            version=observed.version, is_complete=is_complete, busy=observed.busy
+            version=observed.version,
+            is_complete=is_complete,
+            busy=observed.busy,
+            running=observed.running,
+            waiting=observed.waiting,
         )
 
     def _is_serving(self):
--- a/hawthornspoke/spread/_upgrade.py
+++ b/hawthornspoke/spread/_upgrade.py
@@ -18,6 +18,14 @@
 #: first. Both are equal at g = T/2.
 SUPERSEDE_WINDOW_SHARE = 0.5
 
+#: Seconds before its weights expire from which an engine is made to refuse requests, if
+#: requests wait there or none runs. Entry hosts have withdrawn theirs 0.4 s before.
+RETIRE_MARGIN = 0.25
+
+#: Seconds for which this is checked, at each observation: the longest responses take
+#: about four seconds.
+RETIRE_TIME = 5.0
+
 #: Maximum number of declared versions in memory. Older ones are no longer needed.
 MAX_DECLARED_VERSIONS = 4
 
@@ -52,11 +60,15 @@
         Whether the engine holds all layers.
     busy : bool
         Whether an order is in progress.
+    running, waiting : int, default=0
+        Number of running and of queued requests.
     """
 
     version: int | None
     is_complete: bool
     busy: bool
+    running: int = 0
+    waiting: int = 0
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -116,6 +128,13 @@
     version: int
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Retire:
+    """Make the engine refuse requests on a version; those that run are cut."""
+
+    version: int
+
+
 @MACHINES.register("upgrade")
 class Upgrade(Machine):
     """Plans the versions of one engine.
@@ -138,6 +157,7 @@
         "_installing",
         "_position",
         "_complete_at_by_version",
+        "_retired_version",
     )
     PARAMS = {
         "transfer_time": Bounds(kind=(int, float), low=0),
@@ -154,6 +174,7 @@
         self._installing = None
         self._position = 0
         self._complete_at_by_version = {}
+        self._retired_version = 0
 
     def on_version_declared(self, message, *, now):
         """Record a newer declared version, or a later time for the newest one.
@@ -251,7 +272,7 @@
         current = self._engine.version or 0
         kept = []
         for index, declared in enumerate(self._declared):
-            if declared.version < current:
+            if declared.version < max(current, self._retired_version + 1):
                 continue
             if declared.version == current and self._engine.is_complete:
                 # Kept for hosts that don't hold it yet.
@@ -316,6 +337,9 @@
         if version is not None:
             self._installing = version
             outcomes.append(Install(version=version))
+        elif self._is_retirement_due(now):
+            self._retired_version = self._engine.version
+            outcomes.append(Retire(version=self._engine.version))
         return outcomes
 
     def _next_install(self, now):
@@ -345,6 +369,28 @@
                 return now >= declared.at + self.version_bound - EXPIRY_MARGIN
         return False
 
+    def _is_retirement_due(self, now):
+        """Return whether the engine has to refuse requests, as its weights expire.
+
+        That cuts the requests that run, so it is done only if others would start.
+        """
+        engine = self._engine
+        if self._installing is not None or engine.busy or not engine.is_complete:
+            return False
+        if engine.running and not engine.waiting:
+            return False
+        expires_at = min(
+            (
+                declared.at + self.version_bound
+                for declared in self._declared
+                if declared.version > engine.version and declared.is_dated
+            ),
+            default=None,
+        )
+        if expires_at is None:
+            return False
+        return 0.0 <= now - (expires_at - RETIRE_MARGIN) < RETIRE_TIME
+
     def _newest_arrives_in_time(self, chosen):
         """Return whether the newest version is usable before the engine's expires."""
         usable_at = self._declared[-1].at + self.transfer_time + SWITCH_TIME
--- a/hawthornspoke/spread/tests/test_upgrade.py
+++ b/hawthornspoke/spread/tests/test_upgrade.py
@@ -2,11 +2,13 @@
 
 from hawthornspoke.spread._changeover import DISPATCH_CUTOFF
 from hawthornspoke.spread._upgrade import (
+    RETIRE_MARGIN,
     CancelTransfer,
     EngineObserved,
     Install,
     PiecesComplete,
     PositionAssigned,
+    Retire,
     StartTransfer,
     Upgrade,
     VersionDeclared,
@@ -134,3 +136,50 @@
     upgrade.step(VersionDeclared(version=2, at=-6.0), now=0.1)
     upgrade.step(VersionDeclared(version=2, at=0.0), now=0.2)
     assert installs(upgrade.step(PiecesComplete(version=2), now=5.0)) == []
+
+
+def retirements(upgrade, *, now, is_complete=True, running=0, waiting=0):
+    """Return the outcomes of an observation that make the engine refuse requests."""
+    seen = EngineObserved(
+        version=1,
+        is_complete=is_complete,
+        busy=False,
+        running=running,
+        waiting=waiting,
+    )
+    return [item for item in upgrade.step(seen, now=now) if isinstance(item, Retire)]
+
+
+def test_engine_refuses_requests_shortly_before_its_weights_expire():
+    upgrade = machine()
+    upgrade.step(VersionDeclared(version=2, at=0.0), now=0.0)
+    due_at = BOUND - RETIRE_MARGIN
+    assert retirements(upgrade, now=due_at - 0.1) == []
+    assert retirements(upgrade, now=due_at) == [Retire(version=1)]
+    # The order may have failed.
+    assert retirements(upgrade, now=due_at + 0.1) == [Retire(version=1)]
+    assert retirements(upgrade, now=due_at + 0.2, is_complete=False) == []
+    assert upgrade.targets() == [2]
+
+
+def test_running_requests_are_cut_only_if_others_would_start():
+    """Guards against streams that are cut although no request waits."""
+    upgrade = machine()
+    upgrade.step(VersionDeclared(version=2, at=0.0), now=0.0)
+    assert retirements(upgrade, now=BOUND, running=3) == []
+    assert retirements(upgrade, now=BOUND + 0.1, running=3, waiting=1) != []
+    assert retirements(upgrade, now=BOUND + 0.2, running=0) != []
+
+
+def test_engine_that_loads_the_next_version_is_not_made_to_refuse_requests():
+    upgrade = machine()
+    upgrade.step(VersionDeclared(version=2, at=0.0), now=0.0)
+    upgrade.step(PiecesComplete(version=2), now=BOUND - 0.5)
+    assert retirements(upgrade, now=BOUND - RETIRE_MARGIN) == []
+
+
+def test_declaration_of_unknown_time_retires_no_engine():
+    """Guards against a fleet that serves nothing since all its agents restarted."""
+    upgrade = machine()
+    upgrade.step(VersionDeclared(version=2, at=0.0, is_dated=False), now=0.0)
+    assert retirements(upgrade, now=BOUND - RETIRE_MARGIN) == []
--- a/tests/soak/simulation.py
+++ b/tests/soak/simulation.py
@@ -59,6 +59,7 @@
         self.staged = {}
         self.loaded = {}
         self.version = None
+        self.first_layer = 0
         self.busy = False
         self.sequence = 0
         self.running = 0
@@ -89,6 +90,7 @@
             self.born -= CLOCK_JUMP_MS
             self.staged = {}
         self.version, self.loaded, self.busy, self.sequence = None, {}, False, 0
+        self.first_layer = 0
         self.running = 0
 
     def store_row(self, address):
@@ -101,8 +103,7 @@
         row |= {"version": "v1", "slots": SLOTS, "sequence": 1, "born": self.born}
         row["state"] = "draining" if self.leaving else "ready"
         if self.service == LLM:
-            layers = {"from": 0, "target": LAYERS, "version": self.version}
-            row["layers"] = layers if self.version else None
+            row["layers"] = self._layers()
         return row
 
     async def handle(self, request, reply):
@@ -116,10 +117,14 @@
             return self._stage(request, parse_qs(parts.query), reply)
         return await self._run(request, reply)
 
+    def _layers(self):
+        if not self.version:
+            return None
+        return {"from": self.first_layer, "target": LAYERS, "version": self.version}
+
     def _report(self, reply):
-        layers = {"from": 0, "target": LAYERS, "version": self.version}
         body = {
-            "layers": layers if self.version else None,
+            "layers": self._layers(),
             "busy": self.busy,
             "sequence": self.sequence,
             "born": self.born,
@@ -136,17 +141,18 @@
         self.sequence += 1
         staged_pieces = dict(self.staged)
         asyncio.get_running_loop().create_task(
-            self._load(order["version"], staged_pieces)
+            self._load(order["version"], staged_pieces, order.get("from", 0))
         )
         return reply.send(202)
 
-    async def _load(self, version, staged_pieces):
+    async def _load(self, version, staged_pieces, first_layer):
         generation = self.generation
         while self.running and generation == self.generation:
             await asyncio.sleep(0.01)
         await asyncio.sleep(0.05)
         if generation == self.generation:
             self.version, self.loaded, self.busy = version, staged_pieces, False
+            self.first_layer = first_layer
 
     def _stage(self, request, query, reply):
         index = int(query["sampleCount"][0]) if "sampleCount" in query else None
@@ -165,7 +171,9 @@
         if request.get("Expect-Instance") != self.id:
             return reply.send(421, [*echo, ("Instance-Id", self.id)])
         expected = request.get("Expect-Version")
-        has_weights = self.service != LLM or self.version is not None
+        has_weights = self.service != LLM or (
+            self.version is not None and self.first_layer == 0
+        )
         if not has_weights or (expected and int(expected) != self.version):
             return reply.send(421, [*echo, ("Instance-Id", self.id)])
         if self.running >= SLOTS or self.busy or self.leaving:
