A restarted entry host dates declarations from before its connections

An entry host that started after a declaration takes the latest date that any agent reports. It counted the reported age from the arrival of the report, so each report that was long on its way postponed the expiry of old weights, and the worst of some fifty reports counted. A host that hears of a declaration as it is made is limited by its first report of it; one that starts later isn't.

The first report on a connection was made after the connection was requested. Its ages are now counted from that moment, and later reports of the same version on that connection change nothing, so the date can only be too early, by the time to connect and to report.

Not changed: a host that was connected all along dates a declaration at the latest by its first report of it, and an agent that starts after a declaration counts the age in a directive from its arrival less the delay that it estimates for its link.

--- a/hawthornspoke/relay/_agents.py
+++ b/hawthornspoke/relay/_agents.py
@@ -43,6 +43,49 @@
         return self._encoded
 
 
+class _DeclarationDates:
+    """Dates the declarations that an agent reports on one connection.
+
+    A report contains ages, and how long it was on its way isn't known. The first report
+    was made after the connection was requested, so ages in it are counted from then.
+    This matters to a host that starts after a declaration: no earlier report limits
+    its date. A version declared later is dated by the arrival of its first report,
+    which limits the date to that time. Later reports of the same version are ignored.
+    """
+
+    __slots__ = ("_opened_at", "_has_report", "_dated_versions")
+
+    def __init__(self, *, opened_at):
+        self._opened_at = opened_at
+        self._has_report = False
+        self._dated_versions = set()
+
+    def add_report(self, declared, *, arrived_at):
+        """Return the versions that are new on this connection, with their dates.
+
+        Parameters
+        ----------
+        declared : iterable of DeclaredAge
+        arrived_at : float
+            Lower bound of the arrival time of the report, on the boot-time clock.
+
+        Returns
+        -------
+        tuple of (int, float)
+        """
+        made_at = arrived_at if self._has_report else min(self._opened_at, arrived_at)
+        self._has_report = True
+        dates = tuple(
+            (item.version, made_at - item.age_ms / 1000)
+            for item in declared
+            if item.version is not None
+            and item.age_ms is not None
+            and item.version not in self._dated_versions
+        )
+        self._dated_versions.update(version for version, _ in dates)
+        return dates
+
+
 class AgentLinks:
     """Keeps a connection to each agent; sends directives, receives engine states.
 
@@ -76,6 +119,7 @@
         "_log",
         "_task_by_address",
         "_link_by_address",
+        "_dates_by_address",
         "_directive_for",
         "_on_entry_hosts",
         "_suspects",
@@ -113,6 +157,7 @@
         self._earliest_arrival = earliest_arrival
         self._task_by_address = {}
         self._link_by_address = {}
+        self._dates_by_address = {}
         self._service_by_address = {}
         self._sent_by_address = {}
         self._followed_addresses = None
@@ -175,6 +220,14 @@
         for task in self._task_by_address.values():
             task.cancel()
 
+    def _declaration_dates(self, address, declared):
+        arrived_at = self._earliest_arrival()
+        dates = self._dates_by_address.get(address)
+        if dates is None:
+            dates = _DeclarationDates(opened_at=arrived_at)
+            self._dates_by_address[address] = dates
+        return dates.add_report(declared, arrived_at=arrived_at)
+
     def _send_follows(self, address, link):
         if self._followed_addresses is None:
             return
@@ -222,6 +275,8 @@
         try:
             while True:
                 closed = asyncio.get_running_loop().create_future()
+                dates = _DeclarationDates(opened_at=boottime_clock())
+                self._dates_by_address[address] = dates
                 link = await connect(
                     ip,
                     self.port,
@@ -254,6 +309,7 @@
 
     def _remove(self, address):
         self._link_by_address.pop(address, None)
+        self._dates_by_address.pop(address, None)
         self._suspects.sharing.remove_agent(address)
         self._rate_limits.remove_agent(address)
         self._sent_by_address.pop(address, None)
@@ -294,9 +350,7 @@
             next_version=state.next_version or None,
             next_ready_at=ready_at,
             model=state.model or "",
-            declared=_with_declaration_times(
-                state.declared or (), self._earliest_arrival()
-            ),
+            declared=self._declaration_dates(address, state.declared or ()),
             link_delay=(state.link_delay_ms or 0) / 1000,
             slowdown=valid_slowdown(state.slowdown),
             incarnation=Incarnation.from_value(state.started_ms),
@@ -305,14 +359,6 @@
         self._fleet.step(report, now=now)
 
 
-def _with_declaration_times(declared, now):
-    return tuple(
-        (item.version, now - item.age_ms / 1000)
-        for item in declared
-        if item.version is not None and item.age_ms is not None
-    )
-
-
 def _valid_factor(reported):
     """Return the factor that an agent reported, None if missing or invalid.
 
