--- a/hawthornspoke/mirror/tests/test_write_times.py
+++ b/hawthornspoke/mirror/tests/test_write_times.py
@@ -1,13 +1,20 @@
 """Lower bounds on write times: an old declaration must not look like a new one."""
 
 import asyncio
+import socket
 
 from hawthornspoke.base import boottime_clock
 from hawthornspoke.catalog import UNKNOWN_TIME
 from hawthornspoke.mirror import Mirror, Row, TableUpdate
 from hawthornspoke.mirror._clock import PlatformClock
 from hawthornspoke.mirror._watch import MIN_OUTAGE, NEIGHBOUR_WAIT
-from hawthornspoke.mirror.tests.test_watch import run_scenario, wait_until
+from hawthornspoke.mirror.tests.test_watch import (
+    READER,
+    FakeStore,
+    WatchingHost,
+    run_scenario,
+    wait_until,
+)
 
 
 def test_answer_delay_does_not_make_rows_newer():
@@ -131,6 +138,26 @@
     run_scenario(scenario)
 
 
+def test_process_that_starts_during_an_outage_dates_nothing_from_its_end():
+    """Guards against old weights that count as allowed because a host was cut off."""
+
+    async def run():
+        with socket.socket() as probe:
+            probe.bind((READER, 0))
+            port = probe.getsockname()[1]
+        host = WatchingHost(READER, port, FakeStore())
+        host.store.fault = "down"
+        await host.start((READER,))
+        await wait_until(lambda: "platform_unread" in host.events)
+        host.store.fault = None
+        await wait_until(lambda: host.seen)
+        (row,) = host.watch.mirror.changes_since("t", None).rows
+        host.stop()
+        assert row.written_at == UNKNOWN_TIME
+
+    asyncio.run(run())
+
+
 def test_known_until_passes_through_the_mirror():
     """The mirror keeps ``known_until`` of the answers it applies.
 
