A process that starts during an outage can't date what it finds at its end

Rows that are found at the end of an outage of the platform count as written then, since no host could learn of them earlier. A process that started during the outage, or while it was cut off, has had no answer before it. The length of its outage was counted from no time at all, so rows of any age were dated from its end, and old weights counted as allowed for another whole bound.

It is dated as unknown now, which refuses old weights until the row of declaration times or an agent dates it.

test_process_that_starts_during_an_outage_dates_nothing_from_its_end failed before.

--- a/hawthornspoke/mirror/_watch.py
+++ b/hawthornspoke/mirror/_watch.py
@@ -551,6 +551,8 @@
             table.name in self._failed_tables
             # A copy has rows that were written before the outage.
             and not self._is_restored(table, answer)
+            # A process that has just started can't tell what was written before.
+            and answer.known_until != UNKNOWN_TIME
             and asked_at - answer.known_until >= MIN_OUTAGE
         ):
             answer.known_until = asked_at
