--- a/hawthornspoke/relay/tests/test_declaration_dates.py
+++ b/hawthornspoke/relay/tests/test_declaration_dates.py
@@ -1,6 +1,7 @@
 """An entry host dates a declaration no later than it was made."""
 
 import asyncio
+import math
 
 from hawthornspoke.base import boottime_clock, monotonic
 from hawthornspoke.base.tests.addresses import random_port
@@ -29,7 +30,7 @@
             if frame.entry_domain is None:
                 return
             age = DeclaredAge(
-                version=2, age_ms=int(1000 * (boottime_clock() - declared_at))
+                version=2, age_ms=math.ceil(1000 * (boottime_clock() - declared_at))
             )
             state = EngineState(weights_version=1, model="m", declared=[age])
             asyncio.get_running_loop().call_later(
--- a/hawthornspoke/spread/_directives.py
+++ b/hawthornspoke/spread/_directives.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import copy
+import math
 import random
 
 from hawthornspoke.base import boottime_clock, is_failure, monotonic
@@ -199,14 +200,15 @@
 
         An entry host that has just started doesn't know when a version was declared,
         and so until when requests may still start on the preceding version. Once the
-        version bound has passed since the declaration, they may not in any case.
+        version bound has passed since the declaration, they may not in any case. Ages
+        are rounded up: entry hosts take them for upper bounds.
         """
         now = boottime_clock()
         declared_after = now - self._upgrade.version_bound - REPORT_BEYOND_BOUND
         return [
             DeclaredAge(
                 version=version,
-                age_ms=int(1000 * (now - at + self._entry_links.delay())),
+                age_ms=math.ceil(1000 * (now - at + self._entry_links.delay())),
             )
             for version, at in self.declared.declared_versions(
                 self._delivery.model, declared_after=declared_after
