Date nothing from the answer that only shows a restore of the store

A feed that goes on in the new era makes a host read the whole table; until then it doesn't know what was written in between. The time of that answer counted as the time up to which everything was known, so that a version which was declared between the restore and the answer was dated too late, by up to the wait of a poll: requests could start on old weights for that much longer.

--- a/hawthornspoke/mirror/_watch.py
+++ b/hawthornspoke/mirror/_watch.py
@@ -314,8 +314,7 @@
                 answer = await self._query_store(table, progress)
             if is_failure(answer):
                 await self._handle_failure(table, progress, answer, reader)
-            elif self._is_restored(table, answer) and not answer.whole:
-                # Changes since a revision of an earlier era may lack some.
+            elif self._lacks_changes(table, answer):
                 progress.revision = None
             else:
                 progress.failed = False
@@ -385,6 +384,13 @@
         known_era = self.mirror.era(table.name)
         return known_era is not None and era_of(answer.revision) > known_era
 
+    def _lacks_changes(self, table, answer):
+        """Return whether an answer is not enough, as the store was restored meanwhile.
+
+        It has the changes since a revision that was given out again.
+        """
+        return self._is_restored(table, answer) and not answer.whole
+
     async def _choose_reader(self, table, progress):
         """Return the neighbour to query; None once this host has to read the platform.
 
@@ -477,7 +483,7 @@
             wait=NEIGHBOUR_WAIT,
             generation=progress.generation,
         )
-        if is_failure(answer):
+        if is_failure(answer) or self._lacks_changes(table, answer):
             return answer
         self._failed_tables.discard(table.name)
         self.is_failing = False
@@ -511,7 +517,7 @@
         else:
             answer = await self._store.follow(table.name, after=revision, wait=wait)
             answered_at = boottime_clock()
-        if is_failure(answer):
+        if is_failure(answer) or self._lacks_changes(table, answer):
             return answer
         self.is_failing = False
         self.failed_at = float("-inf")
