--- a/hawthornspoke/fields/_fields.py
+++ b/hawthornspoke/fields/_fields.py
@@ -5,6 +5,7 @@
 and returns its value or raises ``FieldError``.
 """
 
+import base64
 import functools
 import ipaddress
 import json
@@ -13,6 +14,12 @@
 
 from hawthornspoke.base import Failure
 
+#: Characters of an invalid path in a message.
+MAX_PATH_SHOWN = 100
+
+#: In place of bytes that can't be decoded; every decoder of rows rejects it.
+UNREADABLE_BYTES = b""
+
 #: Returned for data that fails validation; its reason names the field.
 UNUSABLE = Failure(code="unusable")
 
@@ -196,6 +203,36 @@
     return int(value)
 
 
+def path(obj, name, default=REQUIRED):
+    """Return a path that can be requested as it is."""
+    value = text(obj, name, default)
+    is_path = value is None or (
+        value.startswith("/") and value.isascii() and value.isprintable()
+    )
+    if not is_path or " " in (value or ""):
+        raise FieldError(f"{name}: expected a path, got {value[:MAX_PATH_SHOWN]!r}")
+    return value
+
+
+def bytes_of_base64(value):
+    """Return the bytes that base64 text encodes, ``UNREADABLE_BYTES`` if it doesn't.
+
+    Parameters
+    ----------
+    value : object
+
+    Returns
+    -------
+    bytes
+    """
+    if not isinstance(value, str):
+        return UNREADABLE_BYTES
+    try:
+        return base64.b64decode(value, validate=True)
+    except ValueError:
+        return UNREADABLE_BYTES
+
+
 def is_number(value):
     """Check whether a value is a finite number; booleans are not numbers."""
     if isinstance(value, bool) or not isinstance(value, (int, float)):
--- a/hawthornspoke/mirror/__init__.py
+++ b/hawthornspoke/mirror/__init__.py
@@ -1,7 +1,11 @@
 """Local copies of the platform's tables, read by one host per failure domain."""
 
 from hawthornspoke.mirror import poll
-from hawthornspoke.mirror._content_order import ContentOrder
+from hawthornspoke.mirror._content_order import (
+    ContentOrder,
+    endpoints_order,
+    position_by_fields,
+)
 from hawthornspoke.mirror._declaration_recorder import DeclarationRecorder
 from hawthornspoke.mirror._follow import PlatformFollower
 from hawthornspoke.mirror._neighbours import Neighbours
@@ -57,9 +61,11 @@
     "TableWatcher",
     "UnusableRows",
     "decode_rows",
+    "endpoints_order",
     "era_of",
     "make_revision",
     "number_of",
     "poll",
+    "position_by_fields",
     "read_pages",
 ]
--- a/hawthornspoke/mirror/_content_order.py
+++ b/hawthornspoke/mirror/_content_order.py
@@ -1,5 +1,11 @@
 """Order of a row's versions by their content, which outlives restores of the store."""
 
+from hawthornspoke import fields
+
+#: Seconds for which an endpoint is kept that a restored store lacks. Endpoints are back
+#: within two seconds if they run.
+MISSING_ENDPOINT_HOLD = 2.0
+
 
 class ContentOrder:
     """Decides which of two versions of a row is older, whatever their revisions.
@@ -39,5 +45,56 @@
         return None if data is None else self._position(row.key, data)
 
 
+def endpoints_order(position):
+    """Return the order of a table of endpoints.
+
+    Parameters
+    ----------
+    position : callable
+        See ``ContentOrder``.
+
+    Returns
+    -------
+    ContentOrder
+    """
+    return ContentOrder(
+        position=position,
+        binds_rewritten=False,
+        missing_hold=MISSING_ENDPOINT_HOLD,
+    )
+
+
+def position_by_fields(*names, final=None):
+    """Return a function that takes a row's position from its JSON data.
+
+    Parameters
+    ----------
+    *names : str
+        Fields with numbers, the most significant first. A missing one counts as 0; a
+        row without any of them has no order.
+    final : (str, str) or None, default=None
+        Field, and the last value that it takes.
+
+    Returns
+    -------
+    callable
+        Given the key and the data of a row, returns a tuple or None.
+    """
+
+    def position(key, data):
+        try:
+            tree = fields.parse_object(data)
+        except fields.FieldError:
+            return None
+        if not any(name in tree for name in names):
+            return None
+        numbers = [tree.get(name, 0) for name in names]
+        if not all(fields.is_number(number) for number in numbers):
+            return None
+        return (*numbers, final is not None and tree.get(final[0]) == final[1])
+
+    return position
+
+
 #: For tables whose rows have no order of their own: the newer era wins.
 NO_ORDER = ContentOrder(position=lambda key, data: None)
--- a/hawthornspoke/mirror/_revision.py
+++ b/hawthornspoke/mirror/_revision.py
@@ -16,6 +16,9 @@
 #: after which the store's era counts as unusable.
 MAX_OUTDATED_ANSWERS = 3
 
+#: Maximum characters of an unusable era in a log line.
+MAX_LOGGED_LENGTH = 40
+
 #: The answer is of an era before the current one.
 OUTDATED_ERA = Failure(code="outdated_era")
 
@@ -78,24 +81,22 @@
     Answers may overtake each other, so one of an earlier era is refused. A store whose
     era is missing, unusable or goes back for good is taken to be in the current era.
 
-    Parameters
-    ----------
-    on_change : callable or None, default=None
-        Called with the era before and where the current one was found: ``"store"`` or
-        ``"neighbour"``.
-
     Attributes
     ----------
+    log : EventLog or None
+        Set after the process has created it.
+    metrics : Metrics or None
+        Set like the log.
     era : int
         The newest era that any answer has named.
     is_usable : bool
         Whether the last answer named an era that can be used.
     """
 
-    __slots__ = ("era", "is_usable", "_on_change", "_outdated_answers")
+    __slots__ = ("log", "metrics", "era", "is_usable", "_outdated_answers")
 
-    def __init__(self, *, on_change=None):
-        self._on_change = on_change
+    def __init__(self):
+        self.log = self.metrics = None
         self.era = UNKNOWN_ERA
         self.is_usable = True
         self._outdated_answers = 0
@@ -122,14 +123,15 @@
             self._advance(named, "store")
             return named
         if named is None:
-            self.is_usable = False
+            self._set_unusable(value)
             return self.era
         # Only a query that was sent in the current era shows that the store itself has
         # gone back; any other answer may just be late.
         self._outdated_answers += asked_in == self.era
         if self._outdated_answers < MAX_OUTDATED_ANSWERS:
+            self._log("store_answer_outdated", named=named)
             return OUTDATED_ERA.with_reason(f"era {named} after {self.era}")
-        self.is_usable = False
+        self._set_unusable(value)
         return self.era
 
     def learn(self, era):
@@ -145,8 +147,20 @@
 
     def _advance(self, era, source):
         before, self.era = self.era, era
-        if era != before and self._on_change is not None:
-            self._on_change(before, source)
+        if era == before:
+            return
+        self._log("store_era", before=before, source=source)
+        if self.metrics is not None:
+            self.metrics.count("store_era_changes_total")
+
+    def _set_unusable(self, value):
+        if self.is_usable:
+            self._log("store_era_unusable", value=str(value)[:MAX_LOGGED_LENGTH])
+        self.is_usable = False
+
+    def _log(self, event, **fields):
+        if self.log is not None:
+            self.log.change(event, era=self.era, **fields)
 
 
 def _parse_era(value):
--- a/hawthornspoke/mirror/poll.py
+++ b/hawthornspoke/mirror/poll.py
@@ -27,3 +27,24 @@
 #: Seconds by which the answer to a long poll may be overdue before a hedged request is
 #: sent. The platform takes 0.24 s when it is 60 times slower than usual.
 HEDGE_AFTER = 0.3
+
+#: Maximum time, in seconds, that a restarted entry host waits for an agent to name the
+#: others of its failure domain. Covers hosts that restart within 0.3 s of each other,
+#: and reading the list of endpoints over a busy link between regions.
+DISCOVERY_TIMEOUT = 0.8
+
+
+def discovery_timeout(*, first_start):
+    """Return the maximum wait in seconds for an agent to name the neighbours.
+
+    Parameters
+    ----------
+    first_start : bool
+        Whether all hosts start for the first time. No endpoints are listed then, so no
+        agent can be asked.
+
+    Returns
+    -------
+    float
+    """
+    return 0.0 if first_start else DISCOVERY_TIMEOUT
--- a/hawthornspoke/relay/__init__.py
+++ b/hawthornspoke/relay/__init__.py
@@ -9,10 +9,16 @@
 from hawthornspoke.relay._dialect import HeaderNames
 from hawthornspoke.relay._events import EventSplitter
 from hawthornspoke.relay._process import Relay
-from hawthornspoke.relay._settings import RelaySettings
+from hawthornspoke.relay._settings import (
+    ALLOWANCE_SHARE,
+    RATIO_SHARE,
+    RelaySettings,
+)
 from hawthornspoke.relay._suspects import PoisonRequestTracker
 
 __all__ = [
+    "ALLOWANCE_SHARE",
+    "RATIO_SHARE",
     "Confirmed",
     "PlatformContact",
     "ContactLost",
--- a/hawthornspoke/relay/_settings.py
+++ b/hawthornspoke/relay/_settings.py
@@ -7,6 +7,11 @@
 TEXT = Bounds(kind=str)
 PORT = Bounds(kind=int, low=1, high=65535)
 
+#: Fractions of the platform's retry limits that are used. The margin covers retries at
+#: the edges of a time window and a changing number of entry hosts.
+RATIO_SHARE = 0.7
+ALLOWANCE_SHARE = 0.85
+
 
 class RelaySettings:
     """Settings of one relay.
