Cut no streams for a request that waits no longer

An agent makes its engine refuse requests as its weights expire, if some wait. If the waiting one was withdrawn between the observation and the order, the order still cut the running streams. Found by a review; the test failed before.

--- a/hawthornspoke/spread/_installer.py
+++ b/hawthornspoke/spread/_installer.py
@@ -199,6 +199,9 @@
         before = await self._engine.snapshot()
         if is_failure(before) or before.busy or before.version != order.version:
             return
+        if before.running and not before.waiting:
+            # Those that waited have been withdrawn meanwhile.
+            return
         result = await self._engine.retire(
             model, order.version, layers=before.layers, sequence=before.sequence
         )
--- a/hawthornspoke/spread/tests/test_expiring_weights.py
+++ b/hawthornspoke/spread/tests/test_expiring_weights.py
@@ -5,6 +5,8 @@
 import pytest
 
 from hawthornspoke.spread import ENGINE_CHANGED, EngineSnapshot
+from hawthornspoke.spread._installer import Installer
+from hawthornspoke.spread._upgrade import Retire
 from hawthornspoke.spread.tests.test_agents import LAYERS, FakeEngine, Hosts
 
 BOUND = 8.0
@@ -104,3 +106,32 @@
         assert engine.started_versions == [2]
 
     run_scenario(scenario)
+
+
+def test_stream_is_not_cut_for_a_request_that_waits_no_longer():
+    """Between the observation and the order, the waiting request was withdrawn."""
+    orders = []
+
+    class Engine:
+        async def snapshot(self):
+            return EngineSnapshot(
+                version=1,
+                layers=(0, LAYERS),
+                busy=False,
+                sequence=1,
+                running=3,
+                waiting=0,
+                pace=1.0,
+            )
+
+        async def retire(self, model, version, **options):
+            orders.append(version)
+            return "done"
+
+    class Log:
+        def change(self, event, **fields):
+            return None
+
+    installer = Installer(engine=Engine(), log=Log(), on_order_pending=lambda _: None)
+    asyncio.run(installer.retire("m", Retire(version=1)))
+    assert orders == []
