--- a/hawthornspoke/mirror/_declaration_recorder.py
+++ b/hawthornspoke/mirror/_declaration_recorder.py
@@ -7,7 +7,7 @@
 import asyncio
 import random
 
-from hawthornspoke.base import Failure, boottime_clock, is_failure
+from hawthornspoke.base import boottime_clock, is_failure
 from hawthornspoke.catalog import UNKNOWN_TIME
 from hawthornspoke.mirror._declaration_times import (
     RECORD_TABLE,
@@ -17,7 +17,7 @@
     encode_record,
 )
 from hawthornspoke.mirror._revision import era_of, is_newer
-from hawthornspoke.mirror._types import RowWritten
+from hawthornspoke.mirror._types import RESTORED, RowWritten
 
 #: Seconds after a declaration was received for which a failed call is retried. Requests
 #: may start on old weights for 8 or 13.4 s after a declaration, depending on the
@@ -41,10 +41,6 @@
 MIN_IMPROVEMENT = 1.0
 
 
-#: The store was restored while a row was written.
-RESTORED = Failure(code="restored")
-
-
 class _PendingDeclaration:
     """A declaration whose time has to be written to the platform or read from it."""
 
--- a/hawthornspoke/mirror/_pages.py
+++ b/hawthornspoke/mirror/_pages.py
@@ -1,14 +1,12 @@
 """Reading of a table that the platform divides into pages."""
 
-from hawthornspoke.base import Failure, is_failure
+from hawthornspoke.base import is_failure
 from hawthornspoke.mirror._revision import era_of
+from hawthornspoke.mirror._types import RESTORED
 
 #: Maximum number of times that a read starts again since the store was restored.
 MAX_RESTARTS = 3
 
-#: The store was restored again during each read.
-RESTORED = Failure(code="restored")
-
 
 async def read_pages(read_page, *, first_key=""):
     """Read all pages of a table; each page is a consistent snapshot.
--- a/hawthornspoke/mirror/_types.py
+++ b/hawthornspoke/mirror/_types.py
@@ -6,6 +6,9 @@
 #: The changes since the requested revision are no longer available.
 HISTORY_GONE = Failure(code="history_gone")
 
+#: The store was restored while a table was read or a row written.
+RESTORED = Failure(code="restored")
+
 #: The neighbour does not read the platform, or can't read it now.
 NOT_READING = Failure(code="not_reading")
 
