--- a/hawthornspoke/membership/_relay.py
+++ b/hawthornspoke/membership/_relay.py
@@ -25,10 +25,7 @@
         Entry hosts of the agent's failure domain if there are any, so that a network
         partition between failure domains hides no endpoint within its own one.
     """
-    same_domain = [view for view in entries if view.failure_domain == failure_domain]
-    by_name = {view.node: view for view in same_domain or entries}
-    order = rendezvous_order(key=node, nodes=by_name)
-    return [by_name[name] for name in order[:N_RELAYS]]
+    return _in_order_of_preference(node, failure_domain, entries)[:N_RELAYS]
 
 
 def probe_targets(*, node, failure_domain, entries, silent, round_number):
@@ -57,15 +54,13 @@
         At most ``N_RELAYS`` of those that :func:`relay_targets` would prefer to the
         present relays if they were not silent.
     """
-    candidates = [*entries, *silent]
-    same_domain = [view for view in candidates if view.failure_domain == failure_domain]
-    by_name = {view.node: view for view in same_domain or candidates}
+    candidates = _in_order_of_preference(node, failure_domain, [*entries, *silent])
     silent_names = {view.node for view in silent}
     preferred = []
     relay_count = 0
-    for name in rendezvous_order(key=node, nodes=by_name):
-        if name in silent_names:
-            preferred.append(by_name[name])
+    for view in candidates:
+        if view.node in silent_names:
+            preferred.append(view)
         else:
             relay_count += 1
         if relay_count == N_RELAYS:
@@ -165,6 +160,13 @@
     return targets
 
 
+def _in_order_of_preference(node, failure_domain, entries):
+    """Return the entry hosts that an agent may report to, the preferred ones first."""
+    same_domain = [view for view in entries if view.failure_domain == failure_domain]
+    by_name = {view.node: view for view in same_domain or entries}
+    return [by_name[name] for name in rendezvous_order(key=node, nodes=by_name)]
+
+
 def _take_turns(views, count, round_number):
     """Return some of the views, others each round."""
     if not views:
