--- a/review/2/case.py
+++ b/review/2/case.py
@@ -8,12 +8,9 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins"))
 
+from model import SERVICE, config, send  # noqa: E402
 from rig import CannotRun, run_case  # noqa: E402
-from weights import BLOCK_BYTES, BLOCKS, LAYERS, MODEL  # noqa: E402
-
-HOST = "jepu9.example"
-SERVICE = "redacteur"
-KEY = "jnbanfqasnmgkcuyj8pj"
+from weights import BLOCKS, MODEL  # noqa: E402
 
 #: Seconds for which the agent's machine is frozen.
 FROZEN_S = 4.0
@@ -23,81 +20,6 @@
 SPOILT = int(0.06 * BLOCKS)
 
 
-def config(origin):
-    return {
-        "version": 5,
-        "routes": [
-            {
-                "name": "listing-draft",
-                "host": HOST,
-                "prefix": "/lepu270/",
-                "type": "streaming",
-                "timeoutMs": 6000,
-                "sloMs": 406,
-                "priority": 1,
-                "service": SERVICE,
-                "maxAttempts": 2,
-                "public": False,
-                "sticky": True,
-                "resumable": True,
-                "itlTargetMs": 300,
-            }
-        ],
-        "services": [
-            {
-                "name": SERVICE,
-                "healthPath": "/healthz",
-                "maxConns": 264,
-                "backend": {
-                    "slots": 16,
-                    "kvCapacity": 1640000,
-                    "kvTokenBytes": 163840,
-                    "interval": 6,
-                    "modelList": [
-                        {"name": MODEL, "pace": 1.0, "loadS": 4.0, "warmupS": 0.3}
-                    ],
-                    "step_ms": 6.73,
-                    "per_seq_ms": 0.0219,
-                    "context_per_k": 0.0068,
-                    "read_per_s": 30600.0,
-                    "pairs_per_m": 0.647,
-                    "chunk": 2048,
-                    "report_lag_ms": 200.0,
-                    "usual": {"prompt": 964, "answer": 119},
-                    "layers": LAYERS,
-                    "blocks": BLOCKS,
-                    "blockBytes": BLOCK_BYTES,
-                },
-            },
-            {"name": "origin", "upstream": origin, "linkMbps": 7.3, "maxConns": 48},
-        ],
-        "limits": {
-            "maxHeaderBytes": 16384,
-            "maxBodyBytes": 4194304,
-            "headerTimeoutMs": 3000,
-            "idleTimeoutMs": 15000,
-        },
-        "tenants": [{"name": "bozi300", "apiKeys": [KEY], "priority": 1}],
-    }
-
-
-def send(rig, ip, attempt):
-    fields = {
-        "Host": HOST,
-        "Attempt-Id": attempt,
-        "Model-Id": MODEL,
-        "Token-Count": "100,48",
-        "Prompt-Prefix": "5c1e07a2:40,91bd3f06:60",
-        "Deadline-Ms": "3000",
-        "X-Api-Key": KEY,
-    }
-    status, _, body = rig.call(
-        ip, rig.front_port, "POST", "/lepu270/2f", fields=fields, body=b"prompt"
-    )
-    rig.note(f"sent {attempt}, answered {status}, {body.count(b'id:')} events")
-    return status
-
-
 def play(rig, is_troubled):
     rig.start_store()
     engine_ip, origin_ip = f"{rig.net}.2.1", f"{rig.net}.8.1"
@@ -123,7 +45,7 @@
     )
     agent = rig.start_role("agent", settings, name="side-1")
     rig.wait_for("the entry host", lambda: rig.is_ready(ip))
-    rig.wait_for("an answer", lambda: send(rig, ip, "first") == 200)
+    rig.wait_for("an answer", lambda: send(rig, ip, "first").status == 200)
 
     def state():
         return json.loads(rig.call(engine_ip, rig.app_port, "GET", "/_state")[2])
--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -1,6 +1,10 @@
 """Stand-in for a model runner.
 
-Usage: engine.py IP PORT ID SERVICE ZONE STORE
+Usage: engine.py IP PORT ID SERVICE ZONE STORE [ADDRESS] [empty]
+
+ADDRESS is where others reach it, if not at IP and PORT; with ``empty`` it holds no
+layers at the start. A request whose path ends in ``/long`` gets a longer stream, and
+with neither a length nor chunks if this runner has given ``FRAMED_ANSWERS`` others.
 
 It holds version 1 at the start, takes staged pieces and orders, writes its entry to the
 store every ``HEARTBEAT_S``, and streams events. ``GET /_state`` lists what it ran and
@@ -23,6 +27,11 @@
 WARMUP_S = 0.3
 EVENTS = 8
 EVENT_S = 0.05
+LONG_EVENTS = 30
+LONG_EVENT_S = 0.1
+
+#: Answers with a framing before one without: one in twenty has none.
+FRAMED_ANSWERS = 19
 SPOIL_DELAY_S = 0.2
 
 #: Seconds for which a piece may have been bad when it was taken.
@@ -111,6 +120,10 @@
         await asyncio.sleep(0.1)
         writer.close()
 
+    def forget_layers(self):
+        """Start without layers, as a runner does that has ended before."""
+        self.layers = None
+
     # Calls.
 
     async def handle(self, request, writer):
@@ -241,35 +254,45 @@
                 "bad_layers": self.bad_layers,
             }
         )
+        is_long = request.path.endswith("/long")
+        is_framed = not is_long or len(self.runs) <= FRAMED_ANSWERS
         head = (
             "HTTP/1.1 200 OK\r\n"
             f"Attempt-Id: {attempt}\r\n"
             f"Response-Seal: seal-of-{attempt}\r\n"
             f"Weight-Versions: {self.version}\r\n"
             "Content-Type: text/event-stream\r\n"
-            "Transfer-Encoding: chunked\r\n\r\n"
         )
-        writer.write(head.encode())
+        if is_framed:
+            head += "Transfer-Encoding: chunked\r\n"
+        writer.write(head.encode() + b"\r\n")
+        count, pause = (LONG_EVENTS, LONG_EVENT_S) if is_long else (EVENTS, EVENT_S)
         try:
-            for number in range(1, EVENTS + 1):
+            for number in range(1, count + 1):
                 event = f"id: {number}\ndata: token\n\n".encode()
-                writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+                if is_framed:
+                    event = b"%x\r\n%b\r\n" % (len(event), event)
+                writer.write(event)
                 await writer.drain()
-                await asyncio.sleep(EVENT_S)
+                await asyncio.sleep(pause)
+            if not is_framed:
+                raise ConnectionError("the answer ends with its connection")
             writer.write(b"0\r\n\r\n")
             await writer.drain()
         finally:
             self.active -= 1
 
 
-async def main(ip, port, instance, service, zone, store):
+async def main(ip, port, instance, service, zone, store, address=None, state=""):
     engine = Engine(
         instance=instance,
-        address=f"{ip}:{port}",
+        address=address or f"{ip}:{port}",
         service=service,
         zone=zone,
         store=store,
     )
+    if state == "empty":
+        engine.forget_layers()
     server = await serve(ip, int(port), engine.handle)
     async with server:
         await asyncio.gather(server.serve_forever(), engine.beat())
