--- a/review/1/case.py
+++ b/review/1/case.py
@@ -7,6 +7,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins"))
 
+from names import N  # noqa: E402
 from rig import BOUNDS, CannotRun, run_case  # noqa: E402
 
 HOST = "jepu9.example"
@@ -28,11 +29,11 @@
                 "host": HOST,
                 "prefix": "/filo73/",
                 "type": "non_idempotent",
-                "timeoutMs": 1552,
-                "sloMs": 207,
+                N.timeout: 1552,
+                N.objective: 207,
                 "priority": 1,
                 "service": SERVICE,
-                "maxAttempts": 2,
+                N.attempts: 2,
                 "public": False,
             }
         ],
@@ -43,15 +44,15 @@
             "headerTimeoutMs": 3000,
             "idleTimeoutMs": 15000,
         },
-        "tenants": [{"name": "bozi300", "apiKeys": keys}],
+        "tenants": [{"name": "bozi300", N.keys: keys}],
     }
 
 
 def send(rig, ip, attempt, key):
     fields = {
         "Host": HOST,
-        "Attempt-Id": attempt,
-        "Deadline-Ms": "1500",
+        N.attempt: attempt,
+        N.deadline: "1500",
         "X-Api-Key": key,
     }
     status, _, _ = rig.call(
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -9,6 +9,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins"))
 
 from model import SERVICE, config, send  # noqa: E402
+from names import N  # noqa: E402
 from rig import CannotRun, run_case  # noqa: E402
 from weights import BLOCKS, MODEL  # noqa: E402
 
@@ -54,7 +55,7 @@
         self.rig.call(self.ip, self.rig.app_port, "POST", "/_trap", body=data)
 
     def version(self):
-        weights = self.state()["modelList"]
+        weights = self.state()[N.models]
         return weights[0]["version"] if weights else None
 
 
--- a/review/standins/model.py
+++ b/review/standins/model.py
@@ -2,6 +2,7 @@
 
 import http.client
 
+from names import N
 from weights import BLOCK_BYTES, BLOCKS, LAYERS, MODEL
 
 HOST = "jepu9.example"
@@ -19,11 +20,11 @@
                 "host": HOST,
                 "prefix": "/lepu270/",
                 "type": "streaming",
-                "timeoutMs": 6000,
-                "sloMs": 406,
+                N.timeout: 6000,
+                N.objective: 406,
                 "priority": 1,
                 "service": SERVICE,
-                "maxAttempts": 2,
+                N.attempts: 2,
                 "public": False,
                 "sticky": True,
                 "resumable": True,
@@ -40,11 +41,11 @@
                     "kvCapacity": 1640000,
                     "kvTokenBytes": 163840,
                     "interval": 6,
-                    "modelList": [
+                    N.models: [
                         {"name": MODEL, "pace": 1.0, "loadS": 4.0, "warmupS": 0.3}
                     ],
                     "step_ms": 6.73,
-                    "per_seq_ms": 0.0219,
+                    N.step_per_request: 0.0219,
                     "context_per_k": 0.0068,
                     "read_per_s": 30600.0,
                     "pairs_per_m": 0.647,
@@ -56,7 +57,7 @@
                     "blockBytes": BLOCK_BYTES,
                 },
             },
-            {"name": "origin", "upstream": origin, "linkMbps": 7.3, "maxConns": 48},
+            {"name": "origin", "upstream": origin, N.link: 7.3, "maxConns": 48},
         ],
         "limits": {
             "maxHeaderBytes": 16384,
@@ -64,7 +65,7 @@
             "headerTimeoutMs": 3000,
             "idleTimeoutMs": 15000,
         },
-        "tenants": [{"name": "bozi300", "apiKeys": [KEY], "priority": 1}],
+        "tenants": [{"name": "bozi300", N.keys: [KEY], "priority": 1}],
     }
 
 
@@ -86,11 +87,11 @@
     """Send one request on a new connection; return the Answer."""
     fields = {
         "Host": HOST,
-        "Attempt-Id": attempt,
+        N.attempt: attempt,
         "Model-Id": MODEL,
-        "Token-Count": "100,48",
+        N.tokens: "100,48",
         "Prompt-Prefix": "5c1e07a2:40,91bd3f06:60",
-        "Deadline-Ms": str(deadline_ms),
+        N.deadline: str(deadline_ms),
         "X-Api-Key": KEY,
     }
     connection = http.client.HTTPConnection(
--- a/review/standins/origin.py
+++ b/review/standins/origin.py
@@ -6,6 +6,7 @@
 import asyncio
 import sys
 
+from names import N
 from web import encode_json, encode_response, serve
 from weights import BLOCK_BYTES, BLOCKS, LAYERS, MODEL, digest, piece
 
@@ -22,7 +23,7 @@
         }
         writer.write(encode_json(tree))
     elif request.path == f"/v1/piece/{MODEL}":
-        data = piece(version, int(request.query["sampleCount"]))
+        data = piece(version, int(request.query[N.piece]))
         writer.write(encode_response(200, body=data))
     else:
         writer.write(encode_response(404))
--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -13,6 +13,8 @@
 import tomllib
 from pathlib import Path
 
+from names import N
+
 ROOT = Path(__file__).resolve().parents[2]
 STANDINS = Path(__file__).resolve().parent
 
@@ -123,14 +125,14 @@
     def settings(self, *, name, ip, machine, zone="anderlecht", listen=None, **extra):
         """Return the settings file of a process, in the platform's format."""
         fields = {
-            "nodeName": name,
+            N.node: name,
             "role": machine,
             "machineClass": machine,
             "serves": [machine],
             "ip": ip,
             "zone": zone,
             "region": ZONES[zone],
-            "internalPorts": [self.internal_port, self.internal_port + 15],
+            N.ports: [self.internal_port, self.internal_port + 15],
             "bootstrap": True,
             "discovery": "platform",
             "heartbeatMs": 1200,
@@ -144,7 +146,7 @@
                 "cores": 2,
                 "memoryMb": 300,
                 "maxFds": 4100,
-                "linkMbps": 1000.0,
+                N.link: 1000.0,
                 "diskMb": 0,
             },
             "bounds": BOUNDS,
@@ -214,7 +216,7 @@
             "the store",
             lambda: (
                 self.call(
-                    self.store_ip, self.store_port, "GET", "/v1/rows-get?table=op"
+                    self.store_ip, self.store_port, "GET", f"/v1/{N.get_rows}?table=op"
                 )[0]
                 == 200
             ),
--- a/review/standins/server.py
+++ b/review/standins/server.py
@@ -10,6 +10,7 @@
 import sys
 import time
 
+from names import N
 from web import encode_json, encode_response, serve
 
 WORK_S = 0.02
@@ -27,11 +28,11 @@
             writer.write(encode_json(self.runs))
             return
         if request.path == "/healthz":
-            writer.write(encode_response(200, [("Instance-Id", self.instance)]))
+            writer.write(encode_response(200, [(N.instance, self.instance)]))
             return
         attempt = request.get("attempt-id")
         if request.get("expect-instance", self.instance) != self.instance:
-            fields = [("Attempt-Id", attempt), ("Not-Executed", "1")]
+            fields = [(N.attempt, attempt), (N.not_run, "1")]
             writer.write(encode_response(421, fields))
             return
         self.runs.append(
@@ -46,9 +47,9 @@
         )
         await asyncio.sleep(WORK_S)
         fields = [
-            ("Attempt-Id", attempt),
-            ("Response-Seal", f"seal-of-{attempt}"),
-            ("Server-Load", "1,0,6"),
+            (N.attempt, attempt),
+            (N.seal, f"seal-of-{attempt}"),
+            (N.load, "1,0,6"),
         ]
         writer.write(encode_response(200, fields, f"ran {attempt}".encode()))
 
