Date a piece's verification from its request, not from the end of all

Callers got answers from weights with corrupt pieces. An agent reads all staged pieces back before it orders the engine to load them.

The verification of each piece is now dated when the piece is requested. An order is sent only while those of all pieces are valid, and only expired ones are read again.

A pause before or after any other single call of an install loads no corrupt piece, before and after the change, so no other step of it is at fault.

--- a/hawthornspoke/spread/_installer.py
+++ b/hawthornspoke/spread/_installer.py
@@ -19,9 +19,9 @@
 #: already on their way are admitted before the engine stops admitting new ones.
 NOTICE_DELAY = 0.03
 
-#: Seconds for which the verification of the staged pieces is valid. Between it and the
-#: order are only the notice and one call to the engine, of a second at most. A longer
-#: time means that this process was suspended, and pieces may have become corrupt.
+#: Seconds from the start of a piece's verification to the latest time at which an order
+#: that relies on it is sent. The process may be suspended at any point in between, and
+#: the piece may become corrupt meanwhile.
 VERIFICATION_TTL = 1.2
 
 #: Seconds until an accepted order must be visible in the engine's state.
@@ -169,17 +169,17 @@
         if is_failure(initial):
             return initial
         result = PROCESS_STALLED
+        verification = _Verification(weights=weights)
         for _ in range(MAX_ROUNDS):
-            failure = await self._stage_all(weights)
+            failure = await self._stage_all(verification)
             if failure is not None:
                 return failure
-            verified_until = boottime_clock() + VERIFICATION_TTL
             try:
                 self._is_order_next = True
                 self._on_order_pending(True)
                 await asyncio.sleep(NOTICE_DELAY)
                 result = await self._send_order(
-                    weights, initial, is_order_valid, verified_until
+                    weights, initial, is_order_valid, verification.deadline()
                 )
             finally:
                 self._is_order_next = False
@@ -220,36 +220,61 @@
             result=str(result),
         )
 
-    async def _stage_all(self, weights):
-        indices = range(len(weights.digests))
+    async def _stage_all(self, verification):
+        """Stage the missing pieces, and verify those whose verification has expired.
+
+        Parameters
+        ----------
+        verification : _Verification
+
+        Returns
+        -------
+        None or Failure
+        """
+        weights = verification.weights
         for _ in range(MAX_ROUNDS):
             await self._for_each(
-                [index for index in indices if index not in self._staged],
+                [
+                    index
+                    for index in range(len(weights.digests))
+                    if index not in self._staged
+                ],
                 lambda index: self.stage(weights, index),
             )
             self._staged_name = weights.name
             await self._for_each(
-                indices, lambda index: self._verify_piece(weights, index)
+                verification.expired_indices(),
+                lambda index: self._verify_piece(verification, index),
             )
-            if len(self._staged) == len(weights.digests):
+            is_staged = len(self._staged) == len(weights.digests)
+            if is_staged and not verification.expired_indices():
                 return None
         return STAGE_FAILED.with_reason(
-            f"only {len(self._staged)} of {len(weights.digests)} pieces are staged"
+            f"{len(self._staged)} of {len(weights.digests)} pieces are staged, the"
+            f" verification of {len(verification.expired_indices())} has expired"
         )
 
-    async def _verify_piece(self, weights, index):
+    async def _verify_piece(self, verification, index):
         # The engine does not check digests and would load a corrupt piece as it is.
+        weights = verification.weights
+        requested_at = boottime_clock()
         data = await self._engine.get_piece(weights.model, index)
-        if is_failure(data) or not weights.matches_digest(index, data):
-            self._staged.discard(index)
-            self._log.change("staged_piece_bad", weights=weights.name, piece=index)
+        if not is_failure(data) and weights.matches_digest(index, data):
+            verification.record(index, requested_at)
+            return
+        verification.discard(index)
+        self._staged.discard(index)
+        self._log.change("staged_piece_bad", weights=weights.name, piece=index)
 
-    async def _send_order(self, weights, initial, is_order_valid, verified_until):
+    async def _send_order(self, weights, initial, is_order_valid, deadline):
         """Send the order, if the engine is still the incarnation that was verified.
 
         An incarnation is one run of the engine. An order carries only the number of
         orders before it, which each incarnation counts from zero, so the engine can't
         reject an order that was meant for an earlier incarnation.
+
+        ``deadline`` is the time on ``boottime_clock`` until which the verification of
+        all pieces is valid.
         """
         before = await self._engine.snapshot()
         if is_failure(before):
@@ -258,14 +283,17 @@
             return ENGINE_RESTARTED
         if before.busy:
             return ORDER_FAILED.with_reason("another order is in progress")
-        failure = self._check_order(is_order_valid, verified_until)
+        failure = self._check_order(is_order_valid, deadline)
         if failure is not None:
             self._log.change(
                 "order_not_sent", weights=weights.name, reason=str(failure)
             )
             return failure
         result = await self._engine.start(
-            weights.model, weights.version, sequence=before.sequence
+            weights.model,
+            weights.version,
+            sequence=before.sequence,
+            deadline=deadline,
         )
         self._is_order_next = False
         self._log.change(
@@ -277,13 +305,13 @@
         )
         return await self._wait_until_loaded(weights, before, result)
 
-    def _check_order(self, is_order_valid, verified_until):
+    def _check_order(self, is_order_valid, deadline):
         # Checked directly before the order is sent: the host may have been suspended
         # since the install was planned, and an engine that loads expired weights
         # serves nothing until it has switched again.
         if not is_order_valid():
             return ORDER_FAILED.with_reason("the version was superseded or has expired")
-        if boottime_clock() >= verified_until:
+        if boottime_clock() >= deadline:
             return PROCESS_STALLED.with_reason("the pieces must be verified again")
         return None
 
@@ -322,6 +350,46 @@
         await asyncio.gather(*(limited_call(index) for index in indices))
 
 
+class _Verification:
+    """When the staged pieces of a version were last verified.
+
+    Parameters
+    ----------
+    weights : Weights
+    """
+
+    __slots__ = ("weights", "_deadline_by_index")
+
+    def __init__(self, *, weights):
+        self.weights = weights
+        self._deadline_by_index = {}
+
+    def record(self, index, requested_at):
+        """Record that a piece was intact when the engine read it.
+
+        The engine read it at some time after ``requested_at``, in seconds on
+        ``boottime_clock``, which is therefore what the verification dates from.
+        """
+        self._deadline_by_index[index] = requested_at + VERIFICATION_TTL
+
+    def discard(self, index):
+        """Record that a piece is not intact."""
+        self._deadline_by_index.pop(index, None)
+
+    def expired_indices(self):
+        """Return the indices of the pieces that must be verified again."""
+        now = boottime_clock()
+        return [
+            index
+            for index in range(len(self.weights.digests))
+            if now >= self._deadline_by_index.get(index, float("-inf"))
+        ]
+
+    def deadline(self):
+        """Return the time until which all pieces count as intact."""
+        return min(self._deadline_by_index.values(), default=float("-inf"))
+
+
 def _has_restarted(before, after):
     """Return whether two snapshots are of different incarnations of an engine.
 
--- a/hawthornspoke/spread/tests/test_agents.py
+++ b/hawthornspoke/spread/tests/test_agents.py
@@ -108,7 +108,7 @@
     async def held_pieces(self, model):
         return tuple(sorted(self.staged))
 
-    async def start(self, model, version, *, sequence):
+    async def start(self, model, version, *, sequence, deadline=None):
         if sequence != self.sequence or self.busy:
             return ENGINE_CHANGED
         self.orders.append(version)
--- a/hawthornspoke/spread/tests/test_incarnations.py
+++ b/hawthornspoke/spread/tests/test_incarnations.py
@@ -78,7 +78,7 @@
             await self.answer_puts.wait()
         return result
 
-    async def start(self, model, version, *, sequence):
+    async def start(self, model, version, *, sequence, deadline=None):
         if self.before_start is not None:
             hook, self.before_start = self.before_start, None
             hook()
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -402,13 +402,20 @@
     Mutation(
         name="after a wait: orders are not checked",
         file="spread/_installer.py",
-        old="        failure = self._check_order(is_order_valid, verified_until)\n",
+        old="        failure = self._check_order(is_order_valid, deadline)\n",
         new="        failure = None\n",
         test=(
             "hawthornspoke/spread/tests/test_checks_after_suspension.py"
             " -k version_that_expired"
         ),
     ),
+    Mutation(
+        name="a piece's verification dates from its end",
+        file="spread/_installer.py",
+        old="            verification.record(index, requested_at)\n",
+        new="            verification.record(index, boottime_clock())\n",
+        test="hawthornspoke/spread/tests/test_paused_installs.py",
+    ),
     Mutation(
         name="after a wait: pending puts are not cancelled",
         file="spread/_installer.py",
