Refuse requests without a valid key after the last key was revoked

Admission took an empty table of keys for a configuration without any, as decoding kept nothing of an organisation without keys. The new version was in force (the requests ran without an organisation's name), so age and contact had no part.

A key that is sent must be valid even if none is required, since the last organisation may go together with its list. An empty key is no key.

The soak asked for more than one key before it revoked one, and its clients never sent a revoked key, so its check could not fail. It now revokes all keys at times, and a tenth of its requests have a revoked or unknown key.

--- a/hawthornspoke/catalog/_types.py
+++ b/hawthornspoke/catalog/_types.py
@@ -274,8 +274,11 @@
     revision : int
     routes : tuple of Route
     service_by_name : dict of str to Service
+    requires_key : bool
+        Whether requests need an API key, except on public routes. There may be no key
+        that is valid.
     organisation_by_key : dict of str to Organisation
-        Organisations by API key; empty if requests need no key.
+        Organisations by API key.
     limits : CallerLimits
     replaced_values : tuple of str
         Descriptions of invalid values in place of which defaults are used.
@@ -284,6 +287,7 @@
     revision: int
     routes: tuple
     service_by_name: dict
+    requires_key: bool
     organisation_by_key: dict = field(default_factory=dict)
     limits: CallerLimits = field(default_factory=CallerLimits)
     replaced_values: tuple = ()
--- a/hawthornspoke/relay/_admission.py
+++ b/hawthornspoke/relay/_admission.py
@@ -88,7 +88,7 @@
         if context.route is None:
             return self._deny(404, "no_route")
         context.allowed_regions = self._allowed_regions(context, context.route)
-        if not self._needs_key(context.route):
+        if not self._needs_key(context, context.route):
             return None
         context.organisation = self._find_organisation(context)
         if context.organisation is None:
@@ -191,11 +191,11 @@
             return _configuration_changed("route")
         if not any(item.service == context.service for item in route.shares):
             return _configuration_changed(f"service {context.service}")
-        organisation = (
-            self._find_organisation(context) if self._needs_key(route) else None
-        )
-        if self._needs_key(route) and organisation is None:
-            return _configuration_changed("key")
+        organisation = None
+        if self._needs_key(context, route):
+            organisation = self._find_organisation(context)
+            if organisation is None:
+                return _configuration_changed("key")
         if _name_of(organisation) != _name_of(context.organisation):
             return _configuration_changed("organisation")
         context.allowed_regions = self._allowed_regions(context, route)
@@ -205,16 +205,23 @@
         request = context.request
         return self._routes.find(host=request.get("host", ""), target=request.target)
 
+    def _key(self, context):
+        return context.request.get(self._header_names.key, "")
+
     def _find_organisation(self, context):
-        key = context.request.get(self._header_names.key, "")
-        return self.catalog.organisation_by_key.get(key)
+        # A request without a key has no owner, even if an empty key is configured.
+        key = self._key(context)
+        return self.catalog.organisation_by_key.get(key) if key else None
 
     def _allowed_regions(self, context, route):
         # A key that a public route doesn't need still names the owner of the request.
         return allowed_regions(route, self._find_organisation(context))
 
-    def _needs_key(self, route):
-        return not route.public and bool(self.catalog.organisation_by_key)
+    def _needs_key(self, context, route):
+        # A key that is sent must be valid even if none is required: it may have been
+        # revoked together with all others.
+        has_key = bool(self._key(context))
+        return not route.public and (self.catalog.requires_key or has_key)
 
     def _deny(self, status, reason):
         """Return a Refusal: permanent, or temporary if the catalog may be stale."""
--- a/hawthornspoke/relay/tests/relay_harness.py
+++ b/hawthornspoke/relay/tests/relay_harness.py
@@ -547,6 +547,7 @@
             service_by_name={
                 name: Service(name=name, engine=ENGINE) for name in {"s", service}
             },
+            requires_key=bool(self.keys),
             organisation_by_key={
                 key: Organisation(name=name) for key, name in keys.items()
             },
--- a/hawthornspoke/relay/tests/test_old_weights.py
+++ b/hawthornspoke/relay/tests/test_old_weights.py
@@ -144,7 +144,9 @@
             layers=(0, 16),
         )
         services = {"s": Service(name="s", engine=ENGINE)}
-        relay.sink.on_catalog(Catalog(revision=1, routes=(), service_by_name=services))
+        relay.sink.on_catalog(
+            Catalog(revision=1, routes=(), service_by_name=services, requires_key=False)
+        )
         relay.sink.on_entries((old,))
         relay.sink.on_declared(DeclaredWeights(model="m", version=2))
         now = monotonic()
--- a/tests/histories/platform.py
+++ b/tests/histories/platform.py
@@ -330,7 +330,7 @@
         revision=int(data),
         routes=[],
         service_by_name={SERVICE: service},
-        organisation_by_key={},
+        requires_key=False,
     )
 
 
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -409,6 +409,13 @@
             " -k version_that_expired"
         ),
     ),
+    Mutation(
+        name="no key is required if none is valid",
+        file="relay/_admission.py",
+        old="(self.catalog.requires_key or has_key)",
+        new="bool(self.catalog.organisation_by_key)",
+        test="hawthornspoke/relay/tests/test_withdrawn_keys.py",
+    ),
     Mutation(
         name="a piece's verification dates from its end",
         file="spread/_installer.py",
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -7,6 +7,12 @@
 from tests.soak.programs import FRONT_PORT
 from tests.soak.simulation import expected_events, expected_response
 
+#: A key that no configuration ever holds.
+UNKNOWN_KEY = "never-held"
+
+#: Fraction of requests with a key that is not valid.
+INVALID_KEY_SHARE = 0.1
+
 #: Response timeout in seconds; longer than the time limit of every route.
 RESPONSE_TIMEOUT_SECONDS = 6.0
 
@@ -56,11 +62,13 @@
     entries : list of Program
     keys : set of str
         API keys in use; shared with the soak test, which adds and revokes keys.
+    revoked : collection of str
+        Revoked API keys, shared likewise.
     seed : int
     """
 
-    def __init__(self, *, entries, keys, seed):
-        self.entries, self.keys = entries, keys
+    def __init__(self, *, entries, keys, revoked, seed):
+        self.entries, self.keys, self.revoked = entries, keys, revoked
         self.random = random.Random(seed)
         self.records = []
         self.violations = []
@@ -84,6 +92,11 @@
             finally:
                 writer.transport.abort()
 
+    def _choose_key(self):
+        if not self.keys or self.random.random() < INVALID_KEY_SHARE:
+            return self.random.choice([UNKNOWN_KEY, *sorted(self.revoked)])
+        return self.random.choice(sorted(self.keys))
+
     async def _send_request(self, entry, reader, writer):
         """Send one request; return whether the connection can be reused."""
         prefix = self.random.choice(("/once/", "/again/", "/stream/"))
@@ -92,7 +105,7 @@
         record = Record(
             request_id=request_id,
             prefix=prefix,
-            key=self.random.choice(sorted(self.keys)),
+            key=self._choose_key(),
             sent_at=loop.time(),
             entry=entry,
         )
--- a/tests/soak/simulation.py
+++ b/tests/soak/simulation.py
@@ -471,10 +471,15 @@
                 {"name": LLM, "maxConns": 100, "backend": ENGINE_PROFILE},
                 {"name": ORIGIN, "upstream": f"{NET}.2.1:9300"},
             ],
-            "tenants": [{"name": "org", "apiKeys": sorted(self.keys)}],
+            "tenants": self._tenant_rows(),
             "limits": {"idleTimeoutMs": round(self.idle_time * 1000)},
         }
 
+    def _tenant_rows(self):
+        if not self.keys and self.version % 2:
+            return []
+        return [{"name": "org", "apiKeys": sorted(self.keys)}]
+
     def _route_row(self, prefix, kind):
         return {
             "name": prefix,
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 from hawthornspoke.base import monotonic
-from tests.soak.clients import VerifyingClients
+from tests.soak.clients import UNKNOWN_KEY, VerifyingClients
 from tests.soak.programs import FIRST_INTERNAL_PORT, MEMORY_MB, NET, Program
 from tests.soak.simulation import (
     LLM,
@@ -48,6 +48,10 @@
 #: only one that may answer.
 RETRY_ALLOWANCES = (0, 10, 100)
 
+#: Fraction of the revocations that revoke all keys, and seconds until one is added.
+REVOKE_ALL_SHARE = 0.3
+NO_KEY_SECONDS = (2.0, REVOCATION_SECONDS + 2.0)
+
 #: Seconds for which an endpoint may be silent without a fault.
 SILENCE_SECONDS = (0.5, 3.0)
 
@@ -67,6 +71,8 @@
 
     def __init__(self, *, seed, seconds, folder, size=SMALL):
         self.random = random.Random(seed)
+        # Separate, so that the faults of a seed stay those that have failed before.
+        self.detail_random = random.Random(f"{seed} details")
         self.seed, self.seconds, self.folder = seed, seconds, folder
         self.size = size
         self.retry_allowance = self.random.choice(RETRY_ALLOWANCES)
@@ -84,7 +90,10 @@
         """Run the seed; return the violations."""
         await self._start()
         verifying_clients = VerifyingClients(
-            entries=self.entries, keys=self.configuration.keys, seed=self.seed
+            entries=self.entries,
+            keys=self.configuration.keys,
+            revoked=self.revoked.keys(),
+            seed=self.seed,
         )
         background_tasks = [
             asyncio.create_task(self._maintain_environment()),
@@ -314,10 +323,17 @@
     async def _fault_revoke(self):
         keys = self.configuration.keys
         if len(keys) > 1:
-            key = self.random.choice(sorted(keys))
-            keys.discard(key)
+            revoked = {self.random.choice(sorted(keys))}
+            revokes_all = self.detail_random.random() < REVOKE_ALL_SHARE
+            if revokes_all:
+                revoked = set(keys)
+            keys -= revoked
             await self._fault_configure()
-            self.revoked[key] = asyncio.get_running_loop().time()
+            self.revoked |= dict.fromkeys(revoked, asyncio.get_running_loop().time())
+            if revokes_all:
+                await asyncio.sleep(self.detail_random.uniform(*NO_KEY_SECONDS))
+                keys.add(f"k{self.configuration.version}-again")
+                await self._fault_configure()
 
     def _stop_all(self):
         for program in self.entries + self.agents:
@@ -354,6 +370,7 @@
                 item
                 for item in verifying_clients.records
                 if item.sent_at >= recovery_start
+                and item.key in self.configuration.keys
             ]
         )
 
@@ -369,6 +386,8 @@
             yield f"{record.id}: ran {len(runs)} times"
         if once and record.status in (408, 421, 429, 503) and runs:
             yield f"{record.id}: rejected with {record.status}, but it ran"
+        if record.key == UNKNOWN_KEY and runs:
+            yield f"{record.id}: ran with a key that never was valid"
         revoked_at = self.revoked.get(record.key)
         if (
             revoked_at is not None
