Date a confirmation no later than the answer's earliest arrival

An answer of the platform without changes confirms the configuration as of the end of its long poll, if it was read after that time. A process that stood still read an answer late that had come early, and took its keys as confirmed up to 2 s later than they were; a revoked key would be trusted for that much longer.

The watcher now asks the stall detector how early the answer may have arrived. After a stall the confirmation dates from the query.

--- a/hawthornspoke/mirror/_follow.py
+++ b/hawthornspoke/mirror/_follow.py
@@ -78,6 +78,7 @@
             log=sink.log,
             first_start=self._first_start,
             discovery_timeout=self._discovery_timeout,
+            earliest_arrival=sink.earliest_arrival,
         )
         recorder = DeclarationRecorder(
             store=self._store,
--- a/hawthornspoke/mirror/_watch.py
+++ b/hawthornspoke/mirror/_watch.py
@@ -181,6 +181,8 @@
         domain before the first read of the configuration. Without it, hosts that all
         restart at once each read the whole configuration from the platform, and the
         reads time out on the shared link into the region.
+    earliest_arrival : callable, default=boottime_clock
+        Returns a lower bound on the time at which data that is read now has arrived.
 
     Attributes
     ----------
@@ -223,6 +225,7 @@
         "_outage_tracker_by_table",
         "_started_at",
         "_held_until_by_table",
+        "_earliest_arrival",
     )
 
     def __init__(
@@ -235,6 +238,7 @@
         log,
         first_start=False,
         discovery_timeout=0.0,
+        earliest_arrival=lambda: boottime_clock(),
     ):
         self.mirror = Mirror()
         self.confirmed_at = float("-inf")
@@ -256,6 +260,7 @@
         self._outage_tracker_by_table = {}
         self._started_at = boottime_clock()
         self._held_until_by_table = {}
+        self._earliest_arrival = earliest_arrival
 
     def is_current(self):
         """Return whether this host reads the platform and gets answers in time.
@@ -521,9 +526,10 @@
             )
         if whole:
             answer, answered_at = await self._read_whole(table)
+            arrived_after = asked_at
         else:
             answer = await self._store.follow(table.name, after=revision, wait=wait)
-            answered_at = boottime_clock()
+            answered_at, arrived_after = boottime_clock(), self._earliest_arrival()
             if not is_failure(answer) and self._lacks_changes(table, answer):
                 # Read again at once. This host has its turn to read a platform that
                 # was unreachable; the next host would get no better answer.
@@ -535,7 +541,7 @@
             return answer
         self.is_failing = False
         self.failed_at = float("-inf")
-        answer.confirmed_at = _earliest_read(answer, asked_at, wait, answered_at)
+        answer.confirmed_at = _earliest_read(answer, asked_at, wait, arrived_after)
         self._set_write_times(table, answer, asked_at, answered_at)
         if table.confirms_configuration:
             self._set_current_until(
@@ -639,7 +645,7 @@
         self._on_confirmed(at)
 
 
-def _earliest_read(answer, asked_at, wait, answered_at):
+def _earliest_read(answer, asked_at, wait, arrived_after):
     """Return a lower bound on the time at which the platform read a table.
 
     The platform answers as soon as there are changes. So it holds a query without any
@@ -654,8 +660,9 @@
         When the query was sent, in seconds.
     wait : float
         Seconds for which the platform may hold the query.
-    answered_at : float
-        When the answer arrived, in seconds.
+    arrived_after : float
+        Lower bound on the time at which the answer arrived, in seconds: this process
+        may have been stalled since.
 
     Returns
     -------
@@ -663,6 +670,6 @@
         Seconds.
     """
     held_until = asked_at + max(0.0, wait - WAIT_RESOLUTION)
-    if answer.rows or answered_at < held_until:
+    if answer.rows or arrived_after < held_until:
         return asked_at
     return held_until
--- a/hawthornspoke/mirror/tests/test_watch.py
+++ b/hawthornspoke/mirror/tests/test_watch.py
@@ -72,7 +72,14 @@
     """A table watcher with its neighbours, recording rows and events."""
 
     def __init__(
-        self, address, port, store, *, first_start=False, discovery_timeout=0.0
+        self,
+        address,
+        port,
+        store,
+        *,
+        first_start=False,
+        discovery_timeout=0.0,
+        earliest_arrival=boottime_clock,
     ):
         self.address = address
         self.port = port
@@ -91,6 +98,7 @@
             log=self,
             first_start=first_start,
             discovery_timeout=discovery_timeout,
+            earliest_arrival=earliest_arrival,
         )
         self.task = None
 
--- a/hawthornspoke/relay/_sink.py
+++ b/hawthornspoke/relay/_sink.py
@@ -44,6 +44,7 @@
         Replaced when the settings are reloaded.
     entries : tuple of EndpointEntry
     agents : AgentLinks
+    earliest_arrival : callable
     """
 
     __slots__ = (
@@ -52,6 +53,7 @@
         "metrics",
         "entries",
         "agents",
+        "earliest_arrival",
         "suspects",
         "_fleet",
         "_contact",
@@ -85,6 +87,7 @@
         self.metrics = metrics
         self.entries = ()
         self.suspects = suspects
+        self.earliest_arrival = earliest_arrival
         self.agents = AgentLinks(
             port=settings.agent_port,
             failure_domain=settings.failure_domain,
