Keep a winning second attempt before its connection is given back

Callers of repeatable requests that aren't streams got 502 in place of an endpoint's 200 when their request was also sent to a second endpoint and that one answered first. RequestRun._apply_answer completed the attempt, which returns its connection to the pool, and then told it that it goes on; moving the answer to the caller's memory account needs the connection, so the handler failed with AttributeError.

The attempt is kept first and completed then. Without a memory budget both attempts have no account and the order didn't matter, and no test of second attempts had a budget; the harness of the relay's tests now has one by default.

test_answer_of_a_faster_second_attempt_is_delivered: failed with a budget before, passes with and without one; all tests of the relay pass with a budget.

--- a/hawthornspoke/relay/_run.py
+++ b/hawthornspoke/relay/_run.py
@@ -242,14 +242,16 @@
         reader = self._reader_by_id[attempt_id]
         context.last_response = response
         is_success = response.status in SUCCESS_STATUSES
-        reader.attempt.complete(is_success=is_success)
         if not is_success and self._may_be_bettered(response):
+            reader.attempt.complete(is_success=False)
             failure = ENDPOINT_FAILED.with_reason(
                 f"the endpoint responded with status {response.status}"
             )
             await self._remove(attempt_id, failure)
             return False
+        # Before the attempt is completed, which gives its connection back.
         self._keep(attempt_id)
+        reader.attempt.complete(is_success=is_success)
         del self._reader_by_id[attempt_id]
         if is_success:
             self._planner.record_success(context)
--- a/hawthornspoke/relay/tests/relay_harness.py
+++ b/hawthornspoke/relay/tests/relay_harness.py
@@ -42,6 +42,9 @@
 
 ENGINE = engine_profile()
 
+#: Bytes of the memory budget, which every entry host on the platform has.
+MEMORY_LIMIT = 100_000_000
+
 
 class ScriptedEndpoint:
     """Answers each request by the next step of a script.
@@ -366,7 +369,7 @@
         keys=None,
         confirmed=True,
         fleet=None,
-        memory_limit=None,
+        memory_limit=MEMORY_LIMIT,
     ):
         self.endpoints = endpoints
         self.boottime_clock = SuspendedClock()
--- a/hawthornspoke/relay/tests/test_silent_endpoints.py
+++ b/hawthornspoke/relay/tests/test_silent_endpoints.py
@@ -504,3 +504,22 @@
             assert harness.budget.allowed == 0
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("memory_limit", [None, 50_000_000])
+def test_answer_of_a_faster_second_attempt_is_delivered(memory_limit):
+    """Guards against a 502 in place of a whole answer that came second-first."""
+
+    async def scenario():
+        slow = ScriptedEndpoint(paused_answer(pause=2.0))
+        fast = ScriptedEndpoint(answer(body=b"fast"))
+        async with RelayHarness(
+            slow, fast, timeout=4.0, memory_limit=memory_limit
+        ) as harness:
+            first_endpoint(harness)
+            status, _, body, _ = await harness.ask("again", read_time=4.0)
+            assert (status, body) == (200, b"fast")
+            assert harness.handler_errors == []
+            assert harness.logged("hedged")
+
+    run_scenario(scenario)
