Soak: pause agents within their read-back, and corrupt staged pieces

The soak paused agents at random moments, which hardly ever met the tens of milliseconds in which staged pieces are read back, and never corrupted a staged piece. Half of its pauses of agents now begin when half of the pieces were read; some of these become corrupt 0.2 s later, and the engine excuses a piece that it loads only if it is corrupt for less than 3 s. Faults of a seed stay as they were, as these draws have a generator of their own.

--- a/tests/soak/simulation.py
+++ b/tests/soak/simulation.py
@@ -37,6 +37,9 @@
 
 MAX_ATTEMPTS = {"/once/": 1, "/again/": 2, "/stream/": 2}
 
+#: Seconds for which a staged piece may have been corrupt when it is loaded.
+MAX_CORRUPT_SECONDS = 3.0
+
 ENGINE_PROFILE = {
     "slots": SLOTS,
     "interval": 1,
@@ -110,6 +113,9 @@
         self.generation = 0
         self.born = int(time.time() * 1000)
         self.staged = {}
+        self.corrupt_pieces = CorruptPieces()
+        self.read_indices = []
+        self.on_half_read = None
         self.loaded = {}
         self.version = None
         self.first_layer = 0
@@ -207,7 +213,7 @@
             return reply.send(409)
         self.busy = True
         self.sequence += 1
-        staged_pieces = dict(self.staged)
+        staged_pieces = self.corrupt_pieces.excused(self.staged)
         asyncio.get_running_loop().create_task(
             self._load(order["version"], staged_pieces, order.get("from", 0))
         )
@@ -226,12 +232,26 @@
         index = int(query["sampleCount"][0]) if "sampleCount" in query else None
         if request.method == "PUT":
             self.staged[index] = request.body
+            self.corrupt_pieces.discard(index)
+            self.read_indices = []
             return reply.send(200)
         if index is None:
             return reply.send(200, (), json.dumps({"held": list(self.staged)}).encode())
         if index not in self.staged:
             return reply.send(404)
-        return reply.send(200, (), self.staged[index])
+        reply.send(200, (), self.staged[index])
+        self.read_indices.append(index)
+        if len(self.read_indices) == PIECE_COUNT // 2 and self.on_half_read:
+            on_half_read, self.on_half_read = self.on_half_read, None
+            on_half_read()
+        return None
+
+    def corrupt_read_pieces(self):
+        """Corrupt some of the staged pieces that were read last."""
+        for index in self.read_indices[:2]:
+            if index in self.staged:
+                self.corrupt_pieces.add(index, self.staged[index])
+                self.staged[index] = b"corrupt"
 
     async def _run(self, request, reply):
         request_id = request.get("Attempt-Id")
@@ -306,6 +326,34 @@
             self.violations.append(f"engine {self.id} runs with incorrect weights")
 
 
+class CorruptPieces:
+    """Staged pieces that became corrupt, and since when."""
+
+    def __init__(self):
+        self._intact_by_index = {}
+        self._since_by_index = {}
+
+    def add(self, index, intact):
+        """Record a piece that becomes corrupt now, with its intact bytes."""
+        if index not in self._since_by_index:
+            self._intact_by_index[index] = intact
+            self._since_by_index[index] = monotonic()
+
+    def discard(self, index):
+        """Record that a piece was staged again."""
+        self._since_by_index.pop(index, None)
+
+    def excused(self, staged):
+        """Return the staged pieces, intact if they became corrupt shortly before."""
+        earliest = monotonic() - MAX_CORRUPT_SECONDS
+        recent = {
+            index: self._intact_by_index[index]
+            for index, since in self._since_by_index.items()
+            if since > earliest and index in staged
+        }
+        return {**staged, **recent}
+
+
 class Origin:
     """Simulated weight origin that can be down or send corrupted bytes."""
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -14,6 +14,7 @@
 from tests.soak.simulation import (
     LLM,
     MAX_ATTEMPTS,
+    MAX_CORRUPT_SECONDS,
     MODEL,
     PLAIN,
     Configuration,
@@ -44,6 +45,11 @@
 #: Seconds between the end of a run and that of its request if one caused the other.
 CAUSE_SECONDS = 0.3
 
+#: Fraction of the pauses of agents that begin while staged pieces are read back, and
+#: maximum seconds until they are.
+READ_BACK_SHARE = 0.5
+READ_BACK_WAIT = 3.0
+
 #: Retries beyond a share of the requests; without any a silent endpoint is often the
 #: only one that may answer.
 RETRY_ALLOWANCES = (0, 10, 100)
@@ -225,10 +231,37 @@
 
     async def _fault_pause(self):
         program = self.random.choice(self.entries + self.agents)
+        seconds = self.random.uniform(0.5, 4.0)
+        if program in self.agents and self.detail_random.random() < READ_BACK_SHARE:
+            await self._pause_in_read_back(program)
+            return
         program.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(self.random.uniform(0.5, 4.0))
+        await asyncio.sleep(seconds)
         program.send_signal(signal.SIGCONT)
 
+    async def _pause_in_read_back(self, agent):
+        """Pause an agent that has read half of its staged pieces; corrupt some."""
+        engine = self.engines[self.agents.index(agent)]
+        is_paused = asyncio.Event()
+
+        def pause():
+            agent.send_signal(signal.SIGSTOP)
+            is_paused.set()
+
+        engine.read_indices = []
+        engine.on_half_read = pause
+        await self._fault_version()
+        try:
+            async with asyncio.timeout(READ_BACK_WAIT):
+                await is_paused.wait()
+        except TimeoutError:
+            engine.on_half_read = None
+            return
+        await asyncio.sleep(0.2)
+        engine.corrupt_read_pieces()
+        await asyncio.sleep(MAX_CORRUPT_SECONDS + 0.8)
+        agent.send_signal(signal.SIGCONT)
+
     async def _fault_signals_in_series(self):
         programs = self.random.sample(self.entries, k=(len(self.entries) + 1) // 2)
         number = self.random.choice((signal.SIGHUP, signal.SIGTERM))
