Let an engine's observed slowdown expire during a suspension as well

It expires by the boot-time clock now, like the state in the same report.

No caller was seen to be hit. test_slowdown_expires_during_a_suspension failed before. The two tests that named the clock of the module name the new one.

--- a/hawthornspoke/spread/_contention.py
+++ b/hawthornspoke/spread/_contention.py
@@ -7,7 +7,7 @@
 contention; agents of other services don't ask.
 """
 
-from hawthornspoke.base import is_failure, monotonic
+from hawthornspoke.base import boottime_clock, is_failure
 from hawthornspoke.spread._client_types import ENGINE_UNREACHABLE
 
 #: Ticks between two health checks: several within the time that contention lasts.
@@ -85,7 +85,7 @@
 
     def slowdown(self):
         """Return the present slowdown, None if it isn't known."""
-        return self._slowdown if monotonic() < self._expires_at else None
+        return self._slowdown if boottime_clock() < self._expires_at else None
 
     async def run(self, ticks):
         """Make health checks until cancelled.
@@ -100,7 +100,7 @@
                 await self._check()
 
     async def _check(self):
-        requested_at = monotonic()
+        requested_at = boottime_clock()
         observed = await self._engine.slowdown(self.path)
         if is_failure(observed):
             self._record_failure(observed)
--- a/hawthornspoke/spread/tests/test_contention.py
+++ b/hawthornspoke/spread/tests/test_contention.py
@@ -1,6 +1,7 @@
 """An agent asks its engine for the slowdown by other work on their host."""
 
 import asyncio
+import time
 
 from hawthornspoke.base import Failure
 from hawthornspoke.catalog import Incarnation
@@ -87,8 +88,8 @@
 def test_failed_checks_end_the_reports(monkeypatch):
     """Guards against a slowdown that is reported long after it was observed."""
     watched, _ = watch(FakeEngine(2.5, NO_RESPONSE), checks=2)
-    later = _contention.monotonic() + _contention.OBSERVATION_TTL
-    monkeypatch.setattr(_contention, "monotonic", lambda: later)
+    later = _contention.boottime_clock() + _contention.OBSERVATION_TTL
+    monkeypatch.setattr(_contention, "boottime_clock", lambda: later)
     assert watched.slowdown() is None
 
 
@@ -132,9 +133,19 @@
         agent = await make_agent()
         agent._update_incarnation(Incarnation(started_ms=1_000))
         agent.contention._slowdown = 2.5
-        agent.contention._expires_at = _contention.monotonic() + 60.0
+        agent.contention._expires_at = _contention.boottime_clock() + 60.0
         assert agent.contention.slowdown() == 2.5
         agent._update_incarnation(Incarnation(started_ms=2_000))
         return agent.contention.slowdown()
 
     assert asyncio.run(scenario()) is None
+
+
+def test_slowdown_expires_during_a_suspension(monkeypatch):
+    """Guards against a slowdown that is reported long after it was observed."""
+    watched, _ = watch(FakeEngine(1.5), checks=1)
+    assert watched.slowdown() == 1.5
+    # Only this clock includes the time for which the host is suspended.
+    clock_gettime = time.clock_gettime
+    monkeypatch.setattr(time, "clock_gettime", lambda clock: clock_gettime(clock) + 5.0)
+    assert watched.slowdown() is None
