Count a connection's idle time from the earliest arrival of its response

An endpoint counts the idle time of a connection from its response; this side counted it from when it read the response. After a stall of this process the connection was reused when the endpoint was about to close it, and a request on its way at that moment is lost, with 502 if it can't be repeated.

The pool now asks the stall detector how early the response may have arrived.

--- a/hawthornspoke/httpio/_client.py
+++ b/hawthornspoke/httpio/_client.py
@@ -212,9 +212,15 @@
         else:
             self._limit_reading()
 
-    def release(self):
+    def release(self, *, idle_since=None):
         """End the use by the current exchange; abort a connection that can't be reused.
 
+        Parameters
+        ----------
+        idle_since : float or None, default=None
+            Lower bound on the time at which the response ended, in seconds of
+            ``boottime_clock``; None for the current time.
+
         Returns
         -------
         bool
@@ -225,9 +231,9 @@
         if not self.reusable or not self.is_open:
             self.abort()
             return False
-        self.idle_deadline = (
-            boottime_clock() + self._idle_timeout * IDLE_TIMEOUT_FRACTION
-        )
+        if idle_since is None:
+            idle_since = boottime_clock()
+        self.idle_deadline = idle_since + self._idle_timeout * IDLE_TIMEOUT_FRACTION
         return True
 
     def abort(self):
--- a/hawthornspoke/httpio/_pool.py
+++ b/hawthornspoke/httpio/_pool.py
@@ -46,6 +46,10 @@
     ----------
     metrics : Metrics or None
         Counts the responses beyond a limit; may be set later.
+    earliest_arrival : callable
+        Returns a lower bound on the time at which data that is read now has arrived;
+        may be set later. An endpoint counts the idle time of a connection from then,
+        also while this process stands still.
     """
 
     __slots__ = (
@@ -56,6 +60,7 @@
         "receive_buffer",
         "max_unread_bytes",
         "metrics",
+        "earliest_arrival",
         "_idle_by_key",
         "_drain_tasks",
     )
@@ -75,6 +80,7 @@
         self.receive_buffer = receive_buffer
         self.max_unread_bytes = max_unread_bytes
         self.metrics = None
+        self.earliest_arrival = boottime_clock
         self.opened = 0
         self._idle_by_key = {}
         self._drain_tasks = set()
@@ -125,7 +131,7 @@
 
         It is closed if it can't be reused.
         """
-        if connection.release():
+        if connection.release(idle_since=self.earliest_arrival()):
             entry = _IdleConnection(connection=connection, incarnation=incarnation)
             self._idle_by_key.setdefault(key, []).append(entry)
             if self.closes_idle:
--- a/hawthornspoke/httpio/tests/test_checks_after_suspension.py
+++ b/hawthornspoke/httpio/tests/test_checks_after_suspension.py
@@ -10,8 +10,9 @@
 
 import pytest
 
-from hawthornspoke.base import is_failure
+from hawthornspoke.base import StallDetector, Ticks, boottime_clock, is_failure
 from hawthornspoke.httpio import ConnectionPool, HttpServer, fetch
+from hawthornspoke.httpio._client import IDLE_TIMEOUT_FRACTION
 
 
 class HookedPool(ConnectionPool):
@@ -119,3 +120,30 @@
         server.close()
 
     asyncio.run(scenario())
+
+
+def test_idle_time_counts_from_the_arrival_of_a_response_read_after_a_stall():
+    """Guards against a request sent while the endpoint closes its idle connection."""
+
+    async def scenario():
+        server = await serve([])
+        detector = StallDetector(on_resume=lambda seconds: None)
+        pool = HookedPool()
+        pool.action = lambda connection: None
+        pool.earliest_arrival = detector.earliest_arrival
+        heartbeats = asyncio.create_task(detector.run(Ticks()))
+        answer = await call(pool, server, timeout=2.0)
+        assert not is_failure(answer)
+        pending = asyncio.create_task(call(pool, server, timeout=3.0))
+        await asyncio.sleep(0)
+        stalled_at = boottime_clock()
+        time.sleep(0.8)
+        assert not is_failure(await pending)
+        connection = await pool.acquire(*[f"127.0.0.1:{server.bound_port}"] * 2)
+        assert connection.idle_deadline <= stalled_at + 10 * IDLE_TIMEOUT_FRACTION
+        heartbeats.cancel()
+        connection.abort()
+        pool.close()
+        server.close()
+
+    asyncio.run(scenario())
--- a/hawthornspoke/relay/_process.py
+++ b/hawthornspoke/relay/_process.py
@@ -204,6 +204,7 @@
         self.stall_detector = StallDetector(
             on_resume=lambda seconds: self.log.change("stood_still", seconds=seconds)
         )
+        self.pool.earliest_arrival = self.stall_detector.earliest_arrival
         self.front = self._server(
             settings.front, self.handler, memory=self.memory, metrics=self.metrics
         )
