Soak: close the server of an engine whose crashes overlap

A run of the soak ended as an address of its own was in use, four or five seeds after it had begun; seen twice. An engine replaced its server before the new one listened. When two crashes of it overlapped, the second start failed and the server of the first one was never closed, so that a later seed could not listen there.

test_engine_whose_crashes_overlap_leaves_its_address failed before with "address already in use".

--- a/tests/soak/simulation.py
+++ b/tests/soak/simulation.py
@@ -139,10 +139,13 @@
 
     async def start(self):
         """Start or restart the server."""
-        self.server = HttpServer(
+        server = HttpServer(
             host=self.ip, port=self.port, handler=self.handle, on_handler_error=print
         )
-        await self.server.start()
+        await server.start()
+        # Only now: if two crashes overlap, the second start fails, and the server of
+        # the first one still has to be closed.
+        self.server = server
 
     def crash(self):
         """Lose the loaded weights and all connections, as in a crash.
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,9 +1,13 @@
 """Short soak test with one fixed seed and all seeds that have failed before."""
 
+import asyncio
+import contextlib
 import shutil
 
 import pytest
 
+from tests.soak.programs import NET
+from tests.soak.simulation import PLAIN, Engine
 from tests.soak.soak import run_soak
 
 #: Causes of earlier failures by seed; the seeds are kept as regression tests.
@@ -16,6 +20,26 @@
 SECONDS = 6.0
 
 
+def test_engine_whose_crashes_overlap_leaves_its_address():
+    """Guards against a soak that can't start a seed, as an address is in use."""
+
+    async def run():
+        first = Engine(number=0, ip=f"{NET}.1.1", port=9201, service=PLAIN)
+        await first.start()
+        first.crash()
+        first.crash()
+        await first.start()
+        with contextlib.suppress(OSError):
+            await first.start()
+        first.server.close()
+        await asyncio.sleep(0)
+        second = Engine(number=0, ip=f"{NET}.1.1", port=9201, service=PLAIN)
+        await second.start()
+        second.server.close()
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("seed", [1, *FAILED_BEFORE])
 def test_guarantees_hold_under_faults(seed):
     violations, faults, folder = run_soak(seed, SECONDS)
