Move the time limits of verifications into a module of their own

Read-through: PieceVerification (spread/_verification.py) is what Installer asks when pieces were verified; the failure of staging names both what isn't staged and what isn't verified. No change of behaviour.

Tests of spread, mirror and the withdrawn keys pass.

--- a/hawthornspoke/mirror/_watch.py
+++ b/hawthornspoke/mirror/_watch.py
@@ -181,8 +181,9 @@
         domain before the first read of the configuration. Without it, hosts that all
         restart at once each read the whole configuration from the platform, and the
         reads time out on the shared link into the region.
-    earliest_arrival : callable, default=boottime_clock
-        Returns a lower bound on the time at which data that is read now has arrived.
+    earliest_arrival : callable or None, default=None
+        Returns a lower bound on the time at which data that is read now has arrived,
+        in seconds of ``boottime_clock``; None for the current time.
 
     Attributes
     ----------
@@ -238,7 +239,7 @@
         log,
         first_start=False,
         discovery_timeout=0.0,
-        earliest_arrival=lambda: boottime_clock(),
+        earliest_arrival=None,
     ):
         self.mirror = Mirror()
         self.confirmed_at = float("-inf")
@@ -260,7 +261,7 @@
         self._outage_tracker_by_table = {}
         self._started_at = boottime_clock()
         self._held_until_by_table = {}
-        self._earliest_arrival = earliest_arrival
+        self._earliest_arrival = earliest_arrival or boottime_clock
 
     def is_current(self):
         """Return whether this host reads the platform and gets answers in time.
--- a/hawthornspoke/relay/_admission.py
+++ b/hawthornspoke/relay/_admission.py
@@ -205,12 +205,12 @@
         request = context.request
         return self._routes.find(host=request.get("host", ""), target=request.target)
 
-    def _key(self, context):
+    def _sent_key(self, context):
         return context.request.get(self._header_names.key, "")
 
     def _find_organisation(self, context):
         # A request without a key has no owner, even if an empty key is configured.
-        key = self._key(context)
+        key = self._sent_key(context)
         return self.catalog.organisation_by_key.get(key) if key else None
 
     def _allowed_regions(self, context, route):
@@ -220,7 +220,7 @@
     def _needs_key(self, context, route):
         # A key that is sent must be valid even if none is required: it may have been
         # revoked together with all others.
-        has_key = bool(self._key(context))
+        has_key = bool(self._sent_key(context))
         return not route.public and (self.catalog.requires_key or has_key)
 
     def _deny(self, status, reason):
--- a/hawthornspoke/spread/_installer.py
+++ b/hawthornspoke/spread/_installer.py
@@ -7,6 +7,7 @@
 import asyncio
 
 from hawthornspoke.base import Failure, boottime_clock, is_failure
+from hawthornspoke.spread._verification import PieceVerification
 
 #: Maximum concurrent calls to the engine, which is on the same host.
 MAX_CONCURRENT_CALLS = 4
@@ -19,11 +20,6 @@
 #: already on their way are admitted before the engine stops admitting new ones.
 NOTICE_DELAY = 0.03
 
-#: Seconds from the start of a piece's verification to the latest time at which an order
-#: that relies on it is sent. The process may be suspended at any point in between, and
-#: the piece may become corrupt meanwhile.
-VERIFICATION_TTL = 1.2
-
 #: Seconds until an accepted order must be visible in the engine's state.
 ORDER_TIMEOUT = 1.0
 
@@ -169,7 +165,7 @@
         if is_failure(initial):
             return initial
         result = PROCESS_STALLED
-        verification = _Verification(weights=weights)
+        verification = PieceVerification(weights=weights)
         for _ in range(MAX_ROUNDS):
             failure = await self._stage_all(verification)
             if failure is not None:
@@ -225,7 +221,7 @@
 
         Parameters
         ----------
-        verification : _Verification
+        verification : PieceVerification
 
         Returns
         -------
@@ -234,11 +230,7 @@
         weights = verification.weights
         for _ in range(MAX_ROUNDS):
             await self._for_each(
-                [
-                    index
-                    for index in range(len(weights.digests))
-                    if index not in self._staged
-                ],
+                self._missing_indices(weights),
                 lambda index: self.stage(weights, index),
             )
             self._staged_name = weights.name
@@ -246,14 +238,20 @@
                 verification.expired_indices(),
                 lambda index: self._verify_piece(verification, index),
             )
-            is_staged = len(self._staged) == len(weights.digests)
-            if is_staged and not verification.expired_indices():
+            missing = self._missing_indices(weights)
+            expired = verification.expired_indices()
+            if not missing and not expired:
                 return None
         return STAGE_FAILED.with_reason(
-            f"{len(self._staged)} of {len(weights.digests)} pieces are staged, the"
-            f" verification of {len(verification.expired_indices())} has expired"
+            f"of {len(weights.digests)} pieces, {len(missing)} are not staged,"
+            f" {len(expired)} are not verified"
         )
 
+    def _missing_indices(self, weights):
+        return [
+            index for index in range(len(weights.digests)) if index not in self._staged
+        ]
+
     async def _verify_piece(self, verification, index):
         # The engine does not check digests and would load a corrupt piece as it is.
         weights = verification.weights
@@ -350,46 +348,6 @@
         await asyncio.gather(*(limited_call(index) for index in indices))
 
 
-class _Verification:
-    """When the staged pieces of a version were last verified.
-
-    Parameters
-    ----------
-    weights : Weights
-    """
-
-    __slots__ = ("weights", "_deadline_by_index")
-
-    def __init__(self, *, weights):
-        self.weights = weights
-        self._deadline_by_index = {}
-
-    def record(self, index, requested_at):
-        """Record that a piece was intact when the engine read it.
-
-        The engine read it at some time after ``requested_at``, in seconds on
-        ``boottime_clock``, which is therefore what the verification dates from.
-        """
-        self._deadline_by_index[index] = requested_at + VERIFICATION_TTL
-
-    def discard(self, index):
-        """Record that a piece is not intact."""
-        self._deadline_by_index.pop(index, None)
-
-    def expired_indices(self):
-        """Return the indices of the pieces that must be verified again."""
-        now = boottime_clock()
-        return [
-            index
-            for index in range(len(self.weights.digests))
-            if now >= self._deadline_by_index.get(index, float("-inf"))
-        ]
-
-    def deadline(self):
-        """Return the time until which all pieces count as intact."""
-        return min(self._deadline_by_index.values(), default=float("-inf"))
-
-
 def _has_restarted(before, after):
     """Return whether two snapshots are of different incarnations of an engine.
 
--- a/hawthornspoke/spread/tests/test_paused_installs.py
+++ b/hawthornspoke/spread/tests/test_paused_installs.py
@@ -6,13 +6,13 @@
 import asyncio
 import itertools
 import random
-import time
 
 import pytest
 
 from hawthornspoke.base import boottime_clock, is_failure
 from hawthornspoke.spread import _installer
 from hawthornspoke.spread.tests.test_agents import PIECES, piece
+from hawthornspoke.spread.tests.test_checks_after_suspension import Suspension
 from hawthornspoke.spread.tests.test_incarnations import (
     RestartingEngine,
     complete_weights,
@@ -107,17 +107,6 @@
             self.corrupt_since_by_index.setdefault(index, corrupt_since)
 
 
-class Suspension:
-    """Advances ``boottime_clock`` only, as a suspension of the host does."""
-
-    def __init__(self, monkeypatch):
-        self.seconds = 0.0
-        clock_gettime = time.clock_gettime
-        monkeypatch.setattr(
-            time, "clock_gettime", lambda clock: clock_gettime(clock) + self.seconds
-        )
-
-
 @pytest.fixture
 def suspension(monkeypatch):
     for name in "NOTICE_DELAY", "POLL_INTERVAL":
