End a cancelled install without waiting for the engine

An agent that was stopped while an install ran left a traceback in its log. A cancelled install still asked the engine for its state before it ended, and the loop closed first. Callers saw nothing.

The state is asked for only after an install that was not cancelled; after a cancelled one the next regular observation, within 0.1 s, makes the machine plan again.

test_install_that_is_cancelled_by_the_shutdown_ends failed before. Tests of staging, incarnations and agents pass.

--- a/hawthornspoke/spread/_delivery.py
+++ b/hawthornspoke/spread/_delivery.py
@@ -233,9 +233,10 @@
                 )
         finally:
             self._log.change("install_ended", version=version, failure=str(failure))
-            # The end of this task makes the upgrade machine plan again, for which it
-            # needs the engine's current state.
-            await self._observe_engine()
+        # The end of this task makes the upgrade machine plan again, for which it needs
+        # the engine's current state. A cancelled task must not wait for that: the loop
+        # may end before it.
+        await self._observe_engine()
 
     def _is_order_valid(self, version):
         return self.upgrade.is_order_valid(version, now=boottime_clock())
--- a/hawthornspoke/spread/tests/test_checks_after_suspension.py
+++ b/hawthornspoke/spread/tests/test_checks_after_suspension.py
@@ -422,3 +422,42 @@
             await hosts.wait_until_loaded(1, seconds=3.0)
 
     asyncio.run(scenario())
+
+
+class SilentEngine(StallingEngine):
+    """Doesn't answer while it is silent."""
+
+    def __init__(self):
+        super().__init__()
+        self.answers = asyncio.Event()
+        self.answers.set()
+
+    async def snapshot(self):
+        await self.answers.wait()
+        return await super().snapshot()
+
+
+def test_install_that_is_cancelled_by_the_shutdown_ends():
+    """Guards against a task that still waits for the engine as the loop ends."""
+
+    async def scenario():
+        engine = SilentEngine()
+        async with one_host(engine) as (hosts, _):
+            stalled = asyncio.Event()
+
+            async def stall():
+                engine.answers.clear()
+                stalled.set()
+                await engine.answers.wait()
+
+            engine.before_order = stall
+            await hosts.declare(1)
+            await asyncio.wait_for(stalled.wait(), 3.0)
+            install = engine.agent.delivery.install
+            engine.agent.delivery.close()
+            await asyncio.wait([install], timeout=0.5)
+            has_ended = install.done()
+            engine.answers.set()
+            assert has_ended
+
+    asyncio.run(scenario())
