--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,9 +15,13 @@
     2: "silent endpoints were given up before another one had answered",
     103: "requests that came while their host stood still were closed unread",
     113: "connections that came while a stopping host stood still were reset",
+    6: "requests with a revoked key ran once no key was valid",
+    10: "a second attempt that won was answered with 502",
 }
 
+#: Duration of fault injection, longer for seeds whose failure came late.
 SECONDS = 6.0
+SECONDS_BY_SEED = {6: 15.0, 10: 15.0}
 
 
 def test_engine_whose_crashes_overlap_leaves_its_address():
@@ -42,6 +46,6 @@
 
 @pytest.mark.parametrize("seed", [1, *FAILED_BEFORE])
 def test_guarantees_hold_under_faults(seed):
-    violations, faults, folder = run_soak(seed, SECONDS)
+    violations, faults, folder = run_soak(seed, SECONDS_BY_SEED.get(seed, SECONDS))
     assert violations == [], f"faults: {faults}, logs: {folder}"
     shutil.rmtree(folder)
