Read-through: look up a request's key only where it decides, and drop a default

Admission looked the key up for each request, also on public routes and where keys are required anyway. ClientConnection.release had a default that only its one caller could have used. No change of behaviour.

Tests of httpio, withdrawn keys, contention and the boundary pass.

--- a/hawthornspoke/httpio/_client.py
+++ b/hawthornspoke/httpio/_client.py
@@ -8,7 +8,6 @@
 from hawthornspoke.base import (
     Failure,
     StallTolerantTimeout,
-    boottime_clock,
     has_unread_bytes,
     is_closed_by_peer,
 )
@@ -212,14 +211,14 @@
         else:
             self._limit_reading()
 
-    def release(self, *, idle_since=None):
+    def release(self, *, idle_since):
         """End the use by the current exchange; abort a connection that can't be reused.
 
         Parameters
         ----------
-        idle_since : float or None, default=None
+        idle_since : float
             Lower bound on the time at which the response ended, in seconds of
-            ``boottime_clock``; None for the current time.
+            ``boottime_clock``.
 
         Returns
         -------
@@ -231,8 +230,6 @@
         if not self.reusable or not self.is_open:
             self.abort()
             return False
-        if idle_since is None:
-            idle_since = boottime_clock()
         self.idle_deadline = idle_since + self._idle_timeout * IDLE_TIMEOUT_FRACTION
         return True
 
--- a/hawthornspoke/relay/_admission.py
+++ b/hawthornspoke/relay/_admission.py
@@ -220,8 +220,9 @@
     def _needs_key(self, context, route):
         # A key that is sent must be valid even if none is required: it may have been
         # revoked together with all others.
-        has_key = bool(self._sent_key(context))
-        return not route.public and (self.catalog.requires_key or has_key)
+        if route.public:
+            return False
+        return self.catalog.requires_key or bool(self._sent_key(context))
 
     def _deny(self, status, reason):
         """Return a Refusal: permanent, or temporary if the catalog may be stale."""
--- a/hawthornspoke/spread/tests/test_contention.py
+++ b/hawthornspoke/spread/tests/test_contention.py
@@ -1,13 +1,13 @@
 """An agent asks its engine for the slowdown by other work on their host."""
 
 import asyncio
-import time
 
 from hawthornspoke.base import Failure
 from hawthornspoke.catalog import Incarnation
 from hawthornspoke.metrics import Metrics
 from hawthornspoke.spread import ENGINE_UNREACHABLE, _contention
 from hawthornspoke.spread._contention import CHECK_TICKS, MAX_MISSES, ContentionWatch
+from hawthornspoke.spread.tests.test_checks_after_suspension import Suspension
 from hawthornspoke.spread.tests.test_frames import make_agent
 
 NO_RESPONSE = Failure(code="no_response")
@@ -145,7 +145,5 @@
     """Guards against a slowdown that is reported long after it was observed."""
     watched, _ = watch(FakeEngine(1.5), checks=1)
     assert watched.slowdown() == 1.5
-    # Only this clock includes the time for which the host is suspended.
-    clock_gettime = time.clock_gettime
-    monkeypatch.setattr(time, "clock_gettime", lambda clock: clock_gettime(clock) + 5.0)
+    Suspension(monkeypatch).seconds += 5.0
     assert watched.slowdown() is None
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -412,7 +412,7 @@
     Mutation(
         name="no key is required if none is valid",
         file="relay/_admission.py",
-        old="(self.catalog.requires_key or has_key)",
+        old="self.catalog.requires_key or bool(self._sent_key(context))",
         new="bool(self.catalog.organisation_by_key)",
         test="hawthornspoke/relay/tests/test_withdrawn_keys.py",
     ),
--- a/tests/soak/simulation.py
+++ b/tests/soak/simulation.py
@@ -250,7 +250,7 @@
         return None
 
     def corrupt_read_pieces(self):
-        """Corrupt some of the staged pieces that were read last."""
+        """Corrupt some of the staged pieces that were read since the last put."""
         for index in self.read_indices[:2]:
             if index in self.staged:
                 self.corrupt_pieces.add(index, self.staged[index])
