Relay's tests: close the connections of scripted endpoints

Two tests of the relay failed on a freshly made environment before any change (test_no_change_takes_the_answer_away, test_response_field_is_read): SystemError, "AST constructor recursion depth mismatch", from ast.parse. Scripted endpoints left their writers open; the garbage collector closed them on an event loop that had ended, and an exception in a finalizer within ast.parse trips that check of Python 3.11.6.

Endpoints close their writers. The two files, three runs each: 2 of 9 tests failed in each run before, none after, and their warnings about unraisable exceptions are gone.

--- a/hawthornspoke/relay/tests/relay_harness.py
+++ b/hawthornspoke/relay/tests/relay_harness.py
@@ -71,7 +71,10 @@
         self._server.close()
 
     async def _serve(self, reader, writer):
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+        with (
+            contextlib.closing(writer),
+            contextlib.suppress(ConnectionError, asyncio.IncompleteReadError),
+        ):
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 length = 0
