Log what becomes of the limit on retries

retry_share: a host's share and the number of hosts, at first use and at each change. retry_charged, retry_denied, retry_returned: each decision, with request and service, and a counter each. RetryBudgets takes the log, and the planner the RetryBudgets.

No decision changes.

--- a/hawthornspoke/relay/_budgets.py
+++ b/hawthornspoke/relay/_budgets.py
@@ -16,13 +16,15 @@
         Replaced when the settings are reloaded.
     reported_entry_hosts : callable
         Returns the number of entry hosts reported by agents, 0 or None if unknown.
+    log : EventLog
     """
 
-    __slots__ = ("settings", "_reported_entry_hosts", "_budget_by_service")
+    __slots__ = ("settings", "_reported_entry_hosts", "_log", "_budget_by_service")
 
-    def __init__(self, *, settings, reported_entry_hosts):
+    def __init__(self, *, settings, reported_entry_hosts, log):
         self.settings = settings
         self._reported_entry_hosts = reported_entry_hosts
+        self._log = log
         self._budget_by_service = {}
 
     def entry_hosts(self):
@@ -36,12 +38,35 @@
             budget = self._budget_by_service[service] = RetryBudget(
                 ratio=self.settings.retry_ratio, reserve=self._reserve_per_host()
             )
+            self._log_share(service)
         return budget
 
+    def describe(self, service):
+        """Return the fields that log lines about a service's retries have in common.
+
+        Returns
+        -------
+        dict
+            ``service``, ``left`` (retries that this host may still send), ``share``
+            (the most that this may be), ``hosts`` (number of entry hosts that share
+            the limit) and ``reported`` (whether agents have reported that number).
+        """
+        budget = self.for_service(service)
+        return {
+            "service": service,
+            "left": round(budget.tokens, 2),
+            "share": round(budget.reserve, 2),
+            "hosts": self.entry_hosts(),
+            "reported": bool(self._reported_entry_hosts()),
+        }
+
     def update_reserves(self):
         """Adapt the reserves of all budgets to the number of entry hosts."""
-        for budget in self._budget_by_service.values():
-            budget.reserve = self._reserve_per_host()
+        reserve = self._reserve_per_host()
+        for service, budget in self._budget_by_service.items():
+            if budget.reserve != reserve:
+                budget.reserve = reserve
+                self._log_share(service)
 
     def dump(self, *, now):
         """Return the state as plain data."""
@@ -50,5 +75,8 @@
             for name, budget in self._budget_by_service.items()
         }
 
+    def _log_share(self, service):
+        self._log.change("retry_share", **self.describe(service))
+
     def _reserve_per_host(self):
         return self.settings.retry_reserve / self.entry_hosts()
--- a/hawthornspoke/relay/_choosing.py
+++ b/hawthornspoke/relay/_choosing.py
@@ -28,19 +28,18 @@
     clock : callable
         Returns the time on the clock that request deadlines are measured on.
     fleet : Fleet
-    budget_for : callable
-        Returns the RetryBudget of a service.
+    budgets : RetryBudgets
     rate_limits : EndpointRateLimits
     log : EventLog
     metrics : Metrics
     """
 
-    __slots__ = ("_clock", "_fleet", "_budget_for", "_rate_limits", "_log", "_metrics")
+    __slots__ = ("_clock", "_fleet", "_budgets", "_rate_limits", "_log", "_metrics")
 
-    def __init__(self, *, clock, fleet, budget_for, rate_limits, log, metrics):
+    def __init__(self, *, clock, fleet, budgets, rate_limits, log, metrics):
         self._clock = clock
         self._fleet = fleet
-        self._budget_for = budget_for
+        self._budgets = budgets
         self._rate_limits = rate_limits
         self._log = log
         self._metrics = metrics
@@ -126,7 +125,7 @@
             return None
         if not self._may_send_again(context):
             return None
-        if self._budget_for(context.service).is_spent:
+        if self._budgets.for_service(context.service).is_spent:
             context.last_reason += f"; {OUT_OF_BUDGET.code}"
             return None
         request = self.make_placement_request(
@@ -192,7 +191,8 @@
 
     def return_retry(self, context):
         """Return what a second attempt was charged that was never sent."""
-        self._budget_for(context.service).step(RetryUnused(), now=monotonic())
+        self._budgets.for_service(context.service).step(RetryUnused(), now=monotonic())
+        self._record_retry(context, "returned")
 
     def _charge_retry(self, context):
         now = monotonic()
@@ -202,16 +202,31 @@
             was_run=context.may_have_run,
             deadline=now + remaining - RESPONSE_RETURN_TIME,
         )
-        (verdict,) = self._budget_for(context.service).step(message, now=now)
+        (verdict,) = self._budgets.for_service(context.service).step(message, now=now)
         if isinstance(verdict, RetryAllowed):
+            self._record_retry(context, "charged")
             return True
+        self._record_retry(context, "denied", reason=verdict.failure.code)
         context.last_reason = f"{context.last_reason}; {verdict.failure.code}"
         return False
 
+    def _record_retry(self, context, outcome, **fields):
+        """Log and count what became of a retry."""
+        self._metrics.count(f"retries_{outcome}_total", service=context.service)
+        self._log.decision(
+            f"retry_{outcome}",
+            request=context.request_id,
+            sent=context.sent,
+            **self._budgets.describe(context.service),
+            **fields,
+        )
+
     def record_success(self, context):
         """Record that a request was answered successfully."""
         context.outcome = "answered"
-        self._budget_for(context.service).step(RequestSucceeded(), now=monotonic())
+        self._budgets.for_service(context.service).step(
+            RequestSucceeded(), now=monotonic()
+        )
 
     def _request_placement(self, context, placement_request):
         (result,) = self._fleet.step(placement_request, now=monotonic())
--- a/hawthornspoke/relay/_forward.py
+++ b/hawthornspoke/relay/_forward.py
@@ -16,8 +16,7 @@
     fleet : Fleet
     pool : ConnectionPool
     header_names : HeaderNames
-    budget_for : callable
-        Returns the RetryBudget of a service.
+    budgets : RetryBudgets
     suspects : PoisonRequestTracker
     rate_limits : EndpointRateLimits
     signals : SignalReader
@@ -43,7 +42,7 @@
         fleet,
         pool,
         header_names,
-        budget_for,
+        budgets,
         suspects,
         rate_limits,
         signals,
@@ -58,7 +57,7 @@
         self._planner = AttemptPlanner(
             clock=admission.clock,
             fleet=fleet,
-            budget_for=budget_for,
+            budgets=budgets,
             rate_limits=rate_limits,
             log=log,
             metrics=metrics,
--- a/hawthornspoke/relay/_process.py
+++ b/hawthornspoke/relay/_process.py
@@ -148,6 +148,7 @@
         self.budgets = RetryBudgets(
             settings=settings,
             reported_entry_hosts=lambda: self.agents.entry_hosts(),
+            log=self.log,
         )
         self.timers = Timers(clock=boottime_clock)
         self.suspects = PoisonRequestTracker(
@@ -181,7 +182,7 @@
                 fleet=self.fleet,
                 pool=self.pool,
                 header_names=self.header_names,
-                budget_for=self.budgets.for_service,
+                budgets=self.budgets,
                 suspects=self.suspects,
                 rate_limits=self.rate_limits,
                 signals=SignalReader(
--- a/hawthornspoke/relay/tests/relay_harness.py
+++ b/hawthornspoke/relay/tests/relay_harness.py
@@ -30,6 +30,7 @@
     RelaySettings,
 )
 from hawthornspoke.relay._admission import Admission
+from hawthornspoke.relay._budgets import RetryBudgets
 from hawthornspoke.relay._forward import Forwarder
 from hawthornspoke.relay._handler import Handler
 from hawthornspoke.relay._rate_limits import EndpointRateLimits
@@ -37,7 +38,6 @@
 from hawthornspoke.relay._suspects import PoisonRequestTracker
 from hawthornspoke.relay._timers import Timers
 from hawthornspoke.relay._unattended import UnattendedEngines
-from hawthornspoke.retries import RetryBudget
 from hawthornspoke.spread import EngineSnapshot
 
 ENGINE = engine_profile()
@@ -383,10 +383,16 @@
         self.contact = PlatformContact()
         if confirmed:
             self.confirm_contact()
-        self.budget = RetryBudget()
+        self.log = RecordingLog()
+        self.budgets = RetryBudgets(
+            settings=RelaySettings(
+                node="e", failure_domain="a", front="127.0.0.1:1", ready="127.0.0.1:2"
+            ),
+            reported_entry_hosts=lambda: self.entry_hosts,
+            log=self.log,
+        )
         self.pool = StallingPool(id_header=self.header_names.request_id)
         self.metrics = Metrics()
-        self.log = RecordingLog()
         self.entry_hosts = 1
         self.expected_failures = 0
         self.memory = None
@@ -430,7 +436,7 @@
             fleet=self.fleet,
             pool=self.pool,
             header_names=self.header_names,
-            budget_for=lambda service: self.budget,
+            budgets=self.budgets,
             suspects=self.suspects,
             rate_limits=self.rate_limits,
             signals=SignalReader(
@@ -483,6 +489,11 @@
         failures = self.metrics.counter_value("handler_failures_total")
         assert failures == self.expected_failures
 
+    @property
+    def budget(self):
+        """RetryBudget of the service of all routes."""
+        return self.budgets.for_service("s")
+
     def confirm_contact(self):
         """Record a response of the platform that is current now."""
         now = self.boottime_clock()
