Soak: count the retries of all entry hosts, with quick restarts in series

The soak checked each request for itself and never what the endpoints of a service get in a window, and its faults rarely killed the same host twice within one.

Engines record all arrivals, also those that they reject; the check sums those beyond the first of each request over all entry hosts, for every window of 10 s. A new kind of run (--restarts) kills seven entry hosts, and in some series the agents too, and starts them again within milliseconds while 80 to 100 percent of the runs fail; its clients send a request that may be repeated again by themselves, under the same id, when its connection closes without a response.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -6,6 +6,7 @@
 
 from cyclopts import App
 
+from tests.soak.restarts import run_restarts
 from tests.soak.sizes import size_of
 from tests.soak.soak import run_soak
 
@@ -18,6 +19,7 @@
     seeds: int = 1,
     seconds: float = 15.0,
     processes: int = 60,
+    restarts: bool = False,
 ):
     """Run seeds one after the other; exit with 1 if a guarantee was violated.
 
@@ -31,13 +33,19 @@
         Duration of fault injection for each seed.
     processes
         Processes of every tenth seed; 0 to run few processes with each seed.
+    restarts
+        Kill hosts and start them again in series while most runs fail, in place of all
+        kinds of faults.
     """
     first = random.randrange(1_000_000) if seed is None else seed
     failed = 0
     for number in range(first, first + seeds):
-        violations, faults, folder = run_soak(
-            number, seconds, size_of(number, processes)
-        )
+        if restarts:
+            violations, faults, folder = run_restarts(number, seconds)
+        else:
+            violations, faults, folder = run_soak(
+                number, seconds, size_of(number, processes)
+            )
         print(
             f"seed {number}: {len(faults)} faults, {len(violations)} violations",
             flush=True,
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -7,6 +7,8 @@
 from tests.soak.programs import FRONT_PORT
 from tests.soak.simulation import expected_events, expected_response
 
+PREFIXES = ("/once/", "/again/", "/stream/")
+
 #: A key that no configuration ever holds.
 UNKNOWN_KEY = "never-held"
 
@@ -28,6 +30,8 @@
         Whether the head of a response was received.
     was_closed : bool
         Whether the connection was closed before the end of the response.
+    resent : int
+        How often the client sent it again by itself, under the same id.
     """
 
     __slots__ = (
@@ -39,6 +43,7 @@
         "status",
         "has_head",
         "was_closed",
+        "resent",
         "entry",
     )
 
@@ -47,6 +52,7 @@
         self.sent_at, self.entry = sent_at, entry
         self.ended_at = self.status = None
         self.has_head = self.was_closed = False
+        self.resent = 0
 
     @property
     def seconds(self):
@@ -65,11 +71,20 @@
     revoked : collection of str
         Revoked API keys, shared likewise.
     seed : int
+    resends : bool, default=False
+        Whether a request that may be repeated is sent again, under the same id, if its
+        connection is closed without a response, as client libraries do.
+    prefixes : sequence of str, default=PREFIXES
+        Of the routes that are used equally often.
     """
 
-    def __init__(self, *, entries, keys, revoked, seed):
+    def __init__(
+        self, *, entries, keys, revoked, seed, resends=False, prefixes=PREFIXES
+    ):
         self.entries, self.keys, self.revoked = entries, keys, revoked
         self.random = random.Random(seed)
+        self.resends = resends
+        self.prefixes = prefixes
         self.records = []
         self.violations = []
         self._numbers = itertools.count()
@@ -98,22 +113,45 @@
         return self.random.choice(sorted(self.keys))
 
     async def _send_request(self, entry, reader, writer):
-        """Send one request; return whether the connection can be reused."""
-        prefix = self.random.choice(("/once/", "/again/", "/stream/"))
+        """Send a new request; return whether the connection can be reused."""
+        prefix = self.random.choice(self.prefixes)
         request_id = f"q{next(self._numbers)}"
-        loop = asyncio.get_running_loop()
         record = Record(
             request_id=request_id,
             prefix=prefix,
             key=self._choose_key(),
-            sent_at=loop.time(),
+            sent_at=asyncio.get_running_loop().time(),
             entry=entry,
         )
         self.records.append(record)
+        is_reusable = await self._exchange(record, reader, writer)
+        if self.resends and record.was_closed and not record.has_head:
+            await self._resend(record)
+        return is_reusable
+
+    async def _resend(self, record):
+        """Send a request again on a new connection, if it may be repeated."""
+        if record.prefix == "/once/":
+            return
+        entry = self.random.choice(self.entries)
+        try:
+            reader, writer = await asyncio.open_connection(entry.ip, FRONT_PORT)
+        except OSError:
+            return
+        record.entry, record.was_closed = entry, False
+        record.resent += 1
+        try:
+            await self._exchange(record, reader, writer)
+        finally:
+            writer.transport.abort()
+
+    async def _exchange(self, record, reader, writer):
+        """Send a request; return whether the connection can be reused."""
+        loop = asyncio.get_running_loop()
         lines = [
-            f"POST {prefix}x HTTP/1.1",
+            f"POST {record.prefix}x HTTP/1.1",
             "Host: svc.example",
-            f"Attempt-Id: {request_id}",
+            f"Attempt-Id: {record.id}",
             "Deadline-Ms: 5000",
             f"X-Api-Key: {record.key}",
             "Token-Count: 100,12",
--- a/tests/soak/simulation.py
+++ b/tests/soak/simulation.py
@@ -37,6 +37,10 @@
 
 MAX_ATTEMPTS = {"/once/": 1, "/again/": 2, "/stream/": 2}
 
+#: Fraction of the failing runs that end with a reset connection; the others end with
+#: status 500.
+RESET_SHARE = 0.5
+
 #: Seconds for which a staged piece may have been corrupt when it is loaded.
 MAX_CORRUPT_SECONDS = 3.0
 
@@ -102,6 +106,10 @@
         Until then the engine sends nothing; all its responses go on afterwards.
     endless : str or None
         ``"refusal"`` or ``"answer"``: what the engine sends without end.
+    failing_share : float
+        Fraction of the runs that fail.
+    arrivals : list of (float, str)
+        Time and id of each request that arrived, also of those that it rejected.
     faults : list of (float, float)
         Begin and end of the times in which the engine or its link was not sound.
         Silence is no fault.
@@ -123,10 +131,13 @@
         self.sequence = 0
         self.running = 0
         self.runs = []
+        self.arrivals = []
         self.violations = []
         self.leaving = False
         self.silent_until = -math.inf
         self.endless = None
+        self.failing_share = 0.0
+        self.random = random.Random(number)
         self.faults = []
         self.server = None
 
@@ -258,6 +269,7 @@
 
     async def _run(self, request, reply):
         request_id = request.get("Attempt-Id")
+        self.arrivals.append((monotonic(), request_id))
         echo = [("Attempt-Id", request_id), ("Keep-Alive", "timeout=5")]
         if request.get("Expect-Instance") != self.id:
             return reply.send(421, [*echo, ("Instance-Id", self.id)])
@@ -284,6 +296,8 @@
             ]
             if self.endless == "answer":
                 await self._send_endless(reply, 200, head)
+            elif self.random.random() < self.failing_share:
+                await self._fail(reply, echo)
             elif request.target.startswith("/stream/"):
                 await self._stream(request, reply, head)
             else:
@@ -295,6 +309,13 @@
                 self.running -= 1
         return None
 
+    async def _fail(self, reply, head):
+        await self._step(0.5)
+        if self.random.random() < RESET_SHARE:
+            reply.abort()
+        else:
+            reply.send(500, head)
+
     async def _stream(self, request, reply, head):
         after = int(request.get("Last-Event-Id") or 0)
         await self._step(0.5)
@@ -480,6 +501,8 @@
         Seconds.
     weights_by_prefix : dict of str to dict of str to float
         Weights of the services of each route.
+    services_by_prefix : dict of str to set of str
+        All services that each route has had.
     """
 
     def __init__(self):
@@ -491,6 +514,9 @@
             prefix: {LLM if kind == "streaming" else PLAIN: 1.0}
             for prefix, kind in ROUTE_TYPES.items()
         }
+        self.services_by_prefix = {
+            prefix: set(weights) for prefix, weights in self.weights_by_prefix.items()
+        }
 
     def change(self, rng):
         """Change one randomly selected part."""
@@ -509,6 +535,7 @@
         else:
             self.idle_time = rng.choice((1.0, 5.0, 15.0))
         self.version += rng.randint(1, 3)
+        self.services_by_prefix[prefix].update(self.weights_by_prefix[prefix])
 
     def to_row(self):
         """Return the row in the store's table of operators."""
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -3,14 +3,16 @@
 import asyncio
 import collections
 import contextlib
+import itertools
 import random
 import signal
 import tempfile
 from pathlib import Path
 
 from hawthornspoke.base import monotonic
-from tests.soak.clients import UNKNOWN_KEY, VerifyingClients
+from tests.soak.clients import PREFIXES, UNKNOWN_KEY, VerifyingClients
 from tests.soak.programs import FIRST_INTERNAL_PORT, MEMORY_MB, NET, Program
+from tests.soak.retries import RetryCount
 from tests.soak.simulation import (
     LLM,
     MAX_ATTEMPTS,
@@ -73,8 +75,16 @@
     folder : Path
         Folder for settings and logs; kept if a guarantee was violated.
     size : Size, default=SMALL
+
+    Attributes
+    ----------
+    clients_resend, prefixes
+        See ``VerifyingClients``.
     """
 
+    clients_resend = False
+    prefixes = PREFIXES
+
     def __init__(self, *, seed, seconds, folder, size=SMALL):
         self.random = random.Random(seed)
         # Separate, so that the faults of a seed stay those that have failed before.
@@ -100,6 +110,8 @@
             keys=self.configuration.keys,
             revoked=self.revoked.keys(),
             seed=self.seed,
+            resends=self.clients_resend,
+            prefixes=self.prefixes,
         )
         background_tasks = [
             asyncio.create_task(self._maintain_environment()),
@@ -398,6 +410,7 @@
                 violations.append(
                     f"{program.name}: {program.peak_kilobytes} KB of memory"
                 )
+        violations += self._check_retries(verifying_clients.records)
         return violations + self._check_recovery(
             [
                 item
@@ -407,6 +420,29 @@
             ]
         )
 
+    def _check_retries(self, records):
+        """Check that the retries of all entry hosts keep to their common limit."""
+        for service in (LLM, PLAIN):
+            count = RetryCount(
+                arrivals=itertools.chain.from_iterable(
+                    engine.arrivals
+                    for engine in self.engines
+                    if engine.service == service
+                ),
+                requested_at=[
+                    item.sent_at
+                    for item in records
+                    if service in self.configuration.services_by_prefix[item.prefix]
+                ],
+            )
+            worst = count.worst_window(self.retry_allowance)
+            if worst is not None and worst[1] > worst[2]:
+                end, retries, limit = worst
+                yield (
+                    f"{service}: {retries} retries in the window that ends at "
+                    f"{end:.3f}, {limit:.0f} allowed"
+                )
+
     def _check_recovery(self, records):
         served = sum(item.status == 200 for item in records)
         if records and served >= MIN_SERVED_SHARE * len(records):
@@ -463,10 +499,10 @@
             yield f"{description}: {ending} although {' '.join(sound)} could answer"
 
 
-def run_soak(seed, seconds, size=SMALL):
+def run_soak(seed, seconds, size=SMALL, *, soak_class=Soak):
     """Run one seed; return the violations, the injected faults and the log folder."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    soak = Soak(seed=seed, seconds=seconds, folder=folder, size=size)
+    soak = soak_class(seed=seed, seconds=seconds, folder=folder, size=size)
     violations = asyncio.run(soak.execute())
     return violations, soak.faults, folder
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,6 +7,7 @@
 import pytest
 
 from tests.soak.programs import NET
+from tests.soak.restarts import run_restarts
 from tests.soak.simulation import PLAIN, Engine
 from tests.soak.soak import run_soak
 
@@ -21,6 +22,7 @@
 
 #: Duration of fault injection, longer for seeds whose failure came late.
 SECONDS = 6.0
+RESTART_SECONDS = 12.0
 SECONDS_BY_SEED = {6: 15.0, 10: 15.0}
 
 
@@ -44,6 +46,14 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("seed", [1])
+def test_restarts_in_series_leave_retries_within_their_limit(seed):
+    """Guards against hosts that may send a full share of retries at each start."""
+    violations, faults, folder = run_restarts(seed, RESTART_SECONDS)
+    assert violations == [], f"faults: {faults}, logs: {folder}"
+    shutil.rmtree(folder)
+
+
 @pytest.mark.parametrize("seed", [1, *FAILED_BEFORE])
 def test_guarantees_hold_under_faults(seed):
     violations, faults, folder = run_soak(seed, SECONDS_BY_SEED.get(seed, SECONDS))
