Return the charge of every retry that was never sent

Callers lost retries: the budget was charged for a retry before an endpoint was found, and again for each endpoint that turned out to be unreachable. A request whose first endpoint failed beside four dead ones spent four retries and sent none; one without any other endpoint spent one; a stream to resume likewise. Only second attempts beside a silent one gave back what they hadn't used, and not if another one won first.

The planner asks whether a retry would be allowed, selects the endpoint, and charges only then; the charge belongs to the attempt, and whatever ends an attempt before its request was sent returns it. A request that was written is never returned: that goes by the time of the write.

--- a/hawthornspoke/relay/_choosing.py
+++ b/hawthornspoke/relay/_choosing.py
@@ -5,9 +5,8 @@
 from hawthornspoke.placing import PlacementRequest, Rejection
 from hawthornspoke.relay._encoding import RESPONSE_RETURN_TIME
 from hawthornspoke.retries import (
-    OUT_OF_BUDGET,
     RequestSucceeded,
-    RetryAllowed,
+    RetryDenied,
     RetryRequest,
     RetryUnused,
 )
@@ -64,7 +63,8 @@
         if connection_attempts >= EXTRA_CONNECTION_ATTEMPTS + context.route.attempts:
             context.retry_after = context.retry_after or 0.5
             return None
-        if context.sent and not self.may_retry(context):
+        is_retry = context.sent > 0
+        if is_retry and not self._may_retry(context):
             return None
         result = self._request_placement(context, self.make_placement_request(context))
         if isinstance(result, Rejection) and result.awaited_permits:
@@ -79,11 +79,14 @@
             context.last_reason = context.last_reason or result.reason
             context.retry_after = result.retry_after
             return None
-        return result
+        # Only now, as nothing is sent without an endpoint.
+        return self._charge_retry(context, result) if is_retry else result
 
     def select_for_resume(self, context, version):
         """Return an endpoint that can resume a stream with the same weights, if any.
 
+        The retry budget is charged if there is.
+
         Parameters
         ----------
         context : RequestContext
@@ -93,6 +96,8 @@
         -------
         Placement or None
         """
+        if not self._may_retry(context):
+            return None
         result = self._request_placement(
             context, self.make_placement_request(context, required_version=version)
         )
@@ -101,7 +106,7 @@
                 f"; no endpoint to resume the stream: {result.reason}"
             )
             return None
-        return result
+        return self._charge_retry(context, result)
 
     def select_hedge(self, context, connection_attempts, *, required_version=None):
         """Return an endpoint for an attempt beside those under way, if there is one.
@@ -123,10 +128,7 @@
         context.last_reason = "silent"
         if connection_attempts >= EXTRA_CONNECTION_ATTEMPTS + context.route.attempts:
             return None
-        if not self._may_send_again(context):
-            return None
-        if self._budgets.for_service(context.service).is_spent:
-            context.last_reason += f"; {OUT_OF_BUDGET.code}"
+        if not self._may_retry(context):
             return None
         request = self.make_placement_request(
             context, required_version=required_version, is_hedge=True
@@ -135,10 +137,7 @@
         if isinstance(result, Rejection):
             context.last_reason += f"; {result.reason}"
             return None
-        if not self._charge_retry(context):
-            context.tried.remove(result.endpoint_id)
-            return None
-        return result
+        return self._charge_retry(context, result)
 
     def make_placement_request(self, context, *, required_version=None, is_hedge=False):
         """Return the request for a placement, with the remaining times as of now.
@@ -169,9 +168,16 @@
             boottime_now=now,
         )
 
-    def may_retry(self, context):
-        """Return whether a request may be retried, and charge the retry budget."""
-        return self._may_send_again(context) and self._charge_retry(context)
+    def _may_retry(self, context):
+        """Return whether the route and the retry budget allow a retry now."""
+        if not self._may_send_again(context):
+            return False
+        budget = self._budgets.for_service(context.service)
+        now = monotonic()
+        failure = budget.denial(self._retry_request(context, now), now=now)
+        if failure is not None:
+            self._record_denial(context, failure)
+        return failure is None
 
     def _may_send_again(self, context):
         if context.rejection is not None or context.sent >= context.route.attempts:
@@ -189,26 +195,36 @@
             return False
         return True
 
-    def return_retry(self, context):
-        """Return what a second attempt was charged that was never sent."""
-        self._budgets.for_service(context.service).step(RetryUnused(), now=monotonic())
+    def return_retry(self, context, charge):
+        """Return what the budget was charged for a retry that was never sent."""
+        budget = self._budgets.for_service(context.service)
+        budget.step(RetryUnused(charge=charge), now=monotonic())
         self._record_retry(context, "returned")
 
-    def _charge_retry(self, context):
+    def _charge_retry(self, context, placement):
+        """Charge the budget for a retry; return its placement, None if denied."""
         now = monotonic()
-        remaining = context.deadline - self._clock()
-        message = RetryRequest(
+        budget = self._budgets.for_service(context.service)
+        (verdict,) = budget.step(self._retry_request(context, now), now=now)
+        if isinstance(verdict, RetryDenied):
+            self._record_denial(context, verdict.failure)
+            context.tried.remove(placement.endpoint_id)
+            return None
+        context.retry_charge = verdict.charge
+        self._record_retry(context, "charged")
+        return placement
+
+    def _retry_request(self, context, now):
+        time_left = context.deadline - self._clock() - RESPONSE_RETURN_TIME
+        return RetryRequest(
             repeatable=context.route.repeatable,
             was_run=context.may_have_run,
-            deadline=now + remaining - RESPONSE_RETURN_TIME,
+            deadline=now + time_left,
         )
-        (verdict,) = self._budgets.for_service(context.service).step(message, now=now)
-        if isinstance(verdict, RetryAllowed):
-            self._record_retry(context, "charged")
-            return True
-        self._record_retry(context, "denied", reason=verdict.failure.code)
-        context.last_reason = f"{context.last_reason}; {verdict.failure.code}"
-        return False
+
+    def _record_denial(self, context, failure):
+        self._record_retry(context, "denied", reason=failure.code)
+        context.last_reason = f"{context.last_reason}; {failure.code}"
 
     def _record_retry(self, context, outcome, **fields):
         """Log and count what became of a retry."""
--- a/hawthornspoke/relay/_run.py
+++ b/hawthornspoke/relay/_run.py
@@ -120,7 +120,7 @@
             # or the deadline passed.
             with contextlib.ExitStack() as stack:
                 for reader in self._reader_by_id.values():
-                    stack.callback(reader.cancel)
+                    stack.callback(self._end, reader)
         if self._context.reply.started:
             self._context.reply.abort()
             self._context.outcome = "cut"
@@ -142,7 +142,7 @@
         context = self._context
         if not context.reply.started:
             return await self._planner.select(context, self._connection_attempts)
-        if not self._is_resumable() or not self._planner.may_retry(context):
+        if not self._is_resumable():
             return None
         return self._planner.select_for_resume(context, int(self._version))
 
@@ -177,9 +177,11 @@
 
     def _create_reader(self, placement, *, is_hedge=False):
         context = self._context
+        attempt = self._sender.create_attempt(context, placement, is_hedge=is_hedge)
+        attempt.charge, context.retry_charge = context.retry_charge, None
         reader = AnswerReader(
             context=context,
-            attempt=self._sender.create_attempt(context, placement, is_hedge=is_hedge),
+            attempt=attempt,
             sender=self._sender,
             header_names=self._header_names,
             last_id=self._last_id,
@@ -276,7 +278,7 @@
         """End an attempt that has failed."""
         context = self._context
         reader = self._reader_by_id.pop(attempt_id)
-        reader.cancel()
+        self._end(reader)
         if failure == NOT_RUN:
             context.refused += 1
         context.may_have_run = context.sent > context.refused
@@ -288,8 +290,6 @@
             reason=context.last_reason,
             may_have_run=context.may_have_run,
         )
-        if reader.is_hedge and not reader.is_sent:
-            self._planner.return_retry(context)
         self._step(
             AttemptEnded(
                 attempt_id=attempt_id,
@@ -300,6 +300,13 @@
         if not self._reader_by_id:
             await self._sender.wait_for_probes(context)
 
+    def _end(self, reader):
+        """End an attempt; a retry that was never sent isn't charged."""
+        reader.cancel()
+        attempt = reader.attempt
+        if attempt.charge is not None and attempt.sent_at is None:
+            self._planner.return_retry(self._context, attempt.charge)
+
     def _start_reply(self, head):
         context = self._context
         if context.reply.started:
@@ -311,7 +318,7 @@
     def _step(self, message):
         for outcome in self._race.step(message, now=monotonic()):
             if isinstance(outcome, AttemptAbandoned):
-                self._reader_by_id.pop(outcome.attempt_id).cancel()
+                self._end(self._reader_by_id.pop(outcome.attempt_id))
             elif isinstance(outcome, AttemptSilent):
                 self._reader_by_id[outcome.attempt_id].attempt.record_silence()
             elif isinstance(outcome, AttemptWanted) and outcome.is_hedge:
--- a/hawthornspoke/relay/_try.py
+++ b/hawthornspoke/relay/_try.py
@@ -46,6 +46,10 @@
 
     Attributes
     ----------
+    charge : RetryCharge or None
+        What the retry budget was charged for it, None for a first attempt.
+    sent_at : float or None
+        When the request was sent, on the monotonic clock; None if nothing was.
     head_at : float or None
         When the response head arrived, on the monotonic clock.
     has_events : bool
@@ -59,6 +63,7 @@
         "connection",
         "exchange",
         "head",
+        "charge",
         "sent_at",
         "head_at",
         "has_events",
@@ -97,6 +102,7 @@
         self.connection = None
         self.exchange = None
         self.head = None
+        self.charge = None
         self.sent_at = None
         self.head_at = None
         self.has_events = False
--- a/hawthornspoke/relay/tests/test_request_lives.py
+++ b/hawthornspoke/relay/tests/test_request_lives.py
@@ -199,6 +199,7 @@
         self.history = history
         self.scripts = list(history["scripts"])
         self.budget = history["budget"]
+        self.charges = set()
         self.sent = []
         self.connections = []
         self.reply = CallerReply()
@@ -235,26 +236,29 @@
     async def select(self, context, connection_attempts):
         if connection_attempts >= 3 + context.route.attempts:
             return None
-        if context.sent and not self.may_retry(context):
-            return None
-        return self._place(context)
+        return self._retry(context) if context.sent else self._place(context)
 
     def select_for_resume(self, context, version):
-        return self._place(context)
+        return self._retry(context)
 
     def select_hedge(self, context, connection_attempts, *, required_version=None):
-        return self._place(context) if self.may_retry(context) else None
+        return self._retry(context)
 
-    def may_retry(self, context):
+    def _retry(self, context):
         if context.sent >= context.route.attempts or self.budget == 0:
-            return False
+            return None
         if context.may_have_run and not context.route.repeatable:
-            return False
-        self.budget -= 1
-        return True
-
-    def return_retry(self, context):
+            return None
+        placement = self._place(context)
+        if placement is not None:
+            self.budget -= 1
+            context.retry_charge = object()
+            self.charges.add(context.retry_charge)
+        return placement
+
+    def return_retry(self, context, charge):
         self.budget += 1
+        self.charges.remove(charge)
 
     def record_success(self, context):
         context.outcome = "answered"
@@ -377,11 +381,12 @@
 
 
 def check_attempts(life):
-    """Check how often the request was sent, and that all its connections ended."""
+    """Check how often the request was sent and charged, and that connections ended."""
     assert len(life.sent) <= life.history["attempts"]
     if not life.context.route.repeatable:
         assert sum(not is_refusal(item) for item in life.sent) <= 1
     assert not any(item.is_open for item in life.connections)
+    assert len(life.charges) == max(0, len(life.sent) - 1)
 
 
 def is_refusal(connection):
--- a/hawthornspoke/retries/_budget.py
+++ b/hawthornspoke/retries/_budget.py
@@ -33,15 +33,34 @@
     deadline: float
 
 
+class RetryCharge:
+    """What the budget was charged for one retry.
+
+    Parameters
+    ----------
+    at : float
+        Time of the charge on the budget's clock.
+    """
+
+    __slots__ = ("at",)
+
+    def __init__(self, *, at):
+        self.at = at
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class RetryAllowed:
     """The request may be sent to another endpoint."""
 
+    charge: RetryCharge
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class RetryUnused:
     """A retry that was allowed has not been sent."""
 
+    charge: RetryCharge
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class RetryDenied:
@@ -93,11 +112,6 @@
         self.allowed -= 1
         return []
 
-    @property
-    def is_spent(self):
-        """Whether a retry would be denied now."""
-        return self.tokens < 1.0
-
     def on_retry_request(self, message, *, now):
         """Allow or deny a retry.
 
@@ -110,15 +124,32 @@
         -------
         list of RetryAllowed or RetryDenied
         """
-        if message.was_run and not message.repeatable:
-            return [self._deny(NOT_REPEATABLE)]
-        if now >= message.deadline:
-            return [self._deny(NO_TIME)]
-        if self.is_spent:
-            return [self._deny(OUT_OF_BUDGET)]
+        failure = self.denial(message, now=now)
+        if failure is not None:
+            return [self._deny(failure)]
         self.tokens -= 1.0
         self.allowed += 1
-        return [RetryAllowed()]
+        return [RetryAllowed(charge=RetryCharge(at=now))]
+
+    def denial(self, message, *, now):
+        """Return why a retry would be denied now, None if it would be allowed.
+
+        Parameters
+        ----------
+        message : RetryRequest
+        now : float
+
+        Returns
+        -------
+        Failure or None
+        """
+        if message.was_run and not message.repeatable:
+            return NOT_REPEATABLE
+        if now >= message.deadline:
+            return NO_TIME
+        if self.tokens < 1.0:
+            return OUT_OF_BUDGET
+        return None
 
     def dump(self, *, now):
         """Return the state as plain data."""
