Divide the limit on retries by a number of hosts that cuts don't lower

Hosts that share an allowance divided it by the number that agents reported at that moment. Until an agent had reported, 20 hosts were assumed, too few for larger sites.

EntryHostCount: a larger number holds at once, a smaller one after 30 s, none before 3 s have passed since the first report; while no agent of some failure domain that has agents is connected, the number only grows, and a host that starts then relies on none and gets no part of the allowance. The memory of slow_start's host counts moves to base and serves both.

--- a/hawthornspoke/base/__init__.py
+++ b/hawthornspoke/base/__init__.py
@@ -5,6 +5,7 @@
 from hawthornspoke.base._decay import DecayingRate
 from hawthornspoke.base._digest import digest_of, rendezvous_order
 from hawthornspoke.base._failure import Failure, is_failure
+from hawthornspoke.base._largest_recent import LargestRecent
 from hawthornspoke.base._machine import MACHINES, Machine
 from hawthornspoke.base._partition import PARTITION
 from hawthornspoke.base._registry import Registry
@@ -28,6 +29,7 @@
     "ClockOffset",
     "DecayingRate",
     "Failure",
+    "LargestRecent",
     "Machine",
     "Registry",
     "SlidingCount",
--- a/hawthornspoke/base/_sliding_count.py
+++ b/hawthornspoke/base/_sliding_count.py
@@ -3,7 +3,7 @@
 from collections import deque
 
 #: Number of intervals of a window in which events are counted together.
-INTERVALS = 50
+INTERVALS = 200
 
 
 class SlidingCount:
@@ -12,7 +12,7 @@
     Parameters
     ----------
     window : float, default=10.0
-        Seconds. An event leaves the window early, by a fiftieth of it at most.
+        Seconds. An event leaves the window early, by a two-hundredth of it at most.
     """
 
     __slots__ = ("window", "_counts", "_total")
--- a/hawthornspoke/relay/_agents.py
+++ b/hawthornspoke/relay/_agents.py
@@ -182,6 +182,20 @@
         """
         return max(self._entry_hosts_by_agent.values(), default=None)
 
+    def is_listed(self, address):
+        """Return whether the endpoint at an address has an agent, connected or not.
+
+        Parameters
+        ----------
+        address : str
+            ``IP:PORT`` of the endpoint.
+
+        Returns
+        -------
+        bool
+        """
+        return address in self._service_by_address
+
     def is_connected(self, address):
         """Return whether the agent of an endpoint is connected.
 
--- a/hawthornspoke/relay/_budgets.py
+++ b/hawthornspoke/relay/_budgets.py
@@ -1,12 +1,7 @@
 """This host's share of the retry budgets of all entry hosts."""
 
-from hawthornspoke.base import boottime_clock
 from hawthornspoke.retries import RetryBudget
 
-#: Number of entry hosts that is assumed until an agent reports it. Each host gets an
-#: equal part of ``RelaySettings.retry_allowance``.
-ASSUMED_ENTRY_HOSTS = 20
-
 #: Seconds, besides a window, from the start of this host until it uses its part of the
 #: allowance: hosts that were there before have learned by then to share with it.
 JOINING_TIME = 3.0
@@ -19,8 +14,7 @@
     ----------
     settings : RelaySettings
         Replaced when the settings are reloaded.
-    reported_entry_hosts : callable
-        Returns the number of entry hosts reported by agents, 0 or None if unknown.
+    entry_hosts : EntryHostCount
     log : EventLog
     started_at : float
         When this host started, on the boot-time clock.
@@ -28,34 +22,30 @@
 
     __slots__ = (
         "settings",
-        "_reported_entry_hosts",
+        "_entry_hosts",
         "_log",
         "_allowance_from",
         "_budget_by_service",
     )
 
-    def __init__(self, *, settings, reported_entry_hosts, log, started_at):
+    def __init__(self, *, settings, entry_hosts, log, started_at):
         self.settings = settings
-        self._reported_entry_hosts = reported_entry_hosts
+        self._entry_hosts = entry_hosts
         self._log = log
         self._allowance_from = started_at + settings.retry_window + JOINING_TIME
         self._budget_by_service = {}
 
-    def entry_hosts(self):
-        """Return the estimated number of entry hosts."""
-        return self._reported_entry_hosts() or ASSUMED_ENTRY_HOSTS
-
-    def for_service(self, service):
-        """Return the RetryBudget of a service, whose clock is the boot-time clock."""
+    def for_service(self, service, *, now):
+        """Return the RetryBudget of a service; ``now`` is on the boot-time clock."""
         budget = self._budget_by_service.get(service)
         if budget is None:
             budget = self._budget_by_service[service] = RetryBudget(
                 ratio=self.settings.retry_ratio,
-                allowance=self._allowance_per_host(),
+                allowance=self._allowance_per_host(now),
                 window=self.settings.retry_window,
                 allowance_from=self._allowance_from,
             )
-            self._log_share(service)
+            self._log_share(service, now)
         return budget
 
     def describe(self, service, *, now):
@@ -71,28 +61,33 @@
         -------
         dict
             ``service``, ``left`` (retries that this host may send now), ``share`` (its
-            part of the allowance), ``usable_in`` (seconds until it may use that),
-            ``hosts`` (number of entry hosts that share the allowance) and ``reported``
-            (whether agents have reported that number).
+            part of the allowance), ``usable_in`` (seconds until it may use that)
+            and ``hosts`` (number of entry hosts that share the allowance, None if it
+            isn't known).
         """
-        budget = self.for_service(service)
+        budget = self.for_service(service, now=now)
         return {
             "service": service,
             "left": round(budget.left(now=now), 2),
             "share": round(budget.allowance, 2),
             "usable_in": round(max(0.0, budget.allowance_from - now), 2),
-            "hosts": self.entry_hosts(),
-            "reported": bool(self._reported_entry_hosts()),
+            "hosts": self._entry_hosts.settled(now),
         }
 
-    def update_shares(self):
-        """Adapt all budgets to the settings and to the number of entry hosts."""
-        allowance = self._allowance_per_host()
+    def update_shares(self, *, now):
+        """Adapt all budgets to the settings and to the number of entry hosts.
+
+        Parameters
+        ----------
+        now : float
+            On the boot-time clock.
+        """
+        allowance = self._allowance_per_host(now)
         for service, budget in self._budget_by_service.items():
             budget.ratio = self.settings.retry_ratio
             if budget.allowance != allowance:
                 budget.allowance = allowance
-                self._log_share(service)
+                self._log_share(service, now)
 
     def dump(self, *, now):
         """Return the state as plain data; ``now`` is on the boot-time clock."""
@@ -101,9 +96,10 @@
             for name, budget in self._budget_by_service.items()
         }
 
-    def _log_share(self, service):
-        fields = self.describe(service, now=boottime_clock())
-        self._log.change("retry_share", **fields)
+    def _log_share(self, service, now):
+        self._log.change("retry_share", **self.describe(service, now=now))
 
-    def _allowance_per_host(self):
-        return self.settings.retry_allowance / self.entry_hosts()
+    def _allowance_per_host(self, now):
+        # Without a number, any part could be too much.
+        hosts = self._entry_hosts.settled(now)
+        return self.settings.retry_allowance / hosts if hosts else 0.0
--- a/hawthornspoke/relay/_choosing.py
+++ b/hawthornspoke/relay/_choosing.py
@@ -173,8 +173,9 @@
         """Return whether the route and the retry budget allow a retry now."""
         if not self._may_send_again(context):
             return False
-        budget = self._budgets.for_service(context.service)
-        failure = budget.denial(_retry_request(context), now=self._clock())
+        now = self._clock()
+        budget = self._budgets.for_service(context.service, now=now)
+        failure = budget.denial(_retry_request(context), now=now)
         if failure is not None:
             self._record_denial(context, failure)
         return failure is None
@@ -224,8 +225,10 @@
         return placement
 
     def _step_budget(self, context, message):
-        budget = self._budgets.for_service(context.service)
-        return budget.step(message, now=self._clock())
+        now = self._clock()
+        return self._budgets.for_service(context.service, now=now).step(
+            message, now=now
+        )
 
     def _record_denial(self, context, failure):
         self._record_retry(context, "denied", reason=failure.code)
--- a/hawthornspoke/relay/_process.py
+++ b/hawthornspoke/relay/_process.py
@@ -22,6 +22,7 @@
 from hawthornspoke.relay._cold_monitor import ColdEndpointMonitor
 from hawthornspoke.relay._contact import PlatformContact
 from hawthornspoke.relay._dialect import HeaderNames
+from hawthornspoke.relay._entry_hosts import EntryHostCount
 from hawthornspoke.relay._forward import Forwarder
 from hawthornspoke.relay._handler import Handler
 from hawthornspoke.relay._rate_limits import EndpointRateLimits
@@ -91,6 +92,7 @@
         "stopping",
         "memory",
         "pool",
+        "entry_hosts",
         "budgets",
         "timers",
         "suspects",
@@ -145,9 +147,10 @@
             max_unread_bytes=settings.max_answer_bytes,
         )
         self.pool.metrics = self.metrics
+        self.entry_hosts = EntryHostCount(reported=lambda: self.agents.entry_hosts())
         self.budgets = RetryBudgets(
             settings=settings,
-            reported_entry_hosts=lambda: self.agents.entry_hosts(),
+            entry_hosts=self.entry_hosts,
             log=self.log,
             started_at=boottime_clock(),
         )
@@ -156,11 +159,11 @@
             fleet=self.fleet,
             log=self.log,
             metrics=self.metrics,
-            entry_hosts=self.budgets.entry_hosts,
+            entry_hosts=self.entry_hosts.current,
         )
         self.rate_limits = EndpointRateLimits(
             fleet=self.fleet,
-            entry_hosts=self.budgets.entry_hosts,
+            entry_hosts=self.entry_hosts.current,
             log=self.log,
             metrics=self.metrics,
         )
@@ -462,9 +465,13 @@
                 self.log.change("contended_services", services=sorted(contended))
                 # Directives name the path of health checks for these services.
                 self.agents.send_directives()
+            self.entry_hosts.update(
+                is_view_whole=self.sink.sees_all_failure_domains(),
+                now=boottime_clock(),
+            )
             update = EntryHostsUpdated(
                 near=self.neighbours.readers.host_count(),
-                all=self.budgets.entry_hosts(),
+                all=self.entry_hosts.current(),
                 position=self.neighbours.readers.position(),
                 near_is_reported=self.neighbours.readers.has_neighbour_list(),
                 all_is_reported=self.agents.entry_hosts() is not None,
@@ -476,7 +483,7 @@
             self.agents.send_request_rates(
                 self.fleet.request_rates_by_service(now=monotonic())
             )
-            self.budgets.update_shares()
+            self.budgets.update_shares(now=boottime_clock())
             self.suspects.sharing.rebalance()
             is_stable = self.contact.is_stable(now=boottime_clock())
             self.front.draining = self.stopping or not is_stable
--- a/hawthornspoke/relay/_settings.py
+++ b/hawthornspoke/relay/_settings.py
@@ -8,11 +8,12 @@
 TEXT = Bounds(kind=str)
 PORT = Bounds(kind=int, low=1, high=65535)
 
-#: Fractions of the platform's retry limits that are used. The requests of the window in
-#: which a host retries may be up to a third more than those of any window by which the
-#: platform judges, and callers' client libraries send some requests twice.
-RATIO_SHARE = 0.8
-ALLOWANCE_SHARE = 0.9
+#: Fractions of the platform's retry limits that are used. It judges a window by the
+#: requests of that or an earlier window, and one of these has at least three quarters of
+#: the requests of any other window, by which a host allowed retries. Callers' client
+#: libraries send some requests again that no host can count.
+RATIO_SHARE = 0.75
+ALLOWANCE_SHARE = 0.97
 
 
 class RelaySettings:
--- a/hawthornspoke/relay/_sink.py
+++ b/hawthornspoke/relay/_sink.py
@@ -330,6 +330,19 @@
             ],
         )
 
+    def sees_all_failure_domains(self):
+        """Return whether agents are connected in all failure domains that have some.
+
+        If not, this host may be cut off from entry hosts there.
+        """
+        listed, connected = set(), set()
+        for entry in self.entries:
+            if self.agents.is_listed(entry.address):
+                listed.add(entry.failure_domain)
+            if self.agents.is_connected(entry.address):
+                connected.add(entry.failure_domain)
+        return bool(listed) and listed <= connected
+
     def _log_replaced_values(self, catalog):
         for description in catalog.replaced_values[:MAX_LOGGED_REPLACED_VALUES]:
             self.log.change(
--- a/hawthornspoke/relay/tests/relay_harness.py
+++ b/hawthornspoke/relay/tests/relay_harness.py
@@ -4,6 +4,7 @@
 import contextlib
 import math
 import socket
+from types import SimpleNamespace
 
 from hawthornspoke.base import Ticks, boottime_clock, monotonic
 from hawthornspoke.catalog import (
@@ -389,7 +390,7 @@
             settings=RelaySettings(
                 node="e", failure_domain="a", front="127.0.0.1:1", ready="127.0.0.1:2"
             ),
-            reported_entry_hosts=lambda: self.entry_hosts,
+            entry_hosts=SimpleNamespace(settled=lambda now: self.entry_hosts),
             log=self.log,
             # Long ago, so that the allowance may be used.
             started_at=-math.inf,
@@ -495,7 +496,7 @@
     @property
     def budget(self):
         """RetryBudget of the service of all routes."""
-        return self.budgets.for_service("s")
+        return self.budgets.for_service("s", now=self.boottime_clock())
 
     def confirm_contact(self):
         """Record a response of the platform that is current now."""
--- /dev/null
+++ b/hawthornspoke/relay/tests/retry_histories.py
@@ -0,0 +1,291 @@
+"""Random histories of entry hosts that retry, without a network or real time."""
+
+import bisect
+import math
+import random
+from types import SimpleNamespace
+
+from hawthornspoke.relay import ALLOWANCE_SHARE, RATIO_SHARE, RelaySettings
+from hawthornspoke.relay._budgets import RetryBudgets
+from hawthornspoke.relay._entry_hosts import EntryHostCount
+from hawthornspoke.retries import (
+    RequestCounted,
+    RetryAllowed,
+    RetryRequest,
+    RetrySent,
+    RetryUnused,
+)
+
+#: Seconds of a step, of a history, and between two updates of a host's shares.
+STEP = 0.2
+SECONDS = 60.0
+UPDATE_INTERVAL = 0.5
+
+#: Limit on the retries of all hosts in a window.
+WINDOW, RATIO, ALLOWANCE = 10.0, 0.2, 102.0
+
+#: Maximum seconds until agents and hosts that can reach each other are connected, until
+#: they notice that they can't any more, and until a host has an agent's new count.
+CONNECT_TIME, LOSS_TIME, REPORT_TIME = 0.8, 2.0, 1.5
+
+SERVICE = "s"
+
+
+def settings():
+    """Return the settings of a host, as the platform's limits require."""
+    return RelaySettings(
+        node="e",
+        failure_domain="a",
+        front="127.0.0.1:1",
+        ready="127.0.0.1:2",
+        retry_ratio=RATIO * RATIO_SHARE,
+        retry_allowance=ALLOWANCE * ALLOWANCE_SHARE,
+        retry_window=WINDOW,
+    )
+
+
+class Agent:
+    """Counts the hosts that are connected to it."""
+
+    def __init__(self, *, domain):
+        self.domain = domain
+        # Hosts by the time since when they can reach it, or can't any more.
+        self.reached_since = {}
+        self.lost_since = {}
+
+    def update(self, hosts, can_reach, rng, now):
+        """Connect to and lose hosts, each after some time."""
+        for host in hosts:
+            if can_reach(self.domain, host.domain):
+                self.lost_since.pop(host, None)
+                delay = rng.uniform(0.0, CONNECT_TIME)
+                self.reached_since.setdefault(host, now + delay)
+            elif host in self.reached_since:
+                due = self.lost_since.setdefault(host, now + rng.uniform(0, LOSS_TIME))
+                if now >= due:
+                    del self.reached_since[host], self.lost_since[host]
+        for host in self.reached_since.keys() - set(hosts):
+            del self.reached_since[host]
+
+    def is_connected(self, host, now):
+        return self.reached_since.get(host, math.inf) <= now
+
+    def count(self, now):
+        return sum(since <= now for since in self.reached_since.values())
+
+
+class Host:
+    """One process of an entry host; what runs after it has another one's memory."""
+
+    def __init__(self, *, domain, now, rng):
+        self.domain = domain
+        self.started_at = now
+        self.stalled_until = now
+        self.reported = None
+        self.next_update_at = now + rng.uniform(0.0, UPDATE_INTERVAL)
+        self.entry_hosts = EntryHostCount(reported=lambda: self.reported)
+        self.budgets = RetryBudgets(
+            settings=settings(),
+            entry_hosts=self.entry_hosts,
+            log=SimpleNamespace(change=lambda event, **fields: None),
+            started_at=now,
+        )
+
+    def update(self, agents, now):
+        """Read the agents' counts and adapt the shares, as housekeeping does."""
+        if now < self.next_update_at:
+            return
+        self.next_update_at = now + UPDATE_INTERVAL
+        connected = [agent for agent in agents if agent.is_connected(self, now)]
+        self.reported = max((agent.count(now) for agent in connected), default=None)
+        domains = {agent.domain for agent in agents}
+        self.entry_hosts.update(
+            is_view_whole={agent.domain for agent in connected} == domains, now=now
+        )
+        self.budgets.update_shares(now=now)
+
+    def step(self, message, now):
+        return self.budgets.for_service(SERVICE, now=now).step(message, now=now)
+
+
+class History:
+    """Hosts that start, end, stall, join and are cut off while requests fail.
+
+    Parameters
+    ----------
+    seed : int
+    is_calm : bool, default=False
+        Whether nothing happens but failures.
+    hosts : int or None, default=None
+        Random by default.
+
+    Attributes
+    ----------
+    requested_at, retried_at : list of float
+        Times of requests and of the retries that were sent, of all hosts.
+    """
+
+    def __init__(self, *, seed, is_calm=False, hosts=None):
+        self.rng = random.Random(seed)
+        self.is_calm = is_calm
+        number = hosts or self.rng.choice((2, 3, 5, 7, 9, 20, 60))
+        self.domains = min(number, self.rng.randint(1, 4))
+        self.rate = self.rng.choice((2.0, 7.0, 64.0, 150.0))
+        self.failing = self.rng.choice((0.0, 0.3, 0.7, 1.0))
+        self.groups = [set(range(self.domains))]
+        self.hosts = []
+        self.agents = []
+        for domain in range(self.domains):
+            self.agents += [Agent(domain=domain) for _ in range(self.rng.randint(1, 2))]
+        for index in range(number):
+            self._start(index % self.domains, 0.0)
+        self.requested_at, self.retried_at = [], []
+        self._pending = []
+
+    def run(self):
+        """Play the history."""
+        steps = round(SECONDS / STEP)
+        actions = {}
+        if not self.is_calm:
+            actions = self._plan_actions(steps)
+        for index in range(steps):
+            now = index * STEP
+            for action in actions.get(index, ()):
+                action(now)
+            for agent in self.agents:
+                agent.update(self.hosts, self._can_reach, self.rng, now)
+            for host in self.hosts:
+                if now >= host.stalled_until:
+                    host.update(self.agents, now)
+            self._request(now)
+            self._send_pending(now)
+
+    def _plan_actions(self, steps):
+        names = [name for name in dir(self) if name.startswith("_act_")]
+        actions = {}
+        for _ in range(self.rng.randint(1, 25)):
+            index = self.rng.randrange(steps)
+            for offset in range(self.rng.choice((1, 1, 3, 6))):
+                name = self.rng.choice(names)
+                at = index + offset * self.rng.randint(1, 20)
+                actions.setdefault(at, []).append(getattr(self, name))
+        return actions
+
+    def _can_reach(self, first, second):
+        return any(first in group and second in group for group in self.groups)
+
+    def _start(self, domain, now):
+        self.hosts.append(Host(domain=domain, now=now, rng=self.rng))
+
+    def _replace(self, host, now):
+        self.hosts.remove(host)
+        self._start(host.domain, now)
+
+    def _act_restart_one(self, now):
+        if self.hosts:
+            self._replace(self.rng.choice(self.hosts), now)
+
+    def _act_restart_all(self, now):
+        for host in list(self.hosts):
+            self._replace(host, now)
+
+    def _act_restart_agents(self, now):
+        self.agents = [Agent(domain=agent.domain) for agent in self.agents]
+
+    def _act_restart_everything(self, now):
+        self._act_restart_agents(now)
+        self._act_restart_all(now)
+
+    def _act_join(self, now):
+        for _ in range(self.rng.choice((1, 1, 4))):
+            self._start(self.rng.randrange(self.domains), now)
+
+    def _act_end(self, now):
+        if len(self.hosts) > 1:
+            self.hosts.remove(self.rng.choice(self.hosts))
+
+    def _act_stall(self, now):
+        if self.hosts:
+            host = self.rng.choice(self.hosts)
+            host.stalled_until = now + self.rng.uniform(0.5, 15.0)
+
+    def _act_cut(self, now):
+        domains = list(range(self.domains))
+        self.rng.shuffle(domains)
+        at = self.rng.randint(0, self.domains)
+        self.groups = [set(domains[:at]), set(domains[at:])]
+
+    def _act_cut_all(self, now):
+        self.groups = [{domain} for domain in range(self.domains)]
+
+    def _act_heal(self, now):
+        self.groups = [set(range(self.domains))]
+
+    def _request(self, now):
+        running = [host for host in self.hosts if now >= host.stalled_until]
+        if not running:
+            return
+        for _ in range(_poisson(self.rng, self.rate * STEP)):
+            host = self.rng.choice(running)
+            self.requested_at.append(now)
+            host.step(RequestCounted(), now)
+            if self.rng.random() < self.failing:
+                request = RetryRequest(repeatable=True, was_run=True, deadline=math.inf)
+                (verdict,) = host.step(request, now)
+                if isinstance(verdict, RetryAllowed):
+                    self._plan_retry(host, verdict.charge, now)
+
+    def _plan_retry(self, host, charge, now):
+        delay = self.rng.choice((0.0, 0.0, 0.0, self.rng.uniform(0.0, 1.0)))
+        self._pending.append((now + delay, host, charge))
+
+    def _send_pending(self, now):
+        due = [item for item in self._pending if item[0] <= now]
+        self._pending = [item for item in self._pending if item[0] > now]
+        for _, host, charge in due:
+            if host not in self.hosts:
+                continue
+            if not self.is_calm and self.rng.random() < 0.05:
+                host.step(RetryUnused(charge=charge), now)
+                continue
+            host.step(RetrySent(charge=charge), now)
+            self.retried_at.append(now)
+
+    def worst_excess(self):
+        """Return by how much retries exceed their limit in the worst window."""
+        return max(
+            (
+                _count(self.retried_at, end) - self.limit(end)
+                for at in set(self.retried_at)
+                for end in (at, at + WINDOW - STEP)
+            ),
+            default=-math.inf,
+        )
+
+    def limit(self, end):
+        """Return the retries that are allowed in the window that ends at a time."""
+        most = max(
+            _count(self.requested_at, end - shift)
+            for shift in (0.0, WINDOW / 2, WINDOW)
+        )
+        return RATIO * most + ALLOWANCE
+
+    def used_share(self, end):
+        """Return the share of what is allowed in a window that was used."""
+        return _count(self.retried_at, end) / self.limit(end)
+
+
+def _count(times, end):
+    """Return how many of the sorted times are in the window that ends at a time."""
+    return bisect.bisect_right(times, end) - bisect.bisect_right(times, end - WINDOW)
+
+
+def _poisson(rng, mean):
+    number, product = 0, rng.random()
+    while product > math.exp(-mean):
+        number += 1
+        product *= rng.random()
+    return number
+
+
+__all__ = ["History"]
--- /dev/null
+++ b/hawthornspoke/relay/tests/test_retry_histories.py
@@ -0,0 +1,31 @@
+"""Retries of all entry hosts together in random histories."""
+
+import statistics
+
+import pytest
+
+from hawthornspoke.relay.tests.retry_histories import History
+
+#: Histories of one test.
+BLOCK = 50
+
+
+@pytest.mark.parametrize("first", range(0, 300, BLOCK))
+def test_no_history_has_too_many_retries_in_a_window(first):
+    """Guards against shares of a limit that add up to more after starts and cuts."""
+    excess_by_seed = {}
+    for seed in range(first, first + BLOCK):
+        history = History(seed=seed)
+        history.run()
+        excess_by_seed[seed] = history.worst_excess()
+    assert {seed: excess for seed, excess in excess_by_seed.items() if excess > 0} == {}
+
+
+@pytest.mark.parametrize("hosts", [2, 7])
+def test_calm_hosts_can_use_most_of_the_limit(hosts):
+    """Guards against retries that callers lose although they are allowed."""
+    history = History(seed=3, is_calm=True, hosts=hosts)
+    history.rate, history.failing = 64.0, 1.0
+    history.run()
+    used_shares = [history.used_share(end) for end in range(20, 60)]
+    assert statistics.mean(used_shares) >= 0.8
--- a/hawthornspoke/slow_start/_host_counts.py
+++ b/hawthornspoke/slow_start/_host_counts.py
@@ -1,6 +1,6 @@
 """Numbers of entry hosts among which the rate of a cold endpoint is divided."""
 
-from collections import deque
+from hawthornspoke.base import LargestRecent
 
 #: Number of entry hosts that is assumed while it isn't reported.
 ASSUMED_ENTRY_HOSTS = 60
@@ -14,36 +14,6 @@
 SETTLING_TIME = 3.0
 
 
-class _LargestRecent:
-    """The largest count of the last ``COUNT_MEMORY`` seconds."""
-
-    __slots__ = ("_reported", "_reported_since")
-
-    def __init__(self):
-        # (count, time of its last report), by decreasing count and increasing time.
-        self._reported = deque()
-        self._reported_since = 0.0
-
-    def add(self, count, now):
-        self._drop_outdated(now)
-        if not self._reported:
-            self._reported_since = now
-        while self._reported and self._reported[-1][0] <= count:
-            self._reported.pop()
-        self._reported.append((count, now))
-
-    def value(self, now):
-        """Return the count, None if it isn't known or hasn't settled."""
-        self._drop_outdated(now)
-        if not self._reported or now < self._reported_since + SETTLING_TIME:
-            return None
-        return self._reported[0][0]
-
-    def _drop_outdated(self, now):
-        while self._reported and now >= self._reported[0][1] + COUNT_MEMORY:
-            self._reported.popleft()
-
-
 class HostCounts:
     """The numbers of entry hosts as reported by agents, or safe assumptions.
 
@@ -58,8 +28,8 @@
 
     def __init__(self, *, failure_domains):
         self._assumed_near = ASSUMED_ENTRY_HOSTS / max(1, failure_domains)
-        self._near = _LargestRecent()
-        self._all = _LargestRecent()
+        self._near = LargestRecent(memory=COUNT_MEMORY, settling_time=SETTLING_TIME)
+        self._all = LargestRecent(memory=COUNT_MEMORY, settling_time=SETTLING_TIME)
 
     def update(self, *, near, all_hosts, now):
         """Record the counts.
