--- a/hawthornspoke/relay/_settings.py
+++ b/hawthornspoke/relay/_settings.py
@@ -9,7 +9,7 @@
 PORT = Bounds(kind=int, low=1, high=65535)
 
 #: Fractions of the platform's retry limits that are used. It judges a window by the
-#: requests of that or an earlier window, and one of these has at least three quarters of
+#: requests of that or an earlier window. One of these has at least three quarters of
 #: the requests of any other window, by which a host allowed retries. Callers' client
 #: libraries send some requests again that no host can count.
 RATIO_SHARE = 0.75
