Fail on answers whose head has no end

An order to load weights counted as confirmed, a piece as staged, and a cut 404 or 429 as proof that the request had not run.

http.client takes the end of a connection for the end of a head. The fields that had arrived were all of them, and without Content-Length or chunks what follows is the body until the connection ends: nothing. urllib3 builds on it, so the agent's engine drivers and the client of the platform's table, objects and origin were all affected.

BoundedResponse, which all of them use, now fails if the connection ends inside a head. Before the first byte nothing changes: that is a connection that had died.

--- a/hawthornspoke/store/__init__.py
+++ b/hawthornspoke/store/__init__.py
@@ -1,6 +1,10 @@
 """Clients for the platform: table, object store, host list, weight origin."""
 
-from hawthornspoke.store._bounded_response import BoundedResponse, ResponseTooLarge
+from hawthornspoke.store._bounded_response import (
+    BoundedResponse,
+    HeadCut,
+    ResponseTooLarge,
+)
 from hawthornspoke.store._failures import (
     CONFLICT,
     NOT_FOUND,
@@ -15,6 +19,7 @@
 
 __all__ = [
     "BoundedResponse",
+    "HeadCut",
     "ResponseTooLarge",
     "CONFLICT",
     "NOT_FOUND",
--- a/hawthornspoke/store/_bounded_response.py
+++ b/hawthornspoke/store/_bounded_response.py
@@ -12,10 +12,17 @@
     """A server sends more than a response may hold."""
 
 
+class HeadCut(OSError):
+    """A server closed the connection inside the head of its response."""
+
+
 class BoundedResponse(http.client.HTTPResponse):
     """Response that fails with ``ResponseTooLarge`` beyond a limit.
 
-    The read timeout of a socket doesn't end a response whose bytes keep arriving.
+    The read timeout of a socket doesn't end a response whose bytes keep arriving. It
+    also fails with ``HeadCut`` if its head has no end: the standard library takes the
+    fields until then for all of them, and without those that frame the body, what has
+    arrived of the response for the whole of it.
 
     Attributes
     ----------
@@ -29,12 +36,29 @@
         super().__init__(sock, *args, **options)
         self.fp = _BoundedReader(self.fp.detach(), max_body_bytes=self.max_body_bytes)
 
+    def begin(self):
+        """Read the head, and any interim response before it."""
+        # A response without a body gives up its reader in here.
+        reader = self.fp
+        if reader is not None:
+            reader.is_in_head = True
+        super().begin()
+        if reader is not None:
+            reader.is_in_head = False
+
 
 class _BoundedReader(io.BufferedReader):
-    """Reader in which lines are framing, and all else is a part of the body."""
+    """Reader in which lines are framing, and all else is a part of the body.
+
+    Attributes
+    ----------
+    is_in_head : bool
+        Whether the end of the connection, but before the first byte, is an error.
+    """
 
     def __init__(self, raw, *, max_body_bytes):
         super().__init__(raw)
+        self.is_in_head = False
         self._framing_bytes = 0
         self._body_bytes = 0
         self._max_body_bytes = max_body_bytes
@@ -42,12 +66,20 @@
     def readline(self, size=-1):
         """Read a line of the head, of a chunk's head or of the trailers."""
         left = MAX_FRAMING_BYTES - self._framing_bytes
-        line = super().readline(left + 1 if size is None or size < 0 else size)
+        if size is None or size < 0:
+            size = left + 1
+        line = super().readline(size)
         self._framing_bytes += len(line)
+        if self.is_in_head and self._framing_bytes and len(line) < size:
+            self._check_line(line)
         if self._framing_bytes > MAX_FRAMING_BYTES:
             raise ResponseTooLarge(f"over {MAX_FRAMING_BYTES} bytes of framing")
         return line
 
+    def _check_line(self, line):
+        if not line.endswith(b"\n"):
+            raise HeadCut("the connection was closed inside the head of the response")
+
     def read(self, size=-1):
         """Read a part of the body, or the rest of it."""
         if self._max_body_bytes is not None:
