Keep the shares of a cold endpoint's rate in a long cut

When the cut heals, each side uses the whole rate until it has learned of the other one.

While agents of some failure domain are not connected, the largest number goes on holding. test_long_cut_does_not_lower_the_count failed before: 15 hosts after 30 s where 45 share the rate.

--- a/hawthornspoke/placing/_fleet.py
+++ b/hawthornspoke/placing/_fleet.py
@@ -264,6 +264,7 @@
         self._cold_endpoints.host_counts.update(
             near=message.near if message.near_is_reported else None,
             all_hosts=message.all if message.all_is_reported else None,
+            is_view_whole=message.is_view_whole,
             now=now,
         )
         self._update_subsets(now)
--- a/hawthornspoke/placing/_messages.py
+++ b/hawthornspoke/placing/_messages.py
@@ -181,6 +181,8 @@
         which engines this host prefers.
     near_is_reported, all_is_reported : bool, default=True
         Whether agents have reported the count; otherwise it is an assumption.
+    is_view_whole : bool, default=True
+        Whether agents in all failure domains are connected.
     """
 
     near: int
@@ -188,6 +190,7 @@
     position: int = 0
     near_is_reported: bool = True
     all_is_reported: bool = True
+    is_view_whole: bool = True
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/hawthornspoke/relay/_process.py
+++ b/hawthornspoke/relay/_process.py
@@ -465,16 +465,15 @@
                 self.log.change("contended_services", services=sorted(contended))
                 # Directives name the path of health checks for these services.
                 self.agents.send_directives()
-            self.entry_hosts.update(
-                is_view_whole=self.sink.sees_all_failure_domains(),
-                now=boottime_clock(),
-            )
+            is_view_whole = self.sink.sees_all_failure_domains()
+            self.entry_hosts.update(is_view_whole=is_view_whole, now=boottime_clock())
             update = EntryHostsUpdated(
                 near=self.neighbours.readers.host_count(),
                 all=self.entry_hosts.current(),
                 position=self.neighbours.readers.position(),
                 near_is_reported=self.neighbours.readers.has_neighbour_list(),
                 all_is_reported=self.agents.entry_hosts() is not None,
+                is_view_whole=is_view_whole,
             )
             self.fleet.step(update, now=monotonic())
             self.cold_monitor.update(now=monotonic())
--- a/hawthornspoke/slow_start/_host_counts.py
+++ b/hawthornspoke/slow_start/_host_counts.py
@@ -31,7 +31,7 @@
         self._near = LargestRecent(memory=COUNT_MEMORY, settling_time=SETTLING_TIME)
         self._all = LargestRecent(memory=COUNT_MEMORY, settling_time=SETTLING_TIME)
 
-    def update(self, *, near, all_hosts, now):
+    def update(self, *, near, all_hosts, now, is_view_whole=True):
         """Record the counts.
 
         Parameters
@@ -42,7 +42,12 @@
         all_hosts : int or None
             Hosts in all failure domains; None likewise.
         now : float
+        is_view_whole : bool, default=True
+            Whether agents in all failure domains are connected. If not, hosts that
+            aren't seen may be cut off, and still send their part to cold endpoints.
         """
+        if not is_view_whole:
+            self._all.extend(now)
         if near is not None:
             self._near.add(near, now)
         if all_hosts is not None:
--- a/hawthornspoke/slow_start/tests/test_slow_start.py
+++ b/hawthornspoke/slow_start/tests/test_slow_start.py
@@ -68,6 +68,16 @@
     assert (counts.near(now), counts.all(now)) == (14, 15)
 
 
+def test_long_cut_does_not_lower_the_count():
+    """Guards against sides of a cut that each send a cold endpoint its whole rate."""
+    counts = HostCounts(failure_domains=3)
+    for now in range(10):
+        counts.update(near=15, all_hosts=45, now=float(now))
+    for now in range(10, 200):
+        counts.update(near=15, all_hosts=15, now=float(now), is_view_whole=False)
+        assert counts.all(float(now)) == 45
+
+
 @pytest.mark.parametrize(("near", "far"), [(15, 30), (1, 44), (45, 0), (1, 0)])
 def test_shares_add_up_to_the_rate_at_most(near, far):
     shares = [
