Keep this host's part of a rate limit when agents are lost

It divides by the largest number of the recent past, like the other shares. test_part_of_a_limit_stays_small_as_agents_are_lost: 45 for a host that has lost its agents; EntryHostCount.current(), which was used, gives 3 and 20.

Looked at and left: the number of hosts that take turns with suspected requests (quarantine) and those whose traffic a placement expects are estimates, no limits. Permits start without any, quarantine starts from the agents' evidence, and a restarted allocator waits for the permits of the one before.

--- a/hawthornspoke/relay/_entry_hosts.py
+++ b/hawthornspoke/relay/_entry_hosts.py
@@ -69,6 +69,21 @@
         """
         return self._largest.value(now)
 
+    def largest(self, now):
+        """Return the largest number of the recent past or now, or a guess.
+
+        Parameters
+        ----------
+        now : float
+            On the boot-time clock.
+
+        Returns
+        -------
+        int
+        """
+        number = max(self.settled(now) or 0, self._reported() or 0)
+        return number or ASSUMED_ENTRY_HOSTS
+
     def current(self):
         """Return the number that is reported now, or a guess.
 
--- a/hawthornspoke/relay/_process.py
+++ b/hawthornspoke/relay/_process.py
@@ -163,7 +163,7 @@
         )
         self.rate_limits = EndpointRateLimits(
             fleet=self.fleet,
-            entry_hosts=self.entry_hosts.current,
+            entry_hosts=lambda: self.entry_hosts.largest(boottime_clock()),
             log=self.log,
             metrics=self.metrics,
         )
--- a/hawthornspoke/relay/tests/test_entry_hosts.py
+++ b/hawthornspoke/relay/tests/test_entry_hosts.py
@@ -2,7 +2,11 @@
 
 from types import SimpleNamespace
 
-from hawthornspoke.relay._entry_hosts import COUNT_MEMORY, EntryHostCount
+from hawthornspoke.relay._entry_hosts import (
+    ASSUMED_ENTRY_HOSTS,
+    COUNT_MEMORY,
+    EntryHostCount,
+)
 from hawthornspoke.relay._sink import Sink
 
 
@@ -57,6 +61,16 @@
     assert reports.pass_time(2.0, number=7) == 7
 
 
+def test_part_of_a_limit_stays_small_as_agents_are_lost():
+    """Guards against hosts that lose all agents and share among too few."""
+    reports = Reports()
+    assert reports.count.largest(reports.now) == ASSUMED_ENTRY_HOSTS
+    reports.pass_time(5.0, number=45)
+    for number in (3, None):
+        reports.pass_time(60.0, number=number, is_view_whole=False)
+        assert reports.count.largest(reports.now) == 45
+
+
 def sees_all(*, listed, connected):
     """Return whether a host sees all failure domains.
 
