Give neighbours that stalled too their time to answer

Hosts that all stood still for a moment gave up the neighbour through which they read the platform ("no answer in 1.5 s") and then read it themselves, all at once. A request that is under way at the end of a stall was given 0.2 s: enough to read an answer that had arrived meanwhile, but a neighbour that stalled as well has yet to read the platform and to answer.

It gets ANSWER_TIMEOUT (0.5 s) from the end of the stall, as after any wait for changes. test_peer_that_stalled_as_well_gets_its_time_to_answer: an answer 0.35 s after the stall was lost before.

--- a/hawthornspoke/base/__init__.py
+++ b/hawthornspoke/base/__init__.py
@@ -18,10 +18,15 @@
 )
 from hawthornspoke.base._stall import StallDetector
 from hawthornspoke.base._ticks import Ticks
-from hawthornspoke.base._timeout import LATE_TIMER_DELAY, StallTolerantTimeout
+from hawthornspoke.base._timeout import (
+    CATCH_UP_TIME,
+    LATE_TIMER_DELAY,
+    StallTolerantTimeout,
+)
 from hawthornspoke.base._validation import Bounds, check_params
 
 __all__ = [
+    "CATCH_UP_TIME",
     "LATE_TIMER_DELAY",
     "MACHINES",
     "PARTITION",
--- a/hawthornspoke/base/_timeout.py
+++ b/hawthornspoke/base/_timeout.py
@@ -19,13 +19,17 @@
     Parameters
     ----------
     seconds : float
-        After a stall the wait ends ``CATCH_UP_TIME`` after the stall or later.
+    catch_up : float, default=CATCH_UP_TIME
+        After a stall the wait ends so many seconds after the stall or later. A peer
+        that may have stalled together with this process needs as long as it usually
+        takes for an answer.
     """
 
-    __slots__ = ("_seconds", "_deadline", "_scope", "_timer")
+    __slots__ = ("_seconds", "_catch_up", "_deadline", "_scope", "_timer")
 
-    def __init__(self, seconds):
+    def __init__(self, seconds, *, catch_up=CATCH_UP_TIME):
         self._seconds = seconds
+        self._catch_up = catch_up
         self._deadline = self._scope = self._timer = None
 
     async def __aenter__(self):
@@ -34,7 +38,7 @@
         self._scope = asyncio.timeout(None)
         await self._scope.__aenter__()
         # A stall may end just before the deadline, too late to read an answer.
-        check_at = max(loop.time(), self._deadline - CATCH_UP_TIME)
+        check_at = max(loop.time(), self._deadline - self._catch_up)
         self._timer = loop.call_at(check_at, self._check, check_at)
         return self
 
@@ -59,7 +63,7 @@
         now = asyncio.get_running_loop().time()
         is_late = now >= due_at + LATE_TIMER_DELAY
         if is_late:
-            self._deadline = max(self._deadline, now + CATCH_UP_TIME)
+            self._deadline = max(self._deadline, now + self._catch_up)
         return is_late
 
     def _expire(self):
--- a/hawthornspoke/mirror/_neighbours.py
+++ b/hawthornspoke/mirror/_neighbours.py
@@ -353,7 +353,10 @@
         link = await self._link(address)
         if is_failure(link):
             return link
-        answer = await link.ask(Frame(table_ask=ask), timeout=timeout)
+        # Neighbours often stall together, and read the platform before they answer.
+        answer = await link.ask(
+            Frame(table_ask=ask), timeout=timeout, catch_up=ANSWER_TIMEOUT
+        )
         if is_failure(answer):
             link.close()
             return answer
--- a/hawthornspoke/peering/_connection.py
+++ b/hawthornspoke/peering/_connection.py
@@ -9,7 +9,7 @@
 import socket
 import struct
 
-from hawthornspoke.base import Failure, StallTolerantTimeout
+from hawthornspoke.base import CATCH_UP_TIME, Failure, StallTolerantTimeout
 from hawthornspoke.httpio import set_socket_options
 from hawthornspoke.protocol import Frame, decode, encode
 
@@ -182,7 +182,7 @@
             self.transport.write(bytes(self._deferred))
             self._deferred.clear()
 
-    async def ask(self, frame, *, timeout):
+    async def ask(self, frame, *, timeout, catch_up=CATCH_UP_TIME):
         """Send a request and wait for its response.
 
         Parameters
@@ -190,6 +190,8 @@
         frame : Frame
         timeout : float
             Seconds.
+        catch_up : float, default=CATCH_UP_TIME
+            See ``StallTolerantTimeout``.
 
         Returns
         -------
@@ -202,7 +204,7 @@
         try:
             if not self.send(frame):
                 return CLOSED
-            async with StallTolerantTimeout(timeout):
+            async with StallTolerantTimeout(timeout, catch_up=catch_up):
                 return await future
         except TimeoutError:
             return CLOSED.with_reason(f"no answer in {timeout:g} s")
--- a/hawthornspoke/peering/tests/test_stalls.py
+++ b/hawthornspoke/peering/tests/test_stalls.py
@@ -49,7 +49,7 @@
         self._socket.close()
 
 
-def ask_and_stall(*, answer_after, stall):
+def ask_and_stall(*, answer_after, stall, **options):
     """Return the answer of a peer, and the seconds until it was known."""
 
     async def run():
@@ -63,7 +63,7 @@
         )
         ask = Frame(table_ask=TableAsk(table="t", after=-1, wait_ms=0))
         began = time.monotonic()
-        asking = asyncio.create_task(link.ask(ask, timeout=TIMEOUT))
+        asking = asyncio.create_task(link.ask(ask, timeout=TIMEOUT, **options))
         # Until the request is sent.
         await asyncio.sleep(0.02)
         time.sleep(stall)
@@ -88,6 +88,12 @@
     assert not is_failure(answer), answer
 
 
+def test_peer_that_stalled_as_well_gets_its_time_to_answer():
+    """Guards against neighbours that all give each other up after a stall."""
+    answer, _ = ask_and_stall(answer_after=STALL + 0.35, stall=STALL, catch_up=0.5)
+    assert not is_failure(answer), answer
+
+
 @pytest.mark.parametrize("stall", [0.0, STALL])
 def test_missing_answer_ends_the_request_soon(stall):
     """Guards against a request that waits for good after a stall."""
