--- a/hawthornspoke/relay/tests/retry_histories.py
+++ b/hawthornspoke/relay/tests/retry_histories.py
@@ -25,7 +25,7 @@
 WINDOW, RATIO, ALLOWANCE = 10.0, 0.2, 102.0
 
 #: Maximum seconds until agents and hosts that can reach each other are connected, until
-#: they notice that they can't any more, and until a host has an agent's new count.
+#: they notice that they can't any more, and until a host learns an agent's new count.
 CONNECT_TIME, LOSS_TIME, REPORT_TIME = 0.8, 2.0, 1.5
 
 SERVICE = "s"
@@ -52,6 +52,7 @@
         # Hosts by the time since when they can reach it, or can't any more.
         self.reached_since = {}
         self.lost_since = {}
+        self._times, self._counts = [], []
 
     def update(self, hosts, can_reach, rng, now):
         """Connect to and lose hosts, each after some time."""
@@ -66,12 +67,16 @@
                     del self.reached_since[host], self.lost_since[host]
         for host in self.reached_since.keys() - set(hosts):
             del self.reached_since[host]
+        self._times.append(now)
+        self._counts.append(sum(at <= now for at in self.reached_since.values()))
 
     def is_connected(self, host, now):
         return self.reached_since.get(host, math.inf) <= now
 
-    def count(self, now):
-        return sum(since <= now for since in self.reached_since.values())
+    def count_at(self, at):
+        """Return the number of hosts that were connected at a time."""
+        index = bisect.bisect_right(self._times, at) - 1
+        return self._counts[max(0, index)]
 
 
 class Host:
@@ -83,6 +88,7 @@
         self.stalled_until = now
         self.reported = None
         self.next_update_at = now + rng.uniform(0.0, UPDATE_INTERVAL)
+        self.report_delay = rng.uniform(0.0, REPORT_TIME)
         self.entry_hosts = EntryHostCount(reported=lambda: self.reported)
         self.budgets = RetryBudgets(
             settings=settings(),
@@ -97,7 +103,10 @@
             return
         self.next_update_at = now + UPDATE_INTERVAL
         connected = [agent for agent in agents if agent.is_connected(self, now)]
-        self.reported = max((agent.count(now) for agent in connected), default=None)
+        reported_at = now - self.report_delay
+        self.reported = max(
+            (agent.count_at(reported_at) for agent in connected), default=None
+        )
         domains = {agent.domain for agent in agents}
         self.entry_hosts.update(
             is_view_whole={agent.domain for agent in connected} == domains, now=now
--- a/hawthornspoke/store/_bounded_response.py
+++ b/hawthornspoke/store/_bounded_response.py
@@ -53,7 +53,8 @@
     Attributes
     ----------
     is_in_head : bool
-        Whether the end of the connection, but before the first byte, is an error.
+        Whether a head is read, in which the connection must not end after the first
+        byte. Before it, the connection had been closed while it was idle.
     """
 
     def __init__(self, raw, *, max_body_bytes):
