--- a/hawthornspoke/placing/_directory.py
+++ b/hawthornspoke/placing/_directory.py
@@ -66,6 +66,25 @@
         """Return the endpoint listed at an address, None if there is none."""
         return self.endpoint_by_id.get(self._id_by_address.get(address))
 
+    def is_replaced(self, placement):
+        """Return whether another process is known to run at an endpoint's address.
+
+        Parameters
+        ----------
+        placement : Placement
+            Of a request that was sent there.
+
+        Returns
+        -------
+        bool
+            False if nothing is listed at the address any more.
+        """
+        endpoint = self.at(placement.address)
+        if endpoint is None:
+            return False
+        is_same = endpoint.entry.endpoint_id == placement.endpoint_id
+        return not (is_same and endpoint.is_target(placement.incarnation))
+
     def of_service(self, name):
         """Return the endpoints of a service."""
         return [self.endpoint_by_id[key] for key in self._ids_by_service.get(name, ())]
--- a/hawthornspoke/placing/_fleet.py
+++ b/hawthornspoke/placing/_fleet.py
@@ -174,6 +174,19 @@
         """The known endpoints by id."""
         return self._directory.endpoint_by_id
 
+    def is_replaced(self, placement):
+        """Return whether another process is known to run at a placement's address.
+
+        Parameters
+        ----------
+        placement : Placement
+
+        Returns
+        -------
+        bool
+        """
+        return self._directory.is_replaced(placement)
+
     @property
     def suspected_ids(self):
         """Ids of the endpoints that are avoided because requests there are silent."""
--- a/hawthornspoke/relay/_try.py
+++ b/hawthornspoke/relay/_try.py
@@ -267,11 +267,14 @@
         """Return whether the endpoint ended as it closed an answer's connection.
 
         An answer with neither a length nor chunks looks complete if its endpoint
-        crashes, unless no process listens there any more.
+        crashes, unless no process listens there any more, or another one does: the end
+        of the connection may arrive after a restart.
         """
         if not self.exchange.ended_with_connection:
             return False
-        return await refuses_connections(self.placement.address, timeout=PROBE_TIMEOUT)
+        address = self.placement.address
+        has_ended = await refuses_connections(address, timeout=PROBE_TIMEOUT)
+        return has_ended or self._fleet.is_replaced(self.placement)
 
     def cut_short(self):
         """End the attempt after an answer that the endpoint left incomplete."""
--- a/hawthornspoke/relay/tests/test_unframed_answers.py
+++ b/hawthornspoke/relay/tests/test_unframed_answers.py
@@ -1,10 +1,13 @@
 """Answers with neither a length nor chunks, which end with their connection."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
 from hawthornspoke.base import monotonic
+from hawthornspoke.catalog import Incarnation
+from hawthornspoke.placing import EndpointsListed
 from hawthornspoke.relay import _try
 from hawthornspoke.relay.tests.relay_harness import (
     RelayHarness,
@@ -58,6 +61,11 @@
     )
 
 
+def list_endpoints(harness, entries):
+    """Apply a list of endpoints."""
+    harness.fleet.step(EndpointsListed(entries=tuple(entries)), now=monotonic())
+
+
 def suspected_features(harness):
     return {
         item.fingerprint
@@ -107,6 +115,45 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("prefix", ["stream", "again"])
+@pytest.mark.parametrize("keeps_id", [False, True])
+def test_answer_of_an_endpoint_that_started_again_is_not_whole(keeps_id, prefix):
+    """Guards against half an answer whose end arrives after a quick restart."""
+
+    async def scenario():
+        async def cut_after_restart(endpoint, head, writer):
+            entry = harness.entries()[0]
+            entry = replace(entry, incarnation=Incarnation(started_ms=2000))
+            if not keeps_id:
+                entry = replace(entry, endpoint_id="e0-again")
+            list_endpoints(harness, [entry, harness.entries()[1]])
+            harness.fleet.endpoint_by_id[entry.endpoint_id].own_in_flight = 2
+            is_stream = prefix == "stream"
+            step = unframed(
+                event(1) if is_stream else b"hal",
+                head=stream_head if is_stream else plain_head,
+            )
+            await step(endpoint, head, writer)
+
+        broken = ScriptedEndpoint(cut_after_restart)
+        other = ScriptedEndpoint(
+            events([2, 3]) if prefix == "stream" else answer(body=b"whole")
+        )
+        async with RelayHarness(broken, other, timeout=2.0) as harness:
+            first, second = harness.entries()
+            started = replace(first, incarnation=Incarnation(started_ms=1000))
+            list_endpoints(harness, [started, second])
+            harness.fleet.endpoint_by_id["e1"].own_in_flight = 1
+            status, _, body, complete = await harness.ask(prefix)
+            assert (status, complete) == (200, True)
+            if prefix == "stream":
+                assert event_ids(body) == [1, 2, 3]
+            else:
+                assert body == b"whole"
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize("reset", [False, True])
 def test_stream_cut_inside_an_event_by_a_running_endpoint_is_no_evidence(reset):
     async def scenario():
