--- a/hawthornspoke/retries/_budget.py
+++ b/hawthornspoke/retries/_budget.py
@@ -136,6 +136,10 @@
         """Seconds for which requests and retries count."""
         return self._requests.window
 
+    @window.setter
+    def window(self, seconds):
+        self._requests.window = seconds
+
     def on_request_counted(self, message, *, now):
         """Count a request."""
         self._requests.add(now)
