Remove a field of attempts that nothing reads

AnswerReader.is_hedge told which attempts had been charged; the charge itself belongs to the attempt now. Behaviour is the same; the relay's tests of requests' lives, charges, forwarding, silent endpoints and unframed answers pass.

--- a/hawthornspoke/relay/_reading.py
+++ b/hawthornspoke/relay/_reading.py
@@ -50,8 +50,6 @@
         Id of the event after which the stream goes on.
     version : str or None, default=None
         Weights version of the stream to resume; None to start anew.
-    is_hedge : bool, default=False
-        Whether other attempts were under way when this one was made.
 
     Attributes
     ----------
@@ -64,7 +62,6 @@
 
     __slots__ = (
         "attempt",
-        "is_hedge",
         "head",
         "is_sent",
         "task",
@@ -85,10 +82,8 @@
         header_names,
         last_id,
         version=None,
-        is_hedge=False,
     ):
         self.attempt = attempt
-        self.is_hedge = is_hedge
         self.head = None
         self.is_sent = False
         self.task = None
--- a/hawthornspoke/relay/_run.py
+++ b/hawthornspoke/relay/_run.py
@@ -186,7 +186,6 @@
             header_names=self._header_names,
             last_id=self._last_id,
             version=self._version if context.reply.started else None,
-            is_hedge=is_hedge,
         )
         self._connection_attempts += 1
         attempt_id = self._connection_attempts
