Log why a request with a suspected feature is sent, and ends that aren't recognized

`isolated` names the request and the reason (a turn, a retrial, a retrial of a doubtful feature), `endpoint_still_listens` a probe that was accepted, and `quarantine_read` what the stored row had. So the hypotheses can be told apart.

--- a/hawthornspoke/mirror/_quarantine_record.py
+++ b/hawthornspoke/mirror/_quarantine_record.py
@@ -136,6 +136,9 @@
             for incarnation_id, until in entry.until_by_incarnation.items()
         )
         if items:
+            self._log.change(
+                "quarantine_read", features=[entry.fingerprint for entry in entries]
+            )
             self._suspects.merge_recorded(items)
         return None
 
--- a/hawthornspoke/quarantine/_messages.py
+++ b/hawthornspoke/quarantine/_messages.py
@@ -138,7 +138,11 @@
         Those of its features that are suspected.
     free_at : float
         Time from which it may be sent.
+    reason : str, default="turn"
+        Why it may be sent: it is this host's turn to tell suspects apart, or a
+        quarantined feature is due for a ``retrial``, or for a ``doubtful_retrial``.
     """
 
     features: frozenset
     free_at: float
+    reason: str = "turn"
--- a/hawthornspoke/quarantine/_quarantine.py
+++ b/hawthornspoke/quarantine/_quarantine.py
@@ -191,10 +191,12 @@
             None if it may be sent.
         """
         isolated = set()
-        free_at = now
+        free_at, reason = now, "turn"
         for suspicion, present, deadline in self._suspected_among(features, now):
-            if deadline > now and not self._trials.is_due(present, now=now):
-                return Blocked(features=present, deadline=deadline)
+            if deadline > now:
+                if not self._trials.is_due(present, now=now):
+                    return Blocked(features=present, deadline=deadline)
+                reason = self._trials.retrial_reason(present)
             may_start_at = self._trials.free_at(
                 suspicion, present, phase=self.phase, hosts=self.hosts, now=now
             )
@@ -202,7 +204,7 @@
             isolated |= present
         if not isolated:
             return None
-        return Isolated(features=frozenset(isolated), free_at=free_at)
+        return Isolated(features=frozenset(isolated), free_at=free_at, reason=reason)
 
     def begin_trial(self, features, *, now):
         """Record that an isolated request is sent.
--- a/hawthornspoke/quarantine/_trials.py
+++ b/hawthornspoke/quarantine/_trials.py
@@ -122,6 +122,13 @@
             for feature in features
         )
 
+    def retrial_reason(self, features):
+        """Return why a retrial is due; see ``Isolated``."""
+        is_doubtful = any(
+            self._retrial_by_feature[feature].is_advanced for feature in features
+        )
+        return "doubtful_retrial" if is_doubtful else "retrial"
+
     def begin(self, features, *, now):
         """Record that an isolated request is sent.
 
@@ -144,21 +151,24 @@
 class _Retrial:
     """When a request with a quarantined feature is sent next."""
 
-    __slots__ = ("delay", "due_at", "_last_end_at", "_has_begun")
+    __slots__ = ("delay", "due_at", "is_advanced", "_last_end_at", "_has_begun")
 
     def __init__(self, *, delay, now):
         self.delay = delay
         self.due_at = now + delay
+        self.is_advanced = False
         self._last_end_at = now
         self._has_begun = False
 
     def advance(self, now):
         """Bring the first one forward."""
         if not self._has_begun:
+            self.is_advanced = True
             self.due_at = min(self.due_at, now + DOUBTFUL_RETRIAL_DELAY)
 
     def begin(self, now):
         self._has_begun = True
+        self.is_advanced = False
         self.due_at = now + self.delay
 
     def record_end(self, now):
--- a/hawthornspoke/relay/_sending.py
+++ b/hawthornspoke/relay/_sending.py
@@ -145,7 +145,9 @@
             self._log_not_sent(context, attempt, failure)
             return failure
         self._planner.record_sent(context, attempt.charge)
-        self._suspects.add_attempt(context.features, attempt)
+        self._suspects.add_attempt(
+            context.features, attempt, request_id=context.request_id
+        )
         context.sent += 1
         return None
 
--- a/hawthornspoke/relay/_suspects.py
+++ b/hawthornspoke/relay/_suspects.py
@@ -148,13 +148,14 @@
         )
         self._step(message)
 
-    def add_attempt(self, features, attempt):
+    def add_attempt(self, features, attempt, *, request_id):
         """Track an attempt that was just sent, so that a quarantine can cancel it.
 
         Parameters
         ----------
         features : tuple of str
         attempt : Attempt
+        request_id : str
         """
         self._features_by_attempt[attempt] = features
         now = monotonic()
@@ -162,11 +163,13 @@
         if isinstance(verdict, Isolated):
             self.quarantine.begin_trial(verdict.features, now=now)
             self._isolated_attempt = attempt
-            self._metrics.count("requests_isolated_total")
+            self._metrics.count("requests_isolated_total", reason=verdict.reason)
             self._log.change(
                 "isolated",
+                request=request_id,
                 endpoint=attempt.placement.endpoint_id,
                 features=sorted(verdict.features),
+                reason=verdict.reason,
             )
 
     def remove_attempt(self, attempt):
@@ -275,6 +278,13 @@
             del self._probe_by_incarnation[incarnation_id]
             features = self._features_by_incarnation.pop(incarnation_id)
         if not has_ended:
+            self._log.change(
+                "endpoint_still_listens",
+                endpoint=placement.endpoint_id,
+                started_ms=placement.incarnation.started_ms,
+                is_replaced=self._fleet.is_replaced(placement),
+                shared=sorted(name for name in features if kind_of(name).IS_SHARED),
+            )
             return
         self._log.change(
             "endpoint_ended",
