--- a/hawthornspoke/peering/_connection.py
+++ b/hawthornspoke/peering/_connection.py
@@ -36,6 +36,7 @@
     "holdings_ask",
     "manifest_ask",
     "permit_claim",
+    "retrial_claim",
     "table_ask",
 )
 
--- a/hawthornspoke/protocol/_gen/ttypes.py
+++ b/hawthornspoke/protocol/_gen/ttypes.py
@@ -736,6 +736,8 @@
      - endpoint_start
      - left_ms
      - cleared
+     - retrials
+     - clearings
 
     """
 
@@ -744,14 +746,18 @@
         'endpoint_start',
         'left_ms',
         'cleared',
+        'retrials',
+        'clearings',
     )
 
 
-    def __init__(self, fingerprint=None, endpoint_start=None, left_ms=None, cleared=None,):
+    def __init__(self, fingerprint=None, endpoint_start=None, left_ms=None, cleared=None, retrials=None, clearings=None,):
         self.fingerprint = fingerprint
         self.endpoint_start = endpoint_start
         self.left_ms = left_ms
         self.cleared = cleared
+        self.retrials = retrials
+        self.clearings = clearings
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -782,6 +788,16 @@
                     self.cleared = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.retrials = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.clearings = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -808,6 +824,151 @@
             oprot.writeFieldBegin('cleared', TType.BOOL, 4)
             oprot.writeBool(self.cleared)
             oprot.writeFieldEnd()
+        if self.retrials is not None:
+            oprot.writeFieldBegin('retrials', TType.I32, 5)
+            oprot.writeI32(self.retrials)
+            oprot.writeFieldEnd()
+        if self.clearings is not None:
+            oprot.writeFieldBegin('clearings', TType.I32, 6)
+            oprot.writeI32(self.clearings)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RetrialClaim(object):
+    """
+    Attributes:
+     - known
+
+    """
+
+    __slots__ = (
+        'known',
+    )
+
+
+    def __init__(self, known=None,):
+        self.known = known
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.known = EndEvidence()
+                    self.known.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RetrialClaim')
+        if self.known is not None:
+            oprot.writeFieldBegin('known', TType.STRUCT, 1)
+            self.known.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RetrialGrant(object):
+    """
+    Attributes:
+     - is_granted
+
+    """
+
+    __slots__ = (
+        'is_granted',
+    )
+
+
+    def __init__(self, is_granted=None,):
+        self.is_granted = is_granted
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.is_granted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RetrialGrant')
+        if self.is_granted is not None:
+            oprot.writeFieldBegin('is_granted', TType.BOOL, 1)
+            oprot.writeBool(self.is_granted)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4361,6 +4522,8 @@
      - permit_grant
      - request_rates
      - clock
+     - retrial_claim
+     - retrial_grant
 
     """
 
@@ -4388,10 +4551,12 @@
         'permit_grant',
         'request_rates',
         'clock',
+        'retrial_claim',
+        'retrial_grant',
     )
 
 
-    def __init__(self, call=None, announce=None, chunk_ask=None, chunk=None, holdings_ask=None, holdings=None, directive=None, engine_state=None, entry_hosts=None, table_ask=None, table_news=None, manifest_ask=None, manifest=None, directive_ask=None, probe=None, follows=None, evidence=None, entry_domain=None, rate_limits=None, permit_claim=None, permit_grant=None, request_rates=None, clock=None,):
+    def __init__(self, call=None, announce=None, chunk_ask=None, chunk=None, holdings_ask=None, holdings=None, directive=None, engine_state=None, entry_hosts=None, table_ask=None, table_news=None, manifest_ask=None, manifest=None, directive_ask=None, probe=None, follows=None, evidence=None, entry_domain=None, rate_limits=None, permit_claim=None, permit_grant=None, request_rates=None, clock=None, retrial_claim=None, retrial_grant=None,):
         self.call = call
         self.announce = announce
         self.chunk_ask = chunk_ask
@@ -4415,6 +4580,8 @@
         self.permit_grant = permit_grant
         self.request_rates = request_rates
         self.clock = clock
+        self.retrial_claim = retrial_claim
+        self.retrial_grant = retrial_grant
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4569,6 +4736,18 @@
                     self.clock.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 24:
+                if ftype == TType.STRUCT:
+                    self.retrial_claim = RetrialClaim()
+                    self.retrial_claim.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 25:
+                if ftype == TType.STRUCT:
+                    self.retrial_grant = RetrialGrant()
+                    self.retrial_grant.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4677,6 +4856,14 @@
             oprot.writeFieldBegin('clock', TType.STRUCT, 23)
             self.clock.write(oprot)
             oprot.writeFieldEnd()
+        if self.retrial_claim is not None:
+            oprot.writeFieldBegin('retrial_claim', TType.STRUCT, 24)
+            self.retrial_claim.write(oprot)
+            oprot.writeFieldEnd()
+        if self.retrial_grant is not None:
+            oprot.writeFieldBegin('retrial_grant', TType.STRUCT, 25)
+            self.retrial_grant.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4757,6 +4944,18 @@
     (2, TType.STRING, 'endpoint_start', 'UTF8', None, ),  # 2
     (3, TType.I32, 'left_ms', None, None, ),  # 3
     (4, TType.BOOL, 'cleared', None, None, ),  # 4
+    (5, TType.I32, 'retrials', None, None, ),  # 5
+    (6, TType.I32, 'clearings', None, None, ),  # 6
+)
+all_structs.append(RetrialClaim)
+RetrialClaim.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'known', [EndEvidence, None], None, ),  # 1
+)
+all_structs.append(RetrialGrant)
+RetrialGrant.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'is_granted', None, None, ),  # 1
 )
 all_structs.append(EvidenceNews)
 EvidenceNews.thrift_spec = (
@@ -5047,6 +5246,8 @@
     (21, TType.STRUCT, 'permit_grant', [PermitGrant, None], None, ),  # 21
     (22, TType.STRUCT, 'request_rates', [HostRequestRates, None], None, ),  # 22
     (23, TType.STRUCT, 'clock', [ClockReading, None], None, ),  # 23
+    (24, TType.STRUCT, 'retrial_claim', [RetrialClaim, None], None, ),  # 24
+    (25, TType.STRUCT, 'retrial_grant', [RetrialGrant, None], None, ),  # 25
 )
 fix_spec(all_structs)
 del all_structs
--- a/hawthornspoke/quarantine/__init__.py
+++ b/hawthornspoke/quarantine/__init__.py
@@ -2,7 +2,7 @@
 
 from hawthornspoke.quarantine._blame import BLAME_RULES, counted_ends
 from hawthornspoke.quarantine._evidence import EVIDENCE_LIFETIME, Evidence
-from hawthornspoke.quarantine._exchange import EvidenceExchange
+from hawthornspoke.quarantine._exchange import GRANT_TIME, EvidenceExchange
 from hawthornspoke.quarantine._features import (
     FEATURES,
     PromptParts,
@@ -14,6 +14,7 @@
 from hawthornspoke.quarantine._fingerprint import fingerprint_of
 from hawthornspoke.quarantine._messages import (
     Blocked,
+    Confirmed,
     EndpointEnded,
     EvidenceReceived,
     EvidenceUpdate,
@@ -21,16 +22,28 @@
     Quarantined,
     Released,
     RequestCompleted,
+    RetrialClaimed,
+    RetrialDenied,
+    RetrialGranted,
     Suspected,
 )
 from hawthornspoke.quarantine._quarantine import Quarantine
-from hawthornspoke.quarantine._wire import decode_evidence, encode_evidence
+from hawthornspoke.quarantine._retrials import RETRIAL_LIFETIME, Retrial
+from hawthornspoke.quarantine._wire import (
+    decode_claim,
+    decode_evidence,
+    encode_claim,
+    encode_evidence,
+)
 
 __all__ = [
     "BLAME_RULES",
     "EVIDENCE_LIFETIME",
     "FEATURES",
+    "GRANT_TIME",
+    "RETRIAL_LIFETIME",
     "Blocked",
+    "Confirmed",
     "EndpointEnded",
     "Evidence",
     "EvidenceExchange",
@@ -43,9 +56,15 @@
     "Released",
     "RequestCompleted",
     "RequestTraits",
+    "Retrial",
+    "RetrialClaimed",
+    "RetrialDenied",
+    "RetrialGranted",
     "Suspected",
     "counted_ends",
+    "decode_claim",
     "decode_evidence",
+    "encode_claim",
     "encode_evidence",
     "features_of",
     "fingerprint_of",
--- a/hawthornspoke/quarantine/_answers.py
+++ b/hawthornspoke/quarantine/_answers.py
@@ -46,5 +46,9 @@
         answered_at = self._answered_at_by_feature.get(feature, float("-inf"))
         return now < answered_at + ANSWER_LIFETIME
 
+    def is_later(self, feature, than):
+        """Return whether a feature was answered later than a time."""
+        return self._answered_at_by_feature.get(feature, float("-inf")) > than
+
     def __len__(self):
         return len(self._answered_at_by_feature)
--- a/hawthornspoke/quarantine/_evidence.py
+++ b/hawthornspoke/quarantine/_evidence.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from hawthornspoke.quarantine._features import kind_of
+from hawthornspoke.quarantine._retrials import Retrial, RetrialLog
 
 #: Lifetime of evidence in seconds.
 EVIDENCE_LIFETIME = 900.0
@@ -58,11 +59,16 @@
 
     Stores of several processes converge once they have exchanged their items, in any
     order: adding an item is idempotent, and a cleared item stays cleared.
+
+    Attributes
+    ----------
+    retrials : RetrialLog
     """
 
-    __slots__ = ("_items_by_fingerprint", "_ended_at_by_incarnation")
+    __slots__ = ("retrials", "_items_by_fingerprint", "_ended_at_by_incarnation")
 
     def __init__(self):
+        self.retrials = RetrialLog()
         self._items_by_fingerprint = {}
         self._ended_at_by_incarnation = {}
 
@@ -71,7 +77,7 @@
 
         Parameters
         ----------
-        item : Evidence
+        item : Evidence or Retrial
         now : float
 
         Returns
@@ -79,6 +85,8 @@
         bool
             Whether the store changed.
         """
+        if isinstance(item, Retrial):
+            return self.retrials.add(item, now=now)
         if now >= item.deadline:
             return False
         item_by_incarnation = {
--- a/hawthornspoke/quarantine/_exchange.py
+++ b/hawthornspoke/quarantine/_exchange.py
@@ -5,15 +5,26 @@
 
 from hawthornspoke.base import MACHINES, Machine
 from hawthornspoke.quarantine._evidence import EvidenceStore
-from hawthornspoke.quarantine._messages import EvidenceReceived, EvidenceUpdate
+from hawthornspoke.quarantine._messages import (
+    EvidenceReceived,
+    EvidenceUpdate,
+    RetrialClaimed,
+    RetrialDenied,
+    RetrialGranted,
+)
 
 #: Messages that the machine handles.
-MESSAGES = (EvidenceReceived,)
+MESSAGES = (EvidenceReceived, RetrialClaimed)
 
 #: Number of endpoint ends from which the evidence about a request is shared with all
 #: entry hosts. Most requests with one end merely ran alongside the cause.
 SHARE_THRESHOLD = 2
 
+#: Seconds after a claim within which a granted retrial has to be sent, and further ones
+#: until all hosts have heard of it and another one may be granted.
+GRANT_TIME = 1.0
+GRANT_MARGIN = 1.0
+
 
 @MACHINES.register("evidence_exchange")
 class EvidenceExchange(Machine):
@@ -23,10 +34,11 @@
     the ends of endpoints that ran it.
     """
 
-    __slots__ = ("_store",)
+    __slots__ = ("_store", "_granted_until_by_feature")
 
     def __init__(self):
         self._store = EvidenceStore()
+        self._granted_until_by_feature = {}
 
     def on_evidence_received(self, message, *, now):
         """Merge evidence of an entry host; return what to send to all of them.
@@ -47,15 +59,45 @@
         }
         return _to_messages(self._shareable(changed, now))
 
+    def on_retrial_claimed(self, message, *, now):
+        """Grant a retrial of a quarantined feature to one entry host at a time.
+
+        Parameters
+        ----------
+        message : RetrialClaimed
+        now : float
+
+        Returns
+        -------
+        list of RetrialGranted or RetrialDenied
+        """
+        feature = message.known.fingerprint
+        granted_until = self._granted_until_by_feature
+        for name in [name for name, until in granted_until.items() if now >= until]:
+            del granted_until[name]
+        self._store.add(message.known, now=now)
+        newest = self._store.retrials.get(feature, now=now)
+        knows_all = (message.known.clearings, message.known.count) >= (
+            newest.clearings,
+            newest.count,
+        )
+        if feature in granted_until or not knows_all:
+            return [RetrialDenied(fingerprint=feature)]
+        granted_until[feature] = now + GRANT_TIME + GRANT_MARGIN
+        return [RetrialGranted(fingerprint=feature, expires_at=now + GRANT_TIME)]
+
     def evidence(self, *, now):
         """Return the evidence to send to an entry host that has just connected.
 
         Returns
         -------
-        list of Evidence
+        list of Evidence or Retrial
         """
         self._store.sweep(now=now)
-        return self._shareable(self._store.fingerprints(), now)
+        retried = [item.fingerprint for item in self._store.retrials.all(now=now)]
+        return self._shareable(
+            dict.fromkeys([*self._store.fingerprints(), *retried]), now
+        )
 
     def dump(self, *, now):
         """Return the state as plain data."""
@@ -67,6 +109,9 @@
             items = self._store.items_of(fingerprint, now=now)
             if len(items) >= SHARE_THRESHOLD:
                 shareable += items
+            retrial = self._store.retrials.get(fingerprint, now=now)
+            if now < retrial.deadline:
+                shareable.append(retrial)
         return shareable
 
 
--- a/hawthornspoke/quarantine/_messages.py
+++ b/hawthornspoke/quarantine/_messages.py
@@ -18,12 +18,15 @@
     idle_ended : tuple of str
         Incarnations of endpoints without requests of this host that have ended as well,
         if all that were probed have.
+    ended_at : float or None, default=None
+        When it ended, on the monotonic clock; None for now.
     """
 
     incarnation_id: str
     fingerprints: tuple
     other_endpoints_in_use: int = 0
     idle_ended: tuple = ()
+    ended_at: float | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -32,7 +35,7 @@
 
     Parameters
     ----------
-    items : tuple of Evidence
+    items : tuple of Evidence or Retrial
     """
 
     items: tuple
@@ -60,12 +63,64 @@
 
     Parameters
     ----------
-    items : tuple of Evidence
+    items : tuple of Evidence or Retrial
     """
 
     items: tuple
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class RetrialClaimed:
+    """An entry host wants to send a request with a quarantined feature.
+
+    Parameters
+    ----------
+    known : Retrial
+        What this host knows of earlier ones.
+    """
+
+    known: object
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class RetrialGranted:
+    """One request with a quarantined feature may be sent.
+
+    Parameters
+    ----------
+    fingerprint : str
+    expires_at : float
+        On the monotonic clock.
+    """
+
+    fingerprint: str
+    expires_at: float
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class RetrialDenied:
+    """Another host may send one, or has sent one that the claim didn't know of.
+
+    Parameters
+    ----------
+    fingerprint : str
+    """
+
+    fingerprint: str
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Confirmed:
+    """A feature in quarantine has so many ends that it is certain to cause them.
+
+    Parameters
+    ----------
+    fingerprint : str
+    """
+
+    fingerprint: str
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Quarantined:
     """Requests with a feature were quarantined and are no longer sent to endpoints.
@@ -122,10 +177,14 @@
         Those of its features that are in quarantine.
     deadline : float
         End of the quarantine.
+    is_due : bool, default=False
+        Whether a request with these features is due to test them, and none is granted
+        to this host.
     """
 
     features: frozenset
     deadline: float
+    is_due: bool = False
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/hawthornspoke/quarantine/_quarantine.py
+++ b/hawthornspoke/quarantine/_quarantine.py
@@ -12,6 +12,7 @@
 from hawthornspoke.quarantine._mass_failures import MassFailures
 from hawthornspoke.quarantine._messages import (
     Blocked,
+    Confirmed,
     EndpointEnded,
     EvidenceReceived,
     EvidenceUpdate,
@@ -19,21 +20,19 @@
     Quarantined,
     Released,
     RequestCompleted,
+    RetrialGranted,
     Suspected,
 )
+from hawthornspoke.quarantine._retrials import Retrial
 from hawthornspoke.quarantine._trials import Trials
 
 #: Messages that the machine handles.
-MESSAGES = (RequestCompleted, EndpointEnded, EvidenceReceived)
+MESSAGES = (RequestCompleted, EndpointEnded, EvidenceReceived, RetrialGranted)
 
 #: Number of ends above the threshold from which a request that never ran alone is
 #: refused, and a feature that was answered before as well.
 SHARED_ENDS_MARGIN = 2
 
-#: Number of recent ends that a feature doesn't explain, as a share of those that it
-#: does, from which it isn't certain to be their cause.
-MAX_UNEXPLAINED_SHARE = 0.2
-
 #: Maximum number of features among which the causes are looked for: those with most
 #: ends. After a mass failure hundreds of parts may have some.
 MAX_CANDIDATES = 48
@@ -90,6 +89,7 @@
         "_candidates",
         "_suspicions",
         "_quarantined",
+        "_confirmed",
         "_answers",
         "_earlier_ends_by_feature",
         "_trials",
@@ -111,9 +111,10 @@
         self._candidates = set()
         self._suspicions = []
         self._quarantined = set()
+        self._confirmed = set()
         self._answers = RecentAnswers()
         self._earlier_ends_by_feature = {}
-        self._trials = Trials()
+        self._trials = Trials(retrials=self._store.retrials)
 
     def on_endpoint_ended(self, message, *, now):
         """Add an endpoint's end as evidence against what it was running.
@@ -125,16 +126,18 @@
 
         Returns
         -------
-        list of EvidenceUpdate, Quarantined, Suspected or Released
+        list of EvidenceUpdate, Quarantined, Confirmed, Suspected or Released
         """
+        ended_at = now if message.ended_at is None else message.ended_at
         self._mass_failures.record(message, known=self._store.incarnations(), now=now)
         items = [
             Evidence(
                 fingerprint=name,
                 incarnation_id=message.incarnation_id,
-                deadline=now + EVIDENCE_LIFETIME,
+                deadline=ended_at + EVIDENCE_LIFETIME,
             )
             for name in message.fingerprints
+            if not self._answers.is_later(name, ended_at)
         ]
         if self._mass_failures.is_mass_failure(message):
             items += self._clear_mass_failure(now)
@@ -150,10 +153,15 @@
 
         Returns
         -------
-        list of EvidenceUpdate, Quarantined, Suspected or Released
+        list of EvidenceUpdate, Quarantined, Confirmed, Suspected or Released
         """
         return self._merge(message.items, now)
 
+    def on_retrial_granted(self, message, *, now):
+        """Allow one request with a quarantined feature."""
+        self._trials.grant(message.fingerprint, expires_at=message.expires_at)
+        return []
+
     def on_request_completed(self, message, *, now):
         """Clear the features of a request that an endpoint has completed.
 
@@ -174,7 +182,14 @@
             for item in self._store.items_of(feature, now=now)
             if not item.cleared
         ]
-        return self._merge(cleared, now) if cleared else []
+        if not cleared:
+            return []
+        retrials = [
+            retrial.after_answer(now=now)
+            for feature in {item.fingerprint for item in cleared}
+            if (retrial := self.retrial(feature, now=now)).count
+        ]
+        return self._merge([*cleared, *retrials], now)
 
     def verdict(self, features, *, now):
         """Decide whether a request may be sent.
@@ -194,9 +209,12 @@
         free_at, reason = now, "turn"
         for suspicion, present, deadline in self._suspected_among(features, now):
             if deadline > now:
-                if not self._trials.is_due(present, now=now):
-                    return Blocked(features=present, deadline=deadline)
-                reason = self._trials.retrial_reason(present)
+                if not self._trials.is_granted(present, now=now):
+                    is_due = self._trials.is_due(present, now=now)
+                    return Blocked(features=present, deadline=deadline, is_due=is_due)
+                reason = self._trials.retrial_reason(present, now=now)
+                isolated |= present
+                continue
             may_start_at = self._trials.free_at(
                 suspicion, present, phase=self.phase, hosts=self.hosts, now=now
             )
@@ -214,8 +232,27 @@
         features : collection of str
             See ``Isolated``.
         now : float
+
+        Returns
+        -------
+        list of Retrial
+            To be sent to other processes.
         """
-        self._trials.begin(features, now=now)
+        return self._trials.begin(features, now=now)
+
+    def retrial(self, feature, *, now):
+        """Return what is known of all hosts' retrials of a feature.
+
+        Parameters
+        ----------
+        feature : str
+        now : float
+
+        Returns
+        -------
+        Retrial
+        """
+        return self._store.retrials.get(feature, now=now)
 
     def end_trial(self):
         """Record that the isolated request has ended."""
@@ -260,14 +297,15 @@
 
         Returns
         -------
-        list of Evidence
+        list of Evidence or Retrial
         """
         self._store.sweep(now=now)
-        return [
+        items = [
             item
             for fingerprint in self._store.fingerprints()
             for item in self._store.items_of(fingerprint, now=now)
         ]
+        return items + self._store.retrials.all(now=now)
 
     def dump(self, *, now):
         """Return the state as plain data."""
@@ -292,11 +330,15 @@
         if not added:
             return []
         for item in added:
+            if isinstance(item, Retrial):
+                continue
             if item.cleared:
                 self._earlier_ends_by_feature.pop(item.fingerprint, None)
             else:
                 self._trials.record_end(item.fingerprint, now=now)
-        changed = {item.fingerprint for item in added}
+        changed = {item.fingerprint for item in added if not isinstance(item, Retrial)}
+        if not changed:
+            return [EvidenceUpdate(items=added)]
         known = self._candidates & changed
         self._candidates = (self._candidates - changed) | {
             feature
@@ -358,12 +400,15 @@
             if self._is_quarantined_alone(suspicion, feature, now)
         }
         self._keep_earlier_ends(ended_at_by_feature)
+        recent = self._store.recent_incarnations(now=now)
         for suspicion in self._suspicions:
             for feature in suspicion.features:
+                items = self._store.items_of(feature, now=now)
                 self._trials.suspect(
                     feature,
-                    is_doubtful=self._is_doubtful(suspicion, feature, now),
-                    phase=self.phase,
+                    explained=suspicion.incarnation_ids,
+                    present={item.incarnation_id for item in items},
+                    recent=recent,
                     now=now,
                 )
         quarantined = [
@@ -373,6 +418,11 @@
             )
             for feature in sorted(self._quarantined - previously_quarantined)
         ]
+        previously_confirmed = self._confirmed
+        self._confirmed = {
+            feature for feature in self._quarantined if self._is_certain(feature, now)
+        }
+        confirmed = sorted(self._confirmed - previously_confirmed)
         suspected = [
             Suspected(
                 fingerprints=tuple(sorted(suspicion.features)),
@@ -390,6 +440,7 @@
             self._trials.forget(feature)
         return [
             *quarantined,
+            *(Confirmed(fingerprint=feature) for feature in confirmed),
             *suspected,
             *(Released(fingerprint=feature) for feature in released),
         ]
@@ -413,21 +464,6 @@
             and len(ended_at) >= self.end_threshold + SHARED_ENDS_MARGIN
         ]
 
-    def _is_doubtful(self, suspicion, feature, now):
-        """Return whether a shared feature may merely have been beside the causes.
-
-        A single cause explains all ends. If there are several, a common feature may be
-        at more of their ends than each of them.
-        """
-        if not kind_of(feature).IS_SHARED:
-            return False
-        present = {
-            item.incarnation_id for item in self._store.items_of(feature, now=now)
-        }
-        explained = present | suspicion.incarnation_ids
-        others = self._store.recent_incarnations(now=now) - explained
-        return len(others) > MAX_UNEXPLAINED_SHARE * len(suspicion.incarnation_ids)
-
     def _keep_earlier_ends(self, ended_at_by_feature):
         """Keep ends under quarantined features beyond their bounded evidence.
 
@@ -460,12 +496,15 @@
 
     def _is_quarantined_alone(self, suspicion, feature, now):
         """Return whether requests with one feature of a suspicion are refused."""
-        count = self._count_ends(feature, now)
-        is_certain = count >= self.end_threshold + SHARED_ENDS_MARGIN
+        is_certain = self._is_certain(feature, now)
         if len(suspicion.features) > 1:
             return is_certain and not kind_of(feature).IS_SHARED
         return is_certain or not self._answers.is_recent(feature, now=now)
 
+    def _is_certain(self, feature, now):
+        count = self._count_ends(feature, now)
+        return count >= self.end_threshold + SHARED_ENDS_MARGIN
+
     def _blocked_until(self, suspicion, present, now):
         """Return until when requests with some features of a suspicion are refused.
 
--- a/hawthornspoke/quarantine/_trials.py
+++ b/hawthornspoke/quarantine/_trials.py
@@ -1,5 +1,12 @@
 """Decides when requests with suspected features may be sent one at a time."""
 
+from hawthornspoke.quarantine._evidence import RECENT_TIME
+from hawthornspoke.quarantine._features import kind_of
+
+#: Number of recent ends that a feature doesn't explain, as a share of those that it
+#: does, from which it isn't certain to be their cause.
+MAX_UNEXPLAINED_SHARE = 0.2
+
 #: Seconds after which an isolated request no longer keeps others from being sent. An
 #: engine that it crashes ends within a fraction of a second.
 TRIAL_TIMEOUT = 2.0
@@ -16,12 +23,14 @@
 #: The same, if all suspected features are as suspected as each other.
 TIE_DELAY = 1.0
 
-#: Seconds after which one request with a quarantined feature is sent, as the fault may
-#: have been mended; doubled after each such request. Hosts spread it over as long.
-RETRIAL_DELAY = 30.0
+#: Seconds after the last end under a quarantined feature at which one request with it
+#: is sent, as the fault may have been mended; doubled for each such request before.
+RETRIAL_DELAY = 120.0
 
-#: The same for the first such request, if the feature may have been beside the causes.
+#: The same for the first such request, if the feature may have been beside the causes,
+#: and for a second one, if the first one showed nothing.
 DOUBTFUL_RETRIAL_DELAY = 1.0
+INCONCLUSIVE_RETRIAL_DELAY = 5.0
 
 
 class Trials:
@@ -29,34 +38,57 @@
 
     A feature that is refused gets no answers, so a wrong decision would never be
     corrected if nothing were sent any more. Each host has a window of its own in a
-    cycle as long as the windows of all hosts.
+    cycle as long as the windows of all hosts, for suspects that nothing tells apart. A
+    retrial needs a grant, so that all hosts together send one at a time.
+
+    Parameters
+    ----------
+    retrials : RetrialLog
+        Retrials of all hosts.
     """
 
-    __slots__ = ("_running_until", "_since_by_feature", "_retrial_by_feature")
+    __slots__ = (
+        "_retrials",
+        "_running_until",
+        "_suspect_by_feature",
+        "_granted_until_by_feature",
+    )
 
-    def __init__(self):
+    def __init__(self, *, retrials):
+        self._retrials = retrials
         self._running_until = float("-inf")
-        self._since_by_feature = {}
-        self._retrial_by_feature = {}
+        self._suspect_by_feature = {}
+        self._granted_until_by_feature = {}
 
-    def suspect(self, feature, *, is_doubtful, phase, now):
+    def suspect(self, feature, *, explained, present, recent, now):
         """Record that a feature is suspected.
 
+        A single cause explains all ends. If there are several, a common feature may be
+        at more of their ends than each of them.
+
         Parameters
         ----------
         feature : str
-        is_doubtful : bool
-            Whether the feature may merely have been beside the causes.
-        phase : float
-            See ``Quarantine``.
+        explained : collection of str
+            Incarnations of endpoints whose ends the feature explains.
+        present : collection of str
+            Those that had a request with the feature when they ended, cleared or not.
+        recent : collection of str
+            All incarnations that ended not long ago.
         now : float
         """
-        if feature not in self._since_by_feature:
-            self._since_by_feature[feature] = now
-            delay = (1.0 + phase) * RETRIAL_DELAY
-            self._retrial_by_feature[feature] = _Retrial(delay=delay, now=now)
-        if is_doubtful:
-            self._retrial_by_feature[feature].advance(now)
+        suspect = self._suspect_by_feature.setdefault(feature, _Suspect(since=now))
+        # Later ends say nothing about those that the feature has caused.
+        if now < suspect.last_end_at + RECENT_TIME:
+            suspect.unexplained |= recent
+        suspect.unexplained -= explained | present
+        is_doubtful = kind_of(feature).IS_SHARED and (
+            len(suspect.unexplained) > MAX_UNEXPLAINED_SHARE * len(explained)
+        )
+        if not is_doubtful:
+            suspect.doubtful_since = None
+        elif suspect.doubtful_since is None:
+            suspect.doubtful_since = now
 
     def record_end(self, feature, *, now):
         """Record that an endpoint ended under a suspected feature, at any host.
@@ -66,13 +98,13 @@
         feature : str
         now : float
         """
-        if feature in self._retrial_by_feature:
-            self._retrial_by_feature[feature].record_end(now)
+        if feature in self._suspect_by_feature:
+            self._suspect_by_feature[feature].last_end_at = now
 
     def forget(self, feature):
         """Record that a feature is no longer suspected."""
-        self._since_by_feature.pop(feature, None)
-        self._retrial_by_feature.pop(feature, None)
+        self._suspect_by_feature.pop(feature, None)
+        self._granted_until_by_feature.pop(feature, None)
 
     def free_at(self, suspicion, present, *, phase, hosts, now):
         """Return when an isolated request may be sent.
@@ -96,7 +128,8 @@
             is_tie = suspicion.leaders == suspicion.features
             delay = TIE_DELAY if is_tie else LEADER_DELAY
             for feature in present & suspicion.leaders:
-                since = self._since_by_feature.get(feature, now)
+                suspect = self._suspect_by_feature.get(feature)
+                since = now if suspect is None else suspect.since
                 earliest = max(earliest, since + delay)
         cycle = hosts * TRIAL_INTERVAL
         into_window = (earliest - phase * cycle) % cycle
@@ -105,7 +138,7 @@
         return earliest + cycle - into_window
 
     def is_due(self, features, *, now):
-        """Return whether one request with quarantined features may be sent.
+        """Return whether a retrial of quarantined features is due.
 
         Parameters
         ----------
@@ -117,15 +150,33 @@
         bool
         """
         return now >= self._running_until and all(
-            feature in self._retrial_by_feature
-            and now >= self._retrial_by_feature[feature].due_at
+            feature in self._suspect_by_feature and now >= self._due_at(feature, now)
             for feature in features
         )
 
-    def retrial_reason(self, features):
+    def grant(self, feature, *, expires_at):
+        """Record that this host may send one request with a quarantined feature.
+
+        Parameters
+        ----------
+        feature : str
+        expires_at : float
+        """
+        if feature in self._suspect_by_feature:
+            self._granted_until_by_feature[feature] = expires_at
+
+    def is_granted(self, features, *, now):
+        """Return whether this host may send a retrial of all of some features."""
+        return self.is_due(features, now=now) and all(
+            now < self._granted_until_by_feature.get(feature, float("-inf"))
+            for feature in features
+        )
+
+    def retrial_reason(self, features, *, now):
         """Return why a retrial is due; see ``Isolated``."""
         is_doubtful = any(
-            self._retrial_by_feature[feature].is_advanced for feature in features
+            self._is_doubtful(feature, self._retrials.get(feature, now=now))
+            for feature in features
         )
         return "doubtful_retrial" if is_doubtful else "retrial"
 
@@ -136,44 +187,53 @@
         ----------
         features : collection of str
         now : float
+
+        Returns
+        -------
+        list of Retrial
+            Those that it adds.
         """
         self._running_until = now + TRIAL_TIMEOUT
+        added = []
         for feature in features:
-            retrial = self._retrial_by_feature.get(feature)
-            if retrial is not None and now >= retrial.due_at:
-                retrial.begin(now)
+            if now < self._granted_until_by_feature.pop(feature, float("-inf")):
+                retrial = self._retrials.get(feature, now=now).next(now=now)
+                self._retrials.add(retrial, now=now)
+                added.append(retrial)
+        return added
 
     def end(self):
         """Record that the isolated request has ended."""
         self._running_until = float("-inf")
 
+    def _due_at(self, feature, now):
+        suspect = self._suspect_by_feature[feature]
+        retrial = self._retrials.get(feature, now=now)
+        if self._is_doubtful(feature, retrial):
+            if not retrial.count:
+                return suspect.doubtful_since + DOUBTFUL_RETRIAL_DELAY
+            return retrial.begun_at + INCONCLUSIVE_RETRIAL_DELAY
+        last = suspect.last_end_at if not retrial.count else retrial.begun_at
+        return last + RETRIAL_DELAY * 2**retrial.count
 
-class _Retrial:
-    """When a request with a quarantined feature is sent next."""
+    def _is_doubtful(self, feature, retrial):
+        """Return whether a retrial hasn't settled yet if a feature is a cause."""
+        suspect = self._suspect_by_feature[feature]
+        if suspect.doubtful_since is None or retrial.count > 1:
+            return False
+        return not retrial.count or suspect.last_end_at < retrial.begun_at
 
-    __slots__ = ("delay", "due_at", "is_advanced", "_last_end_at", "_has_begun")
 
-    def __init__(self, *, delay, now):
-        self.delay = delay
-        self.due_at = now + delay
-        self.is_advanced = False
-        self._last_end_at = now
-        self._has_begun = False
+class _Suspect:
+    """Since when a feature is suspected and doubtful, and the ends that count for it.
 
-    def advance(self, now):
-        """Bring the first one forward."""
-        if not self._has_begun:
-            self.is_advanced = True
-            self.due_at = min(self.due_at, now + DOUBTFUL_RETRIAL_DELAY)
+    ``unexplained`` are the incarnations that ended at about the same time without it.
+    """
 
-    def begin(self, now):
-        self._has_begun = True
-        self.is_advanced = False
-        self.due_at = now + self.delay
+    __slots__ = ("since", "doubtful_since", "last_end_at", "unexplained")
 
-    def record_end(self, now):
-        """Postpone it: twice as long if the end was that of a retrial."""
-        if now >= self._last_end_at + RETRIAL_DELAY:
-            self.delay *= 2
-        self._last_end_at = now
-        self.due_at = now + self.delay
+    def __init__(self, *, since):
+        self.since = since
+        self.doubtful_since = None
+        self.last_end_at = since
+        self.unexplained = set()
--- a/hawthornspoke/quarantine/tests/blame_simulation.py
+++ b/hawthornspoke/quarantine/tests/blame_simulation.py
@@ -23,6 +23,8 @@
     EvidenceUpdate,
     Quarantine,
     RequestCompleted,
+    RetrialClaimed,
+    RetrialGranted,
 )
 
 HOSTS = 9
@@ -144,6 +146,12 @@
         First part that all crashing requests have.
     """
 
+    host_count = HOSTS
+    duration = DURATION
+    recognized_ends = RECOGNIZED_ENDS
+    recognition_time = RECOGNITION_TIME
+    restart_delay = RESTART_DELAY
+
     def __init__(
         self,
         *,
@@ -157,18 +165,16 @@
         self.rng = random.Random(seed)
         self.crashing_rate = crashing_rate
         self.always_beside = always_beside
-        self.hosts = [
-            Quarantine(rule=rule, phase=self.rng.random(), hosts=HOSTS)
-            for _ in range(HOSTS)
-        ]
+        self.rule = rule
+        self.hosts = [self._new_host() for _ in range(self.host_count)]
         self.agents = [EvidenceExchange() for _ in range(AGENTS)]
         self.endpoints = [Endpoint(number=number) for number in range(endpoints)]
         self.starts_at = 0.0 if is_young else WARM_UP
-        self.stops_at = self.starts_at + DURATION
+        self.stops_at = self.starts_at + self.duration
         self.result = Result()
         self.now = 0.0
-        self.third_end_at = float("inf")
-        self._isolated_by_host = [None] * HOSTS
+        self.recognized_at = float("inf")
+        self._isolated_by_host = [None] * self.host_count
         self._refused_since = {}
         self._numbers = itertools.count(1)
         self._order = itertools.count()
@@ -186,6 +192,11 @@
             call(*args)
         return self.result
 
+    def _new_host(self):
+        return Quarantine(
+            rule=self.rule, phase=self.rng.random(), hosts=self.host_count
+        )
+
     def _after(self, delay, call, *args):
         heapq.heappush(self._events, (self.now + delay, next(self._order), call, args))
 
@@ -208,7 +219,9 @@
 
     def _request(self, parts):
         number = next(self._numbers)
-        return Request(number=number, parts=parts, host=self.rng.randrange(HOSTS))
+        return Request(
+            number=number, parts=parts, host=self.rng.randrange(self.host_count)
+        )
 
     def _send(self, request):
         machine = self.hosts[request.host]
@@ -222,9 +235,13 @@
         if verdict is None:
             self._end_refusal(request)
         else:
-            machine.begin_trial(verdict.features, now=self.now)
+            retrials = machine.begin_trial(verdict.features, now=self.now)
+            self._share_from(request.host, retrials)
             self._isolated_by_host[request.host] = request
-        if request.is_crashing and self.now > self.third_end_at + RECOGNITION_TIME:
+        if (
+            request.is_crashing
+            and self.now > self.recognized_at + self.recognition_time
+        ):
             self.result.sent_late += 1
         request.tries += 1
         request.head_at = request.event_at = None
@@ -236,7 +253,20 @@
     def _may_isolate(self, request, verdict):
         return not isinstance(verdict, Blocked) and verdict.free_at <= self.now
 
+    def _claim(self, host, features):
+        """Claim the retrials of some features from the first agent."""
+        for feature in features:
+            known = self.hosts[host].retrial(feature, now=self.now)
+            (answer,) = self.agents[0].step(RetrialClaimed(known=known), now=self.now)
+            if isinstance(answer, RetrialGranted):
+                self._after(self.rng.uniform(*HOP_DELAY), self._grant, host, answer)
+
+    def _grant(self, host, answer):
+        self.hosts[host].step(answer, now=self.now)
+
     def _refuse(self, request, verdict):
+        if isinstance(verdict, Blocked) and verdict.is_due:
+            self._claim(request.host, verdict.features)
         if request.is_crashing:
             return
         self.result.refused += request.tries == 0
@@ -289,11 +319,16 @@
         if not endpoint.is_up or endpoint.incarnation_id != incarnation_id:
             return
         self.result.ends += 1
-        if self.result.ends == RECOGNIZED_ENDS:
-            self.third_end_at = self.now
+        if self.result.ends == self.recognized_ends:
+            self.recognized_at = self.now
+        self._end(endpoint)
+
+    def _end(self, endpoint):
+        """End an endpoint, whatever the cause."""
+        incarnation_id = endpoint.incarnation_id
         requests, endpoint.requests = endpoint.requests, set()
         endpoint.is_up = False
-        self._after(RESTART_DELAY, self._restart, endpoint)
+        self._after(self.restart_delay, self._restart, endpoint)
         by_host = collections.defaultdict(list)
         for request in sorted(requests, key=lambda item: item.number):
             by_host[request.host].append(request)
@@ -324,7 +359,10 @@
         )
         self._step(host, message)
         for request in broken:
-            self._end_attempt(request)
+            # As at a host, a trial that was broken off isn't followed by another one
+            # before its timeout.
+            if self._isolated_by_host[host] is request:
+                self._isolated_by_host[host] = None
             if request.tries < MAX_ATTEMPTS:
                 self._send(request)
 
@@ -334,15 +372,27 @@
 
     def _step(self, host, message, *, share=True):
         for outcome in self.hosts[host].step(message, now=self.now):
+            self._on_outcome(host, outcome)
             if share and isinstance(outcome, EvidenceUpdate):
-                for agent in self.agents:
-                    delay = self.rng.uniform(*HOP_DELAY)
-                    self._after(delay, self._merge, agent, outcome.items)
+                self._share(outcome.items, host=host)
+
+    def _on_outcome(self, host, outcome):
+        """Hook for subclasses."""
+
+    def _share_from(self, host, items):
+        """Share retrials of a host."""
+        self._share(items)
+
+    def _share(self, items, *, host=None):
+        if items:
+            for agent in self.agents:
+                delay = self.rng.uniform(*HOP_DELAY)
+                self._after(delay, self._merge, agent, items)
 
     def _merge(self, agent, items):
         received = EvidenceReceived(items=items)
         for outcome in agent.step(received, now=self.now):
-            for host in range(HOSTS):
+            for host in range(self.host_count):
                 update = EvidenceReceived(items=outcome.items)
                 delay = self.rng.uniform(*HOP_DELAY)
                 self._after(delay, self._receive, host, update)
--- a/hawthornspoke/quarantine/tests/test_trials.py
+++ b/hawthornspoke/quarantine/tests/test_trials.py
@@ -3,12 +3,15 @@
 from hawthornspoke.quarantine import (
     Blocked,
     EndpointEnded,
+    EvidenceExchange,
     EvidenceReceived,
     EvidenceUpdate,
     Isolated,
     Quarantine,
     Quarantined,
     RequestCompleted,
+    RetrialClaimed,
+    RetrialGranted,
     Suspected,
 )
 from hawthornspoke.quarantine._answers import ANSWER_LIFETIME
@@ -44,6 +47,17 @@
     return machine.step(message, now=now)
 
 
+def claim(machine, agent, feature, *, now):
+    """Claim a retrial; return whether it was granted."""
+    (answer,) = agent.step(
+        RetrialClaimed(known=machine.retrial(feature, now=now)), now=now
+    )
+    if isinstance(answer, RetrialGranted):
+        machine.step(answer, now=now)
+        return True
+    return False
+
+
 def test_requests_with_the_only_suspect_are_refused():
     machine = Quarantine()
     outcomes = suspect(machine, DEAD)
@@ -119,6 +133,7 @@
 def test_quarantined_part_is_tried_again_by_few_requests_of_all_hosts():
     """Guards against a part that stays refused though its fault has been mended."""
     hosts = [Quarantine(phase=number / 10, hosts=10) for number in range(10)]
+    agent = EvidenceExchange()
     for machine in hosts:
         suspect(machine, DEAD)
     sent = 0
@@ -126,8 +141,12 @@
         now = 3.0 + 0.1 * tick
         for machine in hosts:
             verdict = machine.verdict((DEAD,), now=now)
+            if isinstance(verdict, Blocked) and verdict.is_due:
+                claim(machine, agent, DEAD, now=now)
+                verdict = machine.verdict((DEAD,), now=now)
             if isinstance(verdict, Isolated) and verdict.free_at <= now:
-                machine.begin_trial(verdict.features, now=now)
+                retrials = machine.begin_trial(verdict.features, now=now)
+                agent.step(EvidenceReceived(items=tuple(retrials)), now=now + 0.05)
                 sent += 1
                 news = [
                     item
@@ -144,6 +163,8 @@
     machine = Quarantine()
     suspect(machine, DEAD)
     now = 3.0 + 2 * RETRIAL_DELAY
+    assert machine.verdict((DEAD,), now=now).is_due
+    assert claim(machine, EvidenceExchange(), DEAD, now=now)
     assert isinstance(machine.verdict((DEAD,), now=now), Isolated)
     complete(machine, DEAD, now=now + 1.0)
     assert machine.verdict((DEAD,), now=now + 1.0) is None
@@ -155,12 +176,67 @@
     suspect(machine, COMMON)
     end(machine, "x1", "other-request", now=2.0)
     assert isinstance(machine.verdict((COMMON,), now=2.5), Blocked)
-    verdict = machine.verdict((COMMON,), now=2.0 + DOUBTFUL_RETRIAL_DELAY)
-    assert isinstance(verdict, Isolated)
+    now = 2.0 + DOUBTFUL_RETRIAL_DELAY
+    assert machine.verdict((COMMON,), now=now).is_due
+    assert claim(machine, EvidenceExchange(), COMMON, now=now)
+    assert isinstance(machine.verdict((COMMON,), now=now), Isolated)
 
 
 def test_part_that_explains_all_ends_is_not_tried_again_soon():
     """Guards against further crashes by the part that is known to cause them."""
     machine = Quarantine()
     suspect(machine, DEAD)
-    assert isinstance(machine.verdict((DEAD,), now=RETRIAL_DELAY), Blocked)
+    verdict = machine.verdict((DEAD,), now=RETRIAL_DELAY)
+    assert isinstance(verdict, Blocked) and not verdict.is_due
+
+
+def test_doubt_that_a_retrial_has_settled_is_not_raised_again():
+    """Guards against one more crash for each end that has another cause."""
+    machine = Quarantine()
+    suspect(machine, DEAD)
+    end(machine, "x1", "other-request", now=2.5)
+    assert claim(machine, EvidenceExchange(), DEAD, now=3.5)
+    machine.begin_trial((DEAD,), now=3.5)
+    end(machine, "t1", DEAD, now=3.6)
+    for number in range(20):
+        now = 4.0 + number
+        end(machine, f"y{number}", "another-request", now=now)
+        verdict = machine.verdict((DEAD,), now=now + DOUBTFUL_RETRIAL_DELAY)
+        assert isinstance(verdict, Blocked) and not verdict.is_due
+
+
+def test_agent_grants_a_retrial_to_one_host_at_a_time():
+    """Guards against a retrial by each host, as all find it due at once."""
+    agent = EvidenceExchange()
+    hosts = [Quarantine() for _ in range(3)]
+    assert [claim(host, agent, DEAD, now=1.0) for host in hosts] == [True, False, False]
+
+
+def test_restarted_agent_denies_what_a_claim_shows_to_be_outdated():
+    """Guards against agents that grant anew what they have forgotten."""
+    agent, informed, outdated = EvidenceExchange(), Quarantine(), Quarantine()
+    suspect(informed, DEAD)
+    now = 3.0 + RETRIAL_DELAY
+    assert claim(informed, EvidenceExchange(), DEAD, now=now)
+    informed.begin_trial((DEAD,), now=now)
+    later = now + 5 * RETRIAL_DELAY
+    assert claim(informed, agent, DEAD, now=later)
+    assert not claim(outdated, agent, DEAD, now=later + 10.0)
+
+
+def test_answer_allows_a_doubtful_retrial_again():
+    """Guards against a common part that stays refused after its second mass end."""
+    machine, agent = Quarantine(), EvidenceExchange()
+    for first in (0.0, 20.0):
+        suspect(machine, COMMON, now=first)
+        end(machine, f"x{first}", "other-request", now=first + 2.0)
+        now = first + 2.0 + DOUBTFUL_RETRIAL_DELAY
+        assert machine.verdict((COMMON,), now=now).is_due
+        assert claim(machine, agent, COMMON, now=now)
+        retrials = machine.begin_trial((COMMON,), now=now)
+        complete(machine, COMMON, now=now + 0.5)
+        machine.end_trial()
+        agent.step(EvidenceReceived(items=tuple(retrials)), now=now + 0.6)
+        assert machine.verdict((COMMON,), now=now + 1.0) is None
+        # ``complete`` makes the part one that was answered not long ago.
+        machine._answers.__init__()
--- a/hawthornspoke/relay/_sharing.py
+++ b/hawthornspoke/relay/_sharing.py
@@ -4,14 +4,22 @@
 running at an endpoint when the endpoint's process ended.
 """
 
-from hawthornspoke.base import monotonic, rendezvous_order
+from hawthornspoke.base import is_failure, monotonic, rendezvous_order
 from hawthornspoke.protocol import Frame
-from hawthornspoke.quarantine import encode_evidence
+from hawthornspoke.quarantine import (
+    GRANT_TIME,
+    RetrialGranted,
+    encode_claim,
+    encode_evidence,
+)
 
 #: Agents per failure domain that combine the evidence of a request. One may fail, and
 #: a failure domain that is cut off still has its own.
 AGENTS_PER_DOMAIN = 2
 
+#: Timeout in seconds of a claim.
+CLAIM_TIMEOUT = 0.5
+
 
 class EvidenceSharing:
     """Sends evidence to the agents that combine it with that of other entry hosts.
@@ -65,11 +73,37 @@
 
         Parameters
         ----------
-        items : iterable of Evidence
+        items : iterable of Evidence or Retrial
         """
         for address, outgoing in self._assign(items, self._domain_by_address).items():
             self._send(address, outgoing)
 
+    async def claim_retrial(self, feature):
+        """Ask the agent that grants retrials of a feature to all hosts for one.
+
+        Parameters
+        ----------
+        feature : str
+
+        Returns
+        -------
+        RetrialGranted or None
+            None if it denies it, or if no agent is reached: then no host sends one.
+        """
+        order = rendezvous_order(key=feature, nodes=self._link_by_address)
+        if not order:
+            return None
+        claimed_at = monotonic()
+        known = self._quarantine.retrial(feature, now=claimed_at)
+        claim = Frame(retrial_claim=encode_claim(known, now=claimed_at))
+        link = self._link_by_address[order[0]]
+        answer = await link.ask(claim, timeout=CLAIM_TIMEOUT)
+        if is_failure(answer) or answer.retrial_grant is None:
+            return None
+        if not answer.retrial_grant.is_granted:
+            return None
+        return RetrialGranted(fingerprint=feature, expires_at=claimed_at + GRANT_TIME)
+
     def rebalance(self):
         """Send evidence that is assigned to other agents since agents came or left."""
         if self._domain_by_address == self._assigned_domain_by_address:
--- a/hawthornspoke/relay/_suspects.py
+++ b/hawthornspoke/relay/_suspects.py
@@ -14,12 +14,14 @@
 from hawthornspoke.httpio import refuses_connections
 from hawthornspoke.quarantine import (
     Blocked,
+    Confirmed,
     EndpointEnded,
     EvidenceReceived,
     EvidenceUpdate,
     Isolated,
     Quarantine,
     Quarantined,
+    Released,
     RequestCompleted,
     Suspected,
     decode_evidence,
@@ -50,6 +52,13 @@
 #: if it has sent an event since.
 JUST_BEGUN = 0.25
 
+#: Seconds between two claims for a retrial of the same feature.
+CLAIM_PAUSE = 0.5
+
+#: Seconds from a broken connection within which the platform's list may show that the
+#: endpoint had ended, though another process listens there already.
+REPLACEMENT_TIME = 5.0
+
 
 class PoisonRequestTracker:
     """Finds out which requests crash endpoints, and shares the evidence.
@@ -82,6 +91,9 @@
         "_observed_locally",
         "_unrecorded",
         "_has_unrecorded",
+        "_claim_by_feature",
+        "_broken_by_incarnation",
+        "_record_deadline",
     )
 
     def __init__(self, *, fleet, log, metrics, entry_hosts=None):
@@ -100,6 +112,25 @@
         self._observed_locally = collections.deque(maxlen=MAX_OBSERVED)
         self._unrecorded = set()
         self._has_unrecorded = asyncio.Event()
+        self._claim_by_feature = {}
+        self._broken_by_incarnation = {}
+        self._record_deadline = None
+
+    def await_record(self, deadline):
+        """Serve no requests before the stored evidence is merged, or a deadline.
+
+        Parameters
+        ----------
+        deadline : float
+            Until which the platform may be away.
+        """
+        if self._record_deadline is None:
+            self._record_deadline = deadline
+
+    @property
+    def is_informed(self):
+        """Whether the evidence of earlier processes is known, or can't be had."""
+        return self._record_deadline is None or monotonic() >= self._record_deadline
 
     def refusal(self, features):
         """Return why a request may not be sent to any endpoint.
@@ -121,6 +152,8 @@
             return None
         names = " ".join(sorted(verdict.features))
         if isinstance(verdict, Blocked):
+            if verdict.is_due:
+                self._claim_retrials(verdict.features)
             return QUARANTINED.with_reason(
                 names, retry_after=round(verdict.deadline - now, 1)
             )
@@ -161,7 +194,8 @@
         now = monotonic()
         verdict = self._verdict(features, now)
         if isinstance(verdict, Isolated):
-            self.quarantine.begin_trial(verdict.features, now=now)
+            retrials = self.quarantine.begin_trial(verdict.features, now=now)
+            self._share_retrials(retrials)
             self._isolated_attempt = attempt
             self._metrics.count("requests_isolated_total", reason=verdict.reason)
             self._log.change(
@@ -170,6 +204,7 @@
                 endpoint=attempt.placement.endpoint_id,
                 features=sorted(verdict.features),
                 reason=verdict.reason,
+                retrials={item.fingerprint: item.count for item in retrials},
             )
 
     def remove_attempt(self, attempt):
@@ -201,8 +236,9 @@
             features = features[:1]
         self._features_by_incarnation.setdefault(incarnation_id, set()).update(features)
         if incarnation_id not in self._probe_by_incarnation:
+            broken = _BrokenOff(placement=placement, service=service)
             probe = asyncio.get_running_loop().create_task(
-                self._probe(incarnation_id, placement, service)
+                self._probe(incarnation_id, broken)
             )
             self._probe_by_incarnation[incarnation_id] = probe
 
@@ -226,6 +262,16 @@
         if len(probes) > 1 or (probes and is_suspected):
             await asyncio.wait(probes)
 
+    def on_endpoints_listed(self):
+        """Record ends that the platform's list shows; see ``REPLACEMENT_TIME``."""
+        now = monotonic()
+        for incarnation_id, broken in list(self._broken_by_incarnation.items()):
+            if now >= broken.at + REPLACEMENT_TIME:
+                del self._broken_by_incarnation[incarnation_id]
+            elif self._fleet.is_replaced(broken.placement):
+                del self._broken_by_incarnation[incarnation_id]
+                self._record_end(incarnation_id, broken)
+
     def merge_evidence(self, frame):
         """Merge evidence received from an agent.
 
@@ -241,9 +287,12 @@
 
         Parameters
         ----------
-        items : tuple of Evidence
+        items : tuple of Evidence or Retrial
         """
-        self._step(EvidenceReceived(items=items))
+        # The deadline has passed once the record is known.
+        self._record_deadline = float("-inf")
+        if items:
+            self._step(EvidenceReceived(items=items))
 
     async def wait_for_unstored_evidence(self):
         """Wait for quarantined requests whose evidence the platform hasn't stored yet.
@@ -253,7 +302,7 @@
 
         Returns
         -------
-        list of Evidence
+        list of Evidence or Retrial
         """
         await self._has_unrecorded.wait()
         self._has_unrecorded.clear()
@@ -265,11 +314,15 @@
         ]
 
     def close(self):
-        """Cancel all probes of endpoints."""
-        for probe in self._probe_by_incarnation.values():
-            probe.cancel()
-
-    async def _probe(self, incarnation_id, placement, service):
+        """Cancel all probes of endpoints, and all claims."""
+        for task in (
+            *self._probe_by_incarnation.values(),
+            *self._claim_by_feature.values(),
+        ):
+            task.cancel()
+
+    async def _probe(self, incarnation_id, broken):
+        placement = broken.placement
         try:
             has_ended = await refuses_connections(
                 placement.address, timeout=PROBE_TIMEOUT
@@ -277,15 +330,26 @@
         finally:
             del self._probe_by_incarnation[incarnation_id]
             features = self._features_by_incarnation.pop(incarnation_id)
-        if not has_ended:
-            self._log.change(
-                "endpoint_still_listens",
-                endpoint=placement.endpoint_id,
-                started_ms=placement.incarnation.started_ms,
-                is_replaced=self._fleet.is_replaced(placement),
-                shared=sorted(name for name in features if kind_of(name).IS_SHARED),
-            )
+        broken.features |= features
+        is_replaced = self._fleet.is_replaced(placement)
+        if has_ended or is_replaced:
+            in_use = self._fleet.endpoints_in_use(broken.service)
+            idle_ended = ()
+            if has_ended and not in_use:
+                idle_ended = await self._probe_idle(placement, broken.service)
+            self._record_end(incarnation_id, broken, idle_ended=idle_ended)
             return
+        self._log.change(
+            "endpoint_still_listens",
+            endpoint=placement.endpoint_id,
+            started_ms=placement.incarnation.started_ms,
+            shared=sorted(name for name in features if kind_of(name).IS_SHARED),
+        )
+        known = self._broken_by_incarnation.setdefault(incarnation_id, broken)
+        known.features |= features
+
+    def _record_end(self, incarnation_id, broken, *, idle_ended=()):
+        placement, features = broken.placement, broken.features
         self._log.change(
             "endpoint_ended",
             endpoint=placement.endpoint_id,
@@ -294,13 +358,12 @@
             shared=sorted(name for name in features if kind_of(name).IS_SHARED),
         )
         self._observed_locally.extend(features)
-        in_use = self._fleet.endpoints_in_use(service)
-        idle_ended = () if in_use else await self._probe_idle(placement, service)
         ended = EndpointEnded(
             incarnation_id=incarnation_id,
             fingerprints=tuple(sorted(features)),
-            other_endpoints_in_use=in_use,
+            other_endpoints_in_use=self._fleet.endpoints_in_use(broken.service),
             idle_ended=idle_ended,
+            ended_at=broken.at,
         )
         self._step(ended)
 
@@ -335,9 +398,38 @@
                 self._on_quarantined(outcome)
             elif isinstance(outcome, Suspected):
                 self._on_suspected(outcome)
-            else:
+            elif isinstance(outcome, Confirmed):
+                self._record_observed({outcome.fingerprint})
+            elif isinstance(outcome, Released):
                 self._log.change("released", fingerprint=outcome.fingerprint)
 
+    def _claim_retrials(self, features):
+        """Claim retrials of quarantined features, each once at a time."""
+        for feature in features:
+            if feature not in self._claim_by_feature:
+                self._claim_by_feature[feature] = (
+                    asyncio.get_running_loop().create_task(self._claim(feature))
+                )
+
+    async def _claim(self, feature):
+        try:
+            granted = await self.sharing.claim_retrial(feature)
+            if granted is not None:
+                self._step(granted)
+            self._metrics.count(
+                "retrial_claims_total",
+                outcome="denied" if granted is None else "granted",
+            )
+            await asyncio.sleep(CLAIM_PAUSE)
+        finally:
+            del self._claim_by_feature[feature]
+
+    def _share_retrials(self, retrials):
+        self.sharing.share(retrials)
+        if retrials:
+            self._unrecorded |= {item.fingerprint for item in retrials}
+            self._has_unrecorded.set()
+
     def _verdict(self, features, now):
         self.quarantine.hosts = self._entry_hosts()
         return self.quarantine.verdict(features, now=now)
@@ -384,6 +476,18 @@
             self._has_unrecorded.set()
 
 
+class _BrokenOff:
+    """Requests at one incarnation of an endpoint that were broken off at a time."""
+
+    __slots__ = ("placement", "service", "features", "at")
+
+    def __init__(self, *, placement, service):
+        self.placement = placement
+        self.service = service
+        self.features = set()
+        self.at = monotonic()
+
+
 def _incarnation_id(target):
     """Return an id of one incarnation (process run) of an endpoint.
 
--- a/hawthornspoke/relay/tests/test_suspects.py
+++ b/hawthornspoke/relay/tests/test_suspects.py
@@ -90,6 +90,7 @@
     def __init__(self, suspects, refusal):
         self.refusal = refusal
         self.record_answered = suspects.record_answered
+        self.is_informed = suspects.is_informed
 
 
 def test_request_in_quarantine_is_refused_without_being_sent():
--- a/hawthornspoke/spread/_evidence.py
+++ b/hawthornspoke/spread/_evidence.py
@@ -2,10 +2,12 @@
 
 from hawthornspoke.base import monotonic
 from hawthornspoke.peering import PeerConnection
-from hawthornspoke.protocol import Frame
+from hawthornspoke.protocol import Frame, RetrialGrant
 from hawthornspoke.quarantine import (
     EvidenceExchange,
     EvidenceReceived,
+    RetrialGranted,
+    decode_claim,
     decode_evidence,
     encode_evidence,
 )
@@ -27,7 +29,11 @@
         ----------
         link : PeerConnection
         frame : Frame
+            Alternatively a claim, which is answered.
         """
+        if frame.retrial_claim is not None:
+            self._answer_claim(link, frame)
+            return
         now = monotonic()
         received = EvidenceReceived(items=decode_evidence(frame.evidence, now=now))
         for outcome in self.exchange.step(received, now=now):
@@ -40,6 +46,14 @@
             current = encode_evidence(self.exchange.evidence(now=now), now=now)
             link.send(Frame(evidence=current))
 
+    def _answer_claim(self, link, frame):
+        now = monotonic()
+        claim = decode_claim(frame.retrial_claim, now=now)
+        outcomes = self.exchange.step(claim, now=now) if claim else []
+        is_granted = any(isinstance(item, RetrialGranted) for item in outcomes)
+        answer = RetrialGrant(is_granted=is_granted)
+        link.send(Frame(call=-frame.call, retrial_grant=answer))
+
     def drop(self, link):
         """Remove a closed connection."""
         self._links.discard(link)
--- a/hawthornspoke/spread/_process.py
+++ b/hawthornspoke/spread/_process.py
@@ -236,7 +236,7 @@
             self.rate_limit_links.add(link)
         elif frame.follows is not None or frame.request_rates is not None:
             self.entry_links.update_host(link, frame)
-        elif frame.evidence is not None:
+        elif frame.evidence is not None or frame.retrial_claim is not None:
             self.evidence_links.receive(link, frame)
         elif frame.rate_limits is not None:
             self.rate_limit_links.receive(link, frame)
--- a/idl/hawthornspoke.thrift
+++ b/idl/hawthornspoke.thrift
@@ -75,6 +75,21 @@
   3: optional i32 left_ms,
   // Whether the request is known not to be the cause.
   4: optional bool cleared,
+  // Without an endpoint start: how many requests with this feature were sent since it
+  // was quarantined, to see whether it still crashes endpoints, and how often answers
+  // have cleared it before. `left_ms` counts from the last such request.
+  5: optional i32 retrials,
+  6: optional i32 clearings,
+}
+
+// From an entry host to an agent: it wants to send a request with a quarantined
+// feature. `known` is what it knows of earlier ones.
+struct RetrialClaim {
+  1: optional EndEvidence known,
+}
+
+struct RetrialGrant {
+  1: optional bool is_granted,
 }
 
 // From one entry host to all others.
@@ -411,6 +426,8 @@
   22: optional HostRequestRates request_rates,
   // Between entry hosts and agents.
   23: optional ClockReading clock,
+  24: optional RetrialClaim retrial_claim,
+  25: optional RetrialGrant retrial_grant,
 }
 
 service Node {
