Read the evidence of crashing requests before serving the first one

A host that starts sent requests with a crashing part in the milliseconds between its first configuration and the row that holds the evidence, and the row kept the first three ends only, no retrials, and parts that answers had cleared since.

A host refuses requests with 503 and counts as not ready until the row is read, for 2 s at most while the platform is away.

--- a/hawthornspoke/mirror/_follow.py
+++ b/hawthornspoke/mirror/_follow.py
@@ -1,11 +1,16 @@
 """Sets up all reading and writing of the platform by an entry host."""
 
+from hawthornspoke.base import monotonic
 from hawthornspoke.mirror import poll
 from hawthornspoke.mirror._declaration_recorder import DeclarationRecorder
 from hawthornspoke.mirror._quarantine_record import QuarantineRecorder
 from hawthornspoke.mirror._row_dispatcher import RowDispatcher
 from hawthornspoke.mirror._watch import FollowedTable, TableWatcher
 
+#: Seconds from the start of a host for which it waits for the stored evidence of
+#: requests that crash endpoints before it serves requests.
+RECORD_TIMEOUT = 2.0
+
 
 class PlatformFollower:
     """Follows the platform's tables and passes their contents to a sink.
@@ -92,6 +97,8 @@
             log=sink.log,
             first_start=self._first_start,
         )
+        if not self._first_start:
+            sink.suspects.await_record(monotonic() + RECORD_TIMEOUT)
         watch.on_restored = quarantine.on_restored
         dispatcher = RowDispatcher(
             sink=sink,
--- a/hawthornspoke/mirror/_quarantine_record.py
+++ b/hawthornspoke/mirror/_quarantine_record.py
@@ -11,7 +11,13 @@
 from hawthornspoke import fields
 from hawthornspoke.base import is_failure, monotonic
 from hawthornspoke.mirror._types import RowWritten
-from hawthornspoke.quarantine import EVIDENCE_LIFETIME, Evidence, counted_ends
+from hawthornspoke.quarantine import (
+    EVIDENCE_LIFETIME,
+    RETRIAL_LIFETIME,
+    Evidence,
+    Retrial,
+    counted_ends,
+)
 
 #: Table and key of the only row, whose size is bounded for any number of requests.
 QUARANTINE_TABLE = "quarantine"
@@ -36,15 +42,66 @@
     """A feature of requests in quarantine, with the incarnations that ended under it.
 
     ``until`` is the end of the quarantine in seconds on the platform's clock, and
-    ``until_by_incarnation`` that of each evidence.
+    ``until_by_incarnation`` that of each evidence. ``retrials`` and ``clearings`` are
+    the counts of the latest retrial, which expires at ``retrial_until``.
     """
 
-    __slots__ = ("fingerprint", "until_by_incarnation", "until")
+    __slots__ = (
+        "fingerprint",
+        "until_by_incarnation",
+        "until",
+        "retrials",
+        "clearings",
+        "retrial_until",
+    )
 
-    def __init__(self, *, fingerprint, until_by_incarnation, until):
+    def __init__(
+        self,
+        *,
+        fingerprint,
+        until_by_incarnation,
+        until,
+        retrials=0,
+        clearings=0,
+        retrial_until=0.0,
+    ):
         self.fingerprint = fingerprint
         self.until_by_incarnation = until_by_incarnation
         self.until = until
+        self.retrials = retrials
+        self.clearings = clearings
+        self.retrial_until = retrial_until
+
+    @property
+    def counts(self):
+        """Counts of the latest retrial; larger ones are newer."""
+        return self.clearings, self.retrials
+
+    def covers(self, other):
+        """Return whether another entry would add nothing."""
+        has_ends = other.until_by_incarnation.keys() <= self.until_by_incarnation.keys()
+        is_full = len(self.until_by_incarnation) >= MAX_INCARNATIONS_PER_REQUEST
+        return (has_ends or is_full) and other.counts <= self.counts
+
+    def union(self, other):
+        """Return an entry with the evidence and the latest retrial of two."""
+        newer = max(self, other, key=lambda entry: entry.counts)
+        until_by_incarnation = {
+            **other.until_by_incarnation,
+            **self.until_by_incarnation,
+        }
+        counted = counted_ends(self.fingerprint, until_by_incarnation)
+        return _Entry(
+            fingerprint=self.fingerprint,
+            until_by_incarnation={
+                incarnation_id: until_by_incarnation[incarnation_id]
+                for incarnation_id in counted[:MAX_INCARNATIONS_PER_REQUEST]
+            },
+            until=max(self.until, other.until),
+            retrials=newer.retrials,
+            clearings=newer.clearings,
+            retrial_until=newer.retrial_until,
+        )
 
 
 class QuarantineRecorder:
@@ -99,7 +156,10 @@
             items = await self._suspects.wait_for_unstored_evidence()
             await self._retry_until_done(lambda items=items: self._write(items))
             for item in items:
-                self._written_by_key[item.fingerprint, item.incarnation_id] = item
+                if isinstance(item, Retrial):
+                    self._written_by_key[item.fingerprint, None] = item
+                else:
+                    self._written_by_key[item.fingerprint, item.incarnation_id] = item
 
     async def _write_again_after_restores(self):
         while True:
@@ -135,11 +195,21 @@
             for entry in entries
             for incarnation_id, until in entry.until_by_incarnation.items()
         )
+        retrials = tuple(
+            Retrial(
+                fingerprint=entry.fingerprint,
+                count=entry.retrials,
+                clearings=entry.clearings,
+                deadline=now + min(entry.retrial_until - made_at, RETRIAL_LIFETIME),
+            )
+            for entry in entries
+            if entry.retrial_until > made_at
+        )
         if items:
             self._log.change(
                 "quarantine_read", features=[entry.fingerprint for entry in entries]
             )
-            self._suspects.merge_recorded(items)
+        self._suspects.merge_recorded((*items, *retrials))
         return None
 
     async def _write(self, items):
@@ -149,8 +219,12 @@
                 return row
             entries, made_at, revision = row
             added = _entries_from_evidence(items, made_at)
-            known = {entry.fingerprint for entry in entries}
-            if all(entry.fingerprint in known for entry in added):
+            has_cleared = sum(map(self._drop_cleared, entries)) > 0
+            known = {entry.fingerprint: entry for entry in entries}
+            if not has_cleared and all(
+                entry.fingerprint in known and known[entry.fingerprint].covers(entry)
+                for entry in added
+            ):
                 return None
             data = _encode(_merge_entries(entries, added, made_at))
             answer = await self._store.write(
@@ -160,6 +234,14 @@
                 return answer if is_failure(answer) else None
         return None
 
+    def _drop_cleared(self, entry):
+        """Drop evidence that answers have cleared; return how much there was."""
+        cleared = self._suspects.cleared_incarnations(entry.fingerprint)
+        found = cleared & entry.until_by_incarnation.keys()
+        for incarnation_id in found:
+            del entry.until_by_incarnation[incarnation_id]
+        return len(found)
+
     async def _read_row(self):
         """Return the entries, the time of the platform's answer and the revision.
 
@@ -190,10 +272,13 @@
 
 def _entries_from_evidence(items, made_at):
     now = monotonic()
-    items_by_fingerprint = {}
+    items_by_fingerprint, retrial_by_fingerprint = {}, {}
     for item in items:
-        items_by_fingerprint.setdefault(item.fingerprint, []).append(item)
-    return [
+        if isinstance(item, Retrial):
+            retrial_by_fingerprint[item.fingerprint] = item
+        else:
+            items_by_fingerprint.setdefault(item.fingerprint, []).append(item)
+    entries = [
         _Entry(
             fingerprint=fingerprint,
             until_by_incarnation={
@@ -204,6 +289,12 @@
         )
         for fingerprint, known in items_by_fingerprint.items()
     ]
+    for entry in entries:
+        retrial = retrial_by_fingerprint.get(entry.fingerprint)
+        if retrial is not None:
+            entry.retrials, entry.clearings = retrial.count, retrial.clearings
+            entry.retrial_until = made_at + retrial.deadline - now
+    return entries
 
 
 def _counted_deadlines(fingerprint, items):
@@ -218,13 +309,16 @@
 
 def _merge_entries(entries, added, made_at):
     """Return the entries of the row after adding some, ordered by expiry."""
-    added_fingerprints = {entry.fingerprint for entry in added}
-    kept = [
-        entry
+    entry_by_fingerprint = {
+        entry.fingerprint: entry
         for entry in entries
-        if entry.until > made_at and entry.fingerprint not in added_fingerprints
-    ]
-    merged = sorted([*kept, *added], key=lambda entry: entry.until)
+        if entry.until > made_at and entry.until_by_incarnation
+    }
+    for entry in added:
+        known = entry_by_fingerprint.get(entry.fingerprint)
+        merged = entry if known is None else known.union(entry)
+        entry_by_fingerprint[entry.fingerprint] = merged
+    merged = sorted(entry_by_fingerprint.values(), key=lambda entry: entry.until)
     return merged[-MAX_REQUESTS:]
 
 
@@ -237,6 +331,9 @@
             "until_ms_by_start": [
                 int(until * MS) for until in entry.until_by_incarnation.values()
             ],
+            "retrials": entry.retrials,
+            "clearings": entry.clearings,
+            "retrial_until_ms": int(entry.retrial_until * MS),
         }
         for entry in entries
     ]
@@ -262,4 +359,8 @@
         fingerprint=fields.text(item, "fingerprint"),
         until_by_incarnation=dict(zip(incarnation_ids, untils, strict=False)),
         until=until,
+        # Rows of earlier builds have no retrials.
+        retrials=fields.whole_number(item, "retrials", 0),
+        clearings=fields.whole_number(item, "clearings", 0),
+        retrial_until=fields.number(item, "retrial_until_ms", 0) / MS,
     )
--- a/hawthornspoke/mirror/tests/test_quarantine_record.py
+++ b/hawthornspoke/mirror/tests/test_quarantine_record.py
@@ -9,7 +9,7 @@
 from hawthornspoke.base import Failure, monotonic
 from hawthornspoke.mirror import QuarantineRecorder, Row, RowWritten, TableUpdate
 from hawthornspoke.mirror._quarantine_record import KEY, MAX_REQUESTS
-from hawthornspoke.quarantine import EVIDENCE_LIFETIME, Evidence
+from hawthornspoke.quarantine import EVIDENCE_LIFETIME, Evidence, Retrial
 
 MADE_AT = 1000.0
 STORE_DOWN = Failure(code="store_failed", reason="away")
@@ -69,6 +69,10 @@
     def __init__(self, *unrecorded):
         self.unrecorded = list(unrecorded)
         self.merged = []
+        self.cleared_by_feature = {}
+
+    def cleared_incarnations(self, feature):
+        return self.cleared_by_feature.get(feature, set())
 
     async def wait_for_unstored_evidence(self):
         if self.unrecorded:
@@ -229,3 +233,34 @@
     events = run_record(FakeStore(table_update(broken)), suspects)
     assert events == ["quarantine_unreadable"]
     assert suspects.merged == []
+
+
+def test_later_ends_and_retrials_are_added_to_a_known_request():
+    """Guards against a restart that forgets later ends, and the retrials."""
+    items = evidence("f")
+    last = Evidence(fingerprint="f", incarnation_id="e4", deadline=items[0].deadline)
+    retrial = Retrial(fingerprint="f", count=2, deadline=items[0].deadline)
+    store = FakeStore(
+        empty_table_update(), table_update(entry("f")), RowWritten(revision=8)
+    )
+    run_record(store, FakeSuspects([*items, last, retrial]))
+    ((_, written),) = store.written
+    suspects = FakeSuspects()
+    run_record(FakeStore(table_update(*written)), suspects)
+    *ends, read = suspects.merged
+    assert {item.incarnation_id for item in ends} == {*INCARNATION_IDS, "e4"}
+    assert read.count == 2
+    assert abs(read.deadline - retrial.deadline) < 1.0
+
+
+def test_cleared_evidence_is_dropped_from_the_row():
+    """Guards against a restart that suspects again what answers have cleared."""
+    suspects = FakeSuspects([])
+    suspects.cleared_by_feature = {"f": set(INCARNATION_IDS)}
+    store = FakeStore(
+        empty_table_update(),
+        table_update(entry("f"), entry("g")),
+        RowWritten(revision=8),
+    )
+    run_record(store, suspects)
+    assert [item["fingerprint"] for item in store.written[0][1]] == ["g"]
--- a/hawthornspoke/quarantine/_quarantine.py
+++ b/hawthornspoke/quarantine/_quarantine.py
@@ -279,6 +279,21 @@
         ]
         return max(deadlines, default=None)
 
+    def cleared_incarnations(self, feature, *, now):
+        """Return the incarnations that a feature is known not to have ended.
+
+        Parameters
+        ----------
+        feature : str
+        now : float
+
+        Returns
+        -------
+        set of str
+        """
+        items = self._store.items_of(feature, now=now)
+        return {item.incarnation_id for item in items if item.cleared}
+
     def has_evidence(self, fingerprint):
         """Return whether a feature was running at an endpoint that ended.
 
--- a/hawthornspoke/relay/_handler.py
+++ b/hawthornspoke/relay/_handler.py
@@ -26,6 +26,9 @@
 #: Retry-After in seconds while this host shuts down; the retry reaches another host.
 SHUTDOWN_RETRY_AFTER = 0.05
 
+#: The same until the evidence against requests that crash endpoints has been read.
+EVIDENCE_RETRY_AFTER = 0.2
+
 #: Retry-After in seconds if this host has no memory for the body; requests that run
 #: end within this, and the retry may reach another host.
 MEMORY_RETRY_AFTER = 0.3
@@ -126,6 +129,10 @@
             return _unavailable(
                 "no_configuration", EndCause.CONFIGURATION, UNCONFIRMED_RETRY_AFTER
             )
+        if not self._suspects.is_informed:
+            return _unavailable(
+                "evidence_unread", EndCause.CONFIGURATION, EVIDENCE_RETRY_AFTER
+            )
         if self.refusing:
             return _unavailable("stopping", EndCause.SHUTDOWN, SHUTDOWN_RETRY_AFTER)
         refusal = self._admission.identify(context)
--- a/hawthornspoke/relay/_process.py
+++ b/hawthornspoke/relay/_process.py
@@ -354,6 +354,7 @@
 
     async def _handle_ready(self, request, reply):
         is_ready = not self.stopping and self.handler.catalog is not None
+        is_ready = is_ready and self.suspects.is_informed
         # A host that is cut off from the platform must soon refuse all keys. It reports
         # itself not ready before that, so that the load balancer uses other hosts, if
         # there are any.
--- a/hawthornspoke/relay/_suspects.py
+++ b/hawthornspoke/relay/_suspects.py
@@ -313,6 +313,10 @@
             if item.fingerprint in unrecorded and not item.cleared
         ]
 
+    def cleared_incarnations(self, feature):
+        """Return the incarnations that a feature is known not to have ended."""
+        return self.quarantine.cleared_incarnations(feature, now=monotonic())
+
     def close(self):
         """Cancel all probes of endpoints, and all claims."""
         for task in (
@@ -402,6 +406,7 @@
                 self._record_observed({outcome.fingerprint})
             elif isinstance(outcome, Released):
                 self._log.change("released", fingerprint=outcome.fingerprint)
+                self._record_observed({outcome.fingerprint})
 
     def _claim_retrials(self, features):
         """Claim retrials of quarantined features, each once at a time."""
