Recognize ends of endpoints that listen again at once, by the list

A crash was evidence only if the next connection was refused. Real processes are back within a tenth of a second, so that probes found the next process and the crash counted for nothing.

The new test fails without the change.

--- a/hawthornspoke/relay/_sink.py
+++ b/hawthornspoke/relay/_sink.py
@@ -201,6 +201,7 @@
                     layers=entry.layers,
                 )
         self._update_agents()
+        self.suspects.on_endpoints_listed()
 
     def on_declared(
         self,
--- a/hawthornspoke/relay/tests/test_suspects.py
+++ b/hawthornspoke/relay/tests/test_suspects.py
@@ -1,9 +1,11 @@
 """Quarantine of requests that crash endpoints, at an entry host."""
 
 import asyncio
+import dataclasses
 
 from hawthornspoke.base import monotonic
 from hawthornspoke.httpio import refuses_connections
+from hawthornspoke.placing import EndpointsListed
 from hawthornspoke.protocol import Frame
 from hawthornspoke.quarantine import EndpointEnded, Evidence, encode_evidence
 from hawthornspoke.relay import _suspects
@@ -373,3 +375,56 @@
             assert [item.cleared for item in items] == [True, True]
 
     run_scenario(scenario)
+
+
+def test_request_before_the_stored_evidence_is_read_is_refused_and_not_sent():
+    """Guards against a crash in the moment between a start and what it must know."""
+
+    async def scenario():
+        endpoint = ScriptedEndpoint(answer())
+        async with RelayHarness(endpoint) as harness:
+            harness.suspects.await_record(monotonic() + 60.0)
+            status, head, _, _ = await harness.ask("again")
+            assert status == 503
+            assert float(field(head, "Retry-After")) <= 0.5
+            assert endpoint.requests == []
+            harness.suspects.merge_recorded(())
+            assert (await harness.ask("again"))[0] == 200
+
+    run_scenario(scenario)
+
+
+def test_requests_are_served_if_the_stored_evidence_cannot_be_read():
+    """Guards against a host that serves nothing while the platform is away."""
+
+    async def scenario():
+        async with RelayHarness(ScriptedEndpoint(answer())) as harness:
+            harness.suspects.await_record(monotonic() + 0.05)
+            await asyncio.sleep(0.1)
+            assert (await harness.ask("again"))[0] == 200
+
+    run_scenario(scenario)
+
+
+def test_end_of_an_endpoint_that_listens_again_at_once_is_recognized():
+    """Guards against crashes that nobody counts, as a probe finds the next process."""
+
+    async def scenario():
+        first, second = (
+            ScriptedEndpoint(reset_connection()),
+            ScriptedEndpoint(answer(), answer()),
+        )
+        async with RelayHarness(first, second) as harness:
+            harness.fleet.endpoint_by_id["e1"].own_in_flight = 1
+            await harness.ask("again")
+            await asyncio.sleep(0.05)
+            quarantine_state = harness.suspects.quarantine
+            assert quarantine_state.evidence(now=monotonic()) == []
+            entries = [item.entry for item in harness.fleet.endpoint_by_id.values()]
+            entries[0] = dataclasses.replace(entries[0], endpoint_id="e0-again")
+            harness.fleet.step(EndpointsListed(entries=tuple(entries)), now=monotonic())
+            harness.suspects.on_endpoints_listed()
+            (item,) = quarantine_state.evidence(now=monotonic())
+            assert item.incarnation_id.startswith("e0")
+
+    run_scenario(scenario)
