Read lists and rows whose single entries are odd

With one odd entry of another writer the own interface lost the whole host list: a list nested deep raised RecursionError, a port of 1e400 OverflowError, and conditions that are a list AttributeError, out of the actor that reads the platform, which ended; ports of 99999 and addresses that are numbers were used. On the platform's path 0.0.0.0, the broadcast address and multicast were used.

All readers go through `fields` now: `parse_entries` replaces what no parser accepts (nested too deep, thousands of digits, bytes that aren't text), and `decode_each` leaves out and reports single entries. Host list, table rows, stored responses, manifests, documents and engines' states use it or `parse_json`; rows of the platform did already. An odd entry's address has to be one that can be connected to.

--- a/hawthornspoke/agent/_engines.py
+++ b/hawthornspoke/agent/_engines.py
@@ -8,6 +8,7 @@
 
 import urllib3
 
+from hawthornspoke import fields
 from hawthornspoke.base import Failure, Registry
 from hawthornspoke.protocol import Event, EventKind
 from hawthornspoke.store import BoundedResponse
@@ -170,7 +171,7 @@
             response = self._request("GET", "/state", timeout=STATE_TIMEOUT)
             if response.status != 200:
                 return None
-            return json.loads(_read_state(response))
+            return fields.parse_json(_read_state(response))
         except urllib3.exceptions.NewConnectionError:
             # A subclass of ConnectTimeoutError, though no time has passed.
             return None
@@ -302,7 +303,7 @@
             If the request may have run and the response is incomplete.
         """
         submit = run.submit
-        payload = json.loads(submit.body)
+        payload = fields.parse_object(submit.body)
         payload["model"] = submit.digest
         if submit.resume_from:
             payload["resume_from"] = submit.resume_from
--- a/hawthornspoke/config/_document.py
+++ b/hawthornspoke/config/_document.py
@@ -8,6 +8,7 @@
 import json
 import zlib
 
+from hawthornspoke import fields
 from hawthornspoke.base import Failure, digest_of
 
 BAD_DOCUMENT = Failure(code="bad_document")
@@ -227,6 +228,6 @@
     if digest_of(data) != digest:
         return BAD_DOCUMENT.with_reason(f"data does not have digest {digest[:12]}")
     try:
-        return json.loads(zlib.decompress(data))
+        return fields.parse_json(zlib.decompress(data))
     except (ValueError, zlib.error) as error:
         return BAD_DOCUMENT.with_reason(f"{digest[:12]}: {error}")
--- a/hawthornspoke/config/_manifest.py
+++ b/hawthornspoke/config/_manifest.py
@@ -5,6 +5,7 @@
 
 import json
 
+from hawthornspoke import fields
 from hawthornspoke.base import Failure, digest_of
 
 BAD_MANIFEST = Failure(code="bad_manifest")
@@ -76,13 +77,13 @@
     Manifest or Failure
     """
     try:
-        tree = json.loads(data)
+        tree = fields.parse_object(data)
         manifest = Manifest(
             chunks=[str(chunk) for chunk in tree["chunks"]],
             chunk_size=int(tree["chunk_size"]),
             size=int(tree["size"]),
         )
-    except (ValueError, KeyError, TypeError) as error:
+    except (ValueError, KeyError, TypeError, OverflowError) as error:
         return BAD_MANIFEST.with_reason(f"not a manifest: {error!r}")
     if manifest.chunk_size <= 0 or len(manifest.chunks) > MAX_CHUNKS:
         return BAD_MANIFEST.with_reason("chunk size or number of chunks out of range")
--- a/hawthornspoke/entry/_claims_runner.py
+++ b/hawthornspoke/entry/_claims_runner.py
@@ -8,6 +8,7 @@
 import pykka
 from loguru import logger
 
+from hawthornspoke import fields
 from hawthornspoke.base import digest_of, is_failure, monotonic
 from hawthornspoke.claims import (
     BeginClaim,
@@ -22,7 +23,13 @@
     WriteClaim,
     WriteDone,
 )
-from hawthornspoke.store import CONFLICT, NOT_FOUND, WRITE_UNCONFIRMED, Condition
+from hawthornspoke.store import (
+    CONFLICT,
+    NOT_FOUND,
+    UNAVAILABLE,
+    WRITE_UNCONFIRMED,
+    Condition,
+)
 
 #: Largest response body in bytes that is stored in the row; larger ones are stored
 #: in the object store.
@@ -122,8 +129,15 @@
             if is_failure(body):
                 return body
         else:
-            body = base64.b64decode(row.get("body", ""))
-        return row["status"], json.loads(row["headers"]), body
+            body = fields.bytes_of_base64(row.get("body", ""))
+        try:
+            status = fields.whole_number(row, "status", low=100, high=999)
+            headers = fields.parse_object(row.get("headers", ""))
+        except fields.FieldError as error:
+            return UNAVAILABLE.with_reason(f"unusable stored response: {error}")
+        if not all(map(fields.is_text, headers.values())):
+            return UNAVAILABLE.with_reason("unusable stored response: headers")
+        return status, headers, body
 
     def _execute(self, outcome, claim, row_key, deadline):
         timeout = max(0.01, min(CLAIM_TIMEOUT, deadline - monotonic()))
--- a/hawthornspoke/fields/_fields.py
+++ b/hawthornspoke/fields/_fields.py
@@ -10,6 +10,7 @@
 import ipaddress
 import json
 import math
+import re
 import reprlib
 
 from hawthornspoke.base import Failure
@@ -38,6 +39,14 @@
 
 MAX_PORT = 65535
 
+#: Maximum depth to which an entry of a list may be nested, and number of digits of an
+#: integer. The parser refuses a whole document with more.
+MAX_DEPTH = 64
+MAX_INT_DIGITS = 400
+
+#: Brackets of JSON, and strings, which may contain some.
+_STRUCTURE = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
+
 #: Default of a field that must be given.
 REQUIRED = object()
 
@@ -86,13 +95,91 @@
         If the data isn't a JSON object or is nested too deeply, for which the parser
         raises RecursionError.
     """
+    return as_object(parse_json(data))
+
+
+def parse_json(data):
+    """Parse JSON of any type.
+
+    Parameters
+    ----------
+    data : bytes or str
+
+    Returns
+    -------
+    object
+
+    Raises
+    ------
+    FieldError
+        See ``parse_object``.
+    """
     try:
-        obj = json.loads(data)
+        return json.loads(data)
     except (ValueError, RecursionError) as error:
         raise FieldError(f"invalid JSON: {type(error).__name__}")
-    if not isinstance(obj, dict):
-        raise FieldError(f"expected an object, got {_abbreviate(obj)}")
-    return obj
+
+
+def parse_entries(data, name):
+    """Parse a JSON object with a list, of which single entries may be unusable.
+
+    What no parser accepts is replaced, so that an entry that contains it is invalid and
+    all others can be read: values nested deeper than ``MAX_DEPTH`` by null, numbers
+    with too many digits by infinity, and bytes that aren't UTF-8 by lone surrogates.
+
+    Parameters
+    ----------
+    data : bytes
+    name : str
+        Field of the list.
+
+    Returns
+    -------
+    list
+
+    Raises
+    ------
+    FieldError
+        If the data isn't a JSON object with this list.
+    """
+    text = _without_deep_values(data).decode("utf-8", "surrogateescape")
+    try:
+        tree = json.loads(text, parse_int=_parse_int)
+    except (ValueError, RecursionError) as error:
+        raise FieldError(f"invalid JSON: {type(error).__name__}")
+    return items(as_object(tree), name)
+
+
+def decode_each(values, decode, *, on_invalid):
+    """Decode the entries of a list, without those that are invalid.
+
+    Parameters
+    ----------
+    values : list
+        Of any type.
+    decode : callable
+        Decodes one entry; raises ``FieldError`` if it is invalid.
+    on_invalid : callable
+        Called with a description of each invalid entry.
+
+    Returns
+    -------
+    list
+    """
+    decoded = []
+    for value in values:
+        try:
+            decoded.append(decode(value))
+        except FieldError as error:
+            on_invalid(str(error))
+    return decoded
+
+
+def as_object(value):
+    """Return a JSON value that has to be an object."""
+    if not isinstance(value, dict):
+        raise FieldError(f"expected an object, got {_abbreviate(value)}")
+    return value
 
 
 def text(obj, name, default=REQUIRED):
@@ -169,6 +256,19 @@
     return value
 
 
+def ip(obj, name):
+    """Return an IPv4 address to which a connection can be made."""
+    value = text(obj, name)
+    if not _is_ip(value):
+        raise _field_error(name, "an IP", value)
+    return value
+
+
+def port(obj, name):
+    """Return a port number."""
+    return whole_number(obj, name, low=1, high=MAX_PORT)
+
+
 def number(obj, name, default=REQUIRED, *, low=0, high=MAX_EXACT_INT):
     """Return a finite number within inclusive bounds.
 
@@ -203,6 +303,15 @@
     return int(value)
 
 
+def integer_of_text(obj, name):
+    """Return an integer that is written as text, with a sign if it is negative."""
+    value = text(obj, name)
+    size = parse_digits(value.removeprefix("-"))
+    if size is None:
+        raise _field_error(name, "digits", value)
+    return -size if value.startswith("-") else size
+
+
 def valid_indices(values, *, high):
     """Return the valid indices among untrusted values.
 
@@ -352,10 +461,31 @@
 
 def _is_ip(value):
     try:
-        ipaddress.IPv4Address(value)
+        ip = ipaddress.IPv4Address(value)
     except ValueError:
         return False
-    return True
+    # Reserved ones include the broadcast address.
+    return not (ip.is_unspecified or ip.is_multicast or ip.is_reserved)
+
+
+def _parse_int(digits):
+    return int(digits) if len(digits) <= MAX_INT_DIGITS else math.inf
+
+
+def _without_deep_values(data):
+    """Return JSON with null in place of values that are nested too deeply."""
+    kept, depth, position = [], 0, 0
+    for token in _STRUCTURE.finditer(data):
+        mark = token[0]
+        if mark in (b"[", b"{"):
+            depth += 1
+            if depth == MAX_DEPTH + 1:
+                kept += (data[position : token.start()], b"null")
+        elif mark in (b"]", b"}"):
+            if depth == MAX_DEPTH + 1:
+                position = token.end()
+            depth -= 1
+    return b"".join((*kept, data[position:]))
 
 
 def _is_port(value):
--- a/hawthornspoke/store/_hosts.py
+++ b/hawthornspoke/store/_hosts.py
@@ -5,11 +5,15 @@
 .. [1] Kubernetes API reference, discovery.k8s.io/v1 EndpointSlice.
 """
 
-import json
+from loguru import logger
 
+from hawthornspoke import fields
 from hawthornspoke.base import is_failure
 from hawthornspoke.store._failures import UNAVAILABLE
 
+#: Maximum number of invalid entries of one list that are logged.
+MAX_LOGGED_INVALID = 10
+
 
 class HostEntry:
     """One host in the host list.
@@ -70,28 +74,53 @@
         if response.status != 200:
             return UNAVAILABLE.with_reason(f"host list returned HTTP {response.status}")
         try:
-            entries = _parse_entries(json.loads(response.data))
-        except (ValueError, KeyError, TypeError, IndexError) as error:
-            return UNAVAILABLE.with_reason(f"cannot parse host list: {error!r}")
+            entries = _parse_entries(response.data)
+        except fields.FieldError as error:
+            return UNAVAILABLE.with_reason(f"cannot parse host list: {error}")
         self._etag = response.headers.get("ETag")
         self._entries = entries
         return entries
 
 
-def _parse_entries(document):
-    entries = []
-    for slice_item in document["items"]:
-        role = slice_item["metadata"]["labels"]["role"]
-        port = int(slice_item["ports"][0]["port"])
-        for endpoint in slice_item["endpoints"]:
-            conditions = endpoint.get("conditions", {})
-            entry = HostEntry(
-                host=endpoint["hostname"],
-                role=role,
-                failure_domain=endpoint["zone"],
-                address=endpoint["addresses"][0],
-                port=port,
-                leaving=bool(conditions.get("terminating")),
-            )
-            entries.append(entry)
+def _parse_entries(data):
+    invalid = []
+    entries = [
+        entry
+        for entries in fields.decode_each(
+            fields.parse_entries(data, "items"),
+            lambda item: _decode_slice(item, invalid.append),
+            on_invalid=invalid.append,
+        )
+        for entry in entries
+    ]
+    for description in invalid[:MAX_LOGGED_INVALID]:
+        logger.warning("invalid entry in the host list: {}", description)
     return entries
+
+
+def _decode_slice(item, on_invalid):
+    """Return the valid hosts of a slice, which share its role and port."""
+    fields.as_object(item)
+    labels = fields.child(fields.child(item, "metadata"), "labels")
+    role = fields.text(labels, "role")
+    port = fields.port(_first(item, "ports"), "port")
+
+    def decode_host(endpoint):
+        fields.as_object(endpoint)
+        addresses = fields.texts(endpoint, "addresses")
+        return HostEntry(
+            host=fields.text(endpoint, "hostname"),
+            role=role,
+            failure_domain=fields.text(endpoint, "zone"),
+            address=fields.ip({"address": next(iter(addresses), None)}, "address"),
+            port=port,
+            leaving=fields.flag(fields.child(endpoint, "conditions"), "terminating"),
+        )
+
+    endpoints = fields.items(item, "endpoints")
+    return fields.decode_each(endpoints, decode_host, on_invalid=on_invalid)
+
+
+def _first(obj, name):
+    """Return the first object of a list."""
+    return next(iter(fields.children(obj, name)), {})
--- a/hawthornspoke/store/_table.py
+++ b/hawthornspoke/store/_table.py
@@ -8,6 +8,7 @@
 
 import json
 
+from hawthornspoke import fields
 from hawthornspoke.base import is_failure
 from hawthornspoke.store._failures import (
     CONFLICT,
@@ -105,9 +106,11 @@
             )
         if "Item" not in response:
             return NOT_FOUND.with_reason(f"row {key!r} does not exist")
-        return {
-            name: _decode_attribute(value) for name, value in response["Item"].items()
-        }
+        try:
+            item = fields.child(response, "Item")
+            return {name: _decode_attribute(item, name) for name in item}
+        except fields.FieldError as error:
+            return UNAVAILABLE.with_reason(f"cannot decode row {key!r}: {error}")
 
     def put(self, row, *, condition=None, timeout=None):
         """Write one row, optionally under a condition.
@@ -188,13 +191,9 @@
 
 def _parse_json(data, failure):
     try:
-        return json.loads(data)
-    except ValueError:
-        return (
-            failure
-            if failure is None
-            else failure.with_reason("response is not valid JSON")
-        )
+        return fields.parse_object(data)
+    except fields.FieldError as error:
+        return failure if failure is None else failure.with_reason(str(error))
 
 
 def _encode_attribute(value):
@@ -205,9 +204,14 @@
     return {"S": str(value)}
 
 
-def _decode_attribute(attribute):
+def _decode_attribute(item, name):
+    attribute = fields.child(item, name)
     if "N" in attribute:
-        return int(attribute["N"])
+        return fields.integer_of_text(attribute, "N")
     if "BOOL" in attribute:
-        return attribute["BOOL"]
-    return attribute.get("S", "")
+        return fields.flag(attribute, "BOOL")
+    # Bodies of stored responses are longer than other texts.
+    value = attribute.get("S", "")
+    if not fields.is_text(value):
+        raise fields.FieldError(f"{name}: expected a string")
+    return value
--- a/hawthornspoke/web/_types.py
+++ b/hawthornspoke/web/_types.py
@@ -2,6 +2,7 @@
 
 import json
 
+from hawthornspoke import fields
 from hawthornspoke.base import is_closed_by_peer
 
 
@@ -40,7 +41,7 @@
             None if the body is not valid JSON.
         """
         try:
-            return json.loads(self.body)
+            return fields.parse_json(self.body)
         except ValueError:
             return None
 
