Start no task once an agent has closed its transfers

A closed delivery plans nothing more and a closed exchange spawns nothing.

The new test fails without the change: an install is pending after the close.

--- a/hawthornspoke/spread/_delivery.py
+++ b/hawthornspoke/spread/_delivery.py
@@ -69,6 +69,7 @@
         "_observe_engine",
         "_weights_by_version",
         "_tasks",
+        "_is_closed",
     )
 
     def __init__(
@@ -106,6 +107,7 @@
         self._observe_engine = observe_engine
         self._weights_by_version = {}
         self._tasks = {}
+        self._is_closed = False
 
     @property
     def install(self):
@@ -114,6 +116,8 @@
 
     def step(self, message):
         """Pass a message to the upgrade machine and perform the returned actions."""
+        if self._is_closed:
+            return
         # This clock includes suspension of the host, during which weights expire too.
         for outcome in self.upgrade.step(message, now=boottime_clock()):
             if isinstance(outcome, StartTransfer):
@@ -139,7 +143,8 @@
         self.step(EngineRestarted())
 
     def close(self):
-        """Cancel all tasks."""
+        """Cancel all tasks, and start no more: their ends would plan further ones."""
+        self._is_closed = True
         for task in self._tasks.values():
             task.cancel()
 
--- a/hawthornspoke/spread/_exchange.py
+++ b/hawthornspoke/spread/_exchange.py
@@ -103,6 +103,7 @@
         "_responder",
         "_fetcher",
         "_tasks",
+        "_is_closed",
         "_min_announce_interval",
     )
 
@@ -167,6 +168,7 @@
             granted_rate=granted_rate,
         )
         self._tasks = set()
+        self._is_closed = False
 
     @property
     def origin_address(self):
@@ -313,7 +315,8 @@
             self._responder.holdings(link, frame)
 
     def close(self):
-        """Cancel all tasks and close all connections."""
+        """Cancel all tasks and close all connections; start no more tasks."""
+        self._is_closed = True
         self._uploads.close()
         for task in self._tasks:
             task.cancel()
@@ -339,6 +342,9 @@
 
     def spawn(self, coroutine):
         """Run a coroutine as a task that ``close`` cancels; log its exception."""
+        if self._is_closed:
+            coroutine.close()
+            return
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._on_task_done)
--- a/hawthornspoke/spread/tests/test_checks_after_suspension.py
+++ b/hawthornspoke/spread/tests/test_checks_after_suspension.py
@@ -437,6 +437,35 @@
         return await super().snapshot()
 
 
+def test_no_install_starts_as_the_process_stops():
+    """Guards against a task that the end of a cancelled one starts after all others."""
+
+    async def scenario():
+        engine = StallingEngine()
+        async with one_host(engine) as (hosts, _):
+            stalled = asyncio.Event()
+
+            async def stall():
+                stalled.set()
+                await asyncio.Event().wait()
+
+            engine.before_order = stall
+            await hosts.declare(1)
+            await asyncio.wait_for(stalled.wait(), 3.0)
+            delivery = engine.agent.delivery
+            install = delivery.install
+            delivery.close()
+            delivery.exchange.close()
+            await asyncio.wait([install], timeout=0.5)
+            await asyncio.sleep(0)
+            assert install.done()
+            assert delivery.install is None
+            delivery.exchange.spawn(asyncio.sleep(9.0))
+            assert not delivery.exchange._tasks
+
+    asyncio.run(scenario())
+
+
 def test_install_that_is_cancelled_by_the_shutdown_ends():
     """Guards against a task that still waits for the engine as the loop ends."""
 
