Try again a write of the quarantine's row that met conflicts each time

After the last of four conflicts the write counted as done, so that ends and retrials that many hosts record at once could be stored by none. It fails now, and is tried again after a pause. The new test fails without the change.

--- a/hawthornspoke/mirror/_quarantine_record.py
+++ b/hawthornspoke/mirror/_quarantine_record.py
@@ -9,7 +9,7 @@
 import random
 
 from hawthornspoke import fields
-from hawthornspoke.base import is_failure, monotonic
+from hawthornspoke.base import Failure, is_failure, monotonic
 from hawthornspoke.mirror._types import RowWritten
 from hawthornspoke.quarantine import (
     EVIDENCE_LIFETIME,
@@ -34,6 +34,9 @@
 #: Maximum attempts to write the row after conflicts with other hosts.
 MAX_WRITE_ATTEMPTS = 4
 
+#: Other hosts wrote the row each time, so that this write has to be tried again.
+CONFLICT = Failure(code="row_conflict", reason="other hosts wrote the row")
+
 #: Milliseconds in a second.
 MS = 1000
 
@@ -232,7 +235,7 @@
             )
             if is_failure(answer) or isinstance(answer, RowWritten):
                 return answer if is_failure(answer) else None
-        return None
+        return CONFLICT
 
     def _drop_cleared(self, entry):
         """Drop evidence that answers have cleared; return how much there was."""
--- a/hawthornspoke/mirror/tests/test_quarantine_record.py
+++ b/hawthornspoke/mirror/tests/test_quarantine_record.py
@@ -8,7 +8,11 @@
 
 from hawthornspoke.base import Failure, monotonic
 from hawthornspoke.mirror import QuarantineRecorder, Row, RowWritten, TableUpdate
-from hawthornspoke.mirror._quarantine_record import KEY, MAX_REQUESTS
+from hawthornspoke.mirror._quarantine_record import (
+    KEY,
+    MAX_REQUESTS,
+    MAX_WRITE_ATTEMPTS,
+)
 from hawthornspoke.quarantine import EVIDENCE_LIFETIME, Evidence, Retrial
 
 MADE_AT = 1000.0
@@ -264,3 +268,14 @@
     )
     run_record(store, suspects)
     assert [item["fingerprint"] for item in store.written[0][1]] == ["g"]
+
+
+def test_write_that_meets_conflicts_each_time_is_tried_again():
+    """Guards against a retrial or an end that no host stores, as many write at once."""
+    conflicts = [empty_table_update(), None] * MAX_WRITE_ATTEMPTS
+    store = FakeStore(
+        empty_table_update(), *conflicts, empty_table_update(), RowWritten(revision=8)
+    )
+    events = run_record(store, FakeSuspects(evidence()), seconds=1.5)
+    assert events.count("quarantine_unrecorded") == 1
+    assert len(store.written) == MAX_WRITE_ATTEMPTS + 1
