Don't cut a stream that gets events as its request is quarantined

A caller's stream ended after its first events while its engine was sound: a quarantine of the whole request withdrew all its attempts, also those that had begun to answer. Only what has had no event is withdrawn now.

The new test fails without the change: the caller gets event 1 of 2 and a closed connection. Whether this is the reported lost request isn't known.

--- a/hawthornspoke/relay/_suspects.py
+++ b/hawthornspoke/relay/_suspects.py
@@ -469,18 +469,16 @@
         self._record_observed(set(outcome.fingerprints))
 
     def _withdraw_blocked(self, changed):
-        """Cancel requests queued at endpoints, which would crash these as well."""
+        """Cancel requests queued at endpoints, which would crash these as well.
+
+        A request that gets events while others crash endpoints may be sound, and its
+        caller has a part of the answer already.
+        """
         now = monotonic()
         for attempt, features in list(self._features_by_attempt.items()):
-            if changed.isdisjoint(features):
-                continue
-            verdict = self._verdict(features, now)
-            if not isinstance(verdict, Blocked):
+            if changed.isdisjoint(features) or attempt.has_events:
                 continue
-            # A request that gets events while others with a shared feature crash
-            # endpoints as they begin may be sound.
-            is_shared = all(kind_of(name).IS_SHARED for name in verdict.features)
-            if not (is_shared and attempt.has_events):
+            if isinstance(self._verdict(features, now), Blocked):
                 attempt.withdraw(QUARANTINED)
 
     def _record_observed(self, features):
--- a/hawthornspoke/relay/tests/test_suspects.py
+++ b/hawthornspoke/relay/tests/test_suspects.py
@@ -429,3 +429,19 @@
             assert all(item.incarnation_id.startswith("e0") for item in items)
 
     run_scenario(scenario)
+
+
+def test_stream_that_has_had_events_is_not_cut_by_a_quarantine():
+    """Guards against cutting all streams of a request that was beside other causes."""
+
+    async def scenario():
+        endpoint = ScriptedEndpoint(events([1]), delayed_stream(0.05, [], pause=0.3))
+        async with RelayHarness(endpoint, timeout=2.0) as harness:
+            fingerprint = await fingerprint_of_next(harness, "stream")
+            request_task = asyncio.create_task(harness.ask("stream"))
+            await asyncio.sleep(0.15)
+            harness.suspects.merge_evidence(evidence_against(fingerprint))
+            status, _, body, complete = await asyncio.wait_for(request_task, 1.0)
+            assert (status, event_ids(body), complete) == (200, [1, 2], True)
+
+    run_scenario(scenario)
