--- a/hawthornspoke/relay/_suspects.py
+++ b/hawthornspoke/relay/_suspects.py
@@ -27,6 +27,8 @@
     decode_evidence,
     kind_of,
 )
+from hawthornspoke.relay._broken_off import BrokenOff, UnexplainedBreaks
+from hawthornspoke.relay._retrial_claims import RetrialClaims
 from hawthornspoke.relay._sharing import EvidenceSharing
 from hawthornspoke.relay._try import PROBE_TIMEOUT
 
@@ -52,13 +54,6 @@
 #: if it has sent an event since.
 JUST_BEGUN = 0.25
 
-#: Seconds between two claims for a retrial of the same feature.
-CLAIM_PAUSE = 0.5
-
-#: Seconds from a broken connection within which the platform's list may show that the
-#: endpoint had ended, though another process listens there already.
-REPLACEMENT_TIME = 5.0
-
 
 class PoisonRequestTracker:
     """Finds out which requests crash endpoints, and shares the evidence.
@@ -91,8 +86,8 @@
         "_observed_locally",
         "_unrecorded",
         "_has_unrecorded",
-        "_claim_by_feature",
-        "_broken_by_incarnation",
+        "_claims",
+        "_unexplained_breaks",
         "_record_deadline",
     )
 
@@ -112,8 +107,10 @@
         self._observed_locally = collections.deque(maxlen=MAX_OBSERVED)
         self._unrecorded = set()
         self._has_unrecorded = asyncio.Event()
-        self._claim_by_feature = {}
-        self._broken_by_incarnation = {}
+        self._claims = RetrialClaims(
+            sharing=self.sharing, on_granted=self._step, metrics=metrics
+        )
+        self._unexplained_breaks = UnexplainedBreaks(fleet=fleet)
         self._record_deadline = None
 
     def await_record(self, deadline):
@@ -153,7 +150,7 @@
         names = " ".join(sorted(verdict.features))
         if isinstance(verdict, Blocked):
             if verdict.is_due:
-                self._claim_retrials(verdict.features)
+                self._claims.claim(verdict.features)
             return QUARANTINED.with_reason(
                 names, retry_after=round(verdict.deadline - now, 1)
             )
@@ -236,7 +233,7 @@
             features = features[:1]
         self._features_by_incarnation.setdefault(incarnation_id, set()).update(features)
         if incarnation_id not in self._probe_by_incarnation:
-            broken = _BrokenOff(placement=placement, service=service)
+            broken = BrokenOff(placement=placement, service=service)
             probe = asyncio.get_running_loop().create_task(
                 self._probe(incarnation_id, broken)
             )
@@ -263,18 +260,13 @@
             await asyncio.wait(probes)
 
     def on_endpoints_listed(self):
-        """Record ends that the platform's list shows; see ``REPLACEMENT_TIME``.
+        """Record ends that the platform's list shows.
 
         They count against shared features only. The list comes too late to tell a mass
         failure, at which whole requests that come often may have been at each endpoint.
         """
-        now = monotonic()
-        for incarnation_id, broken in list(self._broken_by_incarnation.items()):
-            if now >= broken.at + REPLACEMENT_TIME:
-                del self._broken_by_incarnation[incarnation_id]
-            elif self._fleet.is_replaced(broken.placement):
-                del self._broken_by_incarnation[incarnation_id]
-                self._record_end(incarnation_id, broken, is_late=True)
+        for incarnation_id, broken in self._unexplained_breaks.pop_ended():
+            self._record_late_end(incarnation_id, broken)
 
     def merge_evidence(self, frame):
         """Merge evidence received from an agent.
@@ -323,11 +315,9 @@
 
     def close(self):
         """Cancel all probes of endpoints, and all claims."""
-        for task in (
-            *self._probe_by_incarnation.values(),
-            *self._claim_by_feature.values(),
-        ):
-            task.cancel()
+        for probe in self._probe_by_incarnation.values():
+            probe.cancel()
+        self._claims.close()
 
     async def _probe(self, incarnation_id, broken):
         placement = broken.placement
@@ -344,10 +334,9 @@
             idle_ended = ()
             if not in_use:
                 idle_ended = await self._probe_idle(placement, broken.service)
-            self._record_end(incarnation_id, broken, idle_ended=idle_ended)
-            return
-        if self._fleet.is_replaced(placement):
-            self._record_end(incarnation_id, broken, is_late=True)
+            self._record_end(
+                incarnation_id, broken, in_use=in_use, idle_ended=idle_ended
+            )
             return
         self._log.change(
             "endpoint_still_listens",
@@ -355,13 +344,18 @@
             started_ms=placement.incarnation.started_ms,
             shared=sorted(name for name in features if kind_of(name).IS_SHARED),
         )
-        known = self._broken_by_incarnation.setdefault(incarnation_id, broken)
-        known.features |= features
+        self._unexplained_breaks.add(incarnation_id, broken)
+        self.on_endpoints_listed()
 
-    def _record_end(self, incarnation_id, broken, *, idle_ended=(), is_late=False):
+    def _record_late_end(self, incarnation_id, broken):
+        broken.features = {name for name in broken.features if kind_of(name).IS_SHARED}
+        in_use = self._fleet.endpoints_in_use(broken.service)
+        self._record_end(incarnation_id, broken, in_use=in_use, is_late=True)
+
+    def _record_end(
+        self, incarnation_id, broken, *, in_use, idle_ended=(), is_late=False
+    ):
         placement, features = broken.placement, broken.features
-        if is_late:
-            features = {name for name in features if kind_of(name).IS_SHARED}
         self._log.change(
             "endpoint_ended",
             endpoint=placement.endpoint_id,
@@ -374,7 +368,7 @@
         ended = EndpointEnded(
             incarnation_id=incarnation_id,
             fingerprints=tuple(sorted(features)),
-            other_endpoints_in_use=self._fleet.endpoints_in_use(broken.service),
+            other_endpoints_in_use=in_use,
             idle_ended=idle_ended,
             ended_at=broken.at,
         )
@@ -417,27 +411,6 @@
                 self._log.change("released", fingerprint=outcome.fingerprint)
                 self._record_observed({outcome.fingerprint})
 
-    def _claim_retrials(self, features):
-        """Claim retrials of quarantined features, each once at a time."""
-        for feature in features:
-            if feature not in self._claim_by_feature:
-                self._claim_by_feature[feature] = (
-                    asyncio.get_running_loop().create_task(self._claim(feature))
-                )
-
-    async def _claim(self, feature):
-        try:
-            granted = await self.sharing.claim_retrial(feature)
-            if granted is not None:
-                self._step(granted)
-            self._metrics.count(
-                "retrial_claims_total",
-                outcome="denied" if granted is None else "granted",
-            )
-            await asyncio.sleep(CLAIM_PAUSE)
-        finally:
-            del self._claim_by_feature[feature]
-
     def _share_retrials(self, retrials):
         self.sharing.share(retrials)
         if retrials:
@@ -488,18 +461,6 @@
             self._has_unrecorded.set()
 
 
-class _BrokenOff:
-    """Requests at one incarnation of an endpoint that were broken off at a time."""
-
-    __slots__ = ("placement", "service", "features", "at")
-
-    def __init__(self, *, placement, service):
-        self.placement = placement
-        self.service = service
-        self.features = set()
-        self.at = monotonic()
-
-
 def _incarnation_id(target):
     """Return an id of one incarnation (process run) of an endpoint.
 
