Drop expired ends from the quarantine's row

The row keeps five ends of a part, the earliest first; once these had expired, later ones found no room, and a start after that knew none that count. The new test fails without the change.

--- a/hawthornspoke/mirror/_quarantine_record.py
+++ b/hawthornspoke/mirror/_quarantine_record.py
@@ -222,9 +222,9 @@
                 return row
             entries, made_at, revision = row
             added = _entries_from_evidence(items, made_at)
-            has_cleared = sum(map(self._drop_cleared, entries)) > 0
+            dropped = sum(self._drop_obsolete(entry, made_at) for entry in entries)
             known = {entry.fingerprint: entry for entry in entries}
-            if not has_cleared and all(
+            if not dropped and all(
                 entry.fingerprint in known and known[entry.fingerprint].covers(entry)
                 for entry in added
             ):
@@ -237,13 +237,17 @@
                 return answer if is_failure(answer) else None
         return CONFLICT
 
-    def _drop_cleared(self, entry):
-        """Drop evidence that answers have cleared; return how much there was."""
+    def _drop_obsolete(self, entry, made_at):
+        """Drop evidence that has expired or is cleared; return how much there was."""
         cleared = self._suspects.cleared_incarnations(entry.fingerprint)
-        found = cleared & entry.until_by_incarnation.keys()
-        for incarnation_id in found:
+        obsolete = [
+            incarnation_id
+            for incarnation_id, until in entry.until_by_incarnation.items()
+            if incarnation_id in cleared or until <= made_at
+        ]
+        for incarnation_id in obsolete:
             del entry.until_by_incarnation[incarnation_id]
-        return len(found)
+        return len(obsolete)
 
     async def _read_row(self):
         """Return the entries, the time of the platform's answer and the revision.
--- a/hawthornspoke/mirror/tests/test_quarantine_record.py
+++ b/hawthornspoke/mirror/tests/test_quarantine_record.py
@@ -10,6 +10,7 @@
 from hawthornspoke.mirror import QuarantineRecorder, Row, RowWritten, TableUpdate
 from hawthornspoke.mirror._quarantine_record import (
     KEY,
+    MAX_INCARNATIONS_PER_REQUEST,
     MAX_REQUESTS,
     MAX_WRITE_ATTEMPTS,
 )
@@ -279,3 +280,17 @@
     events = run_record(store, FakeSuspects(evidence()), seconds=1.5)
     assert events.count("quarantine_unrecorded") == 1
     assert len(store.written) == MAX_WRITE_ATTEMPTS + 1
+
+
+def test_expired_ends_leave_room_for_later_ones():
+    """Guards against a restart that knows only ends of long ago."""
+    names = [f"old{number}" for number in range(MAX_INCARNATIONS_PER_REQUEST)]
+    old = {
+        **entry("f"),
+        "starts": names,
+        "until_ms_by_start": [int(1000 * (MADE_AT - 1.0))] * len(names),
+    }
+    store = FakeStore(empty_table_update(), table_update(old), RowWritten(revision=8))
+    run_record(store, FakeSuspects(evidence("f")))
+    ((_, (written,)),) = store.written
+    assert written["starts"] == INCARNATION_IDS
