--- a/hawthornspoke/fields/__init__.py
+++ b/hawthornspoke/fields/__init__.py
@@ -12,7 +12,6 @@
     bytes_of_base64,
     child,
     children,
-    decode_each,
     failure_on_field_error,
     flag,
     integer_of_text,
@@ -24,9 +23,6 @@
     numbers,
     one_of,
     parse_digits,
-    parse_entries,
-    parse_json,
-    parse_object,
     path,
     port,
     text,
@@ -35,6 +31,12 @@
     whole_number,
 )
 from hawthornspoke.fields._lenient import LenientReader
+from hawthornspoke.fields._parsing import (
+    decode_each,
+    parse_entries,
+    parse_json,
+    parse_object,
+)
 
 __all__ = [
     "MAX_COUNT",
