--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -45,6 +45,27 @@
 
 
 MUTATIONS = [
+    Mutation(
+        name="an agent grants a retrial of a part to each host",
+        file="quarantine/_exchange.py",
+        old="        if feature in granted_until or not knows_all:",
+        new="        if not knows_all:",
+        test="hawthornspoke/quarantine/tests/test_trials.py -k one_host_at_a_time",
+    ),
+    Mutation(
+        name="a host serves before it has read the stored evidence",
+        file="relay/_handler.py",
+        old="        if not self._suspects.is_informed:",
+        new="        if False:",
+        test="hawthornspoke/relay/tests/test_suspects.py -k stored_evidence_is_read",
+    ),
+    Mutation(
+        name="an end that the list shows is no evidence",
+        file="relay/_broken_off.py",
+        old="            is_replaced = self._fleet.is_replaced(broken.placement)",
+        new="            is_replaced = False",
+        test="platform/adapter/tests/test_part_retrials.py -k listen_again",
+    ),
     Mutation(
         name="reading from the endpoint of a slow caller never pauses",
         file="httpio/_client.py",
