Count answers that may belong to an earlier request of their connection

unmatched_responses_total{kind} tells apart answers with another request's id, which are discarded, and answers without an id on a connection that carried requests before, which are given to the next caller so far. Without it, neither logs nor metrics show whether an endpoint repeats answers.

--- a/hawthornspoke/httpio/_client.py
+++ b/hawthornspoke/httpio/_client.py
@@ -37,6 +37,10 @@
 #: discarded.
 MAX_DISCARDED_BYTES = 4 * 1024 * 1024
 
+#: Kinds of responses that may not belong to the request; label of the counter.
+OTHER_ID = "other_id"
+NO_ID = "no_id"
+
 CONNECT_FAILED = Failure(code="connect_failed")
 CONNECTION_BROKEN = Failure(code="connection_broken")
 NOT_SENT = Failure(code="not_sent")
@@ -56,6 +60,9 @@
         Maximum bytes of a response that are held unread without a memory budget.
     on_oversized : callable or None, default=None
         Called with ``part``, what the endpoint sent too much of.
+    on_unmatched : callable or None, default=None
+        Called with the kind of a response that may not belong to the request:
+        ``OTHER_ID`` or ``NO_ID``.
     """
 
     def __init__(
@@ -65,11 +72,13 @@
         receive_buffer=None,
         max_unread_bytes=MAX_UNREAD_BYTES,
         on_oversized=None,
+        on_unmatched=None,
     ):
         self.id_header = id_header
         self.receive_buffer = receive_buffer
         self.max_unread_bytes = max_unread_bytes
         self.on_oversized = on_oversized
+        self.on_unmatched = on_unmatched
         self.transport = None
         self.exchange = None
         self.idle_deadline = 0.0
@@ -268,14 +277,11 @@
         if status < 200:
             self._discarding = True
             return
-        wanted_id = self.exchange.expected_id
-        received_id = head.get(self.id_header) if self.id_header else None
+        kind = self._mismatch(head)
+        if kind is not None and self.on_unmatched is not None:
+            self.on_unmatched(kind)
         # A late response to an earlier request carries the id of that request.
-        self._discarding = (
-            wanted_id is not None
-            and received_id is not None
-            and received_id != wanted_id
-        )
+        self._discarding = kind == OTHER_ID
         if self._discarding:
             return
         self._head = head
@@ -305,6 +311,16 @@
         if self._excess is None:
             self.exchange.end()
 
+    def _mismatch(self, head):
+        """Return why a response may belong to an earlier request, None if it can't."""
+        wanted_id = self.exchange.expected_id
+        if wanted_id is None or self.id_header is None:
+            return None
+        received_id = head.get(self.id_header)
+        if received_id is not None:
+            return None if received_id == wanted_id else OTHER_ID
+        return None if self.requests == 1 else NO_ID
+
     def _discard(self, body):
         self._discarded_bytes += len(body)
         self._feed.record_discarded(len(body))
--- a/hawthornspoke/httpio/_pool.py
+++ b/hawthornspoke/httpio/_pool.py
@@ -45,7 +45,8 @@
     Attributes
     ----------
     metrics : Metrics or None
-        Counts the responses beyond a limit; may be set later.
+        Counts the responses beyond a limit, and those that may not belong to the
+        request; may be set later.
     earliest_arrival : callable
         Returns a lower bound on the time at which data that is read now has arrived;
         may be set later. An endpoint counts the idle time of a connection from then,
@@ -124,6 +125,7 @@
             receive_buffer=self.receive_buffer,
             max_unread_bytes=self.max_unread_bytes,
             on_oversized=self._count_oversized,
+            on_unmatched=self._count_unmatched,
         )
 
     def return_connection(self, key, connection, *, incarnation=None):
@@ -207,3 +209,7 @@
     def _count_oversized(self, part):
         if self.metrics is not None:
             self.metrics.count("oversized_responses_total", part=part)
+
+    def _count_unmatched(self, kind):
+        if self.metrics is not None:
+            self.metrics.count("unmatched_responses_total", kind=kind)
