Give a late answer without an id to no other request of its connection

Callers got the whole answer of another request, its failure, or a refusal that promised that their request hadn't run while it ran: an endpoint that repeats an answer late puts it where the next answer of its connection is due.

Cause: a response counted as late only if it named another request. One that names none counted as the expected one. Endpoints echo the id, so on a connection that has carried another request silence proves nothing.

A response without an id is now accepted only for the first request of a connection, which is then not reused; later it is discarded like one with another id, and the request's own response is read behind it.

--- a/hawthornspoke/httpio/_client.py
+++ b/hawthornspoke/httpio/_client.py
@@ -280,8 +280,7 @@
         kind = self._mismatch(head)
         if kind is not None and self.on_unmatched is not None:
             self.on_unmatched(kind)
-        # A late response to an earlier request carries the id of that request.
-        self._discarding = kind == OTHER_ID
+        self._discarding = kind is not None
         if self._discarding:
             return
         self._head = head
@@ -319,8 +318,14 @@
         received_id = head.get(self.id_header)
         if received_id is not None:
             return None if received_id == wanted_id else OTHER_ID
+        # Only what answers the first request of a connection can't be late.
         return None if self.requests == 1 else NO_ID
 
+    def _is_identified(self, head):
+        if self.exchange.expected_id is None or self.id_header is None:
+            return True
+        return head.get(self.id_header) is not None
+
     def _discard(self, body):
         self._discarded_bytes += len(body)
         self._feed.record_discarded(len(body))
@@ -361,7 +366,7 @@
     def _update_keep_alive(self, head):
         if "close" in head.get("connection", "").lower():
             self.reusable = False
-        if not self._has_framing:
+        if not self._has_framing or not self._is_identified(head):
             self.reusable = False
         announced = head.get("keep-alive", "")
         for part in announced.split(","):
--- /dev/null
+++ b/hawthornspoke/relay/tests/test_unmatched_answers.py
@@ -0,0 +1,95 @@
+"""Bytes that arrive on a kept connection before the answer to its request."""
+
+import pytest
+
+from hawthornspoke.relay.tests.relay_harness import (
+    RelayHarness,
+    ScriptedEndpoint,
+    answer,
+    events,
+    stream_event,
+    stream_head,
+)
+from hawthornspoke.relay.tests.test_forward import event_ids, run_scenario
+
+
+def late_answer(status, body, *, fields=()):
+    """Return the bytes of a sealed answer that names no request."""
+    lines = [f"HTTP/1.1 {status} X", "X-Seal: s", f"Content-Length: {len(body)}"]
+    return "\r\n".join([*lines, *fields, "", ""]).encode() + body
+
+
+def preceded_by(data, step):
+    """Return a step that sends other bytes before an answer."""
+
+    async def send(endpoint, head, writer):
+        writer.write(data)
+        return await step(endpoint, head, writer)
+
+    return send
+
+
+async def ask_twice(harness, prefix):
+    """Answer one request, and return what the caller of the next one gets."""
+    status, _, _, _ = await harness.ask("again")
+    assert status == 200
+    opened = harness.pool.opened
+    result = await harness.ask(prefix)
+    assert harness.pool.opened == opened
+    return result
+
+
+UNIDENTIFIED = {
+    "success": late_answer(200, b"of another"),
+    "failure": late_answer(500, b"of another"),
+    "refusal": late_answer(503, b"", fields=["X-Not-Run: 1"]),
+    "invalid request": late_answer(400, b"", fields=["X-Not-Run: 1"]),
+    "several": late_answer(200, b"of another") + late_answer(500, b"again"),
+}
+
+
+@pytest.mark.parametrize("prefix", ["once", "again"])
+@pytest.mark.parametrize("name", UNIDENTIFIED)
+def test_late_answer_without_an_id_is_not_given_to_the_next_request(name, prefix):
+    """Guards against callers that get another request's answer."""
+
+    async def scenario():
+        endpoint = ScriptedEndpoint(
+            answer(), preceded_by(UNIDENTIFIED[name], answer(body=b"own"))
+        )
+        async with RelayHarness(endpoint, timeout=2.0) as harness:
+            status, _, body, _ = await ask_twice(harness, prefix)
+            assert (status, body) == (200, b"own")
+            assert len(endpoint.requests) == 2
+
+    run_scenario(scenario)
+
+
+def test_late_stream_without_an_id_is_not_given_to_the_next_request():
+    """Guards against a stream that begins with the events of another request."""
+    late = stream_head("").replace(b"X-Request-Id: None\r\n", b"")
+    late += stream_event(7) + b"0\r\n\r\n"
+
+    async def scenario():
+        endpoint = ScriptedEndpoint(answer(), preceded_by(late, events([1, 2])))
+        async with RelayHarness(endpoint, timeout=2.0) as harness:
+            status, _, body, complete = await ask_twice(harness, "stream")
+            assert (status, event_ids(body), complete) == (200, [1, 2], True)
+
+    run_scenario(scenario)
+
+
+def test_answer_without_an_id_to_the_first_request_of_a_connection_is_its_answer():
+    async def respond(endpoint, head, writer):
+        writer.write(late_answer(200, b"own"))
+
+    async def scenario():
+        endpoint = ScriptedEndpoint(respond, respond)
+        async with RelayHarness(endpoint, timeout=2.0) as harness:
+            for _ in range(2):
+                status, _, body, _ = await harness.ask("once")
+                assert (status, body) == (200, b"own")
+            # What follows on such a connection couldn't be told from a late answer.
+            assert harness.pool.opened == 2
+
+    run_scenario(scenario)
