Reuse no connection that holds data which answers no request

A kept connection that is taken for a request may have received another answer that the event loop hasn't read yet. That answer would come before the expected one, and the request end with it if it can't be told apart. The pool now closes such a connection and takes another one, or opens one.

The test failed before: the request was sent on the connection.

--- a/hawthornspoke/httpio/_pool.py
+++ b/hawthornspoke/httpio/_pool.py
@@ -114,7 +114,9 @@
         now = boottime_clock()
         while idle and not fresh:
             connection = idle.pop().connection
-            if now < connection.idle_deadline and connection.is_open:
+            # An answer to no request may have arrived that the event loop hasn't read.
+            is_usable = connection.is_open and not connection.has_unread_data()
+            if now < connection.idle_deadline and is_usable:
                 return connection
             connection.abort()
         self.opened += 1
--- a/hawthornspoke/relay/tests/relay_harness.py
+++ b/hawthornspoke/relay/tests/relay_harness.py
@@ -64,6 +64,7 @@
         self.closed_early = 0
         self.is_retired = False
         self.reader = None
+        self.writer = None
         self._server = None
 
     async def start(self):
@@ -87,7 +88,7 @@
                         length = int(line.split(":")[1])
                 body = await reader.readexactly(length)
                 self.requests.append((head.decode("latin-1"), body))
-                self.reader = reader
+                self.reader, self.writer = reader, writer
                 step = self.steps.pop(0) if self.steps else answer()
                 if await step(self, head.decode("latin-1"), writer) is False:
                     writer.transport.abort()
--- a/hawthornspoke/relay/tests/test_unmatched_answers.py
+++ b/hawthornspoke/relay/tests/test_unmatched_answers.py
@@ -93,3 +93,21 @@
             assert harness.pool.opened == 2
 
     run_scenario(scenario)
+
+
+def test_no_request_is_sent_on_a_connection_with_unread_data():
+    """Guards against a late answer that arrives right before the next request."""
+
+    async def scenario():
+        endpoint = ScriptedEndpoint(answer(), answer(body=b"own"))
+        async with RelayHarness(endpoint, timeout=2.0) as harness:
+            await harness.ask("again")
+            (idle,) = harness.pool._idle_by_key["e0"]
+            idle.connection.transport.pause_reading()
+            endpoint.writer.write(late_answer(200, b"of another"))
+            await endpoint.writer.drain()
+            status, _, body, _ = await harness.ask("once")
+            assert (status, body) == (200, b"own")
+            assert not idle.connection.is_open
+
+    run_scenario(scenario)
