End a request at once whose answer is hidden by an unfinished late answer

Callers got a 504 at their deadline, though the endpoint had answered long before, and requests that may be repeated waited until another endpoint was asked as well.

Cause: a late answer to another request is discarded up to its end. One without a length has none, and one that was cut short takes the answer behind it for its body.

Such an exchange now fails as soon as that is known: at the head of a discarded answer that doesn't say where it ends, or at the expected id inside what is discarded, also if it arrives in two parts. The request may have run, so it is repeated only where its route allows it. The failure has a code of its own, as a broken connection counts as evidence that the endpoint ended. If nothing follows a cut answer, nothing is known, and the deadline or a second attempt decides as before.

--- a/hawthornspoke/httpio/_client.py
+++ b/hawthornspoke/httpio/_client.py
@@ -21,6 +21,7 @@
     MAX_HEAD_FIELDS,
     BoundedFeed,
 )
+from hawthornspoke.httpio._matching import HIDDEN, ResponseMatcher
 from hawthornspoke.httpio._message import HOP_BY_HOP, Response, encode_head
 from hawthornspoke.httpio._options import set_socket_options
 from hawthornspoke.memory_budget import SENDING
@@ -37,14 +38,14 @@
 #: discarded.
 MAX_DISCARDED_BYTES = 4 * 1024 * 1024
 
-#: Kinds of responses that may not belong to the request; label of the counter.
-OTHER_ID = "other_id"
-NO_ID = "no_id"
+#: Final statuses of responses that never have a body.
+BODILESS_STATUSES = (204, 304)
 
 CONNECT_FAILED = Failure(code="connect_failed")
 CONNECTION_BROKEN = Failure(code="connection_broken")
 NOT_SENT = Failure(code="not_sent")
 NOT_HTTP = Failure(code="not_http")
+UNREADABLE = Failure(code="unreadable")
 
 
 class ClientConnection(asyncio.Protocol):
@@ -61,8 +62,8 @@
     on_oversized : callable or None, default=None
         Called with ``part``, what the endpoint sent too much of.
     on_unmatched : callable or None, default=None
-        Called with the kind of a response that may not belong to the request:
-        ``OTHER_ID`` or ``NO_ID``.
+        Called with the kind of a response that may not belong to the request, or that
+        hides the response to it.
     """
 
     def __init__(
@@ -86,6 +87,7 @@
         self.reusable = True
         self._parser = None
         self._feed = None
+        self._matcher = None
         self._head = None
         self._discarding = False
         self._discarded_bytes = 0
@@ -188,6 +190,11 @@
         self.requests += 1
         self._parser = httptools.HttpResponseParser(self)
         self._feed = BoundedFeed(parser=self._parser)
+        self._matcher = ResponseMatcher(
+            id_header=self.id_header,
+            expected_id=expected_id,
+            is_first=self.requests == 1,
+        )
         self._head = None
         self._discarding = False
         self._discarded_bytes = 0
@@ -260,6 +267,8 @@
 
     def on_header(self, name, value):
         if self._is_trailer:
+            if self._discarding:
+                self._find_own_response(name + b":" + value)
             return
         if len(self._headers) == MAX_HEAD_FIELDS:
             self._excess = self._excess or HEAD
@@ -268,7 +277,7 @@
 
     def on_headers_complete(self):
         self._is_trailer = True
-        if self._excess is not None:
+        if self._has_failed:
             return
         status = self._parser.get_status_code()
         head = Response(status=status, headers=self._headers)
@@ -277,18 +286,13 @@
         if status < 200:
             self._discarding = True
             return
-        kind = self._mismatch(head)
-        if kind is not None and self.on_unmatched is not None:
-            self.on_unmatched(kind)
-        self._discarding = kind is not None
-        if self._discarding:
+        kind = self._matcher.mismatch(head)
+        if kind is not None:
+            self._start_discarding(kind, head)
             return
         self._head = head
         self._feed.record_progress()
-        self._has_framing = (
-            head.get("content-length") is not None
-            or "chunked" in head.get("transfer-encoding", "").lower()
-        )
+        self._has_framing = _has_framing(head)
         self._update_keep_alive(head)
         self.exchange.receive_head(head)
         if self.exchange.account is not None:
@@ -297,7 +301,7 @@
     def on_body(self, body):
         if self._discarding:
             self._discard(body)
-        elif self._excess is None and not self.exchange.complete:
+        elif not self._has_failed and not self.exchange.complete:
             self._feed.record_progress()
             if not self.exchange.receive_body(body):
                 self._excess = BODY
@@ -310,27 +314,37 @@
         if self._excess is None:
             self.exchange.end()
 
-    def _mismatch(self, head):
-        """Return why a response may belong to an earlier request, None if it can't."""
-        wanted_id = self.exchange.expected_id
-        if wanted_id is None or self.id_header is None:
-            return None
-        received_id = head.get(self.id_header)
-        if received_id is not None:
-            return None if received_id == wanted_id else OTHER_ID
-        # Only what answers the first request of a connection can't be late.
-        return None if self.requests == 1 else NO_ID
-
-    def _is_identified(self, head):
-        if self.exchange.expected_id is None or self.id_header is None:
-            return True
-        return head.get(self.id_header) is not None
+    @property
+    def _has_failed(self):
+        return self._excess is not None or self.exchange.failure is not None
+
+    def _start_discarding(self, kind, head):
+        self._discarding = True
+        self._count_unmatched(kind)
+        self._matcher.start_discarding()
+        if head.status not in BODILESS_STATUSES and not _has_framing(head):
+            self._fail_unreadable("behind a response without a length")
+
+    def _find_own_response(self, data):
+        if self._matcher.hides_own_response(data):
+            self._fail_unreadable("inside a response to another request")
+
+    def _fail_unreadable(self, place):
+        if not self._has_failed:
+            self.reusable = False
+            self._count_unmatched(HIDDEN)
+            self.exchange.end(UNREADABLE.with_reason(f"the response is {place}"))
+
+    def _count_unmatched(self, kind):
+        if self.on_unmatched is not None:
+            self.on_unmatched(kind)
 
     def _discard(self, body):
         self._discarded_bytes += len(body)
         self._feed.record_discarded(len(body))
         if self._discarded_bytes > MAX_DISCARDED_BYTES:
             self._excess = self._excess or DISCARDED
+        self._find_own_response(body)
 
     def _reserve_body(self, size):
         account = self.exchange.account
@@ -366,7 +380,7 @@
     def _update_keep_alive(self, head):
         if "close" in head.get("connection", "").lower():
             self.reusable = False
-        if not self._has_framing or not self._is_identified(head):
+        if not self._has_framing or not self._matcher.is_identified(head):
             self.reusable = False
         announced = head.get("keep-alive", "")
         for part in announced.split(","):
@@ -376,6 +390,14 @@
                 self._idle_timeout = float(seconds)
 
 
+def _has_framing(head):
+    """Return whether a response with a body says where it ends."""
+    return (
+        head.get("content-length") is not None
+        or "chunked" in head.get("transfer-encoding", "").lower()
+    )
+
+
 def encode_request(*, method, target, headers, body=b""):
     """Encode a request.
 
--- /dev/null
+++ b/hawthornspoke/httpio/_matching.py
@@ -0,0 +1,80 @@
+"""Tells the response to a request from late responses to earlier ones."""
+
+import re
+
+#: Kinds of responses that may not belong to the request; label of the counter.
+OTHER_ID = "other_id"
+NO_ID = "no_id"
+HIDDEN = "hidden"
+
+#: Maximum bytes of white space after the colon of a header field.
+_MAX_SPACE = 8
+
+
+class ResponseMatcher:
+    """Matches the responses that a connection receives to one request.
+
+    Parameters
+    ----------
+    id_header : str or None
+        Header by which a response is matched; None accepts any response.
+    expected_id : str or None
+        Id that the response has to echo; None accepts any response.
+    is_first : bool
+        Whether the connection has carried no other request.
+    """
+
+    __slots__ = ("_id_header", "_expected_id", "_is_first", "_own_field", "_tail")
+
+    def __init__(self, *, id_header, expected_id, is_first):
+        self._id_header = None if expected_id is None else id_header
+        self._expected_id = expected_id
+        self._is_first = is_first
+        self._own_field = None
+        self._tail = b""
+
+    def mismatch(self, head):
+        """Return why a response may belong to an earlier request, None if it can't."""
+        if self._id_header is None:
+            return None
+        received_id = head.get(self._id_header)
+        if received_id is not None:
+            return None if received_id == self._expected_id else OTHER_ID
+        # Only what answers the first request of a connection can't be late.
+        return None if self._is_first else NO_ID
+
+    def is_identified(self, head):
+        """Return whether a response that is accepted names its request."""
+        return self._id_header is None or head.get(self._id_header) is not None
+
+    def start_discarding(self):
+        """Prepare for the body of a response that is discarded."""
+        self._tail = b""
+        name = re.escape(self._id_header.encode("latin-1"))
+        value = re.escape(self._expected_id.encode("latin-1"))
+        self._own_field = re.compile(
+            rb"%b:[ \t]{0,%d}%b" % (name, _MAX_SPACE, value), re.IGNORECASE
+        )
+
+    def hides_own_response(self, data):
+        """Return whether what is discarded contains the head of the own response.
+
+        The response that is discarded was cut short then.
+
+        Parameters
+        ----------
+        data : bytes
+            Next part of a body; the field may be split between two parts.
+
+        Returns
+        -------
+        bool
+        """
+        if self._own_field is None:
+            return False
+        data = self._tail + data
+        if self._own_field.search(data) is not None:
+            return True
+        length = len(self._id_header) + 1 + _MAX_SPACE + len(self._expected_id)
+        self._tail = data[1 - length :]
+        return False
--- a/hawthornspoke/relay/tests/test_unmatched_answers.py
+++ b/hawthornspoke/relay/tests/test_unmatched_answers.py
@@ -1,7 +1,10 @@
 """Bytes that arrive on a kept connection before the answer to its request."""
 
+import asyncio
+
 import pytest
 
+from hawthornspoke.base import monotonic
 from hawthornspoke.relay.tests.relay_harness import (
     RelayHarness,
     ScriptedEndpoint,
@@ -12,6 +15,9 @@
 )
 from hawthornspoke.relay.tests.test_forward import event_ids, run_scenario
 
+#: Field of an answer that names another request than that of the caller.
+OTHER = "X-Request-Id: other"
+
 
 def late_answer(status, body, *, fields=()):
     """Return the bytes of a sealed answer that names no request."""
@@ -111,3 +117,69 @@
             assert not idle.connection.is_open
 
     run_scenario(scenario)
+
+
+#: The expected answer: a head alone.
+OWN = b"HTTP/1.1 204 X\r\nX-Seal: s\r\nX-Request-Id: r1\r\n\r\n"
+
+UNREADABLE = {
+    "without a length": f"HTTP/1.1 200 X\r\nX-Seal: s\r\n{OTHER}\r\n\r\nof an".encode(),
+    "cut short": late_answer(200, b"x" * 5000, fields=[OTHER])[:-4000],
+    "cut short, in chunks": (
+        f"HTTP/1.1 200 X\r\nX-Seal: s\r\n{OTHER}\r\n".encode()
+        + b"Transfer-Encoding: chunked\r\n\r\nfff\r\nof another"
+    ),
+    "cut short, in a trailer": (
+        f"HTTP/1.1 200 X\r\nX-Seal: s\r\n{OTHER}\r\n".encode()
+        + b"Transfer-Encoding: chunked\r\n\r\n0\r\nX-Sum: 1"
+    ),
+    "cut short, without an id": late_answer(200, b"x" * 5000)[:-4000],
+}
+
+
+@pytest.mark.parametrize("sent_last", [0, 5, 15])
+@pytest.mark.parametrize("prefix", ["once", "stream"])
+@pytest.mark.parametrize("name", UNREADABLE)
+def test_request_behind_an_unfinished_late_answer_ends_at_once(name, prefix, sent_last):
+    """Guards against callers that wait for an answer that can't be found any more."""
+
+    async def respond(endpoint, head, writer):
+        data = UNREADABLE[name] + OWN
+        writer.write(data[:-sent_last] if sent_last else data)
+        await asyncio.sleep(0.02)
+        writer.write(data[-sent_last:] if sent_last else b"")
+        await endpoint.reader.read()
+
+    async def scenario():
+        endpoint = ScriptedEndpoint(answer(), respond, respond)
+        async with RelayHarness(endpoint, timeout=2.0) as harness:
+            began = monotonic()
+            status, _, _, _ = await ask_twice(harness, prefix)
+            assert status == 502
+            assert monotonic() < began + 1.0
+            assert len(endpoint.requests) == 2
+            # It isn't evidence that the endpoint ended.
+            assert harness.logged("broken_off") == []
+
+    run_scenario(scenario)
+
+
+def test_request_behind_an_unfinished_late_answer_goes_to_another_endpoint():
+    """Guards against a failure where another endpoint could have answered."""
+
+    async def respond(endpoint, head, writer):
+        writer.write(UNREADABLE["without a length"])
+        await endpoint.reader.read()
+
+    async def scenario():
+        broken = ScriptedEndpoint(answer(), respond)
+        other = ScriptedEndpoint(answer(body=b"other"))
+        async with RelayHarness(broken, other, timeout=3.0) as harness:
+            harness.fleet.endpoint_by_id["e1"].own_in_flight = 1
+            await harness.ask("again")
+            began = monotonic()
+            status, _, body, _ = await harness.ask("again")
+            assert (status, body, len(broken.requests)) == (200, b"other", 2)
+            assert monotonic() < began + 1.0
+
+    run_scenario(scenario)
