Don't join the cut head of a late answer to the answer behind it

Callers got another request's status, seal or promise with their own answer's body: a success where their endpoint had failed, or a refusal that promised that their request hadn't run while it ran.

Cause: a late answer that is cut within its reason phrase or the value of a field takes the status line behind it as the rest of that value. The fields that follow, among them the expected id, then belong to the head that was cut, and the last one counts.

A head that contains the start of another status line now fails the exchange at once as unreadable; the request may have run. Cuts elsewhere in a head were errors before.

--- a/hawthornspoke/httpio/_client.py
+++ b/hawthornspoke/httpio/_client.py
@@ -21,7 +21,12 @@
     MAX_HEAD_FIELDS,
     BoundedFeed,
 )
-from hawthornspoke.httpio._matching import HIDDEN, ResponseMatcher
+from hawthornspoke.httpio._matching import (
+    HIDDEN,
+    STATUS_LINE_START_BYTES,
+    ResponseMatcher,
+    contains_status_line,
+)
 from hawthornspoke.httpio._message import HOP_BY_HOP, Response, encode_head
 from hawthornspoke.httpio._options import set_socket_options
 from hawthornspoke.memory_budget import SENDING
@@ -88,6 +93,9 @@
         self._parser = None
         self._feed = None
         self._matcher = None
+        self._headers = []
+        self._reason = b""
+        self._is_cut_head = False
         self._head = None
         self._discarding = False
         self._discarded_bytes = 0
@@ -263,8 +271,16 @@
             # can't be matched to a request.
             self.reusable = False
         self._headers = []
+        self._reason = b""
+        self._is_cut_head = False
         self._is_trailer = False
 
+    def on_status(self, reason):
+        # A reason phrase arrives in parts.
+        reason = self._reason + reason
+        self._is_cut_head = self._is_cut_head or contains_status_line(reason)
+        self._reason = reason[-STATUS_LINE_START_BYTES:]
+
     def on_header(self, name, value):
         if self._is_trailer:
             if self._discarding:
@@ -273,6 +289,7 @@
         if len(self._headers) == MAX_HEAD_FIELDS:
             self._excess = self._excess or HEAD
             return
+        self._is_cut_head = self._is_cut_head or contains_status_line(value)
         self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self):
@@ -283,6 +300,9 @@
         head = Response(status=status, headers=self._headers)
         if self._head is not None and not self._discarding:
             return
+        if self._is_cut_head:
+            self._fail_unreadable("inside the head of another response")
+            return
         if status < 200:
             self._discarding = True
             return
--- a/hawthornspoke/httpio/_matching.py
+++ b/hawthornspoke/httpio/_matching.py
@@ -10,6 +10,11 @@
 #: Maximum bytes of white space after the colon of a header field.
 _MAX_SPACE = 8
 
+#: Bytes of a status line up to the reason phrase.
+STATUS_LINE_START_BYTES = len(b"HTTP/1.1 200")
+
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] \d{3}")
+
 
 class ResponseMatcher:
     """Matches the responses that a connection receives to one request.
@@ -78,3 +83,19 @@
         length = len(self._id_header) + 1 + _MAX_SPACE + len(self._expected_id)
         self._tail = data[1 - length :]
         return False
+
+
+def contains_status_line(data):
+    """Return whether a response begins within a reason phrase or a field's value.
+
+    The head to which that belongs was cut short then.
+
+    Parameters
+    ----------
+    data : bytes
+
+    Returns
+    -------
+    bool
+    """
+    return b"HTTP/1." in data and _STATUS_LINE.search(data) is not None
--- a/hawthornspoke/relay/tests/test_unmatched_answers.py
+++ b/hawthornspoke/relay/tests/test_unmatched_answers.py
@@ -183,3 +183,29 @@
             assert monotonic() < began + 1.0
 
     run_scenario(scenario)
+
+
+CUT_HEADS = {
+    "success": b"HTTP/1.1 200 X\r\nX-Seal: of an",
+    "refusal": b"HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nX-Seal: of an",
+    "failure": b"HTTP/1.1 500 X\r\nX-Request-Id: oth",
+    "reason": b"HTTP/1.1 200 O",
+    "status": b"HTTP/1.1 200 ",
+    "end of a line": b"HTTP/1.1 200 X\r\nX-Seal: s\r\n",
+}
+
+
+@pytest.mark.parametrize("own_status", [200, 500])
+@pytest.mark.parametrize("name", CUT_HEADS)
+def test_late_answer_that_is_cut_in_its_head_lends_the_next_no_status(name, own_status):
+    """Guards against a status, seal or promise of another request's answer."""
+
+    async def scenario():
+        own = answer(own_status, b"own")
+        endpoint = ScriptedEndpoint(answer(), preceded_by(CUT_HEADS[name], own))
+        async with RelayHarness(endpoint, timeout=2.0) as harness:
+            status, head, _, _ = await ask_twice(harness, "once")
+            assert (status, "X-Seal" in head) == (502, False)
+            assert len(endpoint.requests) == 2
+
+    run_scenario(scenario)
