Send a request without an id on a connection of its own

Callers that send no id waited until their deadline (504) for the refusal with which endpoints answer such requests, as that bears no id either. On a connection that carried another request it counted as a late answer, since the change that discards those.

Such a request now always gets a new connection, on which nothing can be late; it isn't reused afterwards.

The test failed before (504 after 2 s, expected 503 within 1 s).

--- a/hawthornspoke/relay/_sending.py
+++ b/hawthornspoke/relay/_sending.py
@@ -115,7 +115,9 @@
         None or Failure
             A failure if nothing was sent.
         """
-        failure = await attempt.connect()
+        # On a connection that carried another request, an answer without an id can't be
+        # told from a late one.
+        failure = await attempt.connect(fresh=not context.request_id)
         if failure is not None:
             return failure
         # There is no await from here to the write, so the recheck still holds when the
--- a/hawthornspoke/relay/_try.py
+++ b/hawthornspoke/relay/_try.py
@@ -145,9 +145,14 @@
             return False
         return not self.has_events or monotonic() < self.head_at + seconds
 
-    async def connect(self):
+    async def connect(self, *, fresh=False):
         """Acquire a connection from the pool.
 
+        Parameters
+        ----------
+        fresh : bool, default=False
+            Whether to always open a new connection.
+
         Returns
         -------
         None or Failure
@@ -157,6 +162,7 @@
             self.placement.endpoint_id,
             self.placement.address,
             incarnation=self.placement.incarnation,
+            fresh=fresh,
         )
         if isinstance(connection, Failure):
             self._end("unreachable")
--- a/hawthornspoke/relay/tests/relay_harness.py
+++ b/hawthornspoke/relay/tests/relay_harness.py
@@ -515,12 +515,12 @@
         """Return the fields of the log entries with an event name."""
         return [fields for name, fields in self.log.entries if name == event]
 
-    async def ask(self, prefix, *, extra=(), read_time=3.0):
+    async def ask(self, prefix, *, extra=(), read_time=3.0, request_id="r1"):
         """Make a request; return status, head, body and whether it is complete."""
         reader, writer = await asyncio.open_connection(
             "127.0.0.1", self.server.bound_port
         )
-        writer.write(_request(prefix, extra))
+        writer.write(_request(prefix, extra, request_id=request_id))
         async with asyncio.timeout(read_time):
             raw = await reader.read()
         writer.close()
@@ -608,14 +608,14 @@
         )
 
 
-def _request(prefix, extra):
+def _request(prefix, extra, *, request_id="r1"):
     lines = [
         f"POST /{prefix}/x?q=1 HTTP/1.1",
         "Host: svc.example",
-        "X-Request-Id: r1",
         "X-Deadline-Ms: 3000",
         "Content-Length: 2",
         "Connection: close",
+        *([f"X-Request-Id: {request_id}"] if request_id else []),
         *extra,
     ]
     return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\nhi"
--- a/hawthornspoke/relay/tests/test_unmatched_answers.py
+++ b/hawthornspoke/relay/tests/test_unmatched_answers.py
@@ -101,6 +101,24 @@
     run_scenario(scenario)
 
 
+def test_request_without_an_id_gets_the_answer_of_its_endpoint():
+    """Guards against a refusal that isn't given to a request without an id."""
+
+    async def refuse(endpoint, head, writer):
+        writer.write(late_answer(400, b"", fields=["X-Not-Run: 1"]))
+
+    async def scenario():
+        endpoint = ScriptedEndpoint(answer(), refuse)
+        async with RelayHarness(endpoint, timeout=2.0) as harness:
+            await harness.ask("once")
+            began = monotonic()
+            status, _, _, _ = await harness.ask("once", request_id=None)
+            assert status == 503
+            assert monotonic() < began + 1.0
+
+    run_scenario(scenario)
+
+
 def test_no_request_is_sent_on_a_connection_with_unread_data():
     """Guards against a late answer that arrives right before the next request."""
 
