Test that no endpoint gets two attempts of one request

A late answer to the first attempt couldn't be told from the answer to the second one on the same connection, as both bear the request's id. It can't happen: an endpoint that a request was sent to is excluded from its later placements (PlacementPipeline.place in hawthornspoke/placing/_pipeline.py, by the ids in RequestContext.tried), and connections are pooled by the endpoint's id. Nothing was found to fix.

--- a/hawthornspoke/relay/tests/test_unmatched_answers.py
+++ b/hawthornspoke/relay/tests/test_unmatched_answers.py
@@ -119,6 +119,22 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("prefix", ["once", "again", "stream"])
+@pytest.mark.parametrize("status, fields", [(503, ["X-Not-Run: 1"]), (500, [])])
+def test_no_endpoint_gets_two_attempts_of_one_request(prefix, status, fields):
+    """Guards against a late answer to the first attempt, which bears the same id."""
+
+    async def scenario():
+        endpoint = ScriptedEndpoint(answer(), answer(status, b"", fields))
+        async with RelayHarness(endpoint, timeout=1.0) as harness:
+            await harness.ask("once")
+            result, _, _, _ = await harness.ask(prefix)
+            assert result == status
+            assert len(endpoint.requests) == 2
+
+    run_scenario(scenario)
+
+
 def test_no_request_is_sent_on_a_connection_with_unread_data():
     """Guards against a late answer that arrives right before the next request."""
 
