Let two tests' stand-ins open new connections when asked

test_request_lives and test_retry_charges replace the pool and Attempt.connect, which take the option fresh since requests without an id get connections of their own; their stand-ins didn't take it, so four tests failed. Their checks are the same.

--- a/hawthornspoke/relay/tests/test_request_lives.py
+++ b/hawthornspoke/relay/tests/test_request_lives.py
@@ -320,7 +320,7 @@
 
     # The pool.
 
-    async def acquire(self, key, address, *, incarnation=None):
+    async def acquire(self, key, address, *, incarnation=None, fresh=False):
         script = self.scripts.pop(0)
         await asyncio.sleep(0.001)
         if not script["connects"]:
--- a/hawthornspoke/relay/tests/test_retry_charges.py
+++ b/hawthornspoke/relay/tests/test_retry_charges.py
@@ -86,10 +86,10 @@
     other = ScriptedEndpoint(answer(), answer())
     connect = Attempt.connect
 
-    async def connect_slowly(attempt):
+    async def connect_slowly(attempt, **options):
         if attempt.placement.endpoint_id == "e1":
             await asyncio.sleep(0.5)
-        return await connect(attempt)
+        return await connect(attempt, **options)
 
     monkeypatch.setattr(Attempt, "connect", connect_slowly)
     async with RelayHarness(failing, other, timeout=2.0) as harness:
