Log how an answer without framing was taken as whole or cut

What callers saw: streams and answers that end early and look whole. A log line named the cut ones alone (answer_incomplete); for one that was taken as whole nothing told whether its endpoint had been found running. Each end of an answer with neither a length nor chunks now has a line unframed_end with what the check has found. The check itself is unchanged; it is made where the request is known.

--- a/hawthornspoke/relay/_reading.py
+++ b/hawthornspoke/relay/_reading.py
@@ -226,7 +226,7 @@
             defect = "the stream ended in the middle of an event"
         elif self._version is None and not self.attempt.has_events:
             defect = "the stream ended before its first event"
-        elif await self.attempt.is_cut_by_crash():
+        elif not await self.attempt.has_whole_answer():
             defect = "the endpoint ended with its stream"
         else:
             return EventsReceived(data=b"", is_last=True)
--- a/hawthornspoke/relay/_sending.py
+++ b/hawthornspoke/relay/_sending.py
@@ -2,9 +2,10 @@
 
 from hawthornspoke.base import Failure, monotonic
 from hawthornspoke.catalog import STREAM
+from hawthornspoke.httpio import refuses_connections
 from hawthornspoke.placing import EndpointReadmitted
 from hawthornspoke.relay._signals import log_readmission
-from hawthornspoke.relay._try import Attempt
+from hawthornspoke.relay._try import PROBE_TIMEOUT, Attempt
 
 
 class Sender:
@@ -97,6 +98,7 @@
             on_broken=lambda attempt: self._on_connection_broken(context, attempt),
             on_ended=self._suspects.remove_attempt,
             on_trust_changed=self._record_trust,
+            verify_end=lambda attempt: self._verify_end(context, attempt),
             account=account,
         )
 
@@ -169,6 +171,20 @@
         """Wait for probes that show whether a failed request crashed endpoints."""
         await self._suspects.wait_for_probes(context.features)
 
+    async def _verify_end(self, context, attempt):
+        placement = attempt.placement
+        is_refused = await refuses_connections(placement.address, timeout=PROBE_TIMEOUT)
+        is_replaced = self._fleet.is_replaced(placement)
+        self._log.change(
+            "unframed_end",
+            request=context.request_id,
+            endpoint=placement.endpoint_id,
+            started_ms=placement.incarnation.started_ms,
+            is_refused=is_refused,
+            is_replaced=is_replaced,
+        )
+        return not (is_refused or is_replaced)
+
     def _on_connection_broken(self, context, attempt):
         self._suspects.record_disconnect(
             context.features,
--- a/hawthornspoke/relay/_try.py
+++ b/hawthornspoke/relay/_try.py
@@ -1,7 +1,7 @@
 """One attempt at one endpoint: connect, send, read the response head."""
 
 from hawthornspoke.base import Failure, monotonic
-from hawthornspoke.httpio import CONNECTION_BROKEN, TOO_LARGE, refuses_connections
+from hawthornspoke.httpio import CONNECTION_BROKEN, TOO_LARGE
 from hawthornspoke.placing import (
     EndpointResponded,
     EndpointSilent,
@@ -41,6 +41,9 @@
         Called with the attempt when it has ended.
     on_trust_changed : callable
         Called with an EndpointEjected or EndpointReadmitted if the attempt causes it.
+    verify_end : callable
+        Coroutine function that is called with the attempt when an answer without a
+        length or chunks has ended, and returns whether it counts as whole.
     account : MemoryAccount or None, default=None
         Of the caller.
 
@@ -76,6 +79,7 @@
         "_on_broken",
         "_on_ended",
         "_on_trust_changed",
+        "_verify_end",
         "_account",
         "_tokens",
         "_ended",
@@ -96,6 +100,7 @@
         on_broken,
         on_ended,
         on_trust_changed,
+        verify_end,
         account=None,
     ):
         self.placement = placement
@@ -115,6 +120,7 @@
         self._on_broken = on_broken
         self._on_ended = on_ended
         self._on_trust_changed = on_trust_changed
+        self._verify_end = verify_end
         self._account = account
         self._tokens = 0
         self._ended = False
@@ -264,23 +270,20 @@
             # This call may be cancelled during the check below, and repeated.
             self._answer = answer
             self.record_response()
-        if await self.is_cut_by_crash():
+        if not await self.has_whole_answer():
             self.cut_short()
             return MAY_HAVE_RUN.with_reason("the endpoint ended with its answer")
         return self._answer
 
-    async def is_cut_by_crash(self):
-        """Return whether the endpoint ended as it closed an answer's connection.
+    async def has_whole_answer(self):
+        """Return whether an answer that has ended counts as whole.
 
-        An answer with neither a length nor chunks looks complete if its endpoint
-        crashes, unless no process listens there any more, or another one does: the end
-        of the connection may arrive after a restart.
+        Without a length and chunks, an answer of an endpoint that crashes ends like a
+        whole one.
         """
         if not self.exchange.ended_with_connection:
-            return False
-        address = self.placement.address
-        has_ended = await refuses_connections(address, timeout=PROBE_TIMEOUT)
-        return has_ended or self._fleet.is_replaced(self.placement)
+            return True
+        return await self._verify_end(self)
 
     def cut_short(self):
         """End the attempt after an answer that the endpoint left incomplete."""
--- a/hawthornspoke/relay/tests/test_request_lives.py
+++ b/hawthornspoke/relay/tests/test_request_lives.py
@@ -295,6 +295,7 @@
             on_broken=lambda attempt: None,
             on_ended=lambda attempt: None,
             on_trust_changed=lambda change: None,
+            verify_end=None,
         )
 
     async def send(self, context, attempt, *, last_event=None, version=None):
--- a/hawthornspoke/relay/tests/test_unframed_answers.py
+++ b/hawthornspoke/relay/tests/test_unframed_answers.py
@@ -8,7 +8,7 @@
 from hawthornspoke.base import monotonic
 from hawthornspoke.catalog import Incarnation
 from hawthornspoke.placing import EndpointsListed
-from hawthornspoke.relay import _try
+from hawthornspoke.relay import _sending
 from hawthornspoke.relay.tests.relay_harness import (
     RelayHarness,
     ScriptedEndpoint,
@@ -213,7 +213,7 @@
         await asyncio.sleep(timeout)
         return False
 
-    monkeypatch.setattr(_try, "refuses_connections", probe_slowly)
+    monkeypatch.setattr(_sending, "refuses_connections", probe_slowly)
 
     async def respond_late(endpoint, request_head, writer):
         # A second attempt is due 0.9 s after the request.
--- a/hawthornspoke/relay/tests/test_withdrawn_attempts.py
+++ b/hawthornspoke/relay/tests/test_withdrawn_attempts.py
@@ -50,6 +50,7 @@
         on_broken=lambda attempt: None,
         on_ended=lambda attempt: None,
         on_trust_changed=lambda change: None,
+        verify_end=None,
     )
     connection = attempt.connection = Connection()
     attempt.send(b"", expected_id="r1")
