Take an answer without framing as whole only with proof that its endpoint runs

What callers saw: streams and plain answers with neither a length nor chunks that ended as complete before their last piece, after their endpoint had crashed.

Cause: such an end counted as complete unless its endpoint's address refused a connection or the list named another start. An endpoint that listens again at once, or behind a link that was cut, shows neither: the absence of a sign of a crash was taken as a sign of life.

Change: the end is complete only if the process that sent the answer is proven to run after it (relay/_end_verification.py): by an answer, to a probe that is sent after the end, on a connection that was opened before the request was sent; or by the endpoint's id on a new one.

The test whose check took long replaced a function that is gone; it now delays the endpoint's answer to the probe, for as long and with the same assertion. Scripted endpoints of the harness answer probes, which are the only GET requests, apart from their scripts.

--- a/hawthornspoke/httpio/_client.py
+++ b/hawthornspoke/httpio/_client.py
@@ -10,6 +10,7 @@
     StallTolerantTimeout,
     has_unread_bytes,
     is_closed_by_peer,
+    monotonic,
 )
 from hawthornspoke.fields import parse_digits
 from hawthornspoke.httpio._exchange import MAX_UNREAD_BYTES, TOO_LARGE, Exchange
@@ -69,6 +70,11 @@
     on_unmatched : callable or None, default=None
         Called with the kind of a response that may not belong to the request, or that
         hides the response to it.
+
+    Attributes
+    ----------
+    opened_at : float or None
+        When the connection was established, on the monotonic clock.
     """
 
     def __init__(
@@ -87,6 +93,7 @@
         self.on_unmatched = on_unmatched
         self.transport = None
         self.exchange = None
+        self.opened_at = None
         self.idle_deadline = 0.0
         self.requests = 0
         self.reusable = True
@@ -120,6 +127,7 @@
     def connection_made(self, transport):
         """Store the transport and set the socket options."""
         self.transport = transport
+        self.opened_at = monotonic()
         sock = transport.get_extra_info("socket")
         set_socket_options(sock)
         if self.receive_buffer is not None:
--- a/hawthornspoke/httpio/_pool.py
+++ b/hawthornspoke/httpio/_pool.py
@@ -114,11 +114,13 @@
         now = boottime_clock()
         while idle and not fresh:
             connection = idle.pop().connection
-            # An answer to no request may have arrived that the event loop hasn't read.
-            is_usable = connection.is_open and not connection.has_unread_data()
-            if now < connection.idle_deadline and is_usable:
+            if _is_usable(connection, now):
                 return connection
             connection.abort()
+        return await self.open(address, timeout=timeout)
+
+    async def open(self, address, *, timeout=None):
+        """Open a connection; see ``acquire``."""
         self.opened += 1
         return await open_connection(
             address,
@@ -130,6 +132,32 @@
             on_unmatched=self._count_unmatched,
         )
 
+    def acquire_kept(self, key, *, incarnation, opened_before):
+        """Return an idle connection that was opened before a time, None without one.
+
+        Parameters
+        ----------
+        key : str
+        incarnation : object
+        opened_before : float
+            Time on the monotonic clock.
+
+        Returns
+        -------
+        ClientConnection or None
+        """
+        now = boottime_clock()
+        for item in reversed(self._idle_by_key.get(key, ())):
+            connection = item.connection
+            if (
+                item.incarnation == incarnation
+                and connection.opened_at < opened_before
+                and _is_usable(connection, now)
+            ):
+                self._idle_by_key[key].remove(item)
+                return connection
+        return None
+
     def return_connection(self, key, connection, *, incarnation=None):
         """Return a connection to the pool after a complete response.
 
@@ -215,3 +243,11 @@
     def _count_unmatched(self, kind):
         if self.metrics is not None:
             self.metrics.count("unmatched_responses_total", kind=kind)
+
+
+def _is_usable(connection, now):
+    """Return whether an idle connection can carry a request."""
+    if now >= connection.idle_deadline or not connection.is_open:
+        return False
+    # An answer to no request may have arrived that the event loop hasn't read.
+    return not connection.has_unread_data()
--- a/hawthornspoke/relay/_reading.py
+++ b/hawthornspoke/relay/_reading.py
@@ -227,7 +227,7 @@
         elif self._version is None and not self.attempt.has_events:
             defect = "the stream ended before its first event"
         elif not await self.attempt.has_whole_answer():
-            defect = "the endpoint ended with its stream"
+            defect = "the end of the stream is not verified"
         else:
             return EventsReceived(data=b"", is_last=True)
         self._sender.log_incomplete(self._context, self.attempt, reason=defect)
--- a/hawthornspoke/relay/_sending.py
+++ b/hawthornspoke/relay/_sending.py
@@ -2,10 +2,10 @@
 
 from hawthornspoke.base import Failure, monotonic
 from hawthornspoke.catalog import STREAM
-from hawthornspoke.httpio import refuses_connections
 from hawthornspoke.placing import EndpointReadmitted
+from hawthornspoke.relay._end_verification import EndVerifier
 from hawthornspoke.relay._signals import log_readmission
-from hawthornspoke.relay._try import PROBE_TIMEOUT, Attempt
+from hawthornspoke.relay._try import Attempt
 
 
 class Sender:
@@ -35,6 +35,7 @@
         "_fleet",
         "_pool",
         "_header_names",
+        "_end_verifier",
         "_suspects",
         "_shutdown",
         "_signals",
@@ -65,6 +66,9 @@
         self._fleet = fleet
         self._pool = pool
         self._header_names = header_names
+        self._end_verifier = EndVerifier(
+            pool=pool, fleet=fleet, header_names=header_names
+        )
         self._suspects = suspects
         self._shutdown = shutdown
         self._signals = signals
@@ -173,17 +177,21 @@
 
     async def _verify_end(self, context, attempt):
         placement = attempt.placement
-        is_refused = await refuses_connections(placement.address, timeout=PROBE_TIMEOUT)
-        is_replaced = self._fleet.is_replaced(placement)
+        began_at = monotonic()
+        is_whole, reason = await self._end_verifier.verify(
+            placement, service=context.service, sent_at=attempt.sent_at
+        )
+        self._metrics.count("unframed_ends_total", reason=reason)
         self._log.change(
             "unframed_end",
             request=context.request_id,
             endpoint=placement.endpoint_id,
             started_ms=placement.incarnation.started_ms,
-            is_refused=is_refused,
-            is_replaced=is_replaced,
+            is_whole=is_whole,
+            reason=reason,
+            seconds=round(monotonic() - began_at, 3),
         )
-        return not (is_refused or is_replaced)
+        return is_whole
 
     def _on_connection_broken(self, context, attempt):
         self._suspects.record_disconnect(
--- a/hawthornspoke/relay/_suspects.py
+++ b/hawthornspoke/relay/_suspects.py
@@ -30,7 +30,9 @@
 from hawthornspoke.relay._broken_off import BrokenOff, UnexplainedBreaks
 from hawthornspoke.relay._retrial_claims import RetrialClaims
 from hawthornspoke.relay._sharing import EvidenceSharing
-from hawthornspoke.relay._try import PROBE_TIMEOUT
+
+#: Timeout in seconds of the check whether an endpoint still accepts connections.
+PROBE_TIMEOUT = 0.3
 
 QUARANTINED = Failure(code="quarantined")
 
--- a/hawthornspoke/relay/_try.py
+++ b/hawthornspoke/relay/_try.py
@@ -1,5 +1,7 @@
 """One attempt at one endpoint: connect, send, read the response head."""
 
+import asyncio
+
 from hawthornspoke.base import Failure, monotonic
 from hawthornspoke.httpio import CONNECTION_BROKEN, TOO_LARGE
 from hawthornspoke.placing import (
@@ -9,9 +11,6 @@
     RequestSent,
 )
 
-#: Timeout in seconds of the check whether an endpoint still accepts connections.
-PROBE_TIMEOUT = 0.3
-
 #: Response status if the request was meant for another endpoint and was not run.
 MISDIRECTED = 421
 
@@ -85,6 +84,7 @@
         "_ended",
         "_is_cut_short",
         "_answer",
+        "_verification",
         "_withdrawal_deadline",
     )
 
@@ -126,6 +126,7 @@
         self._ended = False
         self._is_cut_short = False
         self._answer = None
+        self._verification = None
         self._withdrawal_deadline = None
 
     @property
@@ -272,7 +273,7 @@
             self.record_response()
         if not await self.has_whole_answer():
             self.cut_short()
-            return MAY_HAVE_RUN.with_reason("the endpoint ended with its answer")
+            return MAY_HAVE_RUN.with_reason("the end of the answer is not verified")
         return self._answer
 
     async def has_whole_answer(self):
@@ -283,7 +284,16 @@
         """
         if not self.exchange.ended_with_connection:
             return True
-        return await self._verify_end(self)
+        # This call may be cancelled and repeated; the search for a proof goes on.
+        if self._verification is None:
+            self._verification = asyncio.ensure_future(self._verify_end(self))
+        try:
+            return await asyncio.shield(self._verification)
+        except asyncio.CancelledError:
+            is_withdrawn = self._verification.cancelled()
+            if asyncio.current_task().cancelling() or not is_withdrawn:
+                raise
+            return False
 
     def cut_short(self):
         """End the attempt after an answer that the endpoint left incomplete."""
@@ -365,6 +375,8 @@
     def abort(self):
         """Close the connection if it is still held."""
         self._discard_exchange()
+        if self._verification is not None:
+            self._verification.cancel()
         if self.connection is not None:
             self.connection.abort()
             self.connection = None
--- a/hawthornspoke/relay/tests/relay_harness.py
+++ b/hawthornspoke/relay/tests/relay_harness.py
@@ -56,26 +56,44 @@
     A step is a coroutine function that is called with the endpoint, the raw head of
     the request and the stream writer, and writes the response. It returns False to
     abort the connection. After the last step, requests are answered with status 200.
+    GET requests, which only probes are, have a step of their own.
     """
 
-    def __init__(self, *steps):
+    def __init__(self, *steps, endpoint_id=None, probe_step=None):
         self.steps = list(steps)
+        self.endpoint_id = endpoint_id
+        self.probe_step = probe_step or answer_probe()
         self.requests = []
+        self.probes = []
+        self._writers = set()
         self.closed_early = 0
         self.is_retired = False
         self.reader = None
         self.writer = None
         self._server = None
 
-    async def start(self):
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+    async def start(self, port=0):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         port = self._server.sockets[0].getsockname()[1]
         return f"127.0.0.1:{port}"
 
     def close(self):
         self._server.close()
 
+    def crash(self, *, but):
+        """Stop listening and abort all connections but one.
+
+        Parameters
+        ----------
+        but : StreamWriter
+            Of the connection whose end arrives later.
+        """
+        self.close()
+        for writer in self._writers - {but}:
+            writer.transport.abort()
+
     async def _serve(self, reader, writer):
+        self._writers.add(writer)
         with (
             contextlib.closing(writer),
             contextlib.suppress(ConnectionError, asyncio.IncompleteReadError),
@@ -87,9 +105,13 @@
                     if line.lower().startswith("content-length:"):
                         length = int(line.split(":")[1])
                 body = await reader.readexactly(length)
-                self.requests.append((head.decode("latin-1"), body))
                 self.reader, self.writer = reader, writer
-                step = self.steps.pop(0) if self.steps else answer()
+                if head.startswith(b"GET "):
+                    self.probes.append(head.decode("latin-1"))
+                    step = self.probe_step
+                else:
+                    self.requests.append((head.decode("latin-1"), body))
+                    step = self.steps.pop(0) if self.steps else answer()
                 if await step(self, head.decode("latin-1"), writer) is False:
                     writer.transport.abort()
                     return
@@ -127,6 +149,21 @@
     return step
 
 
+def answer_probe():
+    """Return a step that sends the endpoint's id, or refuses a request for another."""
+
+    async def step(endpoint, head, writer):
+        is_expected = field(head, "X-Expect-Endpoint") == endpoint.endpoint_id
+        status = 200 if is_expected else 421
+        writer.write(
+            f"HTTP/1.1 {status} X\r\n"
+            f"X-Endpoint-Id: {endpoint.endpoint_id}\r\n"
+            "Keep-Alive: timeout=10\r\nContent-Length: 0\r\n\r\n".encode()
+        )
+
+    return step
+
+
 def refuse_as_full():
     """Return a step that refuses the request because the endpoint is full."""
     return answer(503, b"", ("X-Not-Run: 1",))
@@ -378,8 +415,13 @@
         confirmed=True,
         fleet=None,
         memory_limit=MEMORY_LIMIT,
+        health_path="/health",
     ):
         self.endpoints = endpoints
+        for number, endpoint in enumerate(endpoints):
+            if isinstance(endpoint, ScriptedEndpoint):
+                endpoint.endpoint_id = f"e{number}"
+        self.health_path = health_path
         self.boottime_clock = SuspendedClock()
         self.timeout = timeout
         self.keys = keys or {}
@@ -574,7 +616,8 @@
             revision=revision,
             routes=routes,
             service_by_name={
-                name: Service(name=name, engine=ENGINE) for name in {"s", service}
+                name: Service(name=name, engine=ENGINE, health_path=self.health_path)
+                for name in {"s", service}
             },
             requires_key=bool(self.keys),
             organisation_by_key={
--- a/hawthornspoke/relay/tests/test_unframed_answers.py
+++ b/hawthornspoke/relay/tests/test_unframed_answers.py
@@ -8,13 +8,14 @@
 from hawthornspoke.base import monotonic
 from hawthornspoke.catalog import Incarnation
 from hawthornspoke.placing import EndpointsListed
-from hawthornspoke.relay import _sending
 from hawthornspoke.relay.tests.relay_harness import (
     RelayHarness,
     ScriptedEndpoint,
     answer,
+    answer_probe,
     events,
     field,
+    silent,
     stream_head,
 )
 from hawthornspoke.relay.tests.test_forward import event_ids, run_scenario
@@ -206,15 +207,9 @@
     run_scenario(scenario)
 
 
-def test_answer_is_whole_if_a_second_attempt_is_due_during_its_check(monkeypatch):
+def test_answer_is_whole_if_a_second_attempt_is_due_during_its_check():
     """Guards against a sealed success without its body."""
 
-    async def probe_slowly(address, *, timeout):
-        await asyncio.sleep(timeout)
-        return False
-
-    monkeypatch.setattr(_sending, "refuses_connections", probe_slowly)
-
     async def respond_late(endpoint, request_head, writer):
         # A second attempt is due 0.9 s after the request.
         await asyncio.sleep(0.75)
@@ -223,8 +218,237 @@
         )
 
     async def scenario():
-        async with RelayHarness(ScriptedEndpoint(respond_late), timeout=2.0) as harness:
+        endpoint = ScriptedEndpoint(respond_late, probe_step=delayed_probe(0.35))
+        async with RelayHarness(endpoint, timeout=2.0) as harness:
             status, _, body, _ = await harness.ask("again")
             assert (status, body) == (200, b"the whole body")
 
     run_scenario(scenario)
+
+
+def delayed_probe(seconds):
+    """Return a step that answers a probe after a delay."""
+
+    async def step(endpoint, head, writer):
+        await asyncio.sleep(seconds)
+        return await answer_probe()(endpoint, head, writer)
+
+    return step
+
+
+def cut_by_restart(data, *, head=stream_head, endpoint_id="e0-again", **options):
+    """Return a step whose endpoint crashes; its end arrives when the next one listens.
+
+    Parameters
+    ----------
+    data : bytes
+        Part of the body that arrives before that.
+    head : callable, default=stream_head
+        Returns the response head, whose framing is removed.
+    endpoint_id : str, default="e0-again"
+        Of the next start.
+    **options
+        Of its ScriptedEndpoint.
+    """
+
+    async def step(endpoint, request_head, writer):
+        port = writer.get_extra_info("sockname")[1]
+        endpoint.crash(but=writer)
+        replacement = ScriptedEndpoint(endpoint_id=endpoint_id, **options)
+        await replacement.start(port)
+        try:
+            await unframed(data, head=head)(endpoint, request_head, writer)
+        finally:
+            asyncio.get_running_loop().call_later(1.5, replacement.close)
+
+    return step
+
+
+async def keep_connections(harness, count=2):
+    """Send requests at the same time; their connections stay open."""
+    await asyncio.gather(*(harness.ask("once") for _ in range(count)))
+
+
+def slow_answer(seconds):
+    """Return a step that sends a complete response after a delay."""
+
+    async def step(endpoint, head, writer):
+        await asyncio.sleep(seconds)
+        await answer()(endpoint, head, writer)
+
+    return step
+
+
+@pytest.mark.parametrize("is_kept", [False, True])
+def test_stream_of_an_endpoint_that_listens_again_is_resumed(is_kept):
+    """Guards against a stream that ends early, as another start accepts the probe."""
+
+    async def scenario():
+        first = [slow_answer(0.05)] * 2 if is_kept else []
+        broken = ScriptedEndpoint(*first, cut_by_restart(event(1)))
+        other = ScriptedEndpoint(events([2, 3]))
+        async with RelayHarness(broken, other, timeout=2.0) as harness:
+            harness.fleet.endpoint_by_id["e1"].own_in_flight = 1
+            if is_kept:
+                await keep_connections(harness)
+            _, _, body, complete = await harness.ask("stream")
+            assert (event_ids(body), complete) == ([1, 2, 3], True)
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("probe_step", [None, silent(), answer(503), answer(200)])
+def test_stream_without_a_proof_is_broken_off_in_time(probe_step):
+    """Guards against a stream that is taken as whole, as nothing shows a crash."""
+
+    async def scenario():
+        # The next start answers nothing, or doesn't say who it is.
+        step = cut_by_restart(event(1), probe_step=probe_step)
+        async with RelayHarness(ScriptedEndpoint(step), timeout=3.0) as harness:
+            began = monotonic()
+            _, _, body, complete = await harness.ask("stream")
+            assert (event_ids(body), complete) == ([1], False)
+            assert monotonic() - began < 1.6
+
+    run_scenario(scenario)
+
+
+def test_half_an_answer_of_an_endpoint_that_listens_again_is_no_answer():
+    """Guards against half a body with a sealed success."""
+
+    async def scenario():
+        broken = ScriptedEndpoint(cut_by_restart(b"hal", head=plain_head))
+        other = ScriptedEndpoint(answer(body=b"whole"))
+        async with RelayHarness(broken, other, timeout=2.0) as harness:
+            harness.fleet.endpoint_by_id["e1"].own_in_flight = 1
+            status, _, body, _ = await harness.ask("again")
+            assert (status, body) == (200, b"whole")
+
+    run_scenario(scenario)
+
+
+def test_half_an_answer_that_must_not_be_repeated_is_a_failure():
+    """Guards against half a body with a sealed success, and against a second run."""
+
+    async def scenario():
+        broken = ScriptedEndpoint(cut_by_restart(b"hal", head=plain_head))
+        other = ScriptedEndpoint()
+        async with RelayHarness(broken, other, timeout=2.0) as harness:
+            harness.fleet.endpoint_by_id["e1"].own_in_flight = 1
+            status, *_ = await harness.ask("once")
+            assert (status, other.requests) == (502, [])
+
+    run_scenario(scenario)
+
+
+def test_answer_to_an_earlier_request_is_no_proof():
+    """Guards against answers that were sent before a crash and arrive after an end."""
+
+    async def end_before_the_other(endpoint, request_head, writer):
+        endpoint.probe_step = silent()
+        await unframed(event(1))(endpoint, request_head, writer)
+
+    async def scenario():
+        endpoint = ScriptedEndpoint(slow_answer(0.4), end_before_the_other)
+        async with RelayHarness(endpoint, timeout=3.0) as harness:
+            other = asyncio.create_task(harness.ask("once"))
+            await asyncio.sleep(0.1)
+            _, _, body, complete = await harness.ask("stream")
+            assert (event_ids(body), complete) == ([1], False)
+            assert (await other)[0] == 200
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("prefix", ["stream", "once"])
+@pytest.mark.parametrize("is_kept", [False, True])
+def test_answer_of_an_endpoint_without_a_health_path_is_proven(prefix, is_kept):
+    """Guards against sound answers that are lost as an endpoint has no health path."""
+
+    async def scenario():
+        whole = unframed(b"hello", head=plain_head)
+        if prefix == "stream":
+            whole = unframed(event(1))
+        first = [slow_answer(0.05)] * 2 if is_kept else []
+        endpoint = ScriptedEndpoint(*first, whole)
+        async with RelayHarness(endpoint, timeout=2.0, health_path=None) as harness:
+            if is_kept:
+                await keep_connections(harness)
+            status, _, body, complete = await harness.ask(prefix)
+            assert (status, complete) == (200, True)
+            assert event_ids(body) == [1] if prefix == "stream" else body == b"hello"
+            assert len(endpoint.probes) == 1
+
+    run_scenario(scenario)
+
+
+def refuse_probe_until(is_free):
+    """Return a step of an endpoint whose slots are in use, which doesn't name itself.
+
+    It refuses requests for another endpoint at once.
+    """
+
+    async def step(endpoint, head, writer):
+        is_expected = field(head, "X-Expect-Endpoint") == endpoint.endpoint_id
+        if is_free.is_set():
+            return await answer_probe()(endpoint, head, writer)
+        status = 503 if is_expected else 421
+        writer.write(
+            f"HTTP/1.1 {status} X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n".encode()
+        )
+
+    return step
+
+
+def test_end_is_proven_over_a_kept_connection_to_a_full_endpoint():
+    """Guards against sound streams that are broken off at endpoints without a slot."""
+
+    async def scenario():
+        never = asyncio.Event()
+        endpoint = ScriptedEndpoint(
+            *[slow_answer(0.05)] * 2,
+            unframed(event(1)),
+            probe_step=refuse_probe_until(never),
+        )
+        async with RelayHarness(endpoint, timeout=2.0) as harness:
+            await keep_connections(harness)
+            _, _, body, complete = await harness.ask("stream")
+            assert (event_ids(body), complete) == ([1], True)
+            assert len(endpoint.probes) == 1
+
+    run_scenario(scenario)
+
+
+def test_end_is_proven_once_a_full_endpoint_has_a_slot():
+    """Guards against sound streams that are broken off as the first probe fails."""
+
+    async def scenario():
+        has_slot = asyncio.Event()
+        endpoint = ScriptedEndpoint(
+            unframed(event(1)), probe_step=refuse_probe_until(has_slot)
+        )
+        async with RelayHarness(endpoint, timeout=2.0) as harness:
+            asyncio.get_running_loop().call_later(0.5, has_slot.set)
+            _, _, body, complete = await harness.ask("stream")
+            assert (event_ids(body), complete) == ([1], True)
+
+    run_scenario(scenario)
+
+
+def test_late_repetition_of_an_answer_is_no_proof():
+    """Guards against a proof by bytes that an endpoint had sent before its end."""
+
+    async def scenario():
+        endpoint = ScriptedEndpoint(unframed(event(1)), probe_step=answer())
+        async with RelayHarness(endpoint, timeout=2.0, health_path=None) as harness:
+            connection = await harness.pool.open(harness.addresses[0])
+            connection.idle_deadline = float("inf")
+            harness.pool.return_connection(
+                "e0",
+                connection,
+                incarnation=harness.fleet.endpoint_by_id["e0"].incarnation,
+            )
+            _, _, body, complete = await harness.ask("stream")
+            assert (event_ids(body), complete) == ([1], False)
+
+    run_scenario(scenario)
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -838,6 +838,20 @@
         new="        if True:",
         test="hawthornspoke/relay/tests/test_unframed_answers.py -k between_events",
     ),
+    Mutation(
+        name="unframed: whatever an endpoint answers proves who it is",
+        file="relay/_end_verification.py",
+        old="        if received_id is None:\n            return None",
+        new="        if received_id is None:\n            return True, ENDPOINT_ID",
+        test="hawthornspoke/relay/tests/test_unframed_answers.py -k without_a_proof",
+    ),
+    Mutation(
+        name="unframed: a late answer to an earlier request is a proof",
+        file="relay/_end_verification.py",
+        old="if response is not None and not self._is_earlier_answer(response):",
+        new="if response is not None:",
+        test="hawthornspoke/relay/tests/test_unframed_answers.py -k late_repetition",
+    ),
     Mutation(
         name="unframed: a stream that ends inside an event is no evidence",
         file="relay/_streams.py",
