Soak of answers that end with their connection while endpoints end

Streams and plain answers without framing (all, half or a tenth of them), while an endpoint ends about every second and listens again after 0 to 1 s under a new id.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -12,6 +12,7 @@
 from tests.soak.sizes import size_of
 from tests.soak.soak import run_soak
 from tests.soak.stops import run_stops
+from tests.soak.unframed import run_unframed
 
 app = App(name="soak")
 
@@ -26,6 +27,7 @@
     parts: bool = False,
     stops: bool = False,
     endless: bool = False,
+    unframed: bool = False,
 ):
     """Run seeds one after the other; exit with 1 if a guarantee was violated.
 
@@ -45,6 +47,9 @@
     parts
         Send requests with a crashing prompt part, while engines end and all hosts and
         agents are killed and started again, in place of all kinds of faults.
+    unframed
+        Leave out the framing of answers while endpoints end and start again, in place
+        of all kinds of faults.
     """
     first = random.randrange(1_000_000) if seed is None else seed
     failed = 0
@@ -57,6 +62,8 @@
             violations, faults, folder = run_stops(number, seconds)
         elif endless:
             violations, faults, folder = run_endless(number, seconds)
+        elif unframed:
+            violations, faults, folder = run_unframed(number, seconds)
         else:
             violations, faults, folder = run_soak(
                 number, seconds, size_of(number, processes)
@@ -67,7 +74,7 @@
         )
         for line in violations[:20]:
             print(f"  {line}")
-        if violations or restarts or stops or endless:
+        if violations or restarts or stops or endless or unframed:
             print(f"  faults: {' '.join(faults)}", flush=True)
         if violations:
             failed += 1
--- a/tests/soak/simulation.py
+++ b/tests/soak/simulation.py
@@ -314,11 +314,8 @@
                 await self._send_endless(reply, 200, head)
             elif self.random.random() < self.failing_share:
                 await self._fail(request, reply, echo)
-            elif request.target.startswith("/stream/"):
-                await self._stream(request, reply, head)
             else:
-                await self._step(request)
-                reply.send(200, head, expected_response(request_id))
+                await self._answer(request, reply, head)
         finally:
             run.ended_at = monotonic()
             if generation == self.generation:
@@ -339,6 +336,13 @@
         else:
             reply.send(500, head)
 
+    async def _answer(self, request, reply, head):
+        if request.target.startswith("/stream/"):
+            await self._stream(request, reply, head)
+            return
+        await self._step(request)
+        reply.send(200, head, expected_response(request.get("Attempt-Id")))
+
     async def _stream(self, request, reply, head):
         after = int(request.get("Last-Event-Id") or 0)
         await self._step(request, 0.5)
