Fail an answer whose status is none of the protocol

Callers waited until their deadline (504) behind an answer with status 000, 001 or 099, and got 600, 700 and 999 with their body and seal.

Cause: every status below 200 counted as an interim response, and every other one as a final answer.

A status outside 100 to 599 now fails the exchange at once like bytes that are no response: the request may have run, and is repeated where its route allows it. Interim responses are skipped as before, 101 fails as before, and the other final statuses, 205 and 304 among them, are given to the caller unchanged.

--- a/hawthornspoke/httpio/_client.py
+++ b/hawthornspoke/httpio/_client.py
@@ -44,6 +44,8 @@
 #: discarded.
 MAX_DISCARDED_BYTES = 4 * 1024 * 1024
 
+RESPONSE_STATUSES = range(100, 600)
+
 #: Final statuses of responses that never have a body.
 BODILESS_STATUSES = (204, 304)
 
@@ -311,6 +313,10 @@
         if self._is_cut_head:
             self._fail_unreadable("inside the head of another response")
             return
+        if status not in RESPONSE_STATUSES:
+            self.reusable = False
+            self.exchange.end(NOT_HTTP.with_reason(f"status {status:03}"))
+            return
         if status < 200:
             self._discarding = True
             return
--- a/hawthornspoke/relay/tests/test_unmatched_answers.py
+++ b/hawthornspoke/relay/tests/test_unmatched_answers.py
@@ -10,6 +10,7 @@
     ScriptedEndpoint,
     answer,
     events,
+    response,
     stream_event,
     stream_head,
 )
@@ -243,3 +244,65 @@
             assert len(endpoint.requests) == 2
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("prefix", ["once", "stream"])
+@pytest.mark.parametrize("status", ["000", "001", "099", "101", "600", "700", "999"])
+def test_answer_whose_status_is_none_of_the_protocol_fails_at_once(status, prefix):
+    """Guards against callers that get such a status, or wait for another answer."""
+
+    async def respond(endpoint, head, writer):
+        data = response(head, body=b"own").replace(b" 200 ", f" {status} ".encode())
+        writer.write(data)
+        await endpoint.reader.read()
+
+    async def scenario():
+        endpoint = ScriptedEndpoint(answer(), respond)
+        async with RelayHarness(endpoint, timeout=2.0) as harness:
+            began = monotonic()
+            result, head, _, _ = await ask_twice(harness, prefix)
+            assert (result, "X-Seal" in head) == (502, False)
+            assert monotonic() < began + 1.0
+            assert len(endpoint.requests) == 2
+            assert harness.logged("broken_off") == []
+
+    run_scenario(scenario)
+
+
+def test_answer_whose_status_is_none_of_the_protocol_is_repeated_elsewhere():
+    """Guards against a failure where another endpoint could have answered."""
+
+    async def scenario():
+        broken = ScriptedEndpoint(answer("000", b"own"))
+        other = ScriptedEndpoint(answer(body=b"other"))
+        async with RelayHarness(broken, other, timeout=3.0) as harness:
+            harness.fleet.endpoint_by_id["e1"].own_in_flight = 1
+            began = monotonic()
+            status, _, body, _ = await harness.ask("again")
+            assert (status, body, len(broken.requests)) == (200, b"other", 1)
+            assert monotonic() < began + 1.0
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("status", [100, 102, 150, 199])
+def test_answer_behind_interim_responses_is_given_to_the_caller(status):
+    async def scenario():
+        interim = f"HTTP/1.1 {status} X\r\n\r\n".encode()
+        endpoint = ScriptedEndpoint(preceded_by(2 * interim, answer(body=b"own")))
+        async with RelayHarness(endpoint, timeout=2.0) as harness:
+            status_received, _, body, _ = await harness.ask("once")
+            assert (status_received, body) == (200, b"own")
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("status", [205, 304, 404, 599])
+def test_other_final_statuses_are_given_to_the_caller_unchanged(status):
+    async def scenario():
+        endpoint = ScriptedEndpoint(answer(status, b""))
+        async with RelayHarness(endpoint, timeout=2.0) as harness:
+            result, head, _, _ = await harness.ask("once")
+            assert (result, "X-Seal" in head) == (status, True)
+
+    run_scenario(scenario)
