Soak test of endpoints that repeat answers late

Endpoints repeat three in ten of their answers on the connection: whole, with its id, another's or none, as a refusal or a failure, cut in its head or body, without a length, with a status of no protocol, or as a few stray bytes; behind the own answer, before it, before its run, or in two parts. Beside that processes end, links fail and engines crash.

Checked besides the checks of every soak: each status and body is that of the request's own runs, no promise that a request hasn't run is given to one that ran, whatever its route, and none waits for an answer that its endpoint sent a second before.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -12,11 +12,21 @@
 from tests.soak.sizes import size_of
 from tests.soak.soak import run_soak
 from tests.soak.stops import run_stops
+from tests.soak.stutter import run_stutter
 from tests.soak.unframed import run_unframed
 
 app = App(name="soak")
 
 
+def _run_all_faults(processes):
+    """Return the function that runs a seed with all kinds of faults."""
+
+    def run(seed, seconds):
+        return run_soak(seed, seconds, size_of(seed, processes))
+
+    return run
+
+
 @app.default
 def main(
     seed: int | None = None,
@@ -28,6 +38,7 @@
     stops: bool = False,
     endless: bool = False,
     unframed: bool = False,
+    stutter: bool = False,
 ):
     """Run seeds one after the other; exit with 1 if a guarantee was violated.
 
@@ -50,31 +61,33 @@
     unframed
         Leave out the framing of answers while endpoints end and start again, in place
         of all kinds of faults.
+    stutter
+        Let endpoints repeat earlier answers on their connections, whole or in part,
+        beside restarts and faults of links.
     """
+    run = _run_all_faults(processes)
+    for is_chosen, chosen_run in (
+        (restarts, run_restarts),
+        (parts, run_parts),
+        (stops, run_stops),
+        (endless, run_endless),
+        (unframed, run_unframed),
+        (stutter, run_stutter),
+    ):
+        if is_chosen:
+            run = chosen_run
+    prints_faults = restarts or stops or endless or unframed or stutter
     first = random.randrange(1_000_000) if seed is None else seed
     failed = 0
     for number in range(first, first + seeds):
-        if restarts:
-            violations, faults, folder = run_restarts(number, seconds)
-        elif parts:
-            violations, faults, folder = run_parts(number, seconds)
-        elif stops:
-            violations, faults, folder = run_stops(number, seconds)
-        elif endless:
-            violations, faults, folder = run_endless(number, seconds)
-        elif unframed:
-            violations, faults, folder = run_unframed(number, seconds)
-        else:
-            violations, faults, folder = run_soak(
-                number, seconds, size_of(number, processes)
-            )
+        violations, faults, folder = run(number, seconds)
         print(
             f"seed {number}: {len(faults)} faults, {len(violations)} violations",
             flush=True,
         )
         for line in violations[:20]:
             print(f"  {line}")
-        if violations or restarts or stops or endless or unframed:
+        if violations or prints_faults:
             print(f"  faults: {' '.join(faults)}", flush=True)
         if violations:
             failed += 1
