Don't refuse a request whose endpoint sent a success

A caller got a 503, which promises that its request hasn't run, though its endpoint had answered it with a sealed 200, if that also bore the field that says that the request wasn't run. The field alone was taken as proof, whatever the status.

A success now counts as one. Other statuses with the field stay refusals, as the field says so and nothing contradicts it; 421 is one without the field, and one that names no endpoint doesn't count as a sign that the endpoint has moved.

The test failed before (503 in place of 200 with the body).

--- a/hawthornspoke/relay/_try.py
+++ b/hawthornspoke/relay/_try.py
@@ -10,6 +10,7 @@
     RequestFinished,
     RequestSent,
 )
+from hawthornspoke.relay._reading import SUCCESS_STATUSES
 
 #: Response status if the request was meant for another endpoint and was not run.
 MISDIRECTED = 421
@@ -233,13 +234,18 @@
         self.head_at = monotonic()
         self.record_response()
         self._on_head(self)
-        if (
-            head.status == MISDIRECTED
-            or head.get(self._header_names.not_run) is not None
-        ):
+        if self._is_refusal(head):
             return self._handle_refusal(head)
         return head
 
+    def _is_refusal(self, head):
+        """Return whether a response proves that the request was not run."""
+        if head.status in SUCCESS_STATUSES:
+            # Its status contradicts whatever else it says.
+            return False
+        is_marked = head.get(self._header_names.not_run) is not None
+        return is_marked or head.status == MISDIRECTED
+
     def _withdrawal_time(self):
         """Return the time by which the request must have started, None if unlimited."""
         if self.placement.start_deadline is None:
--- a/hawthornspoke/relay/tests/test_unmatched_answers.py
+++ b/hawthornspoke/relay/tests/test_unmatched_answers.py
@@ -306,3 +306,28 @@
             assert (result, "X-Seal" in head) == (status, True)
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("extra", [["X-Not-Run: 1"], []])
+def test_success_that_claims_not_to_have_run_is_no_refusal(extra):
+    """Guards against a promise that a request hasn't run whose success was sent."""
+
+    async def scenario():
+        endpoint = ScriptedEndpoint(answer(200, b"own", extra))
+        async with RelayHarness(endpoint, timeout=2.0) as harness:
+            status, _, body, _ = await harness.ask("once")
+            assert (status, body) == (200, b"own")
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("status", [421, 503])
+def test_refusal_that_names_no_endpoint_promises_that_the_request_has_not_run(status):
+    async def scenario():
+        extra = [] if status == 421 else ["X-Not-Run: 1"]
+        endpoint = ScriptedEndpoint(answer(status, b"", extra))
+        async with RelayHarness(endpoint, timeout=2.0) as harness:
+            result, _, _, _ = await harness.ask("once")
+            assert result == 503
+
+    run_scenario(scenario)
