Fail an answer that is cut short and sent once more

Callers got a sealed 200 whose body was the start of their answer, then the head and start of the same answer, cut to the length that was announced: it looked whole.

Cause: an endpoint that cuts an answer and goes on with its repetition on the same connection fills up the announced length, or the open chunk, with the second head.

A body in which a status line and the request's own id follow each other within one head now fails the exchange as unreadable. What a body says of its request elsewhere, such as an echo of its head, is passed on. If less is missing than the repeated head up to its id, this can't be told from extra bytes behind a whole answer.

The 8 tests of the cut failed before (200 with the joined body, expected 502 or the answer of the other endpoint); the one of an echo passed.

--- a/hawthornspoke/httpio/_client.py
+++ b/hawthornspoke/httpio/_client.py
@@ -320,6 +320,7 @@
         if status < 200:
             self._discarding = True
             return
+        self._matcher.start_body()
         kind = self._matcher.mismatch(head)
         if kind is not None:
             self._start_discarding(kind, head)
@@ -337,7 +338,9 @@
             self._discard(body)
         elif not self._has_failed and not self.exchange.complete:
             self._feed.record_progress()
-            if not self.exchange.receive_body(body):
+            if self._matcher.repeats_own_response(body):
+                self._fail_unreadable("cut short, and sent once more")
+            elif not self.exchange.receive_body(body):
                 self._excess = BODY
 
     def on_message_complete(self):
@@ -355,7 +358,6 @@
     def _start_discarding(self, kind, head):
         self._discarding = True
         self._count_unmatched(kind)
-        self._matcher.start_discarding()
         if head.status not in BODILESS_STATUSES and not _has_framing(head):
             self._fail_unreadable("behind a response without a length")
 
--- a/hawthornspoke/httpio/_matching.py
+++ b/hawthornspoke/httpio/_matching.py
@@ -13,6 +13,9 @@
 #: Bytes of a status line up to the reason phrase.
 STATUS_LINE_START_BYTES = len(b"HTTP/1.1 200")
 
+#: Maximum bytes from the start of a head to its id, for it to be found in a body.
+MAX_REPEATED_HEAD_BYTES = 4096
+
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] \d{3}")
 
 
@@ -52,14 +55,39 @@
         """Return whether a response that is accepted names its request."""
         return self._id_header is None or head.get(self._id_header) is not None
 
-    def start_discarding(self):
-        """Prepare for the body of a response that is discarded."""
+    def start_body(self):
+        """Prepare for the body of the next response."""
         self._tail = b""
-        name = re.escape(self._id_header.encode("latin-1"))
-        value = re.escape(self._expected_id.encode("latin-1"))
-        self._own_field = re.compile(
-            rb"%b:[ \t]{0,%d}%b" % (name, _MAX_SPACE, value), re.IGNORECASE
-        )
+
+    def repeats_own_response(self, data):
+        """Return whether the body of the own response contains its head once more.
+
+        The response was cut short then, and what follows is no part of its body.
+
+        Parameters
+        ----------
+        data : bytes
+            Next part of the body; the head may be split between several parts.
+
+        Returns
+        -------
+        bool
+        """
+        if self._id_header is None:
+            return False
+        data = self._tail + data
+        if b"HTTP/1." not in data:
+            self._tail = data[-STATUS_LINE_START_BYTES:]
+            return False
+        self._tail = data[-MAX_REPEATED_HEAD_BYTES:]
+        field = self._find_own_field(data)
+        if field is None:
+            return False
+        earliest = max(0, field.start() - MAX_REPEATED_HEAD_BYTES)
+        start = data.rfind(b"HTTP/1.", earliest, field.start())
+        if start < 0 or _STATUS_LINE.match(data, start) is None:
+            return False
+        return b"\r\n\r\n" not in data[start : field.start()]
 
     def hides_own_response(self, data):
         """Return whether what is discarded contains the head of the own response.
@@ -75,15 +103,24 @@
         -------
         bool
         """
-        if self._own_field is None:
+        if self._id_header is None:
             return False
         data = self._tail + data
-        if self._own_field.search(data) is not None:
+        if self._find_own_field(data) is not None:
             return True
         length = len(self._id_header) + 1 + _MAX_SPACE + len(self._expected_id)
         self._tail = data[1 - length :]
         return False
 
+    def _find_own_field(self, data):
+        if self._own_field is None:
+            name = re.escape(self._id_header.encode("latin-1"))
+            value = re.escape(self._expected_id.encode("latin-1"))
+            self._own_field = re.compile(
+                rb"%b:[ \t]{0,%d}%b" % (name, _MAX_SPACE, value), re.IGNORECASE
+            )
+        return self._own_field.search(data)
+
 
 def contains_status_line(data):
     """Return whether a response begins within a reason phrase or a field's value.
--- a/hawthornspoke/relay/tests/test_unmatched_answers.py
+++ b/hawthornspoke/relay/tests/test_unmatched_answers.py
@@ -220,6 +220,43 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("sent_last", [0, 130, 160, 200])
+@pytest.mark.parametrize("prefix, status", [("once", 502), ("again", 200)])
+def test_answer_that_is_cut_and_sent_once_more_is_not_joined(prefix, status, sent_last):
+    """Guards against a body of two answers that looks whole."""
+
+    async def respond(endpoint, head, writer):
+        own = response(head, body=b"x" * 400)
+        data = own[:-200] + own[:300]
+        writer.write(data[: len(data) - sent_last])
+        await asyncio.sleep(0.02)
+        writer.write(data[len(data) - sent_last :])
+        await endpoint.reader.read()
+
+    async def scenario():
+        broken, other = ScriptedEndpoint(respond), ScriptedEndpoint()
+        async with RelayHarness(broken, other, timeout=2.0) as harness:
+            harness.fleet.endpoint_by_id["e1"].own_in_flight = 1
+            result, _, body, _ = await harness.ask(prefix)
+            assert (result, body) == (status, b"ok" if status == 200 else b"")
+
+    run_scenario(scenario)
+
+
+def test_body_that_names_its_request_is_passed_on():
+    async def respond(endpoint, head, writer):
+        text = b"HTTP/1.1 200 X\r\n\r\nX-Request-Id: r1\r\nGET / HTTP/1.1\r\n"
+        writer.write(response(head, body=text + head.encode()))
+
+    async def scenario():
+        endpoint = ScriptedEndpoint(respond)
+        async with RelayHarness(endpoint, timeout=2.0) as harness:
+            status, _, body, _ = await harness.ask("once")
+            assert (status, body.count(b"X-Request-Id: r1")) == (200, 2)
+
+    run_scenario(scenario)
+
+
 CUT_HEADS = {
     "success": b"HTTP/1.1 200 X\r\nX-Seal: of an",
     "refusal": b"HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nX-Seal: of an",
