Grant a turn to requests whose suspected feature few others have

Callers saw: after three crashes, sound requests that share the first part of all crashing ones were refused (503 suspected) until one of them came within the window of its host, which is open for a share of the time that falls with the number of hosts.

Cause: requests that tell suspects apart were sent in windows only, and a request that comes outside of them is refused, so a rare part meets none.

Change: such a request claims its features from the agent that grants retrials, waits for the answer, and is sent if all are granted. The grant counts as a retrial of the feature: one until an answer clears it. The windows stay as they were.

--- a/hawthornspoke/quarantine/_messages.py
+++ b/hawthornspoke/quarantine/_messages.py
@@ -71,7 +71,7 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class RetrialClaimed:
-    """An entry host wants to send a request with a quarantined feature.
+    """An entry host wants to send a request with a suspected or quarantined feature.
 
     Parameters
     ----------
@@ -84,7 +84,7 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class RetrialGranted:
-    """One request with a quarantined feature may be sent.
+    """One request with a suspected or quarantined feature may be sent.
 
     Parameters
     ----------
@@ -198,10 +198,14 @@
     free_at : float
         Time from which it may be sent.
     reason : str, default="turn"
-        Why it may be sent: it is this host's turn to tell suspects apart, or a
-        quarantined feature is due for a ``retrial``, or for a ``doubtful_retrial``.
+        Why it may be sent: it is this host's turn to tell suspects apart, or an agent
+        has granted it one (``granted_turn``), or a quarantined feature is due for a
+        ``retrial``, or for a ``doubtful_retrial``.
+    is_due : bool, default=False
+        Whether it may be sent before ``free_at`` if an agent grants this host a turn.
     """
 
     features: frozenset
     free_at: float
     reason: str = "turn"
+    is_due: bool = False
--- a/hawthornspoke/quarantine/_quarantine.py
+++ b/hawthornspoke/quarantine/_quarantine.py
@@ -158,7 +158,7 @@
         return self._merge(message.items, now)
 
     def on_retrial_granted(self, message, *, now):
-        """Allow one request with a quarantined feature."""
+        """Allow one request with a suspected or quarantined feature."""
         self._trials.grant(message.fingerprint, expires_at=message.expires_at)
         return []
 
@@ -207,6 +207,7 @@
         """
         isolated = set()
         free_at, reason = now, "turn"
+        is_due = True
         for suspicion, present, deadline in self._suspected_among(features, now):
             if deadline > now:
                 if not self._trials.is_granted(present, now=now):
@@ -219,10 +220,18 @@
                 suspicion, present, phase=self.phase, hosts=self.hosts, now=now
             )
             free_at = max(free_at, may_start_at)
+            is_due &= self._trials.is_turn_due(suspicion, present, now=now)
+            if self._trials.has_grant(present, now=now):
+                reason = "granted_turn"
             isolated |= present
         if not isolated:
             return None
-        return Isolated(features=frozenset(isolated), free_at=free_at, reason=reason)
+        return Isolated(
+            features=frozenset(isolated),
+            free_at=free_at,
+            reason=reason,
+            is_due=is_due and now < free_at,
+        )
 
     def begin_trial(self, features, *, now):
         """Record that an isolated request is sent.
--- a/hawthornspoke/quarantine/_trials.py
+++ b/hawthornspoke/quarantine/_trials.py
@@ -40,8 +40,9 @@
 
     A feature that is refused gets no answers, so a wrong decision would never be
     corrected if nothing were sent any more. Each host has a window of its own in a
-    cycle as long as the windows of all hosts, for suspects that nothing tells apart. A
-    retrial needs a grant, so that all hosts together send one at a time.
+    cycle as long as the windows of all hosts, for suspects that nothing tells apart; if
+    few requests meet a window, an agent grants one of them. A retrial needs a grant, so
+    that all hosts together send one at a time.
 
     Parameters
     ----------
@@ -125,20 +126,36 @@
         -------
         float
         """
-        earliest = max(now, self._running_until)
-        if len(suspicion.features) > 1:
-            is_tie = suspicion.leaders == suspicion.features
-            delay = TIE_DELAY if is_tie else LEADER_DELAY
-            for feature in present & suspicion.leaders:
-                suspect = self._suspect_by_feature.get(feature)
-                since = now if suspect is None else suspect.since
-                earliest = max(earliest, since + delay)
+        earliest = self._earliest(suspicion, present, now)
+        if earliest <= now and self.has_grant(present, now=now):
+            return earliest
         cycle = hosts * TRIAL_INTERVAL
         into_window = (earliest - phase * cycle) % cycle
         if into_window < TRIAL_INTERVAL:
             return earliest
         return earliest + cycle - into_window
 
+    def is_turn_due(self, suspicion, present, *, now):
+        """Return whether an isolated request may be sent with a grant.
+
+        A feature gets one, so that few requests with it crash endpoints if these ends
+        go unnoticed.
+
+        Parameters
+        ----------
+        suspicion : Suspicion
+        present : frozenset of str
+            Suspected features that the request has.
+        now : float
+
+        Returns
+        -------
+        bool
+        """
+        return self._earliest(suspicion, present, now) <= now and not any(
+            self._retrials.get(feature, now=now).count for feature in present
+        )
+
     def is_due(self, features, *, now):
         """Return whether a retrial of quarantined features is due.
 
@@ -157,7 +174,7 @@
         )
 
     def grant(self, feature, *, expires_at):
-        """Record that this host may send one request with a quarantined feature.
+        """Record that this host may send one request with a feature.
 
         Parameters
         ----------
@@ -169,7 +186,11 @@
 
     def is_granted(self, features, *, now):
         """Return whether this host may send a retrial of all of some features."""
-        return self.is_due(features, now=now) and all(
+        return self.is_due(features, now=now) and self.has_grant(features, now=now)
+
+    def has_grant(self, features, *, now):
+        """Return whether an agent has granted this host a request with features."""
+        return all(
             now < self._granted_until_by_feature.get(feature, float("-inf"))
             for feature in features
         )
@@ -208,6 +229,18 @@
         """Record that the isolated request has ended."""
         self._running_until = float("-inf")
 
+    def _earliest(self, suspicion, present, now):
+        """Return when an isolated request may be sent if it is this host's turn."""
+        earliest = max(now, self._running_until)
+        if len(suspicion.features) > 1:
+            is_tie = suspicion.leaders == suspicion.features
+            delay = TIE_DELAY if is_tie else LEADER_DELAY
+            for feature in present & suspicion.leaders:
+                suspect = self._suspect_by_feature.get(feature)
+                since = now if suspect is None else suspect.since
+                earliest = max(earliest, since + delay)
+        return earliest
+
     def _due_at(self, feature, now):
         suspect = self._suspect_by_feature[feature]
         retrial = self._retrials.get(feature, now=now)
--- a/hawthornspoke/quarantine/tests/blame_simulation.py
+++ b/hawthornspoke/quarantine/tests/blame_simulation.py
@@ -21,6 +21,7 @@
     EvidenceExchange,
     EvidenceReceived,
     EvidenceUpdate,
+    Isolated,
     Quarantine,
     RequestCompleted,
     RetrialClaimed,
@@ -227,6 +228,11 @@
         machine = self.hosts[request.host]
         verdict = machine.verdict(request.features, now=self.now)
         if verdict is not None and not self._may_isolate(request, verdict):
+            if isinstance(verdict, Isolated) and verdict.is_due:
+                if self._claim(request.host, verdict.features):
+                    # Once the grants have arrived.
+                    self._after(HOP_DELAY[1], self._send, request)
+                    return
             self._refuse(request, verdict)
             return
         up = [item for item in self.endpoints if item.is_up]
@@ -255,11 +261,14 @@
 
     def _claim(self, host, features):
         """Claim the retrials of some features from the first agent."""
+        granted = []
         for feature in features:
             known = self.hosts[host].retrial(feature, now=self.now)
             (answer,) = self.agents[0].step(RetrialClaimed(known=known), now=self.now)
             if isinstance(answer, RetrialGranted):
+                granted.append(feature)
                 self._after(self.rng.uniform(*HOP_DELAY), self._grant, host, answer)
+        return granted
 
     def _grant(self, host, answer):
         self.hosts[host].step(answer, now=self.now)
--- a/hawthornspoke/quarantine/tests/retrial_simulation.py
+++ b/hawthornspoke/quarantine/tests/retrial_simulation.py
@@ -161,8 +161,7 @@
             super()._send(request)
 
     def _claim(self, host, features):
-        if not self._is_cut(host):
-            super()._claim(host, features)
+        return [] if self._is_cut(host) else super()._claim(host, features)
 
     def _share(self, items, *, host=None):
         if not self._is_cut(host):
--- a/hawthornspoke/quarantine/tests/test_trials.py
+++ b/hawthornspoke/quarantine/tests/test_trials.py
@@ -114,6 +114,30 @@
     assert min(gaps) >= TRIAL_INTERVAL - 1e-6
 
 
+def test_agent_grants_a_turn_to_the_first_host_that_has_a_request():
+    """Guards against sound requests that wait for the window of their host."""
+    hosts = [Quarantine(phase=number / 10, hosts=10) for number in range(10)]
+    agent = EvidenceExchange()
+    for machine in hosts:
+        suspect(machine, DEAD, COMMON)
+    now = 2.0 + TIE_DELAY
+    waiting = [
+        machine
+        for machine in hosts
+        if machine.verdict((COMMON,), now=now).free_at > now
+    ]
+    assert len(waiting) == 9
+    assert all(machine.verdict((COMMON,), now=now).is_due for machine in waiting)
+    granted = [machine for machine in waiting if claim(machine, agent, COMMON, now=now)]
+    assert granted == waiting[:1]
+    verdict = granted[0].verdict((COMMON,), now=now)
+    assert verdict.free_at <= now and verdict.reason == "granted_turn"
+    (retrial,) = granted[0].begin_trial(verdict.features, now=now)
+    for machine in hosts:
+        machine.step(EvidenceReceived(items=(retrial,)), now=now)
+        assert not machine.verdict((COMMON,), now=now + TRIAL_TIMEOUT).is_due
+
+
 def test_part_that_was_answered_is_isolated_before_it_is_refused():
     """Guards against refusing a popular part that was beside other crashes."""
     machine = Quarantine()
--- a/hawthornspoke/relay/_handler.py
+++ b/hawthornspoke/relay/_handler.py
@@ -140,6 +140,10 @@
 
     async def _handle(self, context):
         refusal = self._admit(context)
+        if refusal is not None and refusal.reason == SUSPECTED.code:
+            if await self._suspects.claim_turn(context.features):
+                context.rejection = None
+                refusal = self._admit(context)
         if refusal is not None:
             self._refuse(context, refusal)
             return
--- a/hawthornspoke/relay/_retrial_claims.py
+++ b/hawthornspoke/relay/_retrial_claims.py
@@ -1,4 +1,4 @@
-"""Claims for requests that test if a quarantined feature still crashes endpoints."""
+"""Claims for requests that test whether a feature crashes endpoints."""
 
 import asyncio
 
@@ -7,7 +7,7 @@
 
 
 class RetrialClaims:
-    """Claims retrials from agents, one at a time for each feature.
+    """Claims retrials and turns from agents, one at a time for each feature.
 
     Parameters
     ----------
@@ -31,24 +31,43 @@
         Parameters
         ----------
         features : iterable of str
+
+        Returns
+        -------
+        list of Future
+            Of the claims that begin now, done once an agent has decided.
         """
-        for feature in features:
-            if feature not in self._task_by_feature:
-                task = asyncio.get_running_loop().create_task(self._claim(feature))
-                self._task_by_feature[feature] = task
+        return [
+            self._begin(feature)
+            for feature in features
+            if feature not in self._task_by_feature
+        ]
 
     def close(self):
         """Cancel all claims."""
         for task in self._task_by_feature.values():
             task.cancel()
 
-    async def _claim(self, feature):
+    def _begin(self, feature):
+        loop = asyncio.get_running_loop()
+        decided = loop.create_future()
+        self._task_by_feature[feature] = loop.create_task(self._claim(feature, decided))
+        return decided
+
+    async def _claim(self, feature, decided):
         try:
             granted = await self._sharing.claim_retrial(feature)
             if granted is not None:
                 self._on_granted(granted)
             outcome = "denied" if granted is None else "granted"
             self._metrics.count("retrial_claims_total", outcome=outcome)
+            _finish(decided)
             await asyncio.sleep(CLAIM_PAUSE)
         finally:
+            _finish(decided)
             del self._task_by_feature[feature]
+
+
+def _finish(future):
+    if not future.done():
+        future.set_result(None)
--- a/hawthornspoke/relay/_suspects.py
+++ b/hawthornspoke/relay/_suspects.py
@@ -162,6 +162,28 @@
         retry_after = min(high, max(low, round(verdict.free_at - now, 2)))
         return SUSPECTED.with_reason(names, retry_after=retry_after)
 
+    async def claim_turn(self, features):
+        """Ask an agent to let a request be sent that would wait for this host's window.
+
+        Parameters
+        ----------
+        features : tuple of str
+            Of the request.
+
+        Returns
+        -------
+        bool
+            Whether an agent has decided, and so whether ``refusal`` may have changed.
+        """
+        verdict = self._verdict(features, monotonic())
+        if not isinstance(verdict, Isolated) or not verdict.is_due:
+            return False
+        decisions = self._claims.claim(verdict.features)
+        if not decisions:
+            return False
+        await asyncio.wait(decisions)
+        return True
+
     def record_answered(self, features, *, is_success):
         """Clear the evidence against a request that an endpoint answered.
 
