Tests: keep the address of an endpoint that refuses connections

Its dead endpoints closed their listening sockets, so their ports were free, and another process of the machine could listen there before the second attempts came, which were then sent and rightly charged.

The checks are unchanged. The same in test_unreachable_endpoint_does_not_count_as_a_run.

--- a/hawthornspoke/relay/tests/relay_harness.py
+++ b/hawthornspoke/relay/tests/relay_harness.py
@@ -118,6 +118,18 @@
                 await writer.drain()
 
 
+class RefusingEndpoint(ScriptedEndpoint):
+    """Endpoint whose address refuses connections, as no process listens there.
+
+    The address stays bound, so that no other process can listen there meanwhile.
+    """
+
+    async def start(self):
+        self._server = socket.socket()
+        self._server.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{self._server.getsockname()[1]}"
+
+
 def field(head, name):
     """Return the value of a header field of a raw message, None if it is missing."""
     for line in head.split("\r\n"):
--- a/hawthornspoke/relay/tests/test_forward.py
+++ b/hawthornspoke/relay/tests/test_forward.py
@@ -6,6 +6,7 @@
 
 from hawthornspoke.base import monotonic
 from hawthornspoke.relay.tests.relay_harness import (
+    RefusingEndpoint,
     RelayHarness,
     ScriptedEndpoint,
     answer,
@@ -115,9 +116,8 @@
     """
 
     async def scenario():
-        dead, alive = ScriptedEndpoint(), ScriptedEndpoint(answer())
+        dead, alive = RefusingEndpoint(), ScriptedEndpoint(answer())
         async with RelayHarness(dead, alive) as harness:
-            dead.close()
             harness.fleet.endpoint_by_id["e1"].own_in_flight = 1
             status, _, _, _ = await harness.ask("once")
             assert status == 200
--- a/hawthornspoke/relay/tests/test_silent_endpoints.py
+++ b/hawthornspoke/relay/tests/test_silent_endpoints.py
@@ -13,6 +13,7 @@
 from hawthornspoke.placing import EndpointSilent
 from hawthornspoke.relay._sending import Sender
 from hawthornspoke.relay.tests.relay_harness import (
+    RefusingEndpoint,
     RelayHarness,
     ScriptedEndpoint,
     answer,
@@ -492,12 +493,10 @@
 
     async def scenario():
         paused = ScriptedEndpoint(paused_stream([1, 2], pause_after=1, pause=2.8))
-        dead = [ScriptedEndpoint() for _ in range(5)]
+        dead = [RefusingEndpoint() for _ in range(5)]
         async with RelayHarness(paused, *dead, timeout=4.0) as harness:
             for number in range(1, 6):
                 harness.fleet.endpoint_by_id[f"e{number}"].own_in_flight = 1
-            for endpoint in dead:
-                endpoint.close()
             _, _, body, complete = await harness.ask("stream", read_time=5.0)
             assert (complete, event_ids(body)) == (True, [1, 2])
             assert harness.logged("hedged")
