--- a/tests/soak/stutter.py
+++ b/tests/soak/stutter.py
@@ -36,7 +36,10 @@
 TIMES = ("after", "before", "early", "split")
 
 #: Faults beside the repeated answers.
-SIDE_FAULTS = ("kill", "terminate", "link", "reset", "crash", "configure")
+SIDE_FAULTS = ("kill", "terminate", "link", "reset", "crash", "configure", "version")
+
+#: Calls that bear no id, before whose response an endpoint may repeat its last report.
+CALLS_WITHOUT_ID = ("/v1/report", "/v1/order")
 
 
 def is_failing(request_id):
@@ -159,11 +162,29 @@
             self._reply._connection.write(data)
 
 
+class ReportReply:
+    """Reply to a call for the report, which is kept to be repeated."""
+
+    def __init__(self, *, reply, engine):
+        self._reply = reply
+        self._engine = engine
+
+    def send(self, status, headers, body):
+        """Send the report."""
+        head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
+        self._engine.report_by_connection[self._reply._connection] = (
+            head.encode() + body
+        )
+        self._reply.send(status, headers, body)
+
+
 class StutteringEngine(Engine):
     """Engine that repeats earlier answers on its connections.
 
     Attributes
     ----------
+    report_by_connection : dict of object to bytes
+        The last report on each connection.
     kinds : list of str
         How answers are repeated.
     repeated : int
@@ -182,6 +203,7 @@
         self.repeated = 0
         self.answered_at_by_id = {}
         self.unreadable_ids = set()
+        self.report_by_connection = {}
         self._last_by_connection = {}
         self._spoilt_connections = set()
 
@@ -191,6 +213,19 @@
         if answer.status in (200, 500):
             self.answered_at_by_id[answer.request_id] = monotonic()
 
+    async def handle(self, request, reply):
+        """Answer a request, after a repeated report if it bears no id."""
+        report = self.report_by_connection.get(reply._connection, b"")
+        if (
+            request.target.startswith(CALLS_WITHOUT_ID)
+            and self.random.random() < STUTTER_SHARE
+        ):
+            reply._connection.write(report)
+        await super().handle(request, reply)
+
+    def _report(self, reply):
+        super()._report(ReportReply(reply=reply, engine=self))
+
     async def _run(self, request, reply):
         connection = reply._connection
         request_id = request.get("Attempt-Id")
