Test that a connection opened after the request proves no unframed end

The test of a late repetition uses connections that the relay itself has kept, in place of one put into the pool by hand; its assertion is the same. Two mutations: one new, one that named a file that is gone.

--- a/hawthornspoke/relay/tests/test_unframed_answers.py
+++ b/hawthornspoke/relay/tests/test_unframed_answers.py
@@ -236,7 +236,9 @@
     return step
 
 
-def cut_by_restart(data, *, head=stream_head, endpoint_id="e0-again", **options):
+def cut_by_restart(
+    data, *, head=stream_head, endpoint_id="e0-again", before_end=None, **options
+):
     """Return a step whose endpoint crashes; its end arrives when the next one listens.
 
     Parameters
@@ -247,6 +249,8 @@
         Returns the response head, whose framing is removed.
     endpoint_id : str, default="e0-again"
         Of the next start.
+    before_end : callable or None, default=None
+        Coroutine function that is called when the next start listens.
     **options
         Of its ScriptedEndpoint.
     """
@@ -257,6 +261,8 @@
         replacement = ScriptedEndpoint(endpoint_id=endpoint_id, **options)
         await replacement.start(port)
         try:
+            if before_end is not None:
+                await before_end()
             await unframed(data, head=head)(endpoint, request_head, writer)
         finally:
             asyncio.get_running_loop().call_later(1.5, replacement.close)
@@ -435,19 +441,33 @@
     run_scenario(scenario)
 
 
+def test_connection_opened_after_the_request_is_no_proof():
+    """Guards against a proof by the next start, to which a request went meanwhile."""
+
+    async def scenario():
+        step = cut_by_restart(
+            event(1),
+            before_end=lambda: harness.ask("once"),
+            probe_step=refuse_probe_until(asyncio.Event()),
+        )
+        async with RelayHarness(
+            ScriptedEndpoint(step), timeout=3.0, health_path=None
+        ) as harness:
+            _, _, body, complete = await harness.ask("stream")
+            assert (event_ids(body), complete) == ([1], False)
+
+    run_scenario(scenario)
+
+
 def test_late_repetition_of_an_answer_is_no_proof():
     """Guards against a proof by bytes that an endpoint had sent before its end."""
 
     async def scenario():
-        endpoint = ScriptedEndpoint(unframed(event(1)), probe_step=answer())
+        endpoint = ScriptedEndpoint(
+            *[slow_answer(0.05)] * 2, unframed(event(1)), probe_step=answer()
+        )
         async with RelayHarness(endpoint, timeout=2.0, health_path=None) as harness:
-            connection = await harness.pool.open(harness.addresses[0])
-            connection.idle_deadline = float("inf")
-            harness.pool.return_connection(
-                "e0",
-                connection,
-                incarnation=harness.fleet.endpoint_by_id["e0"].incarnation,
-            )
+            await keep_connections(harness)
             _, _, body, complete = await harness.ask("stream")
             assert (event_ids(body), complete) == ([1], False)
 
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -845,6 +845,13 @@
         new="        if received_id is None:\n            return True, ENDPOINT_ID",
         test="hawthornspoke/relay/tests/test_unframed_answers.py -k without_a_proof",
     ),
+    Mutation(
+        name="unframed: a connection to the next start proves that the last one runs",
+        file="httpio/_pool.py",
+        old="                and connection.opened_at < opened_before\n",
+        new="",
+        test="hawthornspoke/relay/tests/test_unframed_answers.py -k opened_after",
+    ),
     Mutation(
         name="unframed: a late answer to an earlier request is a proof",
         file="relay/_end_verification.py",
@@ -854,9 +861,9 @@
     ),
     Mutation(
         name="unframed: a stream that ends inside an event is no evidence",
-        file="relay/_streams.py",
-        old="        attempt.cut_short()\n",
-        new="        attempt.fail()\n",
+        file="relay/_reading.py",
+        old="        self.attempt.cut_short()\n",
+        new="        self.attempt.fail()\n",
         test="hawthornspoke/relay/tests/test_unframed_answers.py -k inside_an_event",
     ),
     Mutation(
