Fail an answer that is cut short and followed by another request's answer

Callers got a sealed 200 whose body was the start of their answer and then the head and body of another request's, and streams with an event of which a part was another answer's.

Cause: only a second head with the request's own id ended an answer, and only the first place where that id stands was looked at, so that an echo of it, or a field that names the protocol, hid the head behind it.

A head in the body ends it now whatever request it names. A head that names none can't be told from a body that quotes one, and is passed on as before.

--- a/hawthornspoke/httpio/_client.py
+++ b/hawthornspoke/httpio/_client.py
@@ -338,8 +338,8 @@
             self._discard(body)
         elif not self._has_failed and not self.exchange.complete:
             self._feed.record_progress()
-            if self._matcher.repeats_own_response(body):
-                self._fail_unreadable("cut short, and sent once more")
+            if self._matcher.contains_head(body):
+                self._fail_unreadable("cut short, and followed by another one")
             elif not self.exchange.receive_body(body):
                 self._excess = BODY
 
@@ -359,7 +359,7 @@
         self._discarding = True
         self._count_unmatched(kind)
         if head.status not in BODILESS_STATUSES and not _has_framing(head):
-            self._fail_unreadable("behind a response without a length")
+            self._fail_unreadable("behind one without a length")
 
     def _find_own_response(self, data):
         if self._matcher.hides_own_response(data):
--- a/hawthornspoke/httpio/_matching.py
+++ b/hawthornspoke/httpio/_matching.py
@@ -13,11 +13,18 @@
 #: Bytes of a status line up to the reason phrase.
 STATUS_LINE_START_BYTES = len(b"HTTP/1.1 200")
 
-#: Maximum bytes from the start of a head to its id, for it to be found in a body.
-MAX_REPEATED_HEAD_BYTES = 4096
+#: Maximum bytes from the start of a head to its id, for it to be found in a body that
+#: arrives in parts.
+MAX_CONTAINED_HEAD_BYTES = 4096
 
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] \d{3}")
 
+#: Status line and the fields before the one that is looked for.
+_HEAD_START = (
+    _STATUS_LINE.pattern + rb"[^\r\n]{0,256}\r\n"
+    rb"(?:[^\r\n:]{1,256}:[^\r\n]{0,2048}\r\n){0,64}?"
+)
+
 
 class ResponseMatcher:
     """Matches the responses that a connection receives to one request.
@@ -32,13 +39,21 @@
         Whether the connection has carried no other request.
     """
 
-    __slots__ = ("_id_header", "_expected_id", "_is_first", "_own_field", "_tail")
+    __slots__ = (
+        "_id_header",
+        "_expected_id",
+        "_is_first",
+        "_own_field",
+        "_head",
+        "_tail",
+    )
 
     def __init__(self, *, id_header, expected_id, is_first):
         self._id_header = None if expected_id is None else id_header
         self._expected_id = expected_id
         self._is_first = is_first
         self._own_field = None
+        self._head = None
         self._tail = b""
 
     def mismatch(self, head):
@@ -59,10 +74,10 @@
         """Prepare for the body of the next response."""
         self._tail = b""
 
-    def repeats_own_response(self, data):
-        """Return whether the body of the own response contains its head once more.
+    def contains_head(self, data):
+        """Return whether the body of the own response contains a response's head.
 
-        The response was cut short then, and what follows is no part of its body.
+        The own response was cut short then, and what follows is no part of its body.
 
         Parameters
         ----------
@@ -79,20 +94,17 @@
         if b"HTTP/1." not in data:
             self._tail = data[-STATUS_LINE_START_BYTES:]
             return False
-        self._tail = data[-MAX_REPEATED_HEAD_BYTES:]
-        field = self._find_own_field(data)
-        if field is None:
-            return False
-        earliest = max(0, field.start() - MAX_REPEATED_HEAD_BYTES)
-        start = data.rfind(b"HTTP/1.", earliest, field.start())
-        if start < 0 or _STATUS_LINE.match(data, start) is None:
-            return False
-        return b"\r\n\r\n" not in data[start : field.start()]
+        self._tail = data[-MAX_CONTAINED_HEAD_BYTES:]
+        if self._head is None:
+            name = re.escape(self._id_header.encode("latin-1"))
+            self._head = re.compile(_HEAD_START + name + rb":", re.IGNORECASE)
+        return self._head.search(data) is not None
 
     def hides_own_response(self, data):
-        """Return whether what is discarded contains the head of the own response.
+        """Return whether what is discarded contains the id of the own response.
 
-        The response that is discarded was cut short then.
+        The response that is discarded was cut short then, and the own one is taken for
+        the rest of its body.
 
         Parameters
         ----------
@@ -117,7 +129,8 @@
             name = re.escape(self._id_header.encode("latin-1"))
             value = re.escape(self._expected_id.encode("latin-1"))
             self._own_field = re.compile(
-                rb"%b:[ \t]{0,%d}%b" % (name, _MAX_SPACE, value), re.IGNORECASE
+                rb"%b:[ \t]{0,%d}%b(?![^\s])" % (name, _MAX_SPACE, value),
+                re.IGNORECASE,
             )
         return self._own_field.search(data)
 
