End a request at once behind an unexpected answer that closes the connection

Callers waited until their deadline (2.0 s of 2.0 s in the test) where an endpoint had refused without an id and said that it closes the connection: such an answer is discarded on a kept connection, as it may belong to another request, and the own one was waited for.

Nothing can come behind it. The request now fails at once as unreadable: it may have run, and is repeated where its route allows that.

--- a/hawthornspoke/httpio/_client.py
+++ b/hawthornspoke/httpio/_client.py
@@ -358,7 +358,9 @@
     def _start_discarding(self, kind, head):
         self._discarding = True
         self._count_unmatched(kind)
-        if head.status not in BODILESS_STATUSES and not _has_framing(head):
+        if "close" in head.get("connection", "").lower():
+            self._fail_unreadable("behind one that closes the connection")
+        elif head.status not in BODILESS_STATUSES and not _has_framing(head):
             self._fail_unreadable("behind one without a length")
 
     def _find_own_response(self, data):
--- a/hawthornspoke/relay/tests/test_joined_answers.py
+++ b/hawthornspoke/relay/tests/test_joined_answers.py
@@ -2,10 +2,12 @@
 
 import pytest
 
+from hawthornspoke.base import monotonic
 from hawthornspoke.httpio._matching import ResponseMatcher
 from hawthornspoke.relay.tests.relay_harness import (
     RelayHarness,
     ScriptedEndpoint,
+    answer,
     response,
     stream_head,
 )
@@ -99,3 +101,23 @@
     matcher = ResponseMatcher(id_header="X-Id", expected_id="r1", is_first=True)
     matcher.start_body()
     assert not matcher.contains_head(SOUND_BODIES[name])
+
+
+def test_refusal_without_an_id_is_not_held_until_the_deadline():
+    """Guards against callers that wait as an endpoint refuses without the id."""
+
+    async def refuse(endpoint, head, writer):
+        data = late_answer(503, b"", fields=["X-Not-Run: 1", "Connection: close"])
+        writer.write(data.replace(b"X-Seal: s\r\n", b""))
+        await endpoint.reader.read()
+
+    async def scenario():
+        endpoint = ScriptedEndpoint(answer(), refuse)
+        async with RelayHarness(endpoint, timeout=2.0) as harness:
+            await harness.ask("once")
+            began = monotonic()
+            status, _, _, _ = await harness.ask("once")
+            assert status == 502
+            assert monotonic() < began + 1.0
+
+    run_scenario(scenario)
