Clear parts of prompts once a stream is beyond its beginning

Callers saw: sound requests that share the first part of crashing ones were refused (503 suspected) while a request with that part got events at an endpoint, until the end of its answer, which may take many seconds.

Cause: a part counts against a request up to 0.25 s after the head of its answer only, but was cleared at the end of a whole answer.

Change: a stream that gets events 0.5 s after its head clears its parts, and counts as an answer to them. Whole requests are cleared at the end, as they may crash endpoints later.

Without record_event in its own stand-in test_request_lives.py failed; it has got it.

--- a/hawthornspoke/quarantine/__init__.py
+++ b/hawthornspoke/quarantine/__init__.py
@@ -25,6 +25,7 @@
     RetrialClaimed,
     RetrialDenied,
     RetrialGranted,
+    StreamContinued,
     Suspected,
 )
 from hawthornspoke.quarantine._quarantine import Quarantine
@@ -60,6 +61,7 @@
     "RetrialClaimed",
     "RetrialDenied",
     "RetrialGranted",
+    "StreamContinued",
     "Suspected",
     "counted_ends",
     "decode_claim",
--- a/hawthornspoke/quarantine/_messages.py
+++ b/hawthornspoke/quarantine/_messages.py
@@ -57,6 +57,20 @@
     shared: tuple = ()
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class StreamContinued:
+    """An endpoint sends events of a stream beyond its beginning.
+
+    Parameters
+    ----------
+    shared : tuple of str
+        Features that the request shares with others, which crash endpoints as they
+        begin to answer.
+    """
+
+    shared: tuple
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class EvidenceUpdate:
     """New evidence to send to other processes.
--- a/hawthornspoke/quarantine/_quarantine.py
+++ b/hawthornspoke/quarantine/_quarantine.py
@@ -21,13 +21,20 @@
     Released,
     RequestCompleted,
     RetrialGranted,
+    StreamContinued,
     Suspected,
 )
 from hawthornspoke.quarantine._retrials import Retrial
 from hawthornspoke.quarantine._trials import Trials
 
 #: Messages that the machine handles.
-MESSAGES = (RequestCompleted, EndpointEnded, EvidenceReceived, RetrialGranted)
+MESSAGES = (
+    RequestCompleted,
+    StreamContinued,
+    EndpointEnded,
+    EvidenceReceived,
+    RetrialGranted,
+)
 
 #: Number of ends above the threshold from which a request that never ran alone is
 #: refused, and a feature that was answered before as well.
@@ -174,22 +181,23 @@
         -------
         list of EvidenceUpdate or Released
         """
-        self._answers.record(message.shared, now=now)
-        cleared = [
-            _cleared(item)
-            for feature in (message.fingerprint, *message.shared)
-            if feature in self._store
-            for item in self._store.items_of(feature, now=now)
-            if not item.cleared
-        ]
-        if not cleared:
-            return []
-        retrials = [
-            retrial.after_answer(now=now)
-            for feature in {item.fingerprint for item in cleared}
-            if (retrial := self.retrial(feature, now=now)).count
-        ]
-        return self._merge([*cleared, *retrials], now)
+        return self._record_answer(
+            message.shared, (message.fingerprint, *message.shared), now
+        )
+
+    def on_stream_continued(self, message, *, now):
+        """Clear the features that crash endpoints only as an answer begins.
+
+        Parameters
+        ----------
+        message : StreamContinued
+        now : float
+
+        Returns
+        -------
+        list of EvidenceUpdate or Released
+        """
+        return self._record_answer(message.shared, message.shared, now)
 
     def verdict(self, features, *, now):
         """Decide whether a request may be sent.
@@ -349,6 +357,24 @@
             "answered": len(self._answers),
         }
 
+    def _record_answer(self, shared, features, now):
+        self._answers.record(shared, now=now)
+        cleared = [
+            _cleared(item)
+            for feature in features
+            if feature in self._store
+            for item in self._store.items_of(feature, now=now)
+            if not item.cleared
+        ]
+        if not cleared:
+            return []
+        retrials = [
+            retrial.after_answer(now=now)
+            for feature in {item.fingerprint for item in cleared}
+            if (retrial := self.retrial(feature, now=now)).count
+        ]
+        return self._merge([*cleared, *retrials], now)
+
     def _merge(self, items, now):
         added = tuple(item for item in items if self._store.add(item, now=now))
         if not added:
--- a/hawthornspoke/quarantine/tests/blame_simulation.py
+++ b/hawthornspoke/quarantine/tests/blame_simulation.py
@@ -26,6 +26,7 @@
     RequestCompleted,
     RetrialClaimed,
     RetrialGranted,
+    StreamContinued,
 )
 
 HOSTS = 9
@@ -51,6 +52,9 @@
 #: Seconds after its head for which a request counts as just begun.
 JUST_BEGUN = 0.25
 
+#: Seconds after its head from which a stream clears its parts.
+CONTINUED = 0.5
+
 MAX_ATTEMPTS = 2
 WARM_UP = 10.0
 DURATION = 15.0
@@ -304,9 +308,17 @@
                 self.rng.uniform(*CRASH_DELAY), self._crash, endpoint, incarnation_id
             )
         else:
+            self._after(CONTINUED, self._continue, request, endpoint, incarnation_id)
             delay = self.rng.uniform(*ANSWER_TIME)
             self._after(delay, self._answer, request, endpoint, incarnation_id)
 
+    def _continue(self, request, endpoint, incarnation_id):
+        """Tell the host that an answer is beyond its beginning."""
+        is_current = endpoint.incarnation_id == incarnation_id
+        if request in endpoint.requests and is_current:
+            message = StreamContinued(shared=request.features[1:])
+            self._step(request.host, message)
+
     def _answer(self, request, endpoint, incarnation_id):
         if (
             request not in endpoint.requests
--- a/hawthornspoke/quarantine/tests/test_trials.py
+++ b/hawthornspoke/quarantine/tests/test_trials.py
@@ -13,6 +13,7 @@
     RequestCompleted,
     RetrialClaimed,
     RetrialGranted,
+    StreamContinued,
     Suspected,
 )
 from hawthornspoke.quarantine._answers import ANSWER_LIFETIME
@@ -148,6 +149,16 @@
     assert isinstance(machine.verdict((COMMON,), now=7.0), Blocked)
 
 
+def test_stream_that_goes_on_clears_only_its_shared_features():
+    """Guards against clearing whole requests, which may crash endpoints later."""
+    machine = Quarantine()
+    whole = "f" * 24
+    suspect(machine, whole, COMMON, count=5)
+    machine.step(StreamContinued(shared=(COMMON,)), now=6.0)
+    assert machine.verdict((COMMON,), now=6.0) is None
+    assert isinstance(machine.verdict((whole,), now=6.0), Blocked)
+
+
 def test_answer_of_long_ago_is_no_reason_to_isolate():
     machine = Quarantine()
     complete(machine, COMMON, now=0.0)
--- a/hawthornspoke/relay/_run.py
+++ b/hawthornspoke/relay/_run.py
@@ -242,6 +242,7 @@
         reader = self._reader_by_id[attempt_id]
         self._last_id = reader.last_id
         self._start_reply(reader.head)
+        self._sender.record_event(reader.attempt)
         if not part.is_last:
             await self._context.reply.write(part.data)
             return False
--- a/hawthornspoke/relay/_sending.py
+++ b/hawthornspoke/relay/_sending.py
@@ -193,6 +193,10 @@
         )
         return is_whole
 
+    def record_event(self, attempt):
+        """Record that a stream goes on."""
+        self._suspects.record_event(attempt)
+
     def _on_connection_broken(self, context, attempt):
         self._suspects.record_disconnect(
             context.features,
--- a/hawthornspoke/relay/_suspects.py
+++ b/hawthornspoke/relay/_suspects.py
@@ -23,6 +23,7 @@
     Quarantined,
     Released,
     RequestCompleted,
+    StreamContinued,
     Suspected,
     decode_evidence,
     kind_of,
@@ -56,6 +57,10 @@
 #: if it has sent an event since.
 JUST_BEGUN = 0.25
 
+#: The same from which a stream shows that its shared features don't crash endpoints.
+#: Crashes that come about ``JUST_BEGUN`` after the head mustn't clear earlier ones.
+CONTINUED = 2 * JUST_BEGUN
+
 
 class PoisonRequestTracker:
     """Finds out which requests crash endpoints, and shares the evidence.
@@ -82,6 +87,7 @@
         "_metrics",
         "_entry_hosts",
         "_features_by_attempt",
+        "_continued_attempts",
         "_isolated_attempt",
         "_features_by_incarnation",
         "_probe_by_incarnation",
@@ -103,6 +109,7 @@
         self._metrics = metrics
         self._entry_hosts = entry_hosts or (lambda: 1)
         self._features_by_attempt = {}
+        self._continued_attempts = set()
         self._isolated_attempt = None
         self._features_by_incarnation = {}
         self._probe_by_incarnation = {}
@@ -228,9 +235,26 @@
                 retrials={item.fingerprint: item.count for item in retrials},
             )
 
+    def record_event(self, attempt):
+        """Clear shared features of a stream that gets events beyond its beginning.
+
+        Its answer may take many seconds more.
+
+        Parameters
+        ----------
+        attempt : Attempt
+        """
+        if attempt in self._continued_attempts or attempt.is_beginning(CONTINUED):
+            return
+        features = self._features_by_attempt.get(attempt)
+        if features is not None:
+            self._continued_attempts.add(attempt)
+            self._step(StreamContinued(shared=tuple(features[1:])))
+
     def remove_attempt(self, attempt):
         """Stop tracking an attempt that has ended; see ``add_attempt``."""
         self._features_by_attempt.pop(attempt, None)
+        self._continued_attempts.discard(attempt)
         if attempt is self._isolated_attempt:
             self._isolated_attempt = None
             # The result of the probe decides on the next one otherwise.
--- a/hawthornspoke/relay/tests/test_request_lives.py
+++ b/hawthornspoke/relay/tests/test_request_lives.py
@@ -316,6 +316,9 @@
     async def wait_for_probes(self, context):
         await asyncio.sleep(0)
 
+    def record_event(self, attempt):
+        pass
+
     def log_incomplete(self, context, attempt, *, reason):
         pass
 
