Soak: reckon the deadline of a request from its arrival, not from its engine's silence

Some runs counted deadlines that were handed on up to 1.4 s too long, of hosts that nothing had happened to. The simulated engine recorded a request once its own silence was over, and took the time left that its head names as of that moment.

Now the time at which the head was read counts.

--- a/tests/soak/simulation.py
+++ b/tests/soak/simulation.py
@@ -325,7 +325,10 @@
     def _record_arrival(self, request, request_id):
         now = monotonic()
         left_ms = request.get("Deadline-Ms")
-        deadline = None if left_ms is None else now + int(left_ms) / 1000
+        # The engine may have been silent since the request arrived.
+        deadline = None
+        if left_ms is not None:
+            deadline = request.arrived_at + int(left_ms) / 1000
         self.arrivals.append((now, request_id))
         self.deadlines.append((now, request_id, deadline))
 
