Soaks of a crashing part: sound requests that share something, and joint ends

--neighbours counts sound requests that share the key, or the first part, with crashing ones and begin within a second, against requests that share neither, sent to the same host in the same moment, outside of other ends and starts: from the first crash, and from 3 s after the fifth.

--joint-ends ends all hosts and agents at once while the store, or the link to it, is away or slow, ends engines with them, and hides some crashes behind silent links that are then reset.

Both are run by hand.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -7,6 +7,8 @@
 from cyclopts import App
 
 from tests.soak.endless import run_endless
+from tests.soak.joint_ends import run_joint_ends
+from tests.soak.neighbours import run_neighbours
 from tests.soak.parts import run_parts
 from tests.soak.restarts import run_restarts
 from tests.soak.sizes import size_of
@@ -39,6 +41,8 @@
     endless: bool = False,
     unframed: bool = False,
     stutter: bool = False,
+    joint_ends: bool = False,
+    neighbours: bool = False,
 ):
     """Run seeds one after the other; exit with 1 if a guarantee was violated.
 
@@ -64,6 +68,11 @@
     stutter
         Let endpoints repeat earlier answers on their connections, whole or in part,
         beside restarts and faults of links.
+    joint_ends
+        The same while the store is away at the starts, engines end with the hosts, and
+        some crashes show neither as a refused connection nor in the list.
+    neighbours
+        Count sound requests with the key or the first part of crashing ones that begin.
     """
     run = _run_all_faults(processes)
     for is_chosen, chosen_run in (
@@ -73,10 +82,12 @@
         (endless, run_endless),
         (unframed, run_unframed),
         (stutter, run_stutter),
+        (joint_ends, run_joint_ends),
+        (neighbours, run_neighbours),
     ):
         if is_chosen:
             run = chosen_run
-    prints_faults = restarts or stops or endless or unframed or stutter
+    prints_faults = any((restarts, stops, endless, unframed, stutter, neighbours))
     first = random.randrange(1_000_000) if seed is None else seed
     failed = 0
     for number in range(first, first + seeds):
