--- a/tests/soak/programs.py
+++ b/tests/soak/programs.py
@@ -71,9 +71,23 @@
     folder : Path
         Folder for settings and log.
     retry_allowance : int
+    memory_mb : int or None, default=None
+        None for that of the role.
     """
 
-    def __init__(self, *, role, name, ip, zone, app, store, folder, retry_allowance):
+    def __init__(
+        self,
+        *,
+        role,
+        name,
+        ip,
+        zone,
+        app,
+        store,
+        folder,
+        retry_allowance,
+        memory_mb=None,
+    ):
         self.role, self.name, self.ip = role, name, ip
         self.settings_path = folder / f"{name}.toml"
         self.log_path = folder / f"{name}.log"
@@ -88,7 +102,7 @@
                 ready=READY_PORT,
                 inner=FIRST_INTERNAL_PORT,
                 last=FIRST_INTERNAL_PORT + 15,
-                memory=MEMORY_MB[role],
+                memory=memory_mb or MEMORY_MB[role],
                 grace=GRACE_SECONDS,
                 retry_allowance=retry_allowance,
             )
