Pause a stream whose unread part exceeds 1 MiB, also while its caller reads

A stream ended with an incomplete answer (502 before its first event) as too large, though its caller read it all the time. The pause at 1 MiB held only while the caller's write buffer was full. Between two such times an endpoint that sends faster than the caller reads adds to what is unread, up to the limit of an answer, and the attempt fails.

Now a response that is passed on while it is received pauses above 1 MiB whatever the write buffer holds, and goes on below 512 KiB, so that it isn't resumed for each 32 KiB.

--- a/hawthornspoke/httpio/_exchange.py
+++ b/hawthornspoke/httpio/_exchange.py
@@ -103,6 +103,8 @@
 
     async def read(self):
         """Return the next bytes of the body, ``b""`` at its end, or a Failure."""
+        if self.account is not None:
+            self.account.pass_on()
         while not self._parts and not self.has_ended:
             await self._wait()
         if self._parts:
--- a/hawthornspoke/memory_budget/_budget.py
+++ b/hawthornspoke/memory_budget/_budget.py
@@ -31,10 +31,14 @@
 #: response above the limit.
 READ_BUFFER_BYTES = 65536
 
-#: Unread bytes of a response to a slow caller above which it isn't read on, whatever
-#: else is held: a stream may be longer than the limit of what is held of an answer.
+#: Unread bytes of a stream, or of a response to a slow caller, above which it isn't read
+#: on, whatever else is held: a stream may be longer than the limit of what is held of
+#: an answer.
 MAX_BLOCKED_BYTES = 1024 * 1024
 
+#: The same below which it is read on, as each pause costs a round trip or more.
+RESUME_BLOCKED_BYTES = MAX_BLOCKED_BYTES // 2
+
 #: Shares of the limit that responses without an announced size may hold: all of them
 #: together, and one of them that is then read on while the others wait. The rest is for
 #: what each of the others holds below ``READ_BUFFER_BYTES``.
@@ -60,6 +64,11 @@
     ----------
     owner : object, default=None
         The connection, for the caller of the budget.
+
+    Attributes
+    ----------
+    is_passed_on : bool
+        Whether the response is passed on while it is received.
     """
 
     __slots__ = (
@@ -67,6 +76,7 @@
         "held",
         "bytes_by_use",
         "is_slow",
+        "is_passed_on",
         "measured_bytes",
         "measured_at",
     )
@@ -76,6 +86,7 @@
         self.held = 0
         self.bytes_by_use = [0] * len(USES)
         self.is_slow = False
+        self.is_passed_on = False
         self.measured_bytes = 0
         self.measured_at = None
 
@@ -186,6 +197,7 @@
         belongs to the next one.
         """
         self.paused.pop(holder, None)
+        holder.is_passed_on = False
         for use in (BODY, SENDING, UNREAD, KERNEL):
             self.hold(holder, use, 0)
 
@@ -235,6 +247,8 @@
         if holder in self._reserved:
             return False
         unread = holder.bytes_by_use[UNREAD]
+        if holder.is_passed_on and unread > MAX_BLOCKED_BYTES:
+            return True
         if not holder.is_blocked:
             if unread <= READ_BUFFER_BYTES or self._has_room(0):
                 return False
@@ -316,9 +330,12 @@
             self._reserved.add(holder)
 
     def _may_read_on(self, holder, expected):
+        is_passed_on = holder.is_passed_on
+        if is_passed_on and holder.bytes_by_use[UNREAD] > RESUME_BLOCKED_BYTES:
+            return False
         if holder.is_blocked:
             is_short = self.held + expected > self._pause_mark
-            return not is_short and holder.bytes_by_use[UNREAD] <= MAX_BLOCKED_BYTES
+            return not is_short and holder.bytes_by_use[UNREAD] <= RESUME_BLOCKED_BYTES
         if holder.bytes_by_use[UNREAD] <= READ_BUFFER_BYTES:
             return True
         if self._has_room(expected):
--- a/hawthornspoke/memory_budget/_guard.py
+++ b/hawthornspoke/memory_budget/_guard.py
@@ -64,6 +64,10 @@
         """Return whether no more of the response may be read."""
         return self._budget.must_pause(self._holder)
 
+    def pass_on(self):
+        """Record that the response is passed on while it is received."""
+        self._holder.is_passed_on = True
+
     def pause(self, connection, *, wanted=0):
         """Record that a connection to an endpoint isn't read.
 
--- a/hawthornspoke/memory_budget/tests/test_budget.py
+++ b/hawthornspoke/memory_budget/tests/test_budget.py
@@ -50,6 +50,22 @@
     assert budget.admits_body(Holder(), 2000)
 
 
+def test_stream_that_arrives_faster_than_it_is_read_pauses():
+    """Guards against streams that fail as too large though their callers read them."""
+    budget = MemoryBudget(limit=100 * MB)
+    stream, whole = Holder(), Holder()
+    stream.is_passed_on = True
+    for holder in (stream, whole):
+        budget.hold(holder, UNREAD, 2 * MB)
+    assert budget.must_pause(stream) and not budget.must_pause(whole)
+    budget.pause(stream)
+    assert budget.resumable() == []
+    budget.hold(stream, UNREAD, MB // 2)
+    assert budget.resumable() == [stream]
+    budget.release_request(stream)
+    assert not stream.is_passed_on
+
+
 def test_response_to_a_slow_caller_pauses_before_any_other():
     """Guards against normal callers who wait since slow ones hold the memory."""
     budget = MemoryBudget(limit=10 * MB)
