Write a whole answer as its caller reads it, and count it until it is written

A host with 120 MB needed 408 to 429 MB as 60 callers read answers of 6 MB slowly. A whole answer counted until its attempt released the endpoint's connection; it was joined, got its head in a second copy, and was then copied into the transport's buffer, where it counted as 'written' without any decision asking for room. What it had held was given to the next answer meanwhile.

Cause: the answer changed its place without the count, and stood in up to four places. Now it stays in the parts in which it came and goes to the transport in pieces of 32 KiB as the write buffer drains. It counts as 'answer' from before the attempt's end until it is written. The request ends with the last piece; its attempt, its endpoint's connection, success and evidence are recorded before, as they were. A caller that reads nothing of it for the idle time is disconnected, as before. Waiting responses are no longer read one after the other while what callers have to receive leaves no room for them; if one waits, slow callers are cut until it fits. Answers of up to 32 KiB are sent as before.

--- a/hawthornspoke/httpio/_exchange.py
+++ b/hawthornspoke/httpio/_exchange.py
@@ -122,9 +122,16 @@
         if failure is not None:
             return failure
         # The body still counts as unread until ``discard``.
-        body = b"".join(self._parts)
+        body, parts = b"", ()
+        if self.account is not None and self._buffered_bytes > READ_BYTES:
+            # To join them would take as many bytes again, which nothing counts.
+            parts = self._parts.copy()
+        else:
+            body = b"".join(self._parts)
         self._clear()
-        return Response(status=head.status, headers=head.headers, body=body)
+        return Response(
+            status=head.status, headers=head.headers, body=body, parts=parts
+        )
 
     async def wait_for_end(self):
         """Wait until the response is complete; return a Failure if it fails."""
--- a/hawthornspoke/httpio/_message.py
+++ b/hawthornspoke/httpio/_message.py
@@ -136,13 +136,21 @@
     status : int
     headers : list of (str, str)
     body : bytes
+    parts : collection of bytes-like, default=()
+        In place of the body if that is large.
     """
 
-    __slots__ = ("status",)
+    __slots__ = ("status", "parts")
 
-    def __init__(self, *, status, headers, body=b""):
+    def __init__(self, *, status, headers, body=b"", parts=()):
         super().__init__(headers=headers, body=body)
         self.status = status
+        self.parts = parts
+
+    @property
+    def body_size(self):
+        """Number of bytes of the body."""
+        return len(self.body) + sum(map(len, self.parts))
 
 
 def encode_head(first_line, headers):
--- a/hawthornspoke/httpio/_reply.py
+++ b/hawthornspoke/httpio/_reply.py
@@ -5,7 +5,7 @@
 
 
 class Reply:
-    """Sends the response to one request, either whole or in chunks.
+    """Sends the response to one request: whole, in parts or in chunks.
 
     Parameters
     ----------
@@ -49,6 +49,26 @@
         self.status = status
         self._connection.write(head + body)
 
+    async def send_parts(self, status, headers, parts):
+        """Send a complete response as the caller reads it.
+
+        Parameters
+        ----------
+        status : int
+        headers : list of (str, str)
+        parts : collections.deque of bytes-like
+            Of the body; emptied.
+        """
+        size = sum(map(len, parts))
+        fields = list(headers) + [("Content-Length", str(size))]
+        head = self._head(status, fields)
+        self.started = True
+        self.status = status
+        self._connection.write(head)
+        await self._connection.write_parts(parts, size)
+        self.finished = True
+        self.is_whole = self._connection.is_open
+
     def start(self, status, headers=()):
         """Start a chunked response of unknown length."""
         fields = list(headers) + [("Transfer-Encoding", "chunked")]
--- a/hawthornspoke/httpio/_server_connection.py
+++ b/hawthornspoke/httpio/_server_connection.py
@@ -18,7 +18,7 @@
 from hawthornspoke.httpio._framing import BoundedFeed
 from hawthornspoke.httpio._message import Request, encode_head, status_line
 from hawthornspoke.httpio._reply import Reply
-from hawthornspoke.memory_budget import BODY, PENDING, SENT, WRITTEN
+from hawthornspoke.memory_budget import ANSWER, BODY, PENDING, SENT, WRITTEN
 
 #: Maximum bytes of pipelined requests buffered while a request is handled.
 MAX_PIPELINED_BYTES = 65536
@@ -30,6 +30,9 @@
 #: Status of the response to a request whose handler fails before it responds.
 HANDLER_FAILED_STATUS = 500
 
+#: Maximum bytes of a whole response that are written at once.
+PIECE_BYTES = 32768
+
 #: Bytes buffered for a slow caller before reading from the endpoint pauses.
 WRITE_HIGH_WATER = 65536
 
@@ -74,6 +77,8 @@
         self._drain_waiter = None
         self._is_discarding = False
         self._unreceived_at_close = None
+        # Bytes of a whole response that weren't written yet.
+        self._unwritten_bytes = 0
         self._reset_message()
 
     def connection_made(self, transport):
@@ -147,6 +152,43 @@
         if self._drain_waiter is not None:
             self.account.hold(WRITTEN, max(1, self.write_buffer_size()))
 
+    async def write_parts(self, parts, size):
+        """Write a whole response as far as the write buffer has room, and so on.
+
+        What isn't written yet is counted. A caller that reads nothing of it for the
+        idle time is disconnected, as it is once all has been written.
+
+        Parameters
+        ----------
+        parts : collections.deque of bytes-like
+        size : int
+            Bytes of all parts.
+
+        Raises
+        ------
+        CallerGone
+        """
+        self._unwritten_bytes = size
+        self._unreceived_at_close = None
+        self.idle_deadline = monotonic() + self.server.idle_time(monotonic())
+        try:
+            while parts:
+                part = memoryview(parts.popleft())
+                for start in range(0, len(part), PIECE_BYTES):
+                    await self.drained()
+                    piece = part[start : start + PIECE_BYTES]
+                    self._unwritten_bytes -= len(piece)
+                    self.write(piece)
+                    self._count_unwritten()
+        finally:
+            self._unwritten_bytes = 0
+            self._unreceived_at_close = None
+            self._count_unwritten()
+
+    def _count_unwritten(self):
+        if self.account is not None:
+            self.account.hold(ANSWER, self._unwritten_bytes)
+
     def write_buffer_size(self):
         """Return the number of bytes in the write buffer."""
         return 0 if self.transport is None else self.transport.get_write_buffer_size()
@@ -206,13 +248,16 @@
         ----------
         now : float
         """
-        before, unreceived = self._unreceived_at_close, self.unreceived_size()
+        before = self._unreceived_at_close
+        unreceived = self.unreceived_size() + self._unwritten_bytes
         if before is not None and unreceived >= before:
             discard_unsent_bytes(self.transport.get_extra_info("socket"))
             self.abort(CloseReason.UNREAD_RESPONSE)
             return
         self._unreceived_at_close = unreceived
         self.idle_deadline = now + self.server.idle_time(now)
+        if self._unwritten_bytes:
+            return
         is_receiving = self._is_receiving()
         self.close(CloseReason.RECEIVE_TIMEOUT if is_receiving else CloseReason.IDLE)
 
@@ -257,8 +302,11 @@
 
     def is_overdue(self, now):
         """Check whether the idle or receive deadline has passed."""
-        if self.task is not None or now < self.idle_deadline:
+        is_handled = self.task is not None and not self._unwritten_bytes
+        if is_handled or now < self.idle_deadline:
             return False
+        if self._unwritten_bytes:
+            return True
         # After a stall of this process, data that arrived in time is still unread.
         return not self._has_unread_request()
 
--- a/hawthornspoke/httpio/tests/test_unread_responses.py
+++ b/hawthornspoke/httpio/tests/test_unread_responses.py
@@ -1,12 +1,22 @@
 """Callers that stop reading a response that was written as a whole."""
 
 import asyncio
+import collections
 import socket
 
+import pytest
+
 from hawthornspoke.base import monotonic
 from hawthornspoke.events import EventLog
 from hawthornspoke.httpio import HttpServer, ServerLimits
-from hawthornspoke.memory_budget import SEND_BUFFER, SENT, MemoryBudget, MemoryGuard
+from hawthornspoke.httpio._server_connection import PIECE_BYTES
+from hawthornspoke.memory_budget import (
+    ANSWER,
+    SEND_BUFFER,
+    SENT,
+    MemoryBudget,
+    MemoryGuard,
+)
 from hawthornspoke.metrics import Metrics
 from tests.slow_readers import unsent_bytes
 
@@ -14,12 +24,28 @@
 SIZE = 16 * MB
 
 
-async def start_server(*, memory=None):
-    """Return a server that sends a large response, with a short idle time."""
+def make_guard():
+    """Return a guard with room for a few responses."""
+    budget = MemoryBudget(limit=4 * SIZE)
+    return MemoryGuard(budget=budget, log=EventLog(node="n"), metrics=Metrics())
+
+
+async def send_at_once(request, reply):
+    """Send a large response as a whole."""
+    reply.send(200, body=b"x" * SIZE)
+
+
+async def send_in_parts(request, reply):
+    """Send a large response as its caller reads it."""
+    parts = [b"x" * 20_000 for _ in range(SIZE // 20_000)]
+    await reply.send_parts(200, (), collections.deque(parts))
+
+
+both_ways = pytest.mark.parametrize("handle", [send_at_once, send_in_parts])
 
-    async def handle(request, reply):
-        reply.send(200, body=b"x" * SIZE)
 
+async def start_server(*, handle=send_at_once, memory=None):
+    """Return a server that sends a large response, with a short idle time."""
     server = HttpServer(
         host="127.0.0.1",
         port=0,
@@ -45,14 +71,15 @@
     return caller
 
 
-def test_connection_ends_if_its_response_is_not_read():
+@both_ways
+def test_connection_ends_if_its_response_is_not_read(handle):
     """Guards against responses that are held for as long as their callers don't read.
 
     Closing the transport isn't enough, since it waits until all has been sent.
     """
 
     async def scenario():
-        server = await start_server()
+        server = await start_server(handle=handle)
         caller = await send_request(server)
         async with asyncio.timeout(5.0):
             while server.connections:
@@ -63,15 +90,54 @@
     asyncio.run(scenario())
 
 
+def test_answer_that_is_not_read_is_held_and_counted_once():
+    """Guards against answers that stand uncounted in the buffer of a transport."""
+
+    async def scenario():
+        guard = make_guard()
+        server = await start_server(handle=send_in_parts, memory=guard)
+        caller = await send_request(server)
+        (connection,) = server.connections
+        (holder,) = guard.budget.holders
+        assert connection.write_buffer_size() < 4 * PIECE_BYTES
+        unwritten = holder.bytes_by_use[ANSWER]
+        assert SIZE - MB < unwritten < SIZE
+        assert holder.held < SIZE + 2 * SEND_BUFFER
+        connection.cut()
+        await asyncio.sleep(0.05)
+        assert guard.budget.held == 0
+        assert server.running_count() == 0
+        caller.close()
+        server.close()
+
+    asyncio.run(scenario())
+
+
+def test_requests_on_one_connection_get_their_answers_one_after_the_other():
+    """Guards against an answer that begins before the one before it has ended."""
+
+    async def scenario():
+        server = await start_server(handle=send_in_parts, memory=make_guard())
+        address = ("127.0.0.1", server.bound_port)
+        reader, writer = await asyncio.open_connection(*address, limit=SIZE)
+        for _ in range(2):
+            writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+            await asyncio.sleep(0.05)
+        for _ in range(2):
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert b"Content-Length: %d\r\n" % SIZE in head
+            assert await reader.readexactly(SIZE) == b"x" * SIZE
+        writer.close()
+        server.close()
+
+    asyncio.run(scenario())
+
+
 def test_bytes_that_the_system_holds_for_a_caller_are_few_and_counted():
     """Guards against send buffers of megabytes that no count has, also after a cut."""
 
     async def scenario():
-        guard = MemoryGuard(
-            budget=MemoryBudget(limit=4 * SIZE),
-            log=EventLog(node="n"),
-            metrics=Metrics(),
-        )
+        guard = make_guard()
         server = await start_server(memory=guard)
         caller = await send_request(server)
         guard.check(now=monotonic())
@@ -90,9 +156,10 @@
     asyncio.run(scenario())
 
 
-def test_response_that_is_read_slowly_is_sent_to_its_end():
+@both_ways
+def test_response_that_is_read_slowly_is_sent_to_its_end(handle):
     async def scenario():
-        server = await start_server()
+        server = await start_server(handle=handle)
         caller = await send_request(server)
         loop = asyncio.get_running_loop()
         received = 0
--- a/hawthornspoke/memory_budget/__init__.py
+++ b/hawthornspoke/memory_budget/__init__.py
@@ -1,6 +1,7 @@
 """One budget of bytes over all connections of a process."""
 
 from hawthornspoke.memory_budget._budget import (
+    ANSWER,
     BODY,
     CUTTING,
     KERNEL,
@@ -21,6 +22,7 @@
 from hawthornspoke.memory_budget._limit import buffer_limit, resident_bytes
 
 __all__ = [
+    "ANSWER",
     "BODY",
     "CUTTING",
     "KERNEL",
--- a/hawthornspoke/memory_budget/_budget.py
+++ b/hawthornspoke/memory_budget/_budget.py
@@ -5,9 +5,22 @@
 #: What bytes are held for: a request's body, data received after a request, a request
 #: that its endpoint hasn't received yet, a response that wasn't passed on yet, a
 #: response that the caller hasn't read yet, data that the operating system holds for a
-#: connection that isn't read, and data that it holds for a caller.
-BODY, PENDING, SENDING, UNREAD, WRITTEN, KERNEL, SENT = range(7)
-USES = ("body", "pending", "sending", "unread", "written", "kernel", "sent")
+#: connection that isn't read, data that it holds for a caller, and a whole response
+#: that wasn't written yet.
+BODY, PENDING, SENDING, UNREAD, WRITTEN, KERNEL, SENT, ANSWER = range(8)
+USES = (
+    "body",
+    "pending",
+    "sending",
+    "unread",
+    "written",
+    "kernel",
+    "sent",
+    "answer",
+)
+
+#: Uses of what callers have to receive: it becomes less as they read, or are cut.
+OUTGOING = frozenset((WRITTEN, SENT, ANSWER))
 
 #: Levels of pressure, by the bytes held, in ascending order.
 LEVELS = NORMAL, PAUSING, REFUSING, CUTTING = (
@@ -131,6 +144,7 @@
         "_reserved",
         "_exceeding",
         "_is_beyond_limit",
+        "_outgoing_bytes",
         "_unannounced_bytes",
         "_unannounced_mark",
         "_max_unannounced_bytes",
@@ -149,6 +163,7 @@
         self._reserved = set()
         self._exceeding = None
         self._is_beyond_limit = False
+        self._outgoing_bytes = 0
         self._unannounced_bytes = 0
         self._unannounced_mark = int(limit * UNANNOUNCED_SHARE)
         self._max_unannounced_bytes = int(limit * MAX_UNANNOUNCED_SHARE)
@@ -180,6 +195,8 @@
         holder.bytes_by_use[use] = size
         holder.held += change
         self.held += change
+        if use in OUTGOING:
+            self._outgoing_bytes += change
         if use == UNREAD and holder not in self._reserved:
             self._unannounced_bytes += change
         if use == WRITTEN and not size:
@@ -205,7 +222,7 @@
         """
         self.paused.pop(holder, None)
         holder.is_passed_on = False
-        for use in (BODY, SENDING, UNREAD, KERNEL):
+        for use in (BODY, SENDING, UNREAD, KERNEL, ANSWER):
             self.hold(holder, use, 0)
 
     def release(self, holder):
@@ -364,7 +381,10 @@
 
         What responses of unknown size hold must not keep all of them waiting.
         """
-        if holder.bytes_by_use[UNREAD] > self._max_unannounced_bytes:
+        unread = holder.bytes_by_use[UNREAD]
+        if unread > self._max_unannounced_bytes:
+            return False
+        if not self._leaves_room(holder, unread):
             return False
         if self._exceeding is None and not self._reserved:
             self._exceeding = holder
@@ -373,10 +393,15 @@
     def _fits(self, holder, wanted, expected):
         if not self._reserved and self._exceeding is None:
             # What the waiting responses hold must not keep all of them waiting.
-            return True
+            return self._leaves_room(holder, wanted)
         unread, kernel = holder.bytes_by_use[UNREAD], holder.bytes_by_use[KERNEL]
         return self.held + expected + wanted - unread - kernel <= self.limit
 
+    def _leaves_room(self, holder, size):
+        """Return whether a response fits beside what other callers have to receive."""
+        own = sum(holder.bytes_by_use[use] for use in OUTGOING)
+        return self._outgoing_bytes - own + size <= self.limit
+
     def blocked(self):
         """Return the holders whose callers' write buffers are full."""
         return [holder for holder in self.holders if holder.is_blocked]
@@ -415,7 +440,11 @@
         -------
         list of Holder
         """
-        excess = self.held - self._cut_mark
+        wanted = next(filter(None, self.paused.values()), 0)
+        excess = max(
+            self.held - self._cut_mark,
+            self._outgoing_bytes + wanted - self.limit if wanted else 0,
+        )
         if excess <= 0:
             return []
         slow = [holder for holder in self.holders if holder.is_slow]
--- a/hawthornspoke/memory_budget/tests/test_budget.py
+++ b/hawthornspoke/memory_budget/tests/test_budget.py
@@ -1,6 +1,7 @@
 """Who holds, pauses, is refused and is cut, without connections."""
 
 from hawthornspoke.memory_budget import (
+    ANSWER,
     BODY,
     KERNEL,
     NORMAL,
@@ -50,6 +51,31 @@
     assert budget.admits_body(Holder(), 2000)
 
 
+def test_responses_wait_for_the_answers_that_callers_have_to_receive():
+    """Guards against answers that are read one after the other while none is sent."""
+    budget = MemoryBudget(limit=10 * MB)
+    slow, announced, unannounced = slow_holder(budget, MB), Holder(), Holder()
+    budget.hold(slow, ANSWER, 7 * MB)
+    budget.hold(unannounced, UNREAD, 5 * MB // 2)
+    budget.pause(announced, wanted=3 * MB)
+    assert budget.must_pause(unannounced)
+    budget.pause(unannounced)
+    assert budget.resumable() == []
+    assert budget.to_cut() == [slow]
+    budget.release(slow)
+    assert budget.resumable() == [announced]
+    budget.release(announced)
+    assert budget.resumable() == [unannounced]
+
+
+def test_slow_caller_is_cut_if_another_response_has_no_room_beside_it():
+    budget = MemoryBudget(limit=10 * MB)
+    slow, waiting = slow_holder(budget, 5 * MB), Holder()
+    assert budget.to_cut() == []
+    budget.pause(waiting, wanted=6 * MB)
+    assert budget.to_cut() == [slow]
+
+
 def test_stream_that_arrives_faster_than_it_is_read_pauses():
     """Guards against streams that fail as too large though their callers read them."""
     budget = MemoryBudget(limit=100 * MB)
--- a/hawthornspoke/relay/_handler.py
+++ b/hawthornspoke/relay/_handler.py
@@ -148,10 +148,14 @@
             self._refuse(context, refusal)
             return
         await self._forward(context)
-        if context.outcome == "answered" or context.last_response is not None:
+        response = context.last_response
+        if context.outcome == "answered" or response is not None:
             self._suspects.record_answered(
                 context.features, is_success=context.outcome == "answered"
             )
+        has_begun = context.reply.started or context.reply.finished
+        if response is not None and not has_begun:
+            await self._send_last_response(context)
 
     def _admit(self, context):
         """Return a Refusal, None if the request may be forwarded."""
@@ -251,16 +255,18 @@
                 context.reply.declared_end = failure_end(context, timed_out=False)
             return
         if context.last_response is not None:
-            self._send_last_response(context)
             return
         self._fail(context, timed_out=self._admission.clock() >= context.deadline)
 
-    def _send_last_response(self, context):
+    async def _send_last_response(self, context):
         response = context.last_response
         context.first_byte_at = monotonic()
         headers = self._forwarder.response_headers(response)
         context.reply.declared_end = RequestEnd.ANSWERED
-        context.reply.send(response.status, headers, response.body)
+        if response.parts:
+            await context.reply.send_parts(response.status, headers, response.parts)
+        else:
+            context.reply.send(response.status, headers, response.body)
         if context.outcome != "answered":
             context.outcome = f"endpoint_{response.status}"
 
--- a/hawthornspoke/relay/_run.py
+++ b/hawthornspoke/relay/_run.py
@@ -19,6 +19,7 @@
     ProgressMade,
     TimePassed,
 )
+from hawthornspoke.memory_budget import ANSWER
 from hawthornspoke.relay._reading import (
     SUCCESS_STATUSES,
     AnswerReader,
@@ -256,6 +257,9 @@
         context = self._context
         reader = self._reader_by_id[attempt_id]
         context.last_response = response
+        if context.reply.account is not None:
+            # Before the attempt is completed, which counts its bytes no more.
+            context.reply.account.hold(ANSWER, response.body_size)
         is_success = response.status in SUCCESS_STATUSES
         if not is_success and self._may_be_bettered(response):
             reader.attempt.complete(is_success=False)
