Reckon with what a request may bring before it is sent

A host with 200 MB needed 236 to 264 MB for 1,200 answers of 200 KB, or 600 streams of 1 MB, that were read slowly: 175 and 179 MB held of a limit of 103, all added between two checks.

Cause: bytes counted only after they were there. A request that was sent counted nothing until its response came, then up to 64 KiB of it and a receive buffer before the budget was asked; what was written to a caller counted at the next check, 0.25 s later; streams were read ahead, 64 KiB each, whatever other callers had to receive; and a caller was slow only with a full write buffer, so answers that fit into send buffers were never cut.

Now a request is reckoned with 104 KiB from its admission to the head of its response, and refused (503, memory, Retry-After; nothing was sent) above 0.8 of the limit; a quarter is always left for what has begun, so that slow callers don't keep ordinary ones out, and responses of up to 64 KiB, which are reckoned with, don't wait. What is written counts at once. Streams wait while callers have to receive more than half of the limit. Callers with 4 KiB or more to receive are slow by what they receive, also without a full write buffer; they are cut down to half of the limit if a response waits for room.

--- a/hawthornspoke/httpio/_exchange.py
+++ b/hawthornspoke/httpio/_exchange.py
@@ -5,7 +5,7 @@
 
 from hawthornspoke.base import Failure
 from hawthornspoke.httpio._message import Response
-from hawthornspoke.memory_budget import READ_BUFFER_BYTES, SENDING, UNREAD
+from hawthornspoke.memory_budget import KERNEL, READ_BUFFER_BYTES, SENDING, UNREAD
 
 #: Maximum bytes of a body that one read returns, so that little is written beyond the
 #: high-water mark of a slow caller.
@@ -74,6 +74,8 @@
         self._max_skipped_bytes = None
         self._retained_bytes = 0
         self._waiter = None
+        if account is not None:
+            account.expect_response()
 
     @property
     def unread_bytes(self):
@@ -155,6 +157,8 @@
     def receive_head(self, head):
         """Store the response head and wake the reader."""
         self.head = head
+        if self.account is not None:
+            self.account.hold(KERNEL, 0)
         self._wake()
 
     def receive_body(self, data):
@@ -197,6 +201,7 @@
         if account is not None:
             account.hold(UNREAD, 0)
             account.hold(SENDING, 0)
+            account.hold(KERNEL, 0)
             account.stop_pausing()
 
     def move_account(self, account):
--- a/hawthornspoke/httpio/_server_connection.py
+++ b/hawthornspoke/httpio/_server_connection.py
@@ -122,9 +122,6 @@
         """Make ``drained`` wait while the write buffer is full."""
         if self._drain_waiter is None:
             self._drain_waiter = asyncio.get_running_loop().create_future()
-        if self.account is not None:
-            # Bytes stay in the write buffer only once this one is full.
-            self.account.hold(SENT, self.server.memory.send_buffer)
 
     def resume_writing(self):
         """Let ``drained`` return, as the write buffer has room again."""
--- a/hawthornspoke/httpio/tests/test_unread_responses.py
+++ b/hawthornspoke/httpio/tests/test_unread_responses.py
@@ -140,10 +140,16 @@
         guard = make_guard()
         server = await start_server(memory=guard)
         caller = await send_request(server)
-        guard.check(now=monotonic())
         (connection,) = server.connections
         (holder,) = guard.budget.holders
-        unsent = unsent_bytes("127.0.0.1", server.bound_port)
+        address = ("127.0.0.1", server.bound_port)
+        unsent = None
+        async with asyncio.timeout(5.0):
+            # The caller's side of the system may still be receiving.
+            while unsent != unsent_bytes(*address):
+                unsent = unsent_bytes(*address)
+                await asyncio.sleep(0.05)
+                guard.check(now=monotonic())
         assert 0 < unsent <= 2 * SEND_BUFFER
         assert holder.bytes_by_use[SENT] == unsent
         connection.cut()
--- a/hawthornspoke/memory_budget/_budget.py
+++ b/hawthornspoke/memory_budget/_budget.py
@@ -67,10 +67,21 @@
 #: it, and holds fewer bytes than that if they were written in small parts.
 SEND_BUFFER = 65536
 
-#: Bytes written to a caller from which the operating system is asked how many it holds.
+#: Bytes that the operating system holds at most for a caller.
+MAX_SENT_BYTES = 2 * SEND_BUFFER
+
+#: Bytes written to a caller from which those that it hasn't received are counted, and
+#: from which a caller that receives them slowly is slow.
 MIN_MEASURED_BYTES = 4096
 
-#: A caller is slow if its write buffer is full and it reads fewer bytes per second
+#: Share of the limit that responses may hold at their begin whatever else is held, so
+#: that slow callers don't keep all requests from being sent.
+MIN_BEGUN_SHARE = 0.25
+
+#: Bytes of a response that may arrive before the budget is asked about it.
+FIRST_BYTES = READ_BUFFER_BYTES + KERNEL_BYTES
+
+#: A caller is slow if it has bytes to receive and receives fewer of them per second
 #: than SLOW_RATE over SLOW_TIME seconds; over URGENT_SLOW_TIME above the limit.
 SLOW_RATE = 32768
 SLOW_TIME = 1.0
@@ -89,6 +100,8 @@
     ----------
     is_passed_on : bool
         Whether the response is passed on while it is received.
+    written_bytes : int
+        Bytes that were ever written to the caller.
     """
 
     __slots__ = (
@@ -97,6 +110,7 @@
         "bytes_by_use",
         "is_slow",
         "is_passed_on",
+        "written_bytes",
         "measured_bytes",
         "measured_at",
     )
@@ -107,6 +121,7 @@
         self.bytes_by_use = [0] * len(USES)
         self.is_slow = False
         self.is_passed_on = False
+        self.written_bytes = 0
         self.measured_bytes = 0
         self.measured_at = None
 
@@ -142,9 +157,12 @@
         "holders",
         "paused",
         "_reserved",
+        "_unsent",
         "_exceeding",
         "_is_beyond_limit",
         "_outgoing_bytes",
+        "_kernel_bytes",
+        "_min_begun_mark",
         "_unannounced_bytes",
         "_unannounced_mark",
         "_max_unannounced_bytes",
@@ -161,9 +179,12 @@
         self.holders = set()
         self.paused = {}
         self._reserved = set()
+        self._unsent = set()
         self._exceeding = None
         self._is_beyond_limit = False
         self._outgoing_bytes = 0
+        self._kernel_bytes = 0
+        self._min_begun_mark = int(limit * MIN_BEGUN_SHARE)
         self._unannounced_bytes = 0
         self._unannounced_mark = int(limit * UNANNOUNCED_SHARE)
         self._max_unannounced_bytes = int(limit * MAX_UNANNOUNCED_SHARE)
@@ -195,6 +216,8 @@
         holder.bytes_by_use[use] = size
         holder.held += change
         self.held += change
+        if use == KERNEL:
+            self._kernel_bytes += change
         if use in OUTGOING:
             self._outgoing_bytes += change
         if use == UNREAD and holder not in self._reserved:
@@ -222,12 +245,14 @@
         """
         self.paused.pop(holder, None)
         holder.is_passed_on = False
+        self._unsent.discard(holder)
         for use in (BODY, SENDING, UNREAD, KERNEL, ANSWER):
             self.hold(holder, use, 0)
 
     def release(self, holder):
         """Release all that is held for a connection that has ended."""
         self.paused.pop(holder, None)
+        self._unsent.discard(holder)
         for use in range(len(USES)):
             self.hold(holder, use, 0)
 
@@ -248,6 +273,28 @@
             return True
         return self.held + size - holder.bytes_by_use[BODY] <= self._refuse_mark
 
+    def admits_request(self, holder):
+        """Return whether a request may be sent to an endpoint.
+
+        Those that were admitted and weren't sent yet are reckoned with.
+
+        Returns
+        -------
+        bool
+        """
+        begun = self._kernel_bytes + self._unannounced_bytes
+        expected = begun + (len(self._unsent) + 1) * FIRST_BYTES
+        others = self.held - begun - holder.bytes_by_use[BODY]
+        if expected > max(self._cut_mark - others, self._min_begun_mark):
+            return False
+        self._unsent.add(holder)
+        return True
+
+    def expect_response(self, holder):
+        """Hold the bytes of a response that may arrive with its head."""
+        self._unsent.discard(holder)
+        self.hold(holder, KERNEL, FIRST_BYTES)
+
     def reserve_response(self, holder, size):
         """Hold the bytes of a whole response before they arrive, if they fit.
 
@@ -258,7 +305,9 @@
         -------
         bool
         """
-        if self.held + size - holder.bytes_by_use[UNREAD] > self.limit:
+        is_expected = size <= READ_BUFFER_BYTES
+        is_beyond = self.held + size - holder.bytes_by_use[UNREAD] > self.limit
+        if is_beyond and not is_expected:
             return False
         self._reserve(holder, size)
         return True
@@ -271,7 +320,7 @@
         if holder in self._reserved:
             return False
         unread = holder.bytes_by_use[UNREAD]
-        if holder.is_passed_on and unread > MAX_BLOCKED_BYTES:
+        if holder.is_passed_on and self._must_wait(unread, MAX_BLOCKED_BYTES):
             return True
         if not holder.is_blocked:
             if unread <= READ_BUFFER_BYTES or self._has_room(0):
@@ -354,8 +403,8 @@
             self._reserved.add(holder)
 
     def _may_read_on(self, holder, expected):
-        is_passed_on = holder.is_passed_on
-        if is_passed_on and holder.bytes_by_use[UNREAD] > RESUME_BLOCKED_BYTES:
+        unread = holder.bytes_by_use[UNREAD]
+        if holder.is_passed_on and self._must_wait(unread, RESUME_BLOCKED_BYTES):
             return False
         if holder.is_blocked:
             is_short = self.held + expected > self._pause_mark
@@ -392,28 +441,50 @@
 
     def _fits(self, holder, wanted, expected):
         if not self._reserved and self._exceeding is None:
-            # What the waiting responses hold must not keep all of them waiting.
             return self._leaves_room(holder, wanted)
         unread, kernel = holder.bytes_by_use[UNREAD], holder.bytes_by_use[KERNEL]
         return self.held + expected + wanted - unread - kernel <= self.limit
 
+    def _must_wait(self, unread, max_unread):
+        """Return whether a stream waits for its caller, or for callers to be cut."""
+        return unread > max_unread or self._outgoing_bytes > self._pause_mark
+
+    def _lacks_room(self):
+        """Return whether a response waits for what callers have to receive."""
+        for holder, wanted in self.paused.items():
+            if holder.is_blocked:
+                continue
+            if holder.is_passed_on:
+                if self._outgoing_bytes > self._pause_mark:
+                    return True
+            elif self.held + (wanted or KERNEL_BYTES) > self.limit:
+                return True
+        return False
+
     def _leaves_room(self, holder, size):
-        """Return whether a response fits beside what other callers have to receive."""
+        """Return whether a response may be read though others wait.
+
+        What waiting responses hold must not keep all of them waiting; what other
+        callers have to receive becomes less by itself, or as slow ones are cut.
+        """
         own = sum(holder.bytes_by_use[use] for use in OUTGOING)
-        return self._outgoing_bytes - own + size <= self.limit
+        if self._outgoing_bytes - own <= self._unannounced_mark:
+            return True
+        unread, kernel = holder.bytes_by_use[UNREAD], holder.bytes_by_use[KERNEL]
+        return self.held + size - unread - kernel <= self.limit
 
     def blocked(self):
         """Return the holders whose callers' write buffers are full."""
         return [holder for holder in self.holders if holder.is_blocked]
 
     def measure(self, holder, size, now, *, unreceived=None):
-        """Update the size of a full write buffer, and whether its caller is slow.
+        """Update what a caller has to receive, and whether it is slow.
 
         Parameters
         ----------
         holder : Holder
         size : int
-            Bytes in the write buffer.
+            Bytes in the write buffer; it stays full, or not, as it is.
         now : float
             Seconds on any monotonic clock.
         unreceived : int or None, default=None
@@ -421,17 +492,22 @@
             holds: it takes more from a write buffer only in steps of up to a megabyte.
             None if these are those in the write buffer.
         """
-        self.hold(holder, WRITTEN, max(1, size))
+        if holder.is_blocked:
+            self.hold(holder, WRITTEN, max(1, size))
         if unreceived is None:
             unreceived = size
+        if not holder.is_blocked and unreceived < MIN_MEASURED_BYTES:
+            holder.is_slow = False
+            holder.measured_at = None
+            return
+        received = holder.written_bytes - unreceived
         if holder.measured_at is None:
-            holder.measured_at, holder.measured_bytes = now, unreceived
+            holder.measured_at, holder.measured_bytes = now, received
             return
         elapsed = now - holder.measured_at
         if elapsed >= (URGENT_SLOW_TIME if self.held > self.limit else SLOW_TIME):
-            received = holder.measured_bytes - unreceived
-            holder.is_slow = received < SLOW_RATE * elapsed
-            holder.measured_at, holder.measured_bytes = now, unreceived
+            holder.is_slow = received - holder.measured_bytes < SLOW_RATE * elapsed
+            holder.measured_at, holder.measured_bytes = now, received
 
     def to_cut(self):
         """Return the slow holders to cut, largest first, until the rest is low enough.
@@ -440,11 +516,8 @@
         -------
         list of Holder
         """
-        wanted = next(filter(None, self.paused.values()), 0)
-        excess = max(
-            self.held - self._cut_mark,
-            self._outgoing_bytes + wanted - self.limit if wanted else 0,
-        )
+        mark = self._pause_mark if self._lacks_room() else self._cut_mark
+        excess = self.held - mark
         if excess <= 0:
             return []
         slow = [holder for holder in self.holders if holder.is_slow]
--- a/hawthornspoke/memory_budget/_guard.py
+++ b/hawthornspoke/memory_budget/_guard.py
@@ -5,6 +5,7 @@
 from hawthornspoke.base import monotonic
 from hawthornspoke.memory_budget._budget import (
     LEVELS,
+    MAX_SENT_BYTES,
     MIN_MEASURED_BYTES,
     NORMAL,
     RECEIVE_BUFFER,
@@ -52,18 +53,27 @@
     def record_write(self, size):
         """Record bytes that were written to the caller.
 
-        The next check counts those that the operating system still holds then.
+        They count as held by the operating system until the next check.
         """
+        self._holder.written_bytes += size
         self._unmeasured_bytes += size
         if self._unmeasured_bytes >= MIN_MEASURED_BYTES:
             self._guard.unmeasured.add(self)
+            sent = self._holder.bytes_by_use[SENT] + size
+            self.hold(SENT, min(sent, MAX_SENT_BYTES))
 
-    def measure_sent(self):
-        """Count the bytes that the operating system holds for the caller."""
+    def measure(self, now):
+        """Count what the caller has to receive.
+
+        Parameters
+        ----------
+        now : float
+        """
         owner = self._holder.owner
-        size = owner.unreceived_size() - owner.write_buffer_size()
-        self.hold(SENT, size)
-        if not size:
+        size, unreceived = owner.write_buffer_size(), owner.unreceived_size()
+        self.hold(SENT, unreceived - size)
+        self._budget.measure(self._holder, size, now, unreceived=unreceived)
+        if not unreceived:
             self._unmeasured_bytes = 0
             self._guard.unmeasured.discard(self)
 
@@ -74,6 +84,17 @@
             self._guard.record_refusal()
         return is_admitted
 
+    def admits_request(self):
+        """Return whether a request may be sent to an endpoint."""
+        is_admitted = self._budget.admits_request(self._holder)
+        if not is_admitted:
+            self._guard.record_refusal()
+        return is_admitted
+
+    def expect_response(self):
+        """Hold the bytes of a response that may arrive with its head."""
+        self._budget.expect_response(self._holder)
+
     def may_ever_hold(self, size, *, is_announced=True):
         """Return whether a response of a size fits if nothing else is held."""
         return self._budget.may_ever_hold(size, is_announced=is_announced)
@@ -180,7 +201,7 @@
     Attributes
     ----------
     unmeasured : set of MemoryAccount
-        Accounts of callers for whom the operating system may hold bytes.
+        Accounts of callers that may have bytes to receive.
     """
 
     __slots__ = ("budget", "metrics", "unmeasured", "_log", "_level", "_handle")
@@ -228,14 +249,7 @@
         now : float
         """
         for account in list(self.unmeasured):
-            account.measure_sent()
-        for holder in self.budget.blocked():
-            self.budget.measure(
-                holder,
-                holder.owner.write_buffer_size(),
-                now,
-                unreceived=holder.owner.unreceived_size(),
-            )
+            account.measure(now)
         self._log_level(self.budget.level)
         for holder in self.budget.to_cut():
             self.metrics.count("memory_cuts_total")
--- a/hawthornspoke/memory_budget/tests/test_budget.py
+++ b/hawthornspoke/memory_budget/tests/test_budget.py
@@ -68,6 +68,65 @@
     assert budget.resumable() == [unannounced]
 
 
+def test_requests_are_admitted_for_what_their_answers_may_hold_at_first():
+    """Guards against more answers than there is room for, read before any waits."""
+    budget = MemoryBudget(limit=100 * MB)
+    admitted = [
+        holder for _ in range(2000) if budget.admits_request(holder := Holder())
+    ]
+    assert 700 < len(admitted) < 800
+    for holder in admitted:
+        budget.expect_response(holder)
+    assert 76 * MB < budget.held <= 80 * MB
+    assert not budget.admits_request(Holder())
+    budget.release_request(admitted[0])
+    assert budget.admits_request(admitted[0])
+    budget.release_request(admitted[0])
+    assert budget.admits_request(admitted[0])
+    for holder in admitted:
+        budget.release(holder)
+    assert budget.held == 0
+    assert budget.admits_request(Holder())
+
+
+def test_slow_callers_leave_room_for_requests_and_for_small_answers():
+    """Guards against refusing ordinary callers while slow ones hold the rest."""
+    budget = MemoryBudget(limit=10 * MB)
+    slow_holder(budget, 11 * MB)
+    ordinary = Holder()
+    assert budget.admits_request(ordinary)
+    budget.expect_response(ordinary)
+    budget.hold(ordinary, KERNEL, 0)
+    assert budget.reserve_response(ordinary, 1000)
+    assert not budget.reserve_response(Holder(), MB)
+    others = [holder for _ in range(100) if budget.admits_request(holder := Holder())]
+    assert 10 < len(others) < 30
+
+
+def test_stream_waits_while_others_hold_half_of_the_limit_and_slow_ones_are_cut():
+    """Guards against streams that are all read ahead of callers that don't read."""
+    budget = MemoryBudget(limit=10 * MB)
+    slow, stream = slow_holder(budget, 6 * MB), Holder()
+    stream.is_passed_on = True
+    budget.hold(stream, UNREAD, 1000)
+    assert budget.must_pause(stream)
+    assert budget.to_cut() == []
+    budget.pause(stream)
+    assert budget.to_cut() == [slow]
+    budget.release(slow)
+    assert budget.resumable() == [stream]
+
+
+def test_caller_is_slow_by_what_it_receives_whatever_is_written():
+    budget = MemoryBudget(limit=10 * MB)
+    steady, stuck = Holder(), Holder()
+    for number in range(5):
+        for holder, unreceived in ((steady, 50_000), (stuck, 40_000 * number + 40_000)):
+            holder.written_bytes += 40_000 + (number == 0) * 50_000
+            budget.measure(holder, 0, float(number), unreceived=unreceived)
+    assert stuck.is_slow and not steady.is_slow
+
+
 def test_slow_caller_is_cut_if_another_response_has_no_room_beside_it():
     budget = MemoryBudget(limit=10 * MB)
     slow, waiting = slow_holder(budget, 5 * MB), Holder()
--- a/hawthornspoke/relay/_handler.py
+++ b/hawthornspoke/relay/_handler.py
@@ -172,7 +172,10 @@
         refusal = self._admission.identify(context)
         if refusal is not None:
             return refusal
-        if context.request.lacks_memory:
+        account = context.reply.account
+        if context.request.lacks_memory or (
+            account is not None and not account.admits_request()
+        ):
             return _unavailable("memory", EndCause.MEMORY, MEMORY_RETRY_AFTER)
         self._set_features(context)
         failure = self._suspects.refusal(context.features)
