--- a/hawthornspoke/httpio/_server_connection.py
+++ b/hawthornspoke/httpio/_server_connection.py
@@ -176,7 +176,8 @@
                     piece = part[start : start + PIECE_BYTES]
                     self._unwritten_bytes -= len(piece)
                     self.write(piece)
-                    self._count_unwritten()
+                # A part takes its memory until all of it is written.
+                self._count_unwritten()
         finally:
             self._unwritten_bytes = 0
             self._unreceived_at_close = None
