Give back memory to the system after a wave of slow readers

A host stayed as large as in its worst moment once the slow callers had left: 3 s after 60 answers of 6 MB it had 252 of 252 MB on, so that the next wave, or any growth, found no room.

Cause: freed blocks stay with the allocator. Its threshold for mapped blocks rises with each that is freed, up to 32 MiB, and what is left between freed parts keeps the heap's end where it is. Now an entry host with limited memory fixes that threshold (512 KiB, above a read of a socket) and that of the heap's end, and calls malloc_trim after what is held has fallen by 8 MB. Where the C library lacks these functions, nothing changes.

--- a/hawthornspoke/memory_budget/__init__.py
+++ b/hawthornspoke/memory_budget/__init__.py
@@ -1,5 +1,9 @@
 """One budget of bytes over all connections of a process."""
 
+from hawthornspoke.memory_budget._allocator import (
+    limit_kept_memory,
+    release_kept_memory,
+)
 from hawthornspoke.memory_budget._budget import (
     ANSWER,
     BODY,
@@ -41,5 +45,7 @@
     "MemoryBudget",
     "MemoryGuard",
     "buffer_limit",
+    "limit_kept_memory",
+    "release_kept_memory",
     "resident_bytes",
 ]
--- a/hawthornspoke/memory_budget/_guard.py
+++ b/hawthornspoke/memory_budget/_guard.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from hawthornspoke.base import monotonic
+from hawthornspoke.memory_budget._allocator import release_kept_memory
 from hawthornspoke.memory_budget._budget import (
     LEVELS,
     MAX_SENT_BYTES,
@@ -16,6 +17,9 @@
 )
 from hawthornspoke.memory_budget._limit import resident_bytes
 
+#: Bytes by which what is held has to fall until free memory is given back.
+RELEASE_STEP = 8_000_000
+
 #: Seconds between two checks for slow callers.
 CHECK_INTERVAL = 0.25
 
@@ -204,7 +208,15 @@
         Accounts of callers that may have bytes to receive.
     """
 
-    __slots__ = ("budget", "metrics", "unmeasured", "_log", "_level", "_handle")
+    __slots__ = (
+        "budget",
+        "metrics",
+        "unmeasured",
+        "_log",
+        "_level",
+        "_handle",
+        "_peak_held",
+    )
 
     #: Receive buffer of connections to endpoints, in bytes.
     receive_buffer = RECEIVE_BUFFER
@@ -219,6 +231,7 @@
         self._log = log
         self._level = NORMAL
         self._handle = None
+        self._peak_held = 0
         metrics.set_gauge("memory_limit_bytes", budget.limit)
 
     def open_account(self, owner):
@@ -255,6 +268,7 @@
             self.metrics.count("memory_cuts_total")
             self._log.change("memory_cut", held=holder.held, total=self.budget.held)
             holder.owner.cut()
+        self._release_kept()
         self._resume()
         self.metrics.set_gauge("memory_held_bytes", self.budget.held)
         self.metrics.set_gauge("memory_resident_bytes", resident_bytes())
@@ -263,6 +277,14 @@
         """Return the state as plain data."""
         return {**self.budget.dump(), "resident": resident_bytes()}
 
+    def _release_kept(self):
+        """Give back memory to the system after much of what was held is freed."""
+        held = self.budget.held
+        self._peak_held = max(self._peak_held, held)
+        if self._peak_held - held >= RELEASE_STEP:
+            self._peak_held = held
+            release_kept_memory()
+
     def _resume(self):
         self._handle = None
         for holder in self.budget.resumable():
--- a/hawthornspoke/relay/_process.py
+++ b/hawthornspoke/relay/_process.py
@@ -12,6 +12,7 @@
     MemoryBudget,
     MemoryGuard,
     buffer_limit,
+    limit_kept_memory,
     resident_bytes,
 )
 from hawthornspoke.metrics import Metrics
@@ -339,6 +340,7 @@
         limit = buffer_limit(self.settings.memory_bytes, process_bytes=resident_bytes())
         if limit is None:
             return None
+        limit_kept_memory()
         return MemoryGuard(
             budget=MemoryBudget(limit=limit), log=self.log, metrics=self.metrics
         )
