Take only the answer to the probe for the proof of an end

Callers could get half a stream as whole: an error without id and seal that answered an earlier request, or the repeated 421 of an earlier probe, came on a kept connection where the answer to the probe was expected, and counted as the proof `kept_connection`, although it may have been sent before the end.

Cause: a probe had no id, and all that had neither an id nor a seal was taken for its answer. Now the probe, which is refused as it names another endpoint, has a random id, and the answer that echoes it is the proof. Without an echo only a 421 without a seal is one, and the connection isn't used again, so that no repetition of it can come later. A health check with the endpoint as the expected one has no id, as an endpoint might take it for a request; it is only sent as the first request of a new connection, where no answer can be late.

test_late_repetition_of_an_answer_is_no_proof repeats the answer to an earlier request now. Its step answered the probe itself, without an id until now, and would echo the id of the probe, which is a proof.

--- a/hawthornspoke/relay/_end_verification.py
+++ b/hawthornspoke/relay/_end_verification.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import uuid
 
 from hawthornspoke.base import Failure, monotonic
 from hawthornspoke.httpio import encode_request, refuses_connections
@@ -140,11 +141,11 @@
             )
             if connection is None:
                 return False
-            response = await self._probe(connection, expected_id=NO_ENDPOINT)
-            if response is not None and not self._is_earlier_answer(response):
-                self._return(connection)
+            response, request_id = await self._refused_probe(connection)
+            is_proof = response is not None and self._answers(response, request_id)
+            self._return_or_abort(connection, response, request_id)
+            if is_proof:
                 return True
-            connection.abort()
 
     async def _probe_new_connection(self):
         """Return the result of ``run``, None if a new connection proves nothing."""
@@ -154,16 +155,18 @@
             if await refuses_connections(address, timeout=PROBE_TIMEOUT):
                 return False, REFUSED
             return None
-        # Without a health path only a request for another endpoint never runs.
-        expected_id = NO_ENDPOINT
+        expected_id, request_id = self._placement.endpoint_id, None
         if self._health_path is not None:
-            expected_id = self._placement.endpoint_id
-        response = await self._probe(connection, expected_id=expected_id)
+            response = await self._probe(connection, expected_id=expected_id)
+        else:
+            # Only a request for another endpoint never runs.
+            expected_id = NO_ENDPOINT
+            response, request_id = await self._refused_probe(connection)
         result = None
         if response is not None:
             result = self._check_identity(response, expected_id)
         if result is not None and result[0]:
-            self._return(connection)
+            self._return_or_abort(connection, response, request_id)
         else:
             connection.abort()
         return result
@@ -181,10 +184,20 @@
             return False, REPLACED
         return True, ENDPOINT_ID
 
-    async def _probe(self, connection, *, expected_id):
-        """Send a health check, or a request that never runs; return its response."""
+    async def _refused_probe(self, connection):
+        """Send a request that never runs; return its response and its id."""
+        request_id = uuid.uuid4().hex
+        response = await self._probe(
+            connection, expected_id=NO_ENDPOINT, request_id=request_id
+        )
+        return response, request_id
+
+    async def _probe(self, connection, *, expected_id, request_id=None):
+        """Return the response to a request; a health check has no request id."""
         placement, names = self._placement, self._header_names
         headers = [("Host", placement.address), (names.expected_endpoint, expected_id)]
+        if request_id is not None:
+            headers.append((names.request_id, request_id))
         if connection.is_socket_closed():
             return None
         exchange = connection.send(
@@ -203,20 +216,28 @@
             raise
         return None if isinstance(response, Failure) else response
 
-    def _return(self, connection):
-        placement = self._placement
-        self._pool.return_connection(
-            placement.endpoint_id, connection, incarnation=placement.incarnation
-        )
+    def _answers(self, response, request_id):
+        """Return whether a response on a kept connection answers the refused probe.
 
-    def _is_earlier_answer(self, response):
-        """Return whether a response is a late one to an earlier request.
-
-        It may have been sent before the end. A probe has no request id, and what
-        answers it has no seal.
+        Another one may have been sent before the end: a late response to an earlier
+        request, or a repeated one. An endpoint that echoes no id is known by its
+        refusal, as no connection is kept after such a refusal.
         """
         names = self._header_names
-        return (
-            response.get(names.request_id) is not None
-            or response.get(names.seal) is not None
+        received_id = response.get(names.request_id)
+        if received_id is not None:
+            return received_id == request_id
+        return response.status == MISDIRECTED and response.get(names.seal) is None
+
+    def _return_or_abort(self, connection, response, request_id):
+        """Keep a connection only if a repetition of the response can be told later."""
+        placement = self._placement
+        received_id = None
+        if response is not None:
+            received_id = response.get(self._header_names.request_id)
+        if received_id is None or received_id != request_id:
+            connection.abort()
+            return
+        self._pool.return_connection(
+            placement.endpoint_id, connection, incarnation=placement.incarnation
         )
--- a/hawthornspoke/relay/tests/test_unframed_answers.py
+++ b/hawthornspoke/relay/tests/test_unframed_answers.py
@@ -15,6 +15,7 @@
     answer_probe,
     events,
     field,
+    response,
     silent,
     stream_head,
 )
@@ -462,9 +463,12 @@
 def test_late_repetition_of_an_answer_is_no_proof():
     """Guards against a proof by bytes that an endpoint had sent before its end."""
 
+    async def repeat(endpoint, head, writer):
+        writer.write(response(endpoint.requests[0][0]))
+
     async def scenario():
         endpoint = ScriptedEndpoint(
-            *[slow_answer(0.05)] * 2, unframed(event(1)), probe_step=answer()
+            *[slow_answer(0.05)] * 2, unframed(event(1)), probe_step=repeat
         )
         async with RelayHarness(endpoint, timeout=2.0, health_path=None) as harness:
             await keep_connections(harness)
