Probe a new connection beside a kept one to prove an end

Callers lost sound streams as `late`: kept connections were probed one after the other for up to 0.4 s each, so three that hang used up the second and no new connection was tried. With a health path, a full endpoint whose 503 bears no id, but whose 421 names it, was never asked with another expected endpoint.

Now new connections are probed beside a kept one that hasn't answered within 0.1 s, first with the health check, then with the request that is refused. An address that refuses connections ends the search only after the probe of a kept connection, as an endpoint that leaves may answer there. The timeouts tolerate a stall of this process. The reason `late` is `timeout` now, and `_identity_result` (was `_check_identity`) says what it returns.

--- a/hawthornspoke/relay/_end_verification.py
+++ b/hawthornspoke/relay/_end_verification.py
@@ -5,9 +5,10 @@
 """
 
 import asyncio
+import contextlib
 import uuid
 
-from hawthornspoke.base import Failure, monotonic
+from hawthornspoke.base import Failure, StallTolerantTimeout, monotonic
 from hawthornspoke.httpio import encode_request, refuses_connections
 
 #: Seconds within which a proof must arrive. Callers abandon a stream that sends nothing
@@ -22,6 +23,10 @@
 PROBE_INTERVAL = 0.2
 KEPT_CHECK_INTERVAL = 0.05
 
+#: Seconds after which a new connection is probed beside a kept one. A kept one mostly
+#: answers earlier, and costs less.
+NEW_CONNECTION_DELAY = 0.1
+
 #: Id that no endpoint has. An endpoint refuses a request for another one at once, even
 #: if all its slots are in use.
 NO_ENDPOINT = "none"
@@ -36,7 +41,7 @@
 #: Reasons why there is no proof.
 REPLACED = "replaced"
 REFUSED = "refused"
-LATE = "late"
+TIMEOUT = "timeout"
 
 
 class EndVerifier:
@@ -81,10 +86,10 @@
             sent_at=sent_at,
         )
         try:
-            async with asyncio.timeout(VERIFY_TIME):
+            async with StallTolerantTimeout(VERIFY_TIME):
                 return await search.run()
         except TimeoutError:
-            return False, LATE
+            return False, TIMEOUT
 
 
 class _ProofSearch:
@@ -104,6 +109,7 @@
         "_placement",
         "_health_path",
         "_sent_at",
+        "_no_kept_probe",
     )
 
     def __init__(self, *, pool, fleet, header_names, placement, service, sent_at):
@@ -114,69 +120,120 @@
         known = fleet.service_by_name.get(service)
         self._health_path = None if known is None else known.health_path
         self._sent_at = sent_at
+        self._no_kept_probe = asyncio.Event()
+        self._no_kept_probe.set()
 
     async def run(self):
         """Return whether there is a proof, and which, or why there is none."""
-        next_probe_at = monotonic()
-        while True:
-            if self._fleet.is_replaced(self._placement):
-                return False, REPLACED
-            if await self._probe_kept_connections():
-                return True, KEPT_CONNECTION
-            if monotonic() >= next_probe_at:
-                result = await self._probe_new_connection()
-                if result is not None:
-                    return result
-                next_probe_at = monotonic() + PROBE_INTERVAL
-            await asyncio.sleep(KEPT_CHECK_INTERVAL)
+        kept = asyncio.create_task(self._probe_kept_connections())
+        new = asyncio.create_task(self._probe_new_connections())
+        try:
+            await asyncio.wait([kept, new], return_when=asyncio.FIRST_COMPLETED)
+            return kept.result() if kept.done() else new.result()
+        finally:
+            kept.cancel()
+            new.cancel()
+            await asyncio.gather(kept, new, return_exceptions=True)
 
     async def _probe_kept_connections(self):
-        """Return whether the endpoint answers on a connection opened early enough."""
+        """Probe connections opened early enough, until there is a result of ``run``."""
         placement = self._placement
-        while True:
+        while not self._fleet.is_replaced(placement):
             connection = self._pool.acquire_kept(
                 placement.endpoint_id,
                 incarnation=placement.incarnation,
                 opened_before=self._sent_at,
             )
             if connection is None:
-                return False
+                await asyncio.sleep(KEPT_CHECK_INTERVAL)
+            elif await self._probe_kept_connection(connection):
+                return True, KEPT_CONNECTION
+        return False, REPLACED
+
+    async def _probe_kept_connection(self, connection):
+        """Return whether the endpoint answers on a kept connection."""
+        self._no_kept_probe.clear()
+        try:
             response, request_id = await self._refused_probe(connection)
-            is_proof = response is not None and self._answers(response, request_id)
-            self._return_or_abort(connection, response, request_id)
-            if is_proof:
-                return True
+        finally:
+            self._no_kept_probe.set()
+        self._return_or_abort(connection, response, request_id)
+        return response is not None and self._answers(response, request_id)
+
+    async def _probe_new_connections(self):
+        """Probe new connections until there is a result of ``run``."""
+        with contextlib.suppress(TimeoutError):
+            async with StallTolerantTimeout(NEW_CONNECTION_DELAY):
+                await self._no_kept_probe.wait()
+        while True:
+            next_probe_at = monotonic() + PROBE_INTERVAL
+            result = None
+            if self._health_path is not None:
+                result = await self._probe_new_connection(is_refused=False)
+            if result is None:
+                result = await self._probe_new_connection(is_refused=True)
+            if result == (False, REFUSED):
+                # An endpoint that leaves may accept no connections and still answer.
+                await self._no_kept_probe.wait()
+            if result is not None:
+                return result
+            await asyncio.sleep(max(0.0, next_probe_at - monotonic()))
+
+    async def _probe_new_connection(self, *, is_refused):
+        """Probe a new connection.
 
-    async def _probe_new_connection(self):
-        """Return the result of ``run``, None if a new connection proves nothing."""
+        Parameters
+        ----------
+        is_refused : bool
+            Whether the probe is a request that never runs, not a health check. A full
+            endpoint that names itself as it refuses answers it at once.
+
+        Returns
+        -------
+        (bool, str) or None
+            See ``_identity_result``.
+        """
         address = self._placement.address
         connection = await self._pool.open(address)
         if isinstance(connection, Failure):
             if await refuses_connections(address, timeout=PROBE_TIMEOUT):
                 return False, REFUSED
             return None
-        expected_id, request_id = self._placement.endpoint_id, None
-        if self._health_path is not None:
-            response = await self._probe(connection, expected_id=expected_id)
-        else:
-            # Only a request for another endpoint never runs.
-            expected_id = NO_ENDPOINT
+        request_id = None
+        if is_refused:
             response, request_id = await self._refused_probe(connection)
+        else:
+            response = await self._probe(
+                connection, expected_id=self._placement.endpoint_id
+            )
         result = None
         if response is not None:
-            result = self._check_identity(response, expected_id)
+            result = self._identity_result(response, is_refused=is_refused)
         if result is not None and result[0]:
             self._return_or_abort(connection, response, request_id)
         else:
             connection.abort()
         return result
 
-    def _check_identity(self, response, expected_id):
+    def _identity_result(self, response, *, is_refused):
+        """Return what a response on a new connection shows of the one that sent it.
+
+        Parameters
+        ----------
+        response : Response
+        is_refused : bool
+            See ``_probe_new_connection``.
+
+        Returns
+        -------
+        (bool, str) or None
+            The result of ``run``: that the endpoint runs, or that another one has its
+            address. None if the response doesn't tell.
+        """
         endpoint_id = self._placement.endpoint_id
         received_id = response.get(self._header_names.endpoint_id)
-        if received_id not in (None, endpoint_id):
-            return False, REPLACED
-        if response.status == MISDIRECTED and expected_id == endpoint_id:
+        is_misdirected = response.status == MISDIRECTED and not is_refused
+        if is_misdirected or received_id not in (None, endpoint_id):
             return False, REPLACED
         if received_id is None:
             return None
@@ -207,7 +264,7 @@
             expected_id=None,
         )
         try:
-            async with asyncio.timeout(PROBE_TIMEOUT):
+            async with StallTolerantTimeout(PROBE_TIMEOUT):
                 response = await exchange.read_whole()
         except TimeoutError:
             return None
--- a/hawthornspoke/relay/tests/test_end_verification.py
+++ b/hawthornspoke/relay/tests/test_end_verification.py
@@ -7,6 +7,7 @@
 from hawthornspoke.relay.tests.relay_harness import (
     RelayHarness,
     ScriptedEndpoint,
+    answer_probe,
     field,
 )
 from hawthornspoke.relay.tests.test_forward import event_ids, run_scenario
@@ -128,3 +129,88 @@
                 assert (field(probe, "X-Request-Id") is not None) == is_for_other
 
     run_scenario(scenario)
+
+
+def test_end_is_proven_over_a_new_connection_if_kept_ones_hang():
+    """Guards against a sound stream that is cut as kept connections use up the time."""
+
+    async def probe(endpoint, head, writer):
+        if len(endpoint.probes) <= 3:
+            await asyncio.sleep(2.0)
+            return False
+        return await answer_probe()(endpoint, head, writer)
+
+    async def scenario():
+        endpoint = ScriptedEndpoint(
+            *[slow_answer(0.05)] * 4, unframed(event(1)), probe_step=probe
+        )
+        async with RelayHarness(endpoint, timeout=3.0) as harness:
+            await keep_connections(harness, 4)
+            _, _, body, complete = await harness.ask("stream")
+            assert (event_ids(body), complete) == ([1], True)
+
+    run_scenario(scenario)
+
+
+def test_end_is_proven_by_a_full_endpoint_that_names_itself_as_it_refuses_another():
+    """Guards against a sound stream that is cut as its endpoint has no free slot."""
+
+    async def probe(endpoint, head, writer):
+        if field(head, "X-Expect-Endpoint") == endpoint.endpoint_id:
+            data = late_answer(503, b"", fields=["X-Not-Run: 1"])
+            writer.write(data.replace(b"X-Seal: s\r\n", b""))
+            return None
+        return await answer_probe()(endpoint, head, writer)
+
+    async def scenario():
+        endpoint = ScriptedEndpoint(unframed(event(1)), probe_step=probe)
+        async with RelayHarness(endpoint, timeout=3.0) as harness:
+            _, _, body, complete = await harness.ask("stream")
+            assert (event_ids(body), complete) == ([1], True)
+
+    run_scenario(scenario)
+
+
+def test_end_is_proven_over_a_kept_connection_of_an_endpoint_that_stops_listening():
+    """Guards against sound streams that are cut as their endpoint leaves."""
+
+    async def probe(endpoint, head, writer):
+        await asyncio.sleep(0.2)
+        writer.write(refusal(head, echoes_id=True))
+
+    async def scenario():
+        endpoint = ScriptedEndpoint(
+            *[slow_answer(0.05)] * 2,
+            unframed(event(1), endpoint_ends=True),
+            probe_step=probe,
+        )
+        async with RelayHarness(endpoint, timeout=2.0) as harness:
+            await keep_connections(harness)
+            _, _, body, complete = await harness.ask("stream")
+            assert (event_ids(body), complete) == ([1], True)
+
+    run_scenario(scenario)
+
+
+def test_search_leaves_no_connection_open():
+    """Guards against connections that stay open after a search without a proof."""
+
+    async def hang(endpoint, head, writer):
+        readers.append(endpoint.reader)
+        await writer.wait_closed()
+        return False
+
+    readers = []
+
+    async def scenario():
+        endpoint = ScriptedEndpoint(
+            *[slow_answer(0.05)] * 2, unframed(event(1)), probe_step=hang
+        )
+        async with RelayHarness(endpoint, timeout=2.0) as harness:
+            await keep_connections(harness)
+            await harness.ask("stream")
+            await asyncio.sleep(0.1)
+            assert len(readers) > 2
+            assert all(reader.at_eof() for reader in readers)
+
+    run_scenario(scenario)
