Bound the wait for a turn by the deadline of its request

Callers of a suspected request were answered after their deadline, and a shutdown had to wait, if an agent took long to decide on a turn: `claim_turn` waited without a timeout. The wait ends at the deadline of the request or of the shutdown now, on the clock of the deadlines; the answer is the refusal as suspected then. A caller that leaves ended the wait before as well, as the server cancels the task; a test guards that. Malformed prompt parts of a request that waits were counted twice, as it is admitted again.

--- a/hawthornspoke/relay/_handler.py
+++ b/hawthornspoke/relay/_handler.py
@@ -1,31 +1,25 @@
 """Request handling: the checks in their order, and the final response."""
 
 import asyncio
+import contextlib
 import traceback
 
 from hawthornspoke.base import monotonic
 from hawthornspoke.catalog import choose_service
-from hawthornspoke.fields import parse_digits
 from hawthornspoke.httpio import CallerGone, EndCause, RequestEnd
 from hawthornspoke.quarantine import RequestTraits, features_of, parse_prompt_parts
 from hawthornspoke.relay._admission import CALLER_LEFT, UNCONFIRMED_RETRY_AFTER
 from hawthornspoke.relay._caller_retries import CallerRetryDetector
 from hawthornspoke.relay._context import RequestContext
+from hawthornspoke.relay._deadlines import RequestDeadlines
 from hawthornspoke.relay._ends import failure_end, own_failure_end
 from hawthornspoke.relay._refusal import Refusal
 from hawthornspoke.relay._shutdown import SHUTDOWN_RETRY_AFTER
 from hawthornspoke.relay._suspects import QUARANTINED, SUSPECTED
 from hawthornspoke.shutdown import STOPPING
 
-#: Deadline in seconds of a request that gives none.
-ASSUMED_DEADLINE = 30.0
-
-#: Minimum seconds for which the caller of a stream still waits if its request is sent
-#: again. A saturated link delays the request by half a second or more, and the first
-#: event takes about 0.2 s.
-MIN_RESEND_TIME = 0.7
-
-#: The same until the evidence against requests that crash endpoints has been read.
+#: Retry-After in seconds until the evidence against requests that crash endpoints has
+#: been read.
 EVIDENCE_RETRY_AFTER = 0.2
 
 #: Retry-After in seconds if this host has no memory for the body; requests that run
@@ -62,6 +56,7 @@
         "_log",
         "_metrics",
         "_caller_retries",
+        "_deadlines",
         "_has_logged_malformed",
         "_timeouts",
     )
@@ -88,8 +83,13 @@
         self._log = log
         self._metrics = metrics
         self._caller_retries = CallerRetryDetector()
+        self._deadlines = RequestDeadlines(
+            header_names=header_names,
+            caller_retries=self._caller_retries,
+            clock=admission.clock,
+        )
         self._has_logged_malformed = False
-        # Of the requests that are being forwarded.
+        # Of the requests that wait for their turn, or are being forwarded.
         self._timeouts = set()
 
     @property
@@ -141,7 +141,7 @@
     async def _handle(self, context):
         refusal = self._admit(context)
         if refusal is not None and refusal.reason == SUSPECTED.code:
-            if await self._suspects.claim_turn(context.features):
+            if await self._claim_turn(context):
                 context.rejection = None
                 refusal = self._admit(context)
         if refusal is not None:
@@ -157,6 +157,14 @@
         if response is not None and not has_begun:
             await self._send_last_response(context)
 
+    async def _claim_turn(self, context):
+        """Return whether an agent has decided on a turn before the deadline."""
+        try:
+            async with self._ended_by(self._deadlines.deadline(context)):
+                return await self._suspects.claim_turn(context.features)
+        except TimeoutError:
+            return False
+
     def _admit(self, context):
         """Return a Refusal, None if the request may be forwarded."""
         if self.catalog is None:
@@ -183,7 +191,7 @@
             context.rejection = failure
             return _unavailable(failure.code, EndCause.CALLER, failure.retry_after)
         context.service = choose_service(context.route, context.request_id)
-        self._set_deadlines(context)
+        self._deadlines.set(context)
         if context.deadline <= self._admission.clock():
             return _unavailable("no_time", EndCause.DEADLINE)
         return None
@@ -200,9 +208,11 @@
             body=request.body,
             prompt_parts=prompt_parts,
         )
+        # A request that waits for its turn is admitted again.
+        is_first = not context.features
         context.features = features_of(traits)
         context.fingerprint = context.features[0]
-        if prompt_parts.malformed_count:
+        if is_first and prompt_parts.malformed_count:
             self._record_malformed(context, prompt_parts.malformed_count)
 
     def _record_malformed(self, context, malformed):
@@ -216,38 +226,24 @@
                 parts=malformed,
             )
 
-    def _set_deadlines(self, context):
-        arrived = context.request.boottime_arrived_at
-        value = context.request.get(self._header_names.deadline_ms, "")
-        requested_ms = parse_digits(value)
-        requested = None if requested_ms is None else requested_ms / 1000
-        seconds = ASSUMED_DEADLINE if requested is None else requested
-        spent = self._caller_retries.time_spent(
-            context.route.name, requested, self._admission.clock()
-        )
-        context.is_caller_retry = spent > 0
-        context.deadline = arrived + min(seconds, context.route.timeout)
-        context.objective_deadline = arrived - spent + context.route.objective
-        context.resend_deadline = context.deadline
-        if context.route.event_timeout is not None:
-            abandoned_at = min(context.deadline, arrived + context.route.event_timeout)
-            context.resend_deadline = abandoned_at - MIN_RESEND_TIME
-        tokens = context.request.get(self._header_names.tokens, "").split(",")
-        context.prompt_tokens = parse_digits(tokens[0]) or 0
-        if len(tokens) > 1:
-            context.answer_tokens = parse_digits(tokens[1]) or 0
-
-    async def _forward(self, context):
-        timeout = self._timers.until(min(context.deadline, self._shutdown.deadline))
+    @contextlib.asynccontextmanager
+    async def _ended_by(self, deadline):
+        """Raise TimeoutError at a deadline, or that of this host's shutdown."""
+        timeout = self._timers.until(min(deadline, self._shutdown.deadline))
         self._timeouts.add(timeout)
         try:
             async with timeout:
+                yield
+        finally:
+            self._timeouts.discard(timeout)
+
+    async def _forward(self, context):
+        try:
+            async with self._ended_by(context.deadline):
                 await self._forwarder.run(context)
         except TimeoutError:
             self._fail_overdue(context)
             return
-        finally:
-            self._timeouts.discard(timeout)
         if context.rejection == CALLER_LEFT:
             context.reply.declared_end = RequestEnd.CALLER_LEFT
             self._record_interruption(context)
