--- a/hawthornspoke/memory_budget/_budget.py
+++ b/hawthornspoke/memory_budget/_budget.py
@@ -282,11 +282,13 @@
         -------
         bool
         """
-        begun = self._kernel_bytes + self._unannounced_bytes
-        expected = begun + (len(self._unsent) + 1) * FIRST_BYTES
-        others = self.held - begun - holder.bytes_by_use[BODY]
-        if expected > max(self._cut_mark - others, self._min_begun_mark):
-            return False
+        expected = (len(self._unsent) + 1) * FIRST_BYTES
+        if self.held - holder.bytes_by_use[BODY] + expected > self._cut_mark:
+            waiting = (
+                item.bytes_by_use[UNREAD] for item, size in self.paused.items() if size
+            )
+            if expected + self._kernel_bytes + sum(waiting) > self._min_begun_mark:
+                return False
         self._unsent.add(holder)
         return True
 
