Run tests that need the machine for themselves after all others

The tests of slow readers compare the memory of a process with that of its machine, and are to run apart from other load.

--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -3,8 +3,12 @@
 The memory that is checked is the process's and what the kernel holds for its callers.
 """
 
+import pytest
+
 from tests.slow_readers import Crowd, check_crowd
 
+pytestmark = pytest.mark.alone
+
 MB = 1_000_000
 
 
