--- a/hawthornspoke/httpio/__init__.py
+++ b/hawthornspoke/httpio/__init__.py
@@ -13,13 +13,18 @@
     NOT_SENT,
     UNREADABLE,
     ClientConnection,
-    encode_request,
     open_connection,
 )
 from hawthornspoke.httpio._ends import CloseReason, EndCause, EndKind, RequestEnd
 from hawthornspoke.httpio._exchange import MAX_UNREAD_BYTES, TOO_LARGE, Exchange
 from hawthornspoke.httpio._fetch import fetch
-from hawthornspoke.httpio._message import HOP_BY_HOP, Message, Request, Response
+from hawthornspoke.httpio._message import (
+    HOP_BY_HOP,
+    Message,
+    Request,
+    Response,
+    encode_request,
+)
 from hawthornspoke.httpio._operator import OperatorHandler
 from hawthornspoke.httpio._options import set_socket_options
 from hawthornspoke.httpio._pool import ConnectionPool
--- a/hawthornspoke/httpio/_client.py
+++ b/hawthornspoke/httpio/_client.py
@@ -28,7 +28,7 @@
     ResponseMatcher,
     contains_status_line,
 )
-from hawthornspoke.httpio._message import HOP_BY_HOP, Response, encode_head
+from hawthornspoke.httpio._message import Response, has_framing
 from hawthornspoke.httpio._options import set_socket_options
 from hawthornspoke.memory_budget import SENDING
 
@@ -327,7 +327,7 @@
             return
         self._head = head
         self._feed.record_progress()
-        self._has_framing = _has_framing(head)
+        self._has_framing = has_framing(head)
         self._update_keep_alive(head)
         self.exchange.receive_head(head)
         if self.exchange.account is not None:
@@ -360,7 +360,7 @@
         self._count_unmatched(kind)
         if "close" in head.get("connection", "").lower():
             self._fail_unreadable("behind one that closes the connection")
-        elif head.status not in BODILESS_STATUSES and not _has_framing(head):
+        elif head.status not in BODILESS_STATUSES and not has_framing(head):
             self._fail_unreadable("behind one without a length")
 
     def _find_own_response(self, data):
@@ -428,34 +428,6 @@
                 self._idle_timeout = float(seconds)
 
 
-def _has_framing(head):
-    """Return whether a response with a body says where it ends."""
-    return (
-        head.get("content-length") is not None
-        or "chunked" in head.get("transfer-encoding", "").lower()
-    )
-
-
-def encode_request(*, method, target, headers, body=b""):
-    """Encode a request.
-
-    Parameters
-    ----------
-    method, target : str
-    headers : list of (str, str)
-        Header fields; hop-by-hop fields are left out.
-    body : bytes
-
-    Returns
-    -------
-    bytes
-    """
-    fields = [pair for pair in headers if pair[0].lower() not in HOP_BY_HOP]
-    if body or method not in ("GET", "HEAD", "DELETE"):
-        fields.append(("Content-Length", str(len(body))))
-    return encode_head(f"{method} {target} HTTP/1.1", fields) + body
-
-
 async def open_connection(address, *, timeout, **options):
     """Connect to an endpoint.
 
--- a/hawthornspoke/httpio/_fetch.py
+++ b/hawthornspoke/httpio/_fetch.py
@@ -7,9 +7,9 @@
     CONNECTION_BROKEN,
     NOT_SENT,
     ClientConnection,
-    encode_request,
 )
 from hawthornspoke.httpio._exchange import MAX_UNREAD_BYTES
+from hawthornspoke.httpio._message import encode_request
 
 
 async def fetch(
--- a/hawthornspoke/httpio/_message.py
+++ b/hawthornspoke/httpio/_message.py
@@ -173,3 +173,31 @@
 def status_line(status):
     """Return the status line of a response."""
     return f"HTTP/1.1 {status} {REASON_BY_STATUS.get(status, 'Status')}"
+
+
+def has_framing(head):
+    """Return whether a response with a body says where it ends."""
+    return (
+        head.get("content-length") is not None
+        or "chunked" in head.get("transfer-encoding", "").lower()
+    )
+
+
+def encode_request(*, method, target, headers, body=b""):
+    """Encode a request.
+
+    Parameters
+    ----------
+    method, target : str
+    headers : list of (str, str)
+        Header fields; hop-by-hop fields are left out.
+    body : bytes
+
+    Returns
+    -------
+    bytes
+    """
+    fields = [pair for pair in headers if pair[0].lower() not in HOP_BY_HOP]
+    if body or method not in ("GET", "HEAD", "DELETE"):
+        fields.append(("Content-Length", str(len(body))))
+    return encode_head(f"{method} {target} HTTP/1.1", fields) + body
