Tests: keep the simulation of slow readers with those of the soak

It speaks the platform's protocol, as the soak's simulations do, and test_platform_names_stay_in_the_adapter allows that there only. No check has changed.

--- a/hawthornspoke/httpio/tests/test_unread_responses.py
+++ b/hawthornspoke/httpio/tests/test_unread_responses.py
@@ -18,7 +18,7 @@
     MemoryGuard,
 )
 from hawthornspoke.metrics import Metrics
-from tests.slow_readers import unsent_bytes
+from tests.soak.slow_readers import unsent_bytes
 
 MB = 1_000_000
 SIZE = 16 * MB
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from tests.slow_readers import Crowd, check_crowd
+from tests.soak.slow_readers import Crowd, check_crowd
 
 pytestmark = pytest.mark.alone
 
