--- a/hawthornspoke/relay/_end_verification.py
+++ b/hawthornspoke/relay/_end_verification.py
@@ -287,7 +287,7 @@
         return response.status == MISDIRECTED and response.get(names.seal) is None
 
     def _return_or_abort(self, connection, response, request_id):
-        """Keep a connection only if a repetition of the response can be told later."""
+        """Keep a connection only if a repeated response can be recognized later."""
         placement = self._placement
         received_id = None
         if response is not None:
--- a/hawthornspoke/relay/_sending.py
+++ b/hawthornspoke/relay/_sending.py
@@ -121,8 +121,8 @@
         None or Failure
             A failure if nothing was sent.
         """
-        # On a connection that carried another request, an answer without an id can't be
-        # told from a late one.
+        # On a connection that carried another request, an answer without an id may
+        # be a late one.
         failure = await attempt.connect(fresh=not context.request_id)
         if failure is not None:
             return failure
--- a/hawthornspoke/relay/tests/test_unmatched_answers.py
+++ b/hawthornspoke/relay/tests/test_unmatched_answers.py
@@ -96,7 +96,7 @@
             for _ in range(2):
                 status, _, body, _ = await harness.ask("once")
                 assert (status, body) == (200, b"own")
-            # What follows on such a connection couldn't be told from a late answer.
+            # What follows on such a connection might be a late answer.
             assert harness.pool.opened == 2
 
     run_scenario(scenario)
