--- a/hawthornspoke/httpio/_client.py
+++ b/hawthornspoke/httpio/_client.py
@@ -8,6 +8,7 @@
 from hawthornspoke.base import (
     Failure,
     StallTolerantTimeout,
+    boottime_clock,
     has_unread_bytes,
     is_closed_by_peer,
     monotonic,
@@ -22,6 +23,7 @@
     MAX_HEAD_FIELDS,
     BoundedFeed,
 )
+from hawthornspoke.httpio._losses import LostState
 from hawthornspoke.httpio._matching import (
     HIDDEN,
     STATUS_LINE_START_BYTES,
@@ -72,6 +74,9 @@
     on_unmatched : callable or None, default=None
         Called with the kind of a response that may not belong to the request, or that
         hides the response to it.
+    on_lost : callable or None, default=None
+        Called with the LostState if the peer ends the connection and nothing was due to
+        end it.
 
     Attributes
     ----------
@@ -87,12 +92,14 @@
         max_unread_bytes=MAX_UNREAD_BYTES,
         on_oversized=None,
         on_unmatched=None,
+        on_lost=None,
     ):
         self.id_header = id_header
         self.receive_buffer = receive_buffer
         self.max_unread_bytes = max_unread_bytes
         self.on_oversized = on_oversized
         self.on_unmatched = on_unmatched
+        self.on_lost = on_lost
         self.transport = None
         self.exchange = None
         self.opened_at = None
@@ -114,6 +121,7 @@
         self._idle_timeout = DEFAULT_IDLE_TIMEOUT
         self._is_paused = False
         self._wanted_bytes = 0
+        self._is_aborted = False
 
     @property
     def is_open(self):
@@ -130,6 +138,9 @@
         """Store the transport and set the socket options."""
         self.transport = transport
         self.opened_at = monotonic()
+        self.idle_deadline = (
+            boottime_clock() + DEFAULT_IDLE_TIMEOUT * IDLE_TIMEOUT_FRACTION
+        )
         sock = transport.get_extra_info("socket")
         set_socket_options(sock)
         if self.receive_buffer is not None:
@@ -139,7 +150,10 @@
         """Fail the exchange in progress."""
         self.transport = None
         self.reusable = False
+        lost_state = self._lost_state()
         exchange, self.exchange = self.exchange, None
+        if lost_state is not None and self.on_lost is not None:
+            self.on_lost(lost_state)
         if exchange is not None:
             exchange.end(CONNECTION_BROKEN.with_reason(str(exc) if exc else "closed"))
 
@@ -270,6 +284,7 @@
     def abort(self):
         """Close the connection immediately; the endpoint then cancels the request."""
         self.reusable = False
+        self._is_aborted = True
         if self.transport is not None:
             self.transport.abort()
 
@@ -351,6 +366,21 @@
         if self._excess is None:
             self.exchange.end()
 
+    def _lost_state(self):
+        """Return the state of a connection that ends, None if its end was due."""
+        if self._is_aborted:
+            return None
+        exchange = self.exchange
+        if exchange is None:
+            is_due = boottime_clock() >= self.idle_deadline
+            return None if is_due else LostState.IDLE
+        if exchange.has_ended:
+            return None
+        if exchange.head is not None:
+            return LostState.ANSWERED_IN_PART
+        # Endpoints reset new connections beyond their limit.
+        return None if self.requests == 1 else LostState.WAITING
+
     @property
     def _has_failed(self):
         return self._excess is not None or self.exchange.failure is not None
--- a/hawthornspoke/httpio/_exchange.py
+++ b/hawthornspoke/httpio/_exchange.py
@@ -3,7 +3,7 @@
 import asyncio
 import collections
 
-from hawthornspoke.base import Failure
+from hawthornspoke.base import Failure, monotonic
 from hawthornspoke.httpio._message import Response
 from hawthornspoke.memory_budget import KERNEL, READ_BUFFER_BYTES, SENDING, UNREAD
 
@@ -38,6 +38,8 @@
     ended_with_connection : bool
         Whether the response had neither a length nor chunks, and the endpoint closed
         the connection: at its end, or earlier if the endpoint crashed.
+    ended_at : float or None
+        When the response was complete or failed, on the monotonic clock.
     """
 
     __slots__ = (
@@ -47,6 +49,7 @@
         "head",
         "complete",
         "ended_with_connection",
+        "ended_at",
         "failure",
         "_parts",
         "_buffered_bytes",
@@ -64,6 +67,7 @@
         self.head = None
         self.complete = False
         self.ended_with_connection = False
+        self.ended_at = None
         self.failure = None
         # Parts as received: a single buffer that grows to megabytes is copied again and
         # again within the allocator's heap, which then takes a multiple of its size.
@@ -222,6 +226,7 @@
         """
         if self.has_ended:
             return
+        self.ended_at = monotonic()
         if failure is None:
             self.complete = True
         else:
--- a/hawthornspoke/httpio/_pool.py
+++ b/hawthornspoke/httpio/_pool.py
@@ -2,10 +2,11 @@
 
 import asyncio
 
-from hawthornspoke.base import boottime_clock
+from hawthornspoke.base import boottime_clock, monotonic
 from hawthornspoke.httpio._client import open_connection
 from hawthornspoke.httpio._exchange import MAX_UNREAD_BYTES, TOO_LARGE
 from hawthornspoke.httpio._framing import REFUSAL
+from hawthornspoke.httpio._losses import ConnectionLosses
 
 #: Maximum bytes, and seconds until the end, of a response body that is only received so
 #: that its connection can be reused.
@@ -51,6 +52,8 @@
         Returns a lower bound on the time at which data that is read now has arrived;
         may be set later. An endpoint counts the idle time of a connection from then,
         also while this process stands still.
+    losses : ConnectionLosses
+        Of connections of the pool, on the monotonic clock.
     """
 
     __slots__ = (
@@ -62,6 +65,7 @@
         "max_unread_bytes",
         "metrics",
         "earliest_arrival",
+        "losses",
         "_idle_by_key",
         "_drain_tasks",
     )
@@ -82,6 +86,7 @@
         self.max_unread_bytes = max_unread_bytes
         self.metrics = None
         self.earliest_arrival = boottime_clock
+        self.losses = ConnectionLosses()
         self.opened = 0
         self._idle_by_key = {}
         self._drain_tasks = set()
@@ -130,6 +135,7 @@
             max_unread_bytes=self.max_unread_bytes,
             on_oversized=self._count_oversized,
             on_unmatched=self._count_unmatched,
+            on_lost=lambda state: self._record_loss(address, state),
         )
 
     def acquire_kept(self, key, *, incarnation, opened_before):
@@ -236,6 +242,11 @@
         if failure == TOO_LARGE:
             self._count_oversized(REFUSAL)
 
+    def _record_loss(self, address, state):
+        self.losses.record(address, now=monotonic())
+        if self.metrics is not None:
+            self.metrics.count("connections_lost_total", state=state)
+
     def _count_oversized(self, part):
         if self.metrics is not None:
             self.metrics.count("oversized_responses_total", part=part)
--- /dev/null
+++ b/hawthornspoke/httpio/tests/test_losses.py
@@ -0,0 +1,72 @@
+"""Which ends of connections count as lost, as nothing was due to end them."""
+
+import asyncio
+
+import pytest
+
+from hawthornspoke.base import monotonic
+from hawthornspoke.httpio import ConnectionLosses, ConnectionPool
+
+HEAD = b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\n"
+WHOLE = HEAD + b"Content-Length: 2\r\n\r\nok"
+
+#: What an endpoint sends before it closes, whether the connection is idle then, and
+#: whether it was lost.
+CASES = {
+    "idle": (WHOLE, True),
+    "in an answer with a length": (HEAD + b"Content-Length: 9\r\n\r\nok", True),
+    "in an answer in chunks": (
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\nok",
+        True,
+    ),
+    "after an announced close": (
+        WHOLE.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"),
+        False,
+    ),
+    "at the end of an answer without framing": (HEAD + b"\r\nok", False),
+    "before the first answer": (b"", False),
+}
+
+
+async def _losses_after(data, *, closes=True):
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(data)
+        await asyncio.sleep(0.05)
+        if closes:
+            writer.close()
+        await closing.wait()
+
+    closing = asyncio.Event()
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    pool = ConnectionPool()
+    connection = await pool.acquire("e", address)
+    exchange = connection.send(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n", expected_id=None)
+    if await exchange.wait_for_end() is None:
+        pool.return_connection("e", connection)
+    await asyncio.sleep(0.1)
+    counts = pool.losses.count_by_address(since=monotonic() - 1.0)
+    pool.close()
+    closing.set()
+    server.close()
+    return counts.total()
+
+
+@pytest.mark.parametrize("name", CASES)
+def test_end_by_the_peer(name):
+    """Guards against ends of connections that look due, or lost, and aren't."""
+    data, is_lost = CASES[name]
+    assert asyncio.run(_losses_after(data)) == is_lost
+
+
+def test_own_close_is_no_loss():
+    """Guards against connections that this side closes and that count as lost."""
+    assert asyncio.run(_losses_after(WHOLE, closes=False)) == 0
+
+
+def test_losses_are_counted_by_address_within_the_time():
+    losses = ConnectionLosses()
+    for address, at in (("h1:1", 0.0), ("h1:1", 9.0), ("h2:1", 9.5)):
+        losses.record(address, now=at)
+    assert losses.count_by_address(since=9.0) == {"h1:1": 1, "h2:1": 1}
--- a/hawthornspoke/relay/_agents.py
+++ b/hawthornspoke/relay/_agents.py
@@ -11,6 +11,7 @@
 
 from hawthornspoke.base import Failure, boottime_clock, monotonic
 from hawthornspoke.catalog import Incarnation
+from hawthornspoke.httpio import ConnectionLosses
 from hawthornspoke.peering import PeerConnection, connect
 from hawthornspoke.placing import AgentLost, EngineReported, RequestRates
 from hawthornspoke.protocol import Frame, HostRequestRates
@@ -91,10 +92,13 @@
         have waited in the socket buffer while this process was stalled.
     unread_for : callable or None, default=None
         Returns the seconds since the platform's state was known, None if it never was.
+    losses : ConnectionLosses or None, default=None
+        Records the links that agents end.
     """
 
     __slots__ = (
         "port",
+        "_losses",
         "_failure_domain",
         "_fleet",
         "_log",
@@ -134,8 +138,10 @@
         earliest_arrival=boottime_clock,
         on_remote_hosts=None,
         unread_for=None,
+        losses=None,
     ):
         self.port = port
+        self._losses = losses or ConnectionLosses()
         self._failure_domain = failure_domain
         self._fleet = fleet
         self._log = log
@@ -365,6 +371,7 @@
             self._retry_records.add_agent(address, link)
         try:
             await closed
+            self._losses.record(address, now=monotonic())
         finally:
             link.close()
             self._remove(address)
--- a/hawthornspoke/relay/_sending.py
+++ b/hawthornspoke/relay/_sending.py
@@ -7,6 +7,10 @@
 from hawthornspoke.relay._signals import log_readmission
 from hawthornspoke.relay._try import Attempt
 
+#: Seconds before an end without framing from which other lost connections are logged
+#: with it.
+LOSS_LOG_TIME = 0.1
+
 
 class Sender:
     """Connects to endpoints and sends requests to them.
@@ -176,11 +180,15 @@
         await self._suspects.wait_for_probes(context.features)
 
     async def _verify_end(self, context, attempt):
-        placement = attempt.placement
+        placement, exchange = attempt.placement, attempt.exchange
         began_at = monotonic()
         is_whole, reason = await self._end_verifier.verify(
             placement, service=context.service, sent_at=attempt.sent_at
         )
+        lost_by_address = self._pool.losses.count_by_address(
+            since=exchange.ended_at - LOSS_LOG_TIME
+        )
+        lost_here = lost_by_address.pop(placement.address, 0)
         self._metrics.count("unframed_ends_total", reason=reason)
         self._log.change(
             "unframed_end",
@@ -190,6 +198,10 @@
             is_whole=is_whole,
             reason=reason,
             seconds=round(monotonic() - began_at, 3),
+            since_sent=round(exchange.ended_at - attempt.sent_at, 3),
+            received=exchange.received_bytes,
+            lost_here=lost_here,
+            peers_lost=len(lost_by_address),
         )
         return is_whole
 
--- a/hawthornspoke/relay/_sink.py
+++ b/hawthornspoke/relay/_sink.py
@@ -107,6 +107,7 @@
             earliest_arrival=earliest_arrival,
             on_remote_hosts=seeding.remote_hosts.update,
             unread_for=lambda: contact.age(now=boottime_clock()),
+            losses=pool.losses,
         )
         self._seeding = seeding
         self._fleet = fleet
