--- a/hawthornspoke/base/__init__.py
+++ b/hawthornspoke/base/__init__.py
@@ -12,9 +12,11 @@
 from hawthornspoke.base._signals import StopSignals
 from hawthornspoke.base._sliding_count import SlidingCount
 from hawthornspoke.base._sockets import (
+    SocketState,
     discard_unsent_bytes,
     has_unread_bytes,
     is_closed_by_peer,
+    socket_state,
     unacknowledged_bytes,
 )
 from hawthornspoke.base._stall import StallDetector
@@ -40,6 +42,7 @@
     "Registry",
     "SlidingCount",
     "StallDetector",
+    "SocketState",
     "StallTolerantTimeout",
     "StopSignals",
     "Ticks",
@@ -52,6 +55,7 @@
     "is_failure",
     "monotonic",
     "rendezvous_order",
+    "socket_state",
     "unacknowledged_bytes",
     "wall_time",
 ]
--- a/hawthornspoke/base/_sockets.py
+++ b/hawthornspoke/base/_sockets.py
@@ -1,6 +1,7 @@
 """What the operating system knows of a connection, without consuming data."""
 
 import contextlib
+import enum
 import errno
 import fcntl
 import select
@@ -24,6 +25,41 @@
 )
 
 
+class SocketState(enum.Enum):
+    """What a look at a connection has found."""
+
+    QUIET = "quiet"
+    UNREAD = "unread"
+    CLOSED = "closed"
+    BROKEN = "broken"
+
+
+def socket_state(connection):
+    """Look at a connection without consuming its data.
+
+    Linux reports the error of a connection once. After ``BROKEN`` the next read finds
+    the end of the data, as if the peer had closed the connection.
+
+    Parameters
+    ----------
+    connection : object
+        A socket or an event loop's ``TransportSocket``; only its ``fileno`` is used.
+
+    Returns
+    -------
+    SocketState
+        ``QUIET`` also if the operating system doesn't tell.
+    """
+    try:
+        data = _peek(connection.fileno())
+    except OSError as error:
+        is_inconclusive = error.errno in INCONCLUSIVE_ERRNOS
+        return SocketState.QUIET if is_inconclusive else SocketState.BROKEN
+    except ValueError:
+        return SocketState.CLOSED
+    return SocketState.UNREAD if data else SocketState.CLOSED
+
+
 def is_closed_by_peer(connection):
     """Return whether the peer has closed a connection.
 
@@ -42,11 +78,11 @@
         poller.register(connection, select.POLLIN)
         if not poller.poll(0):
             return False
-        return _peek(connection.fileno()) == b""
     except OSError as error:
         return error.errno not in INCONCLUSIVE_ERRNOS
     except ValueError:
         return True
+    return socket_state(connection) in (SocketState.CLOSED, SocketState.BROKEN)
 
 
 def has_unread_bytes(connection):
@@ -62,10 +98,7 @@
     bool
         False if the operating system doesn't tell.
     """
-    try:
-        return _peek(connection.fileno()) != b""
-    except (OSError, ValueError):
-        return False
+    return socket_state(connection) is SocketState.UNREAD
 
 
 def unacknowledged_bytes(connection):
--- a/hawthornspoke/httpio/_client.py
+++ b/hawthornspoke/httpio/_client.py
@@ -7,11 +7,11 @@
 
 from hawthornspoke.base import (
     Failure,
+    SocketState,
     StallTolerantTimeout,
     boottime_clock,
-    has_unread_bytes,
-    is_closed_by_peer,
     monotonic,
+    socket_state,
 )
 from hawthornspoke.fields import parse_digits
 from hawthornspoke.httpio._exchange import MAX_UNREAD_BYTES, TOO_LARGE, Exchange
@@ -122,6 +122,7 @@
         self._is_paused = False
         self._wanted_bytes = 0
         self._is_aborted = False
+        self._is_broken = False
 
     @property
     def is_open(self):
@@ -132,7 +133,7 @@
         """Check the socket itself for a close that the event loop hasn't seen yet."""
         if not self.is_open:
             return True
-        return is_closed_by_peer(self.transport.get_extra_info("socket"))
+        return self._look() in (SocketState.CLOSED, SocketState.BROKEN)
 
     def connection_made(self, transport):
         """Store the transport and set the socket options."""
@@ -155,7 +156,8 @@
         if lost_state is not None and self.on_lost is not None:
             self.on_lost(lost_state)
         if exchange is not None:
-            exchange.end(CONNECTION_BROKEN.with_reason(str(exc) if exc else "closed"))
+            reason = "reset" if self._is_broken else str(exc or "closed")
+            exchange.end(CONNECTION_BROKEN.with_reason(reason))
 
     def eof_received(self):
         """Complete a response whose body ends with its connection.
@@ -163,7 +165,9 @@
         Only EOF completes such a response: after a reset, bytes may be missing.
         """
         exchange = self.exchange
-        if exchange is not None and exchange.head is not None and not self._has_framing:
+        if exchange is None or self._is_broken:
+            return False
+        if exchange.head is not None and not self._has_framing:
             exchange.ended_with_connection = True
             exchange.end()
         return False
@@ -185,7 +189,7 @@
             return True
         if not self.is_open:
             return False
-        return has_unread_bytes(self.transport.get_extra_info("socket"))
+        return self._look() is SocketState.UNREAD
 
     def resume_reading(self):
         """Read on after a pause."""
@@ -366,6 +370,12 @@
         if self._excess is None:
             self.exchange.end()
 
+    def _look(self):
+        """Look at the socket; remember an error, which is not reported again."""
+        state = socket_state(self.transport.get_extra_info("socket"))
+        self._is_broken = self._is_broken or state is SocketState.BROKEN
+        return state
+
     def _lost_state(self):
         """Return the state of a connection that ends, None if its end was due."""
         if self._is_aborted:
