--- a/hawthornspoke/relay/tests/relay_harness.py
+++ b/hawthornspoke/relay/tests/relay_harness.py
@@ -65,7 +65,7 @@
         self.probe_step = probe_step or answer_probe()
         self.requests = []
         self.probes = []
-        self._writers = set()
+        self.writers = set()
         self.closed_early = 0
         self.is_retired = False
         self.reader = None
@@ -89,11 +89,11 @@
             Of the connection whose end arrives later.
         """
         self.close()
-        for writer in self._writers - {but}:
+        for writer in self.writers - {but}:
             writer.transport.abort()
 
     async def _serve(self, reader, writer):
-        self._writers.add(writer)
+        self.writers.add(writer)
         with (
             contextlib.closing(writer),
             contextlib.suppress(ConnectionError, asyncio.IncompleteReadError),
--- /dev/null
+++ b/hawthornspoke/relay/tests/test_joint_ends.py
@@ -0,0 +1,199 @@
+"""Answers without framing whose connection ends together with others."""
+
+import asyncio
+
+import pytest
+
+from hawthornspoke.relay.tests.relay_harness import (
+    RelayHarness,
+    ScriptedEndpoint,
+    answer,
+    answer_probe,
+    events,
+    field,
+    stream_head,
+)
+from hawthornspoke.relay.tests.test_forward import event_ids, run_scenario
+from hawthornspoke.relay.tests.test_unframed_answers import (
+    event,
+    keep_connections,
+    plain_head,
+    slow_answer,
+)
+
+#: Seconds from the response head to the end of its connection.
+ANSWER_TIME = 0.15
+
+
+def echo_probe():
+    """Return a step that answers probes and echoes their id."""
+
+    async def step(endpoint, head, writer):
+        request_id = field(head, "X-Request-Id")
+        if request_id is None:
+            return await answer_probe()(endpoint, head, writer)
+        writer.write(
+            f"HTTP/1.1 421 X\r\nX-Endpoint-Id: {endpoint.endpoint_id}\r\n"
+            f"X-Request-Id: {request_id}\r\nX-Not-Run: 1\r\n"
+            "Keep-Alive: timeout=10\r\nContent-Length: 0\r\n\r\n".encode()
+        )
+        return None
+
+    return step
+
+
+def cut(data, *, close, head=stream_head, seconds=ANSWER_TIME):
+    """Return a step that sends a part of an answer before its connection is closed.
+
+    Parameters
+    ----------
+    data : bytes
+    close : callable
+        Called with the endpoint and the writer of the connection; closes this one and
+        others.
+    head : callable, default=stream_head
+    seconds : float, default=ANSWER_TIME
+        From the response head to the close.
+    """
+
+    async def step(endpoint, request_head, writer):
+        raw = head(request_head)
+        writer.write(raw.replace(b"Transfer-Encoding: chunked\r\n", b"") + data)
+        await writer.drain()
+        await asyncio.sleep(seconds)
+        close(endpoint, writer)
+        raise ConnectionError
+
+    return step
+
+
+def close_all(endpoint, writer):
+    """Close all connections of an endpoint that goes on listening."""
+    for item in list(endpoint.writers):
+        item.transport.close()
+
+
+def close_one(endpoint, writer):
+    """Close only the connection of the answer."""
+    writer.transport.close()
+
+
+def end_later(seconds):
+    """Return a function that closes all connections; the endpoint ends afterwards."""
+
+    def close(endpoint, writer):
+        close_all(endpoint, writer)
+        asyncio.get_running_loop().call_later(seconds, endpoint.close)
+
+    return close
+
+
+ASKS = {
+    "stream": (event(1), stream_head, events([2, 3]), [1, 2, 3]),
+    "again": (b"hal", plain_head, answer(body=b"whole"), b"whole"),
+}
+
+
+async def ask_beside_another_endpoint(
+    prefix, close, *, kept=0, probe_step=None, **options
+):
+    """Return what a caller gets of an answer that is cut at the first endpoint.
+
+    Returns
+    -------
+    (int, list of int or bytes, bool)
+        Status, events or body, and whether the response looks whole.
+    """
+    data, head, rest, _ = ASKS[prefix]
+    step = cut(data, close=close, head=head, **options)
+    first = ScriptedEndpoint(
+        *[slow_answer(0.05)] * kept, step, probe_step=probe_step or echo_probe()
+    )
+    async with RelayHarness(first, ScriptedEndpoint(rest), timeout=3.0) as harness:
+        harness.fleet.endpoint_by_id["e1"].own_in_flight = 3
+        if kept:
+            await keep_connections(harness, kept)
+        status, _, body, complete = await harness.ask(prefix)
+        assert len(first.requests) == kept + 1
+        result = event_ids(body) if prefix == "stream" else body
+        return status, result, complete
+
+
+@pytest.mark.parametrize("prefix", ASKS)
+@pytest.mark.parametrize("kept", [0, 2])
+@pytest.mark.parametrize("step", [echo_probe, answer_probe])
+def test_answer_closed_with_all_connections_of_its_endpoint_is_not_whole(
+    prefix, kept, step
+):
+    """Guards against half an answer as a whole one, as its endpoint lives on."""
+
+    async def scenario():
+        result = await ask_beside_another_endpoint(
+            prefix, close_all, kept=kept, probe_step=step()
+        )
+        assert result == (200, ASKS[prefix][3], True)
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("prefix", ASKS)
+@pytest.mark.parametrize("seconds", [0.0, 0.1, 0.3])
+def test_answer_of_an_endpoint_that_closes_and_ends_is_not_whole(prefix, seconds):
+    """Guards against a proof between the close of an answer and its endpoint's end."""
+
+    async def scenario():
+        # The answer is too short for a connection beside it.
+        result = await ask_beside_another_endpoint(
+            prefix, end_later(seconds), seconds=0.0
+        )
+        assert result == (200, ASKS[prefix][3], True)
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("prefix", ASKS)
+def test_answer_closed_with_connections_to_other_endpoints_is_not_whole(prefix):
+    """Guards against half an answer as a whole one after a fault at this host."""
+    others = [ScriptedEndpoint() for _ in range(2)]
+
+    def close_at_host(endpoint, writer):
+        # Half of the host's connections; those to the endpoint itself stay.
+        close_one(endpoint, writer)
+        for other in others:
+            close_all(other, writer)
+
+    async def scenario():
+        data, head, rest, expected = ASKS[prefix]
+        first = ScriptedEndpoint(
+            cut(data, close=close_at_host, head=head),
+            probe_step=echo_probe(),
+        )
+        async with RelayHarness(first, *others, timeout=3.0) as harness:
+            for number, other in enumerate(others, 1):
+                connection = await harness.pool.open(harness.addresses[number])
+                harness.pool.return_connection(f"e{number}", connection)
+                harness.fleet.endpoint_by_id[f"e{number}"].own_in_flight = 3
+                other.steps = [rest]
+            _, _, body, complete = await harness.ask(prefix)
+            result = event_ids(body) if prefix == "stream" else body
+            assert (result, complete) == (expected, True)
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("step", [echo_probe, answer_probe])
+def test_whole_answers_that_end_at_the_same_moment_are_whole(step):
+    """Guards against sound answers that are lost as several end together."""
+
+    async def scenario():
+        whole = cut(event(1), close=close_one)
+        endpoint = ScriptedEndpoint(*[whole] * 8, probe_step=step())
+        async with RelayHarness(endpoint, timeout=3.0) as harness:
+            results = await asyncio.gather(
+                *(harness.ask("stream", request_id=f"r{n}") for n in range(8))
+            )
+            assert [(event_ids(item[2]), item[3]) for item in results] == [
+                ([1], True)
+            ] * 8
+
+    run_scenario(scenario)
