--- a/hawthornspoke/httpio/_client.py
+++ b/hawthornspoke/httpio/_client.py
@@ -348,7 +348,7 @@
         self._feed.record_progress()
         self._has_framing = has_framing(head)
         self._update_keep_alive(head)
-        self.exchange.receive_head(head)
+        self.exchange.receive_head(head, is_framed=self._has_framing)
         if self.exchange.account is not None:
             self._reserve_body(parse_digits(head.get("content-length", "")) or 0)
 
--- a/hawthornspoke/httpio/_exchange.py
+++ b/hawthornspoke/httpio/_exchange.py
@@ -35,6 +35,8 @@
 
     Attributes
     ----------
+    is_framed : bool
+        Whether the response has a length or chunks; known with its head.
     ended_with_connection : bool
         Whether the response had neither a length nor chunks, and the endpoint closed
         the connection: at its end, or earlier if the endpoint crashed.
@@ -48,6 +50,7 @@
         "max_unread_bytes",
         "head",
         "complete",
+        "is_framed",
         "ended_with_connection",
         "ended_at",
         "failure",
@@ -66,6 +69,7 @@
         self.max_unread_bytes = max_unread_bytes
         self.head = None
         self.complete = False
+        self.is_framed = True
         self.ended_with_connection = False
         self.ended_at = None
         self.failure = None
@@ -158,9 +162,10 @@
         self._max_skipped_bytes = max_bytes
         self._check_skipped()
 
-    def receive_head(self, head):
+    def receive_head(self, head, *, is_framed=True):
         """Store the response head and wake the reader."""
         self.head = head
+        self.is_framed = is_framed
         if self.account is not None:
             self.account.hold(KERNEL, 0)
         self._wake()
--- a/hawthornspoke/httpio/_losses.py
+++ b/hawthornspoke/httpio/_losses.py
@@ -2,6 +2,7 @@
 
 import collections
 import enum
+import math
 
 #: Seconds for which a loss is remembered.
 RETENTION = 5.0
@@ -53,18 +54,19 @@
             self._losses.popleft()
         self._losses.append(ConnectionLoss(address=address, at=now))
 
-    def count_by_address(self, *, since):
-        """Return the number of losses since a time by the address of their peer.
+    def count_by_address(self, *, since, until=math.inf):
+        """Return the number of losses in a time by the address of their peer.
 
         Parameters
         ----------
         since : float
             Within ``RETENTION``, on the clock of ``record``.
+        until : float, default=math.inf
 
         Returns
         -------
         collections.Counter of str to int
         """
         return collections.Counter(
-            loss.address for loss in self._losses if loss.at >= since
+            loss.address for loss in self._losses if since <= loss.at <= until
         )
--- /dev/null
+++ b/hawthornspoke/relay/_probe_connections.py
@@ -0,0 +1,272 @@
+"""Connections that are kept open beside answers without framing.
+
+Such an answer ends with its connection. If something else ends the connection, it
+mostly ends others to the same endpoint with it: a connection that was open before the
+end, and still is after it, shows that the end was the endpoint's.
+"""
+
+import asyncio
+import math
+
+from hawthornspoke.base import Failure, boottime_clock, monotonic
+
+#: Seconds between two checks of a connection, and between two attempts to open one.
+CHECK_INTERVAL = 0.05
+REOPEN_INTERVAL = 0.3
+
+
+class ProbeConnections:
+    """One connection to each endpoint that is sending an answer without framing.
+
+    Parameters
+    ----------
+    pool : ConnectionPool
+    prober : EndpointProber
+    metrics : Metrics
+    """
+
+    __slots__ = ("_pool", "_prober", "_metrics", "_probe_by_key")
+
+    def __init__(self, *, pool, prober, metrics):
+        self._pool = pool
+        self._prober = prober
+        self._metrics = metrics
+        self._probe_by_key = {}
+
+    def hold(self, placement, *, service):
+        """Keep a connection open until the lease is released.
+
+        Parameters
+        ----------
+        placement : Placement
+        service : str
+
+        Returns
+        -------
+        ProbeLease
+        """
+        key = _key(placement)
+        probe = self._probe_by_key.get(key)
+        if probe is None:
+            probe = self._probe_by_key[key] = EndpointProbe(
+                placement=placement,
+                service=service,
+                pool=self._pool,
+                prober=self._prober,
+                metrics=self._metrics,
+                on_ended=lambda: self._probe_by_key.pop(key, None),
+            )
+        return ProbeLease(probe=probe)
+
+    def find(self, placement):
+        """Return the EndpointProbe of an endpoint, None without one."""
+        return self._probe_by_key.get(_key(placement))
+
+
+class ProbeLease:
+    """Keeps an EndpointProbe's connection open until it is released."""
+
+    __slots__ = ("_probe",)
+
+    def __init__(self, *, probe):
+        self._probe = probe
+        probe.add_user()
+
+    def release(self):
+        """Need the connection no longer."""
+        probe, self._probe = self._probe, None
+        if probe is not None:
+            probe.remove_user()
+
+
+class EndpointProbe:
+    """A connection to one start of an endpoint, over which it can be probed.
+
+    It outlasts its last user until its idle deadline, as an endpoint that has sent one
+    answer without framing mostly sends more.
+
+    Parameters
+    ----------
+    placement : Placement
+    service : str
+    pool : ConnectionPool
+    prober : EndpointProber
+    metrics : Metrics
+    on_ended : callable
+        Called when the connection is closed for good.
+    """
+
+    __slots__ = (
+        "_placement",
+        "_service",
+        "_pool",
+        "_prober",
+        "_metrics",
+        "_on_ended",
+        "_users",
+        "_connection",
+        "_is_identified",
+        "_echoes",
+        "_refresh_at",
+        "_answered_at",
+        "_lock",
+        "_task",
+    )
+
+    def __init__(self, *, placement, service, pool, prober, metrics, on_ended):
+        self._placement = placement
+        self._service = service
+        self._pool = pool
+        self._prober = prober
+        self._metrics = metrics
+        self._on_ended = on_ended
+        self._users = 0
+        self._connection = None
+        self._is_identified = False
+        self._echoes = True
+        self._refresh_at = 0.0
+        self._answered_at = -math.inf
+        self._lock = asyncio.Lock()
+        self._task = None
+
+    def add_user(self):
+        """Keep the connection open for one more answer."""
+        self._users += 1
+        if self._task is None:
+            self._task = asyncio.get_running_loop().create_task(self._run())
+
+    def remove_user(self):
+        """Keep the connection open for one answer less."""
+        self._users -= 1
+
+    async def prove(self, *, sent_at, ended_at, probe_after):
+        """Find out whether the endpoint of an answer runs after its end.
+
+        Parameters
+        ----------
+        sent_at, ended_at : float
+            When the request was sent and its answer ended, on the monotonic clock.
+        probe_after : float
+            When the probe may be sent at the earliest, on the same clock.
+
+        Returns
+        -------
+        bool or None
+            False if another endpoint answers, None if nothing is shown.
+        """
+        async with self._lock:
+            connection = self._connection
+            if not self._is_usable() or connection.opened_at >= ended_at:
+                return None
+            # The process at the other end of a connection that was opened before the
+            # request was sent is the one that answered it. Any other has to say its id.
+            needs_id = connection.opened_at >= sent_at
+            if self._answered_at >= probe_after and (
+                self._is_identified or not needs_id
+            ):
+                return True
+            response = await self._probe(connection)
+            if response is None or not response.is_answer:
+                return None
+            if response.endpoint_id not in (None, self._placement.endpoint_id):
+                return False
+            if needs_id and not self._is_identified:
+                return await self._check_health(connection)
+            return True
+
+    async def _run(self):
+        try:
+            while self._users or self._has_time():
+                if not self._is_usable():
+                    await self._open()
+                elif boottime_clock() >= self._refresh_at and self._echoes:
+                    async with self._lock:
+                        if self._is_usable():
+                            await self._probe(self._connection)
+                interval = REOPEN_INTERVAL if self._connection is None else 0.0
+                await asyncio.sleep(max(interval, CHECK_INTERVAL))
+        finally:
+            self._end()
+
+    def _end(self):
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.abort()
+        self._on_ended()
+
+    def _has_time(self):
+        return self._is_usable() and boottime_clock() < self._refresh_at
+
+    def _is_usable(self):
+        connection = self._connection
+        return connection is not None and connection.is_open and connection.reusable
+
+    async def _open(self):
+        """Take an idle connection of the pool, or open one."""
+        self._connection = None
+        if not self._users:
+            return
+        placement = self._placement
+        connection = self._pool.acquire_kept(
+            placement.endpoint_id,
+            incarnation=placement.incarnation,
+            opened_before=monotonic(),
+        )
+        if connection is None:
+            self._metrics.count("end_probe_connections_total")
+            connection = await self._pool.open(placement.address)
+            if isinstance(connection, Failure):
+                return
+        self._is_identified = False
+        self._answered_at = -math.inf
+        self._keep(connection)
+
+    def _keep(self, connection):
+        self._connection = connection
+        self._refresh_at = connection.idle_deadline
+        # Whenever its peer ends it, it is lost.
+        connection.idle_deadline = math.inf
+
+    async def _probe(self, connection):
+        """Send a probe; keep the connection if it can carry another one."""
+        sent_at = monotonic()
+        response = await self._prober.send_refused(
+            connection, address=self._placement.address, service=self._service
+        )
+        if response is None or not response.is_answer:
+            if not connection.is_open:
+                self._pool.losses.record(self._placement.address, now=monotonic())
+            connection.abort()
+            return response
+        self._is_identified |= response.endpoint_id == self._placement.endpoint_id
+        self._answered_at = sent_at
+        self._echoes = response.leaves_reusable
+        if not self._echoes:
+            connection.abort()
+        elif connection.release(idle_since=self._pool.earliest_arrival()):
+            self._keep(connection)
+        return response
+
+    async def _check_health(self, connection):
+        """Return whether the endpoint says its id, None if it doesn't answer."""
+        can_answer = self._prober.has_health_path(self._service)
+        if not can_answer or not self._is_usable():
+            return None
+        response = await self._prober.send_health_check(
+            connection,
+            address=self._placement.address,
+            service=self._service,
+            endpoint_id=self._placement.endpoint_id,
+        )
+        connection.abort()
+        if response is None:
+            return None
+        if response.is_misdirected:
+            return False
+        if response.endpoint_id is None:
+            return None
+        return response.endpoint_id == self._placement.endpoint_id
+
+
+def _key(placement):
+    return placement.endpoint_id, placement.incarnation
--- a/hawthornspoke/relay/_sending.py
+++ b/hawthornspoke/relay/_sending.py
@@ -71,7 +71,7 @@
         self._pool = pool
         self._header_names = header_names
         self._end_verifier = EndVerifier(
-            pool=pool, fleet=fleet, header_names=header_names
+            pool=pool, fleet=fleet, header_names=header_names, metrics=metrics
         )
         self._suspects = suspects
         self._shutdown = shutdown
@@ -102,9 +102,9 @@
             fleet=self._fleet,
             header_names=self._header_names,
             timers=self._timers,
-            on_head=self._signals.observe,
+            on_head=lambda attempt: self._on_head(context, attempt),
             on_broken=lambda attempt: self._on_connection_broken(context, attempt),
-            on_ended=self._suspects.remove_attempt,
+            on_ended=self._on_ended,
             on_trust_changed=self._record_trust,
             verify_end=lambda attempt: self._verify_end(context, attempt),
             account=account,
@@ -183,7 +183,10 @@
         placement, exchange = attempt.placement, attempt.exchange
         began_at = monotonic()
         is_whole, reason = await self._end_verifier.verify(
-            placement, service=context.service, sent_at=attempt.sent_at
+            placement,
+            service=context.service,
+            sent_at=attempt.sent_at,
+            ended_at=exchange.ended_at,
         )
         lost_by_address = self._pool.losses.count_by_address(
             since=exchange.ended_at - LOSS_LOG_TIME
@@ -209,6 +212,19 @@
         """Record that a stream goes on."""
         self._suspects.record_event(attempt)
 
+    def _on_head(self, context, attempt):
+        self._signals.observe(attempt)
+        exchange = attempt.exchange
+        if not exchange.is_framed and not exchange.has_ended:
+            attempt.probe_lease = self._end_verifier.prepare(
+                attempt.placement, service=context.service
+            )
+
+    def _on_ended(self, attempt):
+        self._suspects.remove_attempt(attempt)
+        if attempt.probe_lease is not None:
+            attempt.probe_lease.release()
+
     def _on_connection_broken(self, context, attempt):
         self._suspects.record_disconnect(
             context.features,
--- a/hawthornspoke/relay/_try.py
+++ b/hawthornspoke/relay/_try.py
@@ -59,6 +59,8 @@
         Whether a complete event of a stream has arrived in this attempt.
     is_silent : bool
         Whether the endpoint has sent nothing for too long.
+    probe_lease : ProbeLease or None
+        Keeps another connection to the endpoint open.
     """
 
     __slots__ = (
@@ -71,6 +73,7 @@
         "head_at",
         "has_events",
         "is_silent",
+        "probe_lease",
         "_pool",
         "_fleet",
         "_header_names",
@@ -113,6 +116,7 @@
         self.head_at = None
         self.has_events = False
         self.is_silent = False
+        self.probe_lease = None
         self._pool = pool
         self._fleet = fleet
         self._header_names = header_names
--- a/hawthornspoke/relay/tests/test_joint_ends.py
+++ b/hawthornspoke/relay/tests/test_joint_ends.py
@@ -197,3 +197,22 @@
             ] * 8
 
     run_scenario(scenario)
+
+
+def test_one_connection_serves_the_proofs_of_an_endpoint():
+    """Guards against a new connection for each answer without framing."""
+
+    async def scenario():
+        whole = cut(event(1), close=close_one)
+        endpoint = ScriptedEndpoint(*[whole] * 6, probe_step=echo_probe())
+        async with RelayHarness(endpoint, timeout=3.0) as harness:
+            for number in range(6):
+                _, _, body, complete = await harness.ask(
+                    "stream", request_id=f"r{number}"
+                )
+                assert (event_ids(body), complete) == ([1], True)
+            count = harness.metrics.counter_value
+            assert count("end_probe_connections_total") == 1
+            assert count("unframed_ends_total", reason="probe_connection") == 6
+
+    run_scenario(scenario)
