--- a/hawthornspoke/relay/_end_verification.py
+++ b/hawthornspoke/relay/_end_verification.py
@@ -33,6 +33,9 @@
 #: is likelier than the end of a process.
 MIN_PEERS_LOST = 2
 
+#: Seconds after which a process that closed its connections in order to end is gone.
+SETTLE_TIME = 0.4
+
 #: Proofs that an endpoint runs after an end, as logged.
 PROBE_CONNECTION = "probe_connection"
 KEPT_CONNECTION = "kept_connection"
@@ -184,6 +187,8 @@
     async def _probe_kept_connections(self):
         """Probe connections opened early enough, until there is a result of ``run``."""
         placement = self._placement
+        if self._is_leaving():
+            await self._settle()
         probe_after = monotonic()
         while not self._fleet.is_replaced(placement):
             result = await self._probe_open_connection(probe_after)
@@ -233,7 +238,11 @@
         return response is not None and response.is_answer
 
     async def _probe_new_connections(self):
-        """Probe new connections until there is a result of ``run``."""
+        """Probe new connections until there is a result of ``run``.
+
+        That an endpoint runs counts only once a process that is ending would be gone;
+        that it doesn't counts at once.
+        """
         with contextlib.suppress(TimeoutError):
             async with StallTolerantTimeout(NEW_CONNECTION_DELAY):
                 await self._no_kept_probe.wait()
@@ -248,8 +257,20 @@
                 # An endpoint that leaves may accept no connections and still answer.
                 await self._no_kept_probe.wait()
             if result is not None:
-                return result
-            await asyncio.sleep(max(0.0, sent_at + PROBE_INTERVAL - monotonic()))
+                has_settled = sent_at >= self._ended_at + SETTLE_TIME
+                if has_settled or not result[0]:
+                    return result
+                await self._settle()
+            else:
+                await asyncio.sleep(max(0.0, sent_at + PROBE_INTERVAL - monotonic()))
+
+    async def _settle(self):
+        """Wait until a process that closed its connections to end would be gone."""
+        await asyncio.sleep(max(0.0, self._ended_at + SETTLE_TIME - monotonic()))
+
+    def _is_leaving(self):
+        endpoint = self._fleet.endpoint_by_id.get(self._placement.endpoint_id)
+        return endpoint is None or endpoint.is_leaving
 
     async def _probe_new_connection(self, *, is_refused):
         """Probe a new connection.
