--- a/tests/soak/programs.py
+++ b/tests/soak/programs.py
@@ -7,12 +7,14 @@
 import sys
 from pathlib import Path
 
+from adapter.tests.networks import claim_network
+
 from hawthornspoke.base import monotonic
 
 ROOT = Path(__file__).parent.parent.parent
 
 #: Prefix of the addresses of a run; runs at the same time have different ones.
-NET = f"127.{1 + os.getpid() % 250}"
+NET, _NETWORK_CLAIM = claim_network(os.getpid())
 
 FRONT_PORT, READY_PORT, FIRST_INTERNAL_PORT = 9000, 9002, 9400
 
