--- a/hawthornspoke/httpio/_client.py
+++ b/hawthornspoke/httpio/_client.py
@@ -151,7 +151,7 @@
         """Fail the exchange in progress."""
         self.transport = None
         self.reusable = False
-        lost_state = self._lost_state()
+        lost_state = self._lost_state(is_reset=exc is not None or self._is_broken)
         exchange, self.exchange = self.exchange, None
         if lost_state is not None and self.on_lost is not None:
             self.on_lost(lost_state)
@@ -376,20 +376,19 @@
         self._is_broken = self._is_broken or state is SocketState.BROKEN
         return state
 
-    def _lost_state(self):
-        """Return the state of a connection that ends, None if its end was due."""
+    def _lost_state(self, *, is_reset):
+        """Return the state of a connection that ends, None if it isn't lost."""
         if self._is_aborted:
             return None
         exchange = self.exchange
         if exchange is None:
             is_due = boottime_clock() >= self.idle_deadline
             return None if is_due else LostState.IDLE
-        if exchange.has_ended:
+        # An endpoint that breaks off an answer, or has too many connections, resets.
+        if exchange.has_ended or is_reset:
             return None
-        if exchange.head is not None:
-            return LostState.ANSWERED_IN_PART
-        # Endpoints reset new connections beyond their limit.
-        return None if self.requests == 1 else LostState.WAITING
+        is_waiting = exchange.head is None
+        return LostState.WAITING if is_waiting else LostState.ANSWERED_IN_PART
 
     @property
     def _has_failed(self):
--- a/hawthornspoke/httpio/_losses.py
+++ b/hawthornspoke/httpio/_losses.py
@@ -32,7 +32,8 @@
     """Recent losses of connections to other processes.
 
     A peer that closes a connection at its idle timeout, after a response that announces
-    the close, or at the end of a response without framing loses nothing.
+    the close, or at the end of a response without framing loses nothing. Neither does
+    one that resets a connection in use, to break off a response.
     """
 
     __slots__ = ("_losses",)
--- a/hawthornspoke/relay/tests/test_joint_ends.py
+++ b/hawthornspoke/relay/tests/test_joint_ends.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from hawthornspoke.base import discard_unsent_bytes
 from hawthornspoke.relay.tests.relay_harness import (
     RelayHarness,
     ScriptedEndpoint,
@@ -78,6 +79,12 @@
     writer.transport.close()
 
 
+def reset_one(endpoint, writer):
+    """Reset only the connection of the answer, as an endpoint that breaks it off."""
+    discard_unsent_bytes(writer.get_extra_info("socket"))
+    writer.transport.close()
+
+
 def end_later(seconds):
     """Return a function that closes all connections; the endpoint ends afterwards."""
 
@@ -216,3 +223,39 @@
             assert count("unframed_ends_total", reason="probe_connection") == 6
 
     run_scenario(scenario)
+
+
+def test_whole_answer_after_one_that_another_endpoint_broke_off_is_whole():
+    """Guards against sound answers that are lost, as a retry follows a reset."""
+
+    async def scenario():
+        breaking = ScriptedEndpoint(
+            cut(b"hal", close=reset_one, head=plain_head, seconds=0.0)
+        )
+        other = ScriptedEndpoint(
+            cut(b"whole", close=close_one, head=plain_head, seconds=0.0)
+        )
+        async with RelayHarness(breaking, other, timeout=3.0) as harness:
+            harness.fleet.endpoint_by_id["e1"].own_in_flight = 3
+            status, _, body, _ = await harness.ask("again")
+            assert len(breaking.requests) == 1
+            assert (status, body) == (200, b"whole")
+
+    run_scenario(scenario)
+
+
+def test_whole_answer_beside_one_that_its_endpoint_breaks_off_is_whole():
+    """Guards against sound answers that are lost beside those broken off."""
+
+    async def scenario():
+        broken = cut(event(1), close=reset_one)
+        whole = cut(event(1), close=close_one)
+        endpoint = ScriptedEndpoint(broken, whole, probe_step=echo_probe())
+        async with RelayHarness(endpoint, timeout=3.0) as harness:
+            _, result = await asyncio.gather(
+                harness.ask("stream", request_id="r1"),
+                harness.ask("stream", request_id="r2"),
+            )
+            assert (event_ids(result[2]), result[3]) == ([1], True)
+
+    run_scenario(scenario)
