--- a/hawthornspoke/relay/_end_verification.py
+++ b/hawthornspoke/relay/_end_verification.py
@@ -102,16 +102,25 @@
         (bool, str)
             Whether the answer is whole, and the proof or why there is none.
         """
+        # An answer that ended with its head has no lease of its own.
+        lease = self._probe_connections.hold_existing(placement)
         search = _ProofSearch(
             pool=self._pool,
             fleet=self._fleet,
             prober=self._prober,
-            probe=self._probe_connections.find(placement),
+            probe=None if lease is None else lease.probe,
             placement=placement,
             service=service,
             sent_at=sent_at,
             ended_at=ended_at,
         )
+        try:
+            return await self._verify(search, placement, ended_at)
+        finally:
+            if lease is not None:
+                lease.release()
+
+    async def _verify(self, search, placement, ended_at):
         await asyncio.sleep(max(0.0, ended_at + JOINT_TIME - monotonic()))
         if self._is_joint_end(placement, ended_at):
             return False, JOINT_END
@@ -187,9 +196,10 @@
     async def _probe_kept_connections(self):
         """Probe connections opened early enough, until there is a result of ``run``."""
         placement = self._placement
+        probe_after = self._ended_at + JOINT_TIME
         if self._is_leaving():
             await self._settle()
-        probe_after = monotonic()
+            probe_after = self._ended_at + SETTLE_TIME
         while not self._fleet.is_replaced(placement):
             result = await self._probe_open_connection(probe_after)
             if result is not None:
--- a/hawthornspoke/relay/_probe_connections.py
+++ b/hawthornspoke/relay/_probe_connections.py
@@ -58,27 +58,44 @@
             )
         return ProbeLease(probe=probe)
 
-    def find(self, placement):
-        """Return the EndpointProbe of an endpoint, None without one."""
-        return self._probe_by_key.get(_key(placement))
+    def hold_existing(self, placement):
+        """Return a ProbeLease of a connection that is open, None without one."""
+        probe = self._probe_by_key.get(_key(placement))
+        return None if probe is None else ProbeLease(probe=probe)
 
 
 class ProbeLease:
-    """Keeps an EndpointProbe's connection open until it is released."""
+    """Keeps an EndpointProbe's connection open until it is released.
 
-    __slots__ = ("_probe",)
+    Attributes
+    ----------
+    probe : EndpointProbe or None
+        None once it is released.
+    """
+
+    __slots__ = ("probe",)
 
     def __init__(self, *, probe):
-        self._probe = probe
+        self.probe = probe
         probe.add_user()
 
     def release(self):
         """Need the connection no longer."""
-        probe, self._probe = self._probe, None
+        probe, self.probe = self.probe, None
         if probe is not None:
             probe.remove_user()
 
 
+class _Proof:
+    """An answered probe: of which connection, and when it was sent."""
+
+    __slots__ = ("opened_at", "sent_at", "is_identified")
+
+    def __init__(self, *, opened_at, sent_at, is_identified):
+        self.opened_at, self.sent_at = opened_at, sent_at
+        self.is_identified = is_identified
+
+
 class EndpointProbe:
     """A connection to one start of an endpoint, over which it can be probed.
 
@@ -108,7 +125,7 @@
         "_is_identified",
         "_echoes",
         "_refresh_at",
-        "_answered_at",
+        "_last_proof",
         "_lock",
         "_task",
     )
@@ -125,7 +142,7 @@
         self._is_identified = False
         self._echoes = True
         self._refresh_at = 0.0
-        self._answered_at = -math.inf
+        self._last_proof = None
         self._lock = asyncio.Lock()
         self._task = None
 
@@ -155,16 +172,19 @@
             False if another endpoint answers, None if nothing is shown.
         """
         async with self._lock:
+            proof = self._last_proof
+            if proof is not None and proof.sent_at >= probe_after:
+                # Of another answer that ended at the same time.
+                if proof.opened_at < ended_at and (
+                    proof.is_identified or proof.opened_at < sent_at
+                ):
+                    return True
             connection = self._connection
             if not self._is_usable() or connection.opened_at >= ended_at:
                 return None
             # The process at the other end of a connection that was opened before the
             # request was sent is the one that answered it. Any other has to say its id.
             needs_id = connection.opened_at >= sent_at
-            if self._answered_at >= probe_after and (
-                self._is_identified or not needs_id
-            ):
-                return True
             response = await self._probe(connection)
             if response is None or not response.is_answer:
                 return None
@@ -218,7 +238,6 @@
             if isinstance(connection, Failure):
                 return
         self._is_identified = False
-        self._answered_at = -math.inf
         self._keep(connection)
 
     def _keep(self, connection):
@@ -239,7 +258,11 @@
             connection.abort()
             return response
         self._is_identified |= response.endpoint_id == self._placement.endpoint_id
-        self._answered_at = sent_at
+        self._last_proof = _Proof(
+            opened_at=connection.opened_at,
+            sent_at=sent_at,
+            is_identified=self._is_identified,
+        )
         self._echoes = response.leaves_reusable
         if not self._echoes:
             connection.abort()
