--- a/hawthornspoke/relay/_end_verification.py
+++ b/hawthornspoke/relay/_end_verification.py
@@ -170,7 +170,6 @@
         self._sent_at = sent_at
         self._ended_at = ended_at
         self._no_kept_probe = asyncio.Event()
-        self._no_kept_probe.set()
 
     async def run(self):
         """Return whether there is a proof, and which, or why there is none."""
@@ -200,7 +199,9 @@
                 opened_before=self._sent_at,
             )
             if connection is None:
+                self._no_kept_probe.set()
                 await asyncio.sleep(KEPT_CHECK_INTERVAL)
+                self._no_kept_probe.clear()
             elif await self._probe_kept_connection(connection):
                 return True, KEPT_CONNECTION
         return False, REPLACED
@@ -214,26 +215,18 @@
         """
         if self._probe is None:
             return None
-        self._no_kept_probe.clear()
-        try:
-            runs = await self._probe.prove(
-                sent_at=self._sent_at,
-                ended_at=self._ended_at,
-                probe_after=probe_after,
-            )
-        finally:
-            self._no_kept_probe.set()
+        runs = await self._probe.prove(
+            sent_at=self._sent_at,
+            ended_at=self._ended_at,
+            probe_after=probe_after,
+        )
         if runs is None:
             return None
         return (True, PROBE_CONNECTION) if runs else (False, REPLACED)
 
     async def _probe_kept_connection(self, connection):
         """Return whether the endpoint answers on a kept connection."""
-        self._no_kept_probe.clear()
-        try:
-            response = await self._send_refused(connection)
-        finally:
-            self._no_kept_probe.set()
+        response = await self._send_refused(connection)
         self._return_or_abort(connection, response)
         return response is not None and response.is_answer
 
