--- a/hawthornspoke/httpio/_client.py
+++ b/hawthornspoke/httpio/_client.py
@@ -151,7 +151,8 @@
         """Fail the exchange in progress."""
         self.transport = None
         self.reusable = False
-        lost_state = self._lost_state()
+        is_reset = self._is_broken or exc is not None
+        lost_state = self._lost_state(is_reset=is_reset)
         exchange, self.exchange = self.exchange, None
         if lost_state is not None and self.on_lost is not None:
             self.on_lost(lost_state)
@@ -376,11 +377,14 @@
         self._is_broken = self._is_broken or state is SocketState.BROKEN
         return state
 
-    def _lost_state(self):
+    def _lost_state(self, *, is_reset):
         """Return the state of a connection that ends, None if its end was due."""
         if self._is_aborted:
             return None
         exchange = self.exchange
+        if is_reset and self.requests == 0:
+            # Endpoints reset new connections beyond their limit.
+            return None
         if exchange is None:
             is_due = boottime_clock() >= self.idle_deadline
             return None if is_due else LostState.IDLE
--- a/hawthornspoke/httpio/tests/test_losses.py
+++ b/hawthornspoke/httpio/tests/test_losses.py
@@ -1,10 +1,11 @@
 """Which ends of connections count as lost, as nothing was due to end them."""
 
 import asyncio
+import socket
 
 import pytest
 
-from hawthornspoke.base import monotonic
+from hawthornspoke.base import discard_unsent_bytes, monotonic
 from hawthornspoke.httpio import ConnectionLosses, ConnectionPool
 
 HEAD = b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\n"
@@ -53,6 +54,26 @@
     return counts.total()
 
 
+@pytest.mark.parametrize("is_reset", [False, True])
+def test_end_of_a_connection_before_its_first_request(is_reset):
+    """Guards against resets beyond an endpoint's limit that count as lost."""
+
+    async def scenario():
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            pool = ConnectionPool()
+            connection = await pool.open(f"127.0.0.1:{listener.getsockname()[1]}")
+            peer, _ = listener.accept()
+            if is_reset:
+                discard_unsent_bytes(peer)
+            peer.close()
+            await asyncio.sleep(0.05)
+            assert not connection.is_open
+            counts = pool.losses.count_by_address(since=monotonic() - 1.0)
+            assert counts.total() == (0 if is_reset else 1)
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize("name", CASES)
 def test_end_by_the_peer(name):
     """Guards against ends of connections that look due, or lost, and aren't."""
--- a/hawthornspoke/relay/tests/test_joint_ends_review.py
+++ b/hawthornspoke/relay/tests/test_joint_ends_review.py
@@ -1,8 +1,10 @@
 """Answers without framing whose ends are hard to verify."""
 
+import asyncio
+
 import pytest
 
-from hawthornspoke.base import monotonic
+from hawthornspoke.base import discard_unsent_bytes, monotonic
 from hawthornspoke.placing import EndpointsListed
 from hawthornspoke.relay.tests.relay_harness import RelayHarness, ScriptedEndpoint
 from hawthornspoke.relay.tests.test_forward import event_ids, run_scenario
@@ -35,3 +37,72 @@
             assert (event_ids(body), complete) == ([1], True)
 
     run_scenario(scenario)
+
+
+class FullEndpoint(ScriptedEndpoint):
+    """Endpoint that resets new connections beyond a limit.
+
+    Parameters
+    ----------
+    limit : int
+        Maximum number of connections.
+    """
+
+    def __init__(self, *steps, limit, **options):
+        super().__init__(*steps, **options)
+        self.limit = limit
+        self.reset_connections = 0
+        self._connections = 0
+
+    async def _serve(self, reader, writer):
+        if self._connections >= self.limit:
+            self.reset_connections += 1
+            discard_unsent_bytes(writer.get_extra_info("socket"))
+            writer.transport.abort()
+            return
+        self._connections += 1
+        try:
+            await super()._serve(reader, writer)
+        finally:
+            self._connections -= 1
+
+
+async def _ask_full_endpoint(seconds):
+    """Return a stream from an endpoint whose other connections are in use.
+
+    Returns
+    -------
+    (list of int, bool, int)
+        Events, whether the stream looks whole, and the connections that were reset
+        since it began.
+    """
+
+    def close(endpoint, writer):
+        # Another host takes the place of the connection.
+        endpoint.limit -= 1
+        close_one(endpoint, writer)
+
+    endpoint = FullEndpoint(
+        *[slow_answer(0.05)] * 2,
+        cut(event(1), close=close, seconds=seconds),
+        slow_answer(seconds + 0.1),
+        limit=2,
+        probe_step=echo_probe(),
+    )
+    async with RelayHarness(endpoint, timeout=3.0) as harness:
+        await keep_connections(harness, 2)
+        resets = endpoint.reset_connections
+        (_, _, body, complete), _ = await asyncio.gather(
+            harness.ask("stream"), harness.ask("once", request_id="r2")
+        )
+        return event_ids(body), complete, endpoint.reset_connections - resets
+
+
+def test_answer_of_an_endpoint_at_its_limit_of_connections_is_whole():
+    """Guards against resets of new connections that count as a joint end."""
+
+    async def scenario():
+        ids, complete, _ = await _ask_full_endpoint(0.3)
+        assert (ids, complete) == ([1], True)
+
+    run_scenario(scenario)
