--- a/hawthornspoke/relay/_probe_connections.py
+++ b/hawthornspoke/relay/_probe_connections.py
@@ -108,6 +108,7 @@
         "_is_identified",
         "_echoes",
         "_refresh_at",
+        "_reopen_at",
         "_answered_at",
         "_lock",
         "_task",
@@ -125,6 +126,7 @@
         self._is_identified = False
         self._echoes = True
         self._refresh_at = 0.0
+        self._reopen_at = -math.inf
         self._answered_at = -math.inf
         self._lock = asyncio.Lock()
         self._task = None
@@ -183,8 +185,7 @@
                     async with self._lock:
                         if self._is_usable():
                             await self._probe(self._connection)
-                interval = REOPEN_INTERVAL if self._connection is None else 0.0
-                await asyncio.sleep(max(interval, CHECK_INTERVAL))
+                await asyncio.sleep(CHECK_INTERVAL)
         finally:
             self._end()
 
@@ -213,6 +214,9 @@
             opened_before=monotonic(),
         )
         if connection is None:
+            if monotonic() < self._reopen_at:
+                return
+            self._reopen_at = monotonic() + REOPEN_INTERVAL
             self._metrics.count("end_probe_connections_total")
             connection = await self._pool.open(placement.address)
             if isinstance(connection, Failure):
--- a/hawthornspoke/relay/tests/test_joint_ends_review.py
+++ b/hawthornspoke/relay/tests/test_joint_ends_review.py
@@ -106,3 +106,13 @@
         assert (ids, complete) == ([1], True)
 
     run_scenario(scenario)
+
+
+def test_endpoint_at_its_limit_gets_few_new_connections():
+    """Guards against a new connection at each check of one that was reset."""
+
+    async def scenario():
+        _, _, resets = await _ask_full_endpoint(1.0)
+        assert 0 < resets <= 9
+
+    run_scenario(scenario)
