--- a/hawthornspoke/relay/_probe_connections.py
+++ b/hawthornspoke/relay/_probe_connections.py
@@ -156,6 +156,13 @@
         bool or None
             False if another endpoint answers, None if nothing is shown.
         """
+        proof = asyncio.ensure_future(
+            self._prove(sent_at=sent_at, ended_at=ended_at, probe_after=probe_after)
+        )
+        # Others may wait for the same connection if this call is cancelled.
+        return await asyncio.shield(proof)
+
+    async def _prove(self, *, sent_at, ended_at, probe_after):
         async with self._lock:
             connection = self._connection
             if not self._is_usable() or connection.opened_at >= ended_at:
@@ -238,7 +245,8 @@
             connection, address=self._placement.address, service=self._service
         )
         if response is None or not response.is_answer:
-            if not connection.is_open:
+            is_own_close = self._connection is not connection
+            if not connection.is_open and not is_own_close:
                 self._pool.losses.record(self._placement.address, now=monotonic())
             connection.abort()
             return response
--- a/hawthornspoke/relay/tests/test_joint_ends_review.py
+++ b/hawthornspoke/relay/tests/test_joint_ends_review.py
@@ -116,3 +116,28 @@
         assert 0 < resets <= 9
 
     run_scenario(scenario)
+
+
+def test_answer_is_whole_if_a_caller_leaves_during_the_proof_of_another_one():
+    """Guards against a shared probe that ends with the caller who began it."""
+
+    async def respond_late(endpoint, head, writer):
+        await asyncio.sleep(0.1)
+        return await echo_probe()(endpoint, head, writer)
+
+    async def scenario():
+        endpoint = ScriptedEndpoint(
+            *[cut(event(1), close=close_one, seconds=0.6)] * 2, probe_step=respond_late
+        )
+        async with RelayHarness(endpoint, timeout=3.0) as harness:
+            leaving = harness.call("stream")
+            await asyncio.sleep(0.01)
+            staying = asyncio.create_task(harness.ask("stream", request_id="r2"))
+            # Both answers have ended, and the first one's probe is under way.
+            await asyncio.sleep(0.66)
+            endpoint.close()
+            leaving.close()
+            _, _, body, complete = await staying
+            assert (event_ids(body), complete) == ([1], True)
+
+    run_scenario(scenario)
