--- a/hawthornspoke/httpio/_client.py
+++ b/hawthornspoke/httpio/_client.py
@@ -151,7 +151,8 @@
         """Fail the exchange in progress."""
         self.transport = None
         self.reusable = False
-        lost_state = self._lost_state(is_reset=exc is not None or self._is_broken)
+        is_reset = self._is_broken or exc is not None
+        lost_state = self._lost_state(is_reset=is_reset)
         exchange, self.exchange = self.exchange, None
         if lost_state is not None and self.on_lost is not None:
             self.on_lost(lost_state)
@@ -381,6 +382,9 @@
         if self._is_aborted:
             return None
         exchange = self.exchange
+        if is_reset and self.requests == 0:
+            # Endpoints reset new connections beyond their limit.
+            return None
         if exchange is None:
             is_due = boottime_clock() >= self.idle_deadline
             return None if is_due else LostState.IDLE
--- a/hawthornspoke/relay/_probe_connections.py
+++ b/hawthornspoke/relay/_probe_connections.py
@@ -125,6 +125,7 @@
         "_is_identified",
         "_echoes",
         "_refresh_at",
+        "_reopen_at",
         "_last_proof",
         "_lock",
         "_task",
@@ -142,6 +143,7 @@
         self._is_identified = False
         self._echoes = True
         self._refresh_at = 0.0
+        self._reopen_at = -math.inf
         self._last_proof = None
         self._lock = asyncio.Lock()
         self._task = None
@@ -171,6 +173,13 @@
         bool or None
             False if another endpoint answers, None if nothing is shown.
         """
+        proof = asyncio.ensure_future(
+            self._prove(sent_at=sent_at, ended_at=ended_at, probe_after=probe_after)
+        )
+        # Others may wait for the same connection if this call is cancelled.
+        return await asyncio.shield(proof)
+
+    async def _prove(self, *, sent_at, ended_at, probe_after):
         async with self._lock:
             proof = self._last_proof
             if proof is not None and proof.sent_at >= probe_after:
@@ -203,8 +212,7 @@
                     async with self._lock:
                         if self._is_usable():
                             await self._probe(self._connection)
-                interval = REOPEN_INTERVAL if self._connection is None else 0.0
-                await asyncio.sleep(max(interval, CHECK_INTERVAL))
+                await asyncio.sleep(CHECK_INTERVAL)
         finally:
             self._end()
 
@@ -233,6 +241,9 @@
             opened_before=monotonic(),
         )
         if connection is None:
+            if monotonic() < self._reopen_at:
+                return
+            self._reopen_at = monotonic() + REOPEN_INTERVAL
             self._metrics.count("end_probe_connections_total")
             connection = await self._pool.open(placement.address)
             if isinstance(connection, Failure):
@@ -253,7 +264,8 @@
             connection, address=self._placement.address, service=self._service
         )
         if response is None or not response.is_answer:
-            if not connection.is_open:
+            is_own_close = self._connection is not connection
+            if not connection.is_open and not is_own_close:
                 self._pool.losses.record(self._placement.address, now=monotonic())
             connection.abort()
             return response
