--- a/tests/soak/joint_ends.py
+++ b/tests/soak/joint_ends.py
@@ -16,7 +16,7 @@
 STORE_FAULT_SECONDS = (0.5, 3.0)
 
 #: Seconds between two silent links of engines, which hide how these end, and seconds
-#: for which they are silent before all connections are reset.
+#: for which they are silent before all connections end.
 SILENCE_INTERVAL = 2.0
 SILENCE_SECONDS = (0.5, 2.0)
 
@@ -66,7 +66,7 @@
                 proxy.fault = "silent"
                 await asyncio.sleep(self.detail_random.uniform(*SILENCE_SECONDS))
                 proxy.fault = None
-                proxy.reset_all()
+                self._end_connections(proxy)
 
 
 def run_joint_ends(seed, seconds):
--- a/tests/soak/simulation.py
+++ b/tests/soak/simulation.py
@@ -4,6 +4,8 @@
 import json
 import math
 import random
+import socket
+import struct
 import time
 from hashlib import sha256
 from urllib.parse import parse_qs, urlsplit
@@ -18,6 +20,9 @@
 MODEL, LLM, PLAIN, ORIGIN = "m1", "llm", "plain", "origin"
 STEP_SECONDS = 0.02
 
+#: Value of SO_LINGER with which a close sends RST.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
 #: Milliseconds by which an engine's clock is set back in some crashes.
 CLOCK_JUMP_MS = 3_600_000
 
@@ -452,6 +457,40 @@
         return reply.send(200, (), data)
 
 
+class ProxiedConnection:
+    """A connection through a proxy, as seen from both of its ends.
+
+    Parameters
+    ----------
+    writer, upstream_writer : StreamWriter
+        To the side that connected, and to the proxy's target.
+    """
+
+    __slots__ = ("_writers",)
+
+    def __init__(self, *, writer, upstream_writer):
+        self._writers = writer, upstream_writer
+
+    @property
+    def upstream_port(self):
+        """Port from which the proxy is connected to its target."""
+        return self._writers[1].get_extra_info("sockname")[1]
+
+    def close(self):
+        """End it with FIN on both sides; data that was not yet sent is lost."""
+        for writer in self._writers:
+            writer.transport.abort()
+
+    def reset(self):
+        """End it with RST on both sides."""
+        for writer in self._writers:
+            if not writer.transport.is_closing():
+                writer.get_extra_info("socket").setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+                )
+            writer.transport.abort()
+
+
 class Proxy:
     """TCP proxy with fault injection.
 
@@ -460,28 +499,34 @@
     fault : str or None
         ``"silent"`` (no data is forwarded), ``"one_way"`` (no responses are
         forwarded), ``"slow"`` (data is delayed), ``"refuse"`` (new connections are
-        reset), ``"endless"`` and ``"endless_body"`` (in place of a response, a head or
+        closed), ``"endless"`` and ``"endless_body"`` (in place of a response, a head or
         a body without end is sent).
+    connections : set of ProxiedConnection
     """
 
     def __init__(self, *, ip, port, target_ip, target_port):
         self.ip, self.port = ip, port
         self.target = (target_ip, target_port)
         self.fault = None
-        self._writers = set()
+        self.connections = set()
         self._server = None
 
     async def start(self):
         self._server = await asyncio.start_server(self._accept, self.ip, self.port)
 
+    def close_all(self):
+        """End all open connections with FIN."""
+        for connection in list(self.connections):
+            connection.close()
+
     def reset_all(self):
-        """Abort all open connections."""
-        for writer in list(self._writers):
-            writer.transport.abort()
+        """End all open connections with RST."""
+        for connection in list(self.connections):
+            connection.reset()
 
     def close(self):
         self._server.close()
-        self.reset_all()
+        self.close_all()
 
     async def _accept(self, reader, writer):
         if self.fault == "refuse":
@@ -494,7 +539,8 @@
         except OSError:
             writer.transport.abort()
             return
-        self._writers |= {writer, upstream_writer}
+        connection = ProxiedConnection(writer=writer, upstream_writer=upstream_writer)
+        self.connections.add(connection)
         forward_task = asyncio.create_task(
             self._forward(reader, upstream_writer, ("silent",))
         )
@@ -502,7 +548,7 @@
             self._forward(upstream_reader, writer, ("silent", "one_way"))
         )
         await asyncio.gather(forward_task, backward_task, return_exceptions=True)
-        self._writers -= {writer, upstream_writer}
+        self.connections.discard(connection)
 
     async def _forward(self, reader, writer, blocking_faults):
         try:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -48,6 +48,9 @@
 #: Seconds between the end of a run and that of its request if one caused the other.
 CAUSE_SECONDS = 0.3
 
+#: Fraction of the ends of all connections of a link that are resets.
+RESET_SHARE = 0.5
+
 #: Fraction of the pauses of agents that begin while staged pieces are read back, and
 #: maximum seconds until they are.
 READ_BACK_SHARE = 0.5
@@ -109,6 +112,7 @@
         self.random = random.Random(seed)
         # Separate, so that the faults of a seed stay those that have failed before.
         self.detail_random = random.Random(f"{seed} details")
+        self.end_random = random.Random(f"{seed} ends")
         self.seed, self.seconds, self.folder = seed, seconds, folder
         self.size = size
         self.retry_allowance = self.random.choice(RETRY_ALLOWANCES)
@@ -321,12 +325,21 @@
             await asyncio.sleep(self.random.uniform(0.5, 3.0))
             proxy.fault = None
             if self.random.random() < 0.5:
-                proxy.reset_all()
+                self._end_connections(proxy)
 
-    async def _fault_reset(self):
+    async def _fault_reset_or_close(self):
         proxy = self.random.choice([*self.proxies, self.store_proxy])
         with self._recorded(proxy):
+            self._end_connections(proxy)
+
+    def _end_connections(self, proxy):
+        """Reset or close all connections of a link."""
+        if self.end_random.random() < RESET_SHARE:
+            self.faults.append("reset_all")
             proxy.reset_all()
+        else:
+            self.faults.append("close_all")
+            proxy.close_all()
 
     @contextlib.contextmanager
     def _recorded(self, proxy):
--- a/tests/soak/stutter.py
+++ b/tests/soak/stutter.py
@@ -36,7 +36,15 @@
 TIMES = ("after", "before", "early", "split")
 
 #: Faults beside the repeated answers.
-SIDE_FAULTS = ("kill", "terminate", "link", "reset", "crash", "configure", "version")
+SIDE_FAULTS = (
+    "kill",
+    "terminate",
+    "link",
+    "reset_or_close",
+    "crash",
+    "configure",
+    "version",
+)
 
 #: Calls that bear no id, before whose response an endpoint may repeat its last report.
 CALLS_WITHOUT_ID = ("/v1/report", "/v1/order")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,7 @@
 from tests.soak.parts import run_parts
 from tests.soak.programs import NET
 from tests.soak.restarts import run_restarts
-from tests.soak.simulation import PLAIN, Engine
+from tests.soak.simulation import PLAIN, Engine, Proxy
 from tests.soak.soak import assert_no_violations, run_soak
 
 #: Causes of earlier failures by seed; the seeds are kept as regression tests.
@@ -47,6 +47,41 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize(
+    ("method", "ending"), [("close_all", b""), ("reset_all", ConnectionResetError)]
+)
+def test_link_ends_both_sides_of_its_connections_as_named(method, ending):
+    """Guards against a soak whose resets are FIN, which answers may end with."""
+
+    async def read_end(reader):
+        try:
+            return await reader.read()
+        except OSError as error:
+            return type(error)
+
+    async def run():
+        upstream_ends = asyncio.Queue()
+
+        async def accept(reader, writer):
+            await upstream_ends.put(await read_end(reader))
+            writer.transport.abort()
+
+        ip = f"{NET}.1.1"
+        upstream = await asyncio.start_server(accept, ip, 9202)
+        proxy = Proxy(ip=ip, port=9203, target_ip=ip, target_port=9202)
+        await proxy.start()
+        reader, writer = await asyncio.open_connection(ip, 9203)
+        while not proxy.connections:
+            await asyncio.sleep(0.01)
+        getattr(proxy, method)()
+        assert (await read_end(reader), await upstream_ends.get()) == (ending, ending)
+        writer.transport.abort()
+        proxy.close()
+        upstream.close()
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("seed", [1, 2])
 def test_restarts_in_series_leave_retries_within_their_limit(seed):
     """Guards against hosts that may send a full share of retries at each start."""
