--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -6,6 +6,7 @@
 
 from cyclopts import App
 
+from tests.soak.cuts import run_cuts
 from tests.soak.endless import run_endless
 from tests.soak.joint_ends import run_joint_ends
 from tests.soak.neighbours import run_neighbours
@@ -43,6 +44,7 @@
     stutter: bool = False,
     joint_ends: bool = False,
     neighbours: bool = False,
+    cuts: bool = False,
 ):
     """Run seeds one after the other; exit with 1 if a guarantee was violated.
 
@@ -73,6 +75,9 @@
         some crashes show neither as a refused connection nor in the list.
     neighbours
         Count sound requests with the key or the first part of crashing ones that begin.
+    cuts
+        End connections of answers without framing: those of an endpoint or of a host,
+        with FIN or RST, alone or with the process.
     """
     run = _run_all_faults(processes)
     for is_chosen, chosen_run in (
@@ -84,10 +89,11 @@
         (stutter, run_stutter),
         (joint_ends, run_joint_ends),
         (neighbours, run_neighbours),
+        (cuts, run_cuts),
     ):
         if is_chosen:
             run = chosen_run
-    prints_faults = any((restarts, stops, endless, unframed, stutter, neighbours))
+    prints_faults = any((restarts, stops, endless, unframed, stutter, neighbours, cuts))
     first = random.randrange(1_000_000) if seed is None else seed
     failed = 0
     for number in range(first, first + seeds):
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -5,11 +5,15 @@
 import itertools
 import random
 
+from hawthornspoke.base import monotonic
 from tests.soak.programs import FRONT_PORT
 from tests.soak.simulation import expected_events, expected_response
 
 PREFIXES = ("/once/", "/again/", "/stream/")
 
+#: What a violation says of a response that lacks its end and looks whole.
+CUT_BUT_WHOLE = "half a response as a whole one"
+
 #: A key that no configuration ever holds.
 UNKNOWN_KEY = "never-held"
 
@@ -276,7 +280,13 @@
             texts = expected_events(record.id)
             events = [f"id: {n}\ndata: {t}\n\n" for n, t in enumerate(texts, 1)]
             expected_body = "".join(events).encode()
-        if body != (expected_body if is_whole else expected_body[: len(body)]):
+        if expected_body[: len(body)] == body:
+            if is_whole and body != expected_body:
+                self.violations.append(
+                    f"{record.id}: {CUT_BUT_WHOLE}: {len(body)} of "
+                    f"{len(expected_body)} bytes, ended at {monotonic():.3f}"
+                )
+        else:
             self.violations.append(
                 f"{record.id}: unexpected response body: {body[:80]!r}"
             )
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -95,6 +95,8 @@
     timeouts : (float, float)
         Shortest and longest time limit of the routes in seconds. A request that is sent
         late in a stop lasts beyond it with the longest.
+    recovery_seconds : float
+        From the last fault until most requests must be served.
     late_deadlines_allowed : int or None
         Deadlines that may be too late; None for as many as in a limit of the platform,
         as processes that are paused read requests late.
@@ -106,6 +108,7 @@
     prompt_parts = None
     answer_tokens = None
     timeouts = (4.0, 6.0)
+    recovery_seconds = RECOVERY_SECONDS
     late_deadlines_allowed = None
 
     def __init__(self, *, seed, seconds, folder, size=SMALL):
@@ -153,8 +156,8 @@
             await asyncio.sleep(self.size.start_seconds)
             client_task = asyncio.create_task(verifying_clients.run(self.size.clients))
             await self._inject_faults()
-            recovery_start = asyncio.get_running_loop().time() + RECOVERY_SECONDS
-            await asyncio.sleep(RECOVERY_SECONDS + 4.0)
+            recovery_start = asyncio.get_running_loop().time() + self.recovery_seconds
+            await asyncio.sleep(self.recovery_seconds + 4.0)
             client_task.cancel()
             await asyncio.gather(client_task, return_exceptions=True)
             await asyncio.sleep(0.5)
--- a/tests/soak/unframed.py
+++ b/tests/soak/unframed.py
@@ -48,20 +48,32 @@
         self.began_at, self.ended_at = began_at, ended_at
 
 
+def encode_unframed_head(fields):
+    """Return the head of an answer that ends with its connection."""
+    lines = "".join(f"{name}: {value}\r\n" for name, value in fields)
+    return f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode()
+
+
 class UnframedEngine(Engine):
     """Engine that leaves out the framing of some answers; each start has a new id.
 
     Attributes
     ----------
     is_listening : bool
+    echoes_probes : bool
+        Whether the refusal of a probe bears the probe's id.
     unframed_share : float
+    unframed_connections : set of ServerConnection
+        On which an answer without framing has begun.
     unframed_ends : list of UnframedEnd
     """
 
     def __init__(self, **options):
         super().__init__(**options)
         self.is_listening = True
+        self.echoes_probes = False
         self.unframed_share = 0.0
+        self.unframed_connections = set()
         self.unframed_ends = []
 
     def crash(self):
@@ -89,6 +101,9 @@
     def _answer_probe(self, request, reply):
         identity = [("Instance-Id", self.id), ("Keep-Alive", "timeout=5")]
         if request.get("Expect-Instance", self.id) != self.id:
+            probe_id = request.get("Attempt-Id")
+            if self.echoes_probes and probe_id is not None:
+                identity.append(("Attempt-Id", probe_id))
             reply.send(421, identity)
         elif request.target != HEALTH_PATH:
             reply.send(404)
@@ -101,26 +116,36 @@
         if self.random.random() >= self.unframed_share:
             await super()._answer(request, reply, head)
             return
+        try:
+            await self._answer_unframed(request, reply, head)
+        finally:
+            self.unframed_connections.discard(reply._connection)
+
+    async def _answer_unframed(self, request, reply, head):
         began_at = monotonic()
         request_id = request.get("Attempt-Id")
         generation = self.generation
         is_stream = request.target.startswith("/stream/")
         await self._step(request, 0.5)
-        fields = "".join(f"{name}: {value}\r\n" for name, value in head)
         connection = reply._connection
-        connection.write(f"HTTP/1.1 200 OK\r\n{fields}\r\n".encode())
+        connection.write(encode_unframed_head(head))
+        self.unframed_connections.add(connection)
         for part in self._parts(request_id, request, is_stream):
             await self._step(request, 0.5 if is_stream else HALF_STEPS)
             if generation != self.generation:
                 return
             connection.write(part)
+        self._finish_unframed(request_id, reply, began_at)
+
+    def _finish_unframed(self, request_id, reply, began_at):
+        """End an answer with its connection."""
         self.unframed_ends.append(
             UnframedEnd(request_id=request_id, began_at=began_at, ended_at=monotonic())
         )
         reply.started = reply.finished = True
         reply.keep_alive = False
-        if connection.transport is not None:
-            connection.transport.close()
+        if reply._connection.transport is not None:
+            reply._connection.transport.close()
 
     def _parts(self, request_id, request, is_stream):
         """Return the halves of all events, or of a plain answer."""
