--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -48,6 +48,9 @@
 #: Seconds between the end of a run and that of its request if one caused the other.
 CAUSE_SECONDS = 0.3
 
+#: Fraction of the ends of all connections of a link that are resets.
+RESET_SHARE = 0.5
+
 #: Fraction of the pauses of agents that begin while staged pieces are read back, and
 #: maximum seconds until they are.
 READ_BACK_SHARE = 0.5
@@ -92,6 +95,8 @@
     timeouts : (float, float)
         Shortest and longest time limit of the routes in seconds. A request that is sent
         late in a stop lasts beyond it with the longest.
+    recovery_seconds : float
+        From the last fault until most requests must be served.
     late_deadlines_allowed : int or None
         Deadlines that may be too late; None for as many as in a limit of the platform,
         as processes that are paused read requests late.
@@ -103,12 +108,14 @@
     prompt_parts = None
     answer_tokens = None
     timeouts = (4.0, 6.0)
+    recovery_seconds = RECOVERY_SECONDS
     late_deadlines_allowed = None
 
     def __init__(self, *, seed, seconds, folder, size=SMALL):
         self.random = random.Random(seed)
         # Separate, so that the faults of a seed stay those that have failed before.
         self.detail_random = random.Random(f"{seed} details")
+        self.end_random = random.Random(f"{seed} ends")
         self.seed, self.seconds, self.folder = seed, seconds, folder
         self.size = size
         self.retry_allowance = self.random.choice(RETRY_ALLOWANCES)
@@ -149,8 +156,8 @@
             await asyncio.sleep(self.size.start_seconds)
             client_task = asyncio.create_task(verifying_clients.run(self.size.clients))
             await self._inject_faults()
-            recovery_start = asyncio.get_running_loop().time() + RECOVERY_SECONDS
-            await asyncio.sleep(RECOVERY_SECONDS + 4.0)
+            recovery_start = asyncio.get_running_loop().time() + self.recovery_seconds
+            await asyncio.sleep(self.recovery_seconds + 4.0)
             client_task.cancel()
             await asyncio.gather(client_task, return_exceptions=True)
             await asyncio.sleep(0.5)
@@ -321,12 +328,21 @@
             await asyncio.sleep(self.random.uniform(0.5, 3.0))
             proxy.fault = None
             if self.random.random() < 0.5:
-                proxy.reset_all()
+                self._end_connections(proxy)
 
-    async def _fault_reset(self):
+    async def _fault_reset_or_close(self):
         proxy = self.random.choice([*self.proxies, self.store_proxy])
         with self._recorded(proxy):
+            self._end_connections(proxy)
+
+    def _end_connections(self, proxy):
+        """Reset or close all connections of a link."""
+        if self.end_random.random() < RESET_SHARE:
+            self.faults.append("reset_all")
             proxy.reset_all()
+        else:
+            self.faults.append("close_all")
+            proxy.close_all()
 
     @contextlib.contextmanager
     def _recorded(self, proxy):
