--- a/hawthornspoke/httpio/__init__.py
+++ b/hawthornspoke/httpio/__init__.py
@@ -18,7 +18,7 @@
 from hawthornspoke.httpio._ends import CloseReason, EndCause, EndKind, RequestEnd
 from hawthornspoke.httpio._exchange import MAX_UNREAD_BYTES, TOO_LARGE, Exchange
 from hawthornspoke.httpio._fetch import fetch
-from hawthornspoke.httpio._losses import ConnectionLosses
+from hawthornspoke.httpio._losses import ConnectionEnds
 from hawthornspoke.httpio._message import (
     HOP_BY_HOP,
     Message,
@@ -47,7 +47,7 @@
     "CallerGone",
     "ClientConnection",
     "CloseReason",
-    "ConnectionLosses",
+    "ConnectionEnds",
     "ConnectionPool",
     "EndCause",
     "EndKind",
--- a/hawthornspoke/httpio/_client.py
+++ b/hawthornspoke/httpio/_client.py
@@ -77,6 +77,8 @@
     on_lost : callable or None, default=None
         Called with the LostState if the peer ends the connection and nothing was due to
         end it.
+    on_unframed_end : callable or None, default=None
+        Called when a response without framing ends with the connection.
 
     Attributes
     ----------
@@ -93,6 +95,7 @@
         on_oversized=None,
         on_unmatched=None,
         on_lost=None,
+        on_unframed_end=None,
     ):
         self.id_header = id_header
         self.receive_buffer = receive_buffer
@@ -100,6 +103,7 @@
         self.on_oversized = on_oversized
         self.on_unmatched = on_unmatched
         self.on_lost = on_lost
+        self.on_unframed_end = on_unframed_end
         self.transport = None
         self.exchange = None
         self.opened_at = None
@@ -171,6 +175,8 @@
         if exchange.head is not None and not self._has_framing:
             exchange.ended_with_connection = True
             exchange.end()
+            if self.on_unframed_end is not None:
+                self.on_unframed_end()
         return False
 
     def pause_writing(self):
--- a/hawthornspoke/httpio/_losses.py
+++ b/hawthornspoke/httpio/_losses.py
@@ -1,25 +1,30 @@
-"""Connections that ended although nothing was due to end them."""
+"""Recent ends of connections by their peers."""
 
 import collections
 import enum
 import math
 
-#: Seconds for which a loss is remembered.
+#: Seconds for which an end is remembered.
 RETENTION = 5.0
 
-#: Maximum number of losses that are remembered.
-MAX_LOSSES = 4096
+#: Maximum number of ends that are remembered.
+MAX_ENDS = 4096
 
 
 class LostState(enum.StrEnum):
-    """What a connection was used for when its peer ended it."""
+    """What a connection was used for that its peer ended, though nothing was due to.
+
+    A peer that closes a connection at its idle timeout, after a response that announces
+    the close, or at the end of a response without framing loses nothing. Neither does
+    one that resets a connection in use, to break off a response.
+    """
 
     IDLE = "idle"
     WAITING = "waiting"
     ANSWERED_IN_PART = "answered_in_part"
 
 
-class ConnectionLoss:
+class _ConnectionEnd:
     """The end of one connection."""
 
     __slots__ = ("address", "at")
@@ -28,21 +33,16 @@
         self.address, self.at = address, at
 
 
-class ConnectionLosses:
-    """Recent losses of connections to other processes.
-
-    A peer that closes a connection at its idle timeout, after a response that announces
-    the close, or at the end of a response without framing loses nothing. Neither does
-    one that resets a connection in use, to break off a response.
-    """
+class ConnectionEnds:
+    """Recent ends of connections to other processes, of one kind."""
 
-    __slots__ = ("_losses",)
+    __slots__ = ("_ends",)
 
     def __init__(self):
-        self._losses = collections.deque(maxlen=MAX_LOSSES)
+        self._ends = collections.deque(maxlen=MAX_ENDS)
 
     def record(self, address, *, now):
-        """Record the loss of a connection.
+        """Record the end of a connection.
 
         Parameters
         ----------
@@ -51,12 +51,12 @@
         now : float
             Seconds of any clock that doesn't go back.
         """
-        while self._losses and self._losses[0].at < now - RETENTION:
-            self._losses.popleft()
-        self._losses.append(ConnectionLoss(address=address, at=now))
+        while self._ends and self._ends[0].at < now - RETENTION:
+            self._ends.popleft()
+        self._ends.append(_ConnectionEnd(address=address, at=now))
 
     def count_by_address(self, *, since, until=math.inf):
-        """Return the number of losses in a time by the address of their peer.
+        """Return the number of ends in a time by the address of their peer.
 
         Parameters
         ----------
@@ -69,5 +69,5 @@
         collections.Counter of str to int
         """
         return collections.Counter(
-            loss.address for loss in self._losses if since <= loss.at <= until
+            end.address for end in self._ends if since <= end.at <= until
         )
--- a/hawthornspoke/httpio/_pool.py
+++ b/hawthornspoke/httpio/_pool.py
@@ -1,12 +1,13 @@
 """Pool of persistent connections."""
 
 import asyncio
+import weakref
 
-from hawthornspoke.base import boottime_clock, monotonic
+from hawthornspoke.base import Failure, boottime_clock, monotonic
 from hawthornspoke.httpio._client import open_connection
 from hawthornspoke.httpio._exchange import MAX_UNREAD_BYTES, TOO_LARGE
 from hawthornspoke.httpio._framing import REFUSAL
-from hawthornspoke.httpio._losses import ConnectionLosses
+from hawthornspoke.httpio._losses import ConnectionEnds
 
 #: Maximum bytes, and seconds until the end, of a response body that is only received so
 #: that its connection can be reused.
@@ -52,8 +53,10 @@
         Returns a lower bound on the time at which data that is read now has arrived;
         may be set later. An endpoint counts the idle time of a connection from then,
         also while this process stands still.
-    losses : ConnectionLosses
-        Of connections of the pool, on the monotonic clock.
+    losses : ConnectionEnds
+        Of connections that were lost, on the monotonic clock.
+    unframed_ends : ConnectionEnds
+        Of connections with which a response without framing ended, on the same clock.
     """
 
     __slots__ = (
@@ -66,6 +69,8 @@
         "metrics",
         "earliest_arrival",
         "losses",
+        "unframed_ends",
+        "_connections_by_address",
         "_idle_by_key",
         "_drain_tasks",
     )
@@ -86,7 +91,9 @@
         self.max_unread_bytes = max_unread_bytes
         self.metrics = None
         self.earliest_arrival = boottime_clock
-        self.losses = ConnectionLosses()
+        self.losses = ConnectionEnds()
+        self.unframed_ends = ConnectionEnds()
+        self._connections_by_address = {}
         self.opened = 0
         self._idle_by_key = {}
         self._drain_tasks = set()
@@ -127,7 +134,7 @@
     async def open(self, address, *, timeout=None):
         """Open a connection; see ``acquire``."""
         self.opened += 1
-        return await open_connection(
+        connection = await open_connection(
             address,
             timeout=timeout or self.connect_timeout,
             id_header=self.id_header,
@@ -136,6 +143,30 @@
             on_oversized=self._count_oversized,
             on_unmatched=self._count_unmatched,
             on_lost=lambda state: self._record_loss(address, state),
+            on_unframed_end=lambda: self.unframed_ends.record(address, now=monotonic()),
+        )
+        if not isinstance(connection, Failure):
+            self._connections_by_address.setdefault(address, weakref.WeakSet()).add(
+                connection
+            )
+        return connection
+
+    def has_open(self, address, *, opened_before):
+        """Return whether a connection is open, in use or not.
+
+        Parameters
+        ----------
+        address : str
+        opened_before : float
+            Time on the monotonic clock before which it was opened.
+
+        Returns
+        -------
+        bool
+        """
+        return any(
+            connection.is_open and connection.opened_at < opened_before
+            for connection in self._connections_by_address.get(address, ())
         )
 
     def acquire_kept(self, key, *, incarnation, opened_before):
@@ -210,6 +241,9 @@
             for item in expired:
                 idle.remove(item)
                 item.connection.abort()
+        for address, connections in list(self._connections_by_address.items()):
+            if not connections:
+                del self._connections_by_address[address]
 
     def _idle_connections(self, key, incarnation):
         """Return the idle connections to one start of an endpoint; close all others."""
--- a/hawthornspoke/httpio/tests/test_losses.py
+++ b/hawthornspoke/httpio/tests/test_losses.py
@@ -6,7 +6,7 @@
 import pytest
 
 from hawthornspoke.base import discard_unsent_bytes, monotonic
-from hawthornspoke.httpio import ConnectionLosses, ConnectionPool
+from hawthornspoke.httpio import ConnectionEnds, ConnectionPool
 
 HEAD = b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\n"
 WHOLE = HEAD + b"Content-Length: 2\r\n\r\nok"
@@ -94,7 +94,7 @@
 
 
 def test_losses_are_counted_by_address_within_the_time():
-    losses = ConnectionLosses()
+    losses = ConnectionEnds()
     for address, at in (("h1:1", 0.0), ("h1:1", 9.0), ("h2:1", 9.5)):
         losses.record(address, now=at)
     assert losses.count_by_address(since=9.0) == {"h1:1": 1, "h2:1": 1}
--- a/hawthornspoke/relay/_agents.py
+++ b/hawthornspoke/relay/_agents.py
@@ -11,7 +11,7 @@
 
 from hawthornspoke.base import Failure, boottime_clock, monotonic
 from hawthornspoke.catalog import Incarnation
-from hawthornspoke.httpio import ConnectionLosses
+from hawthornspoke.httpio import ConnectionEnds
 from hawthornspoke.peering import PeerConnection, connect
 from hawthornspoke.placing import AgentLost, EngineReported, RequestRates
 from hawthornspoke.protocol import Frame, HostRequestRates
@@ -92,7 +92,7 @@
         have waited in the socket buffer while this process was stalled.
     unread_for : callable or None, default=None
         Returns the seconds since the platform's state was known, None if it never was.
-    losses : ConnectionLosses or None, default=None
+    losses : ConnectionEnds or None, default=None
         Records the links that agents end.
     """
 
@@ -141,7 +141,7 @@
         losses=None,
     ):
         self.port = port
-        self._losses = losses or ConnectionLosses()
+        self._losses = losses or ConnectionEnds()
         self._failure_domain = failure_domain
         self._fleet = fleet
         self._log = log
@@ -345,6 +345,7 @@
                 )
                 if not isinstance(link, Failure):
                     await self._serve_link(address, link, closed)
+                    self._losses.record(f"{ip}:{self.port}", now=monotonic())
                 await asyncio.sleep(random.uniform(*RECONNECT_PAUSE))
         finally:
             self._remove(address)
@@ -371,7 +372,6 @@
             self._retry_records.add_agent(address, link)
         try:
             await closed
-            self._losses.record(address, now=monotonic())
         finally:
             link.close()
             self._remove(address)
--- a/hawthornspoke/relay/_end_verification.py
+++ b/hawthornspoke/relay/_end_verification.py
@@ -29,8 +29,12 @@
 #: ended by the same event.
 JOINT_TIME = 0.025
 
-#: Lost peers, besides the endpoint itself, from which an event at this host or its link
-#: is likelier than the end of a process.
+#: Seconds between ends without framing that one event may have caused; where many
+#: answers are under way, sound ones end within a few milliseconds by chance.
+SIMULTANEOUS_TIME = 0.003
+
+#: Other endpoints and agents from which a fault at this host or its link is likelier
+#: than the end of a process.
 MIN_PEERS_LOST = 2
 
 #: Seconds after which a process that closed its connections in order to end is gone.
@@ -121,7 +125,9 @@
                 lease.release()
 
     async def _verify(self, search, placement, ended_at):
-        await asyncio.sleep(max(0.0, ended_at + JOINT_TIME - monotonic()))
+        # A probe may serve all answers that end within this time.
+        probe_at = ended_at + JOINT_TIME + SIMULTANEOUS_TIME
+        await asyncio.sleep(max(0.0, probe_at - monotonic()))
         if self._is_joint_end(placement, ended_at):
             return False, JOINT_END
         try:
@@ -129,20 +135,43 @@
                 is_whole, reason = await search.run()
         except TimeoutError:
             return False, TIMEOUT
-        # What is shown over a new connection holds only if nothing else was lost.
-        min_peers = 1 if reason == ENDPOINT_ID else MIN_PEERS_LOST
-        if is_whole and self._is_joint_end(placement, ended_at, min_peers=min_peers):
+        is_kept = reason != ENDPOINT_ID
+        if is_whole and self._is_joint_end(placement, ended_at, is_kept=is_kept):
             return False, JOINT_END
         return is_whole, reason
 
-    def _is_joint_end(self, placement, ended_at, *, min_peers=MIN_PEERS_LOST):
-        """Return whether other connections were lost with that of an answer."""
-        losses = self._pool.losses
+    def _is_joint_end(self, placement, ended_at, *, is_kept=True):
+        """Return whether other connections ended by the same event as an answer.
+
+        Parameters
+        ----------
+        placement : Placement
+        ended_at : float
+        is_kept : bool, default=True
+            Whether a connection to the endpoint stays open. If none does, less is
+            enough.
+
+        Returns
+        -------
+        bool
+        """
+        pool = self._pool
         began_at = ended_at - JOINT_TIME
-        if placement.address in losses.count_by_address(since=began_at):
+        if placement.address in pool.losses.count_by_address(since=began_at):
+            return True
+        lost = pool.losses.count_by_address(since=began_at, until=ended_at + JOINT_TIME)
+        if len(lost) >= (MIN_PEERS_LOST if is_kept else 1):
+            return True
+        # A process that ends loses all its connections, a fault of a link may not.
+        if any(pool.has_open(peer, opened_before=began_at) for peer in lost):
+            return True
+        ended = pool.unframed_ends.count_by_address(
+            since=ended_at - SIMULTANEOUS_TIME, until=ended_at + SIMULTANEOUS_TIME
+        )
+        count_here = ended.pop(placement.address, 0)
+        if lost and len(lost | ended) >= MIN_PEERS_LOST:
             return True
-        lost = losses.count_by_address(since=began_at, until=ended_at + JOINT_TIME)
-        return len(lost) >= min_peers
+        return count_here > 1 and not is_kept
 
 
 class _ProofSearch:
--- a/hawthornspoke/relay/_probe_connections.py
+++ b/hawthornspoke/relay/_probe_connections.py
@@ -199,7 +199,7 @@
                 return None
             if response.endpoint_id not in (None, self._placement.endpoint_id):
                 return False
-            if needs_id and not self._is_identified:
+            if needs_id and not self._last_proof.is_identified:
                 return await self._check_health(connection)
             return True
 
@@ -278,6 +278,8 @@
         self._echoes = response.leaves_reusable
         if not self._echoes:
             connection.abort()
+            self._reopen_at = -math.inf
+            await self._open()
         elif connection.release(idle_since=self._pool.earliest_arrival()):
             self._keep(connection)
         return response
--- a/hawthornspoke/relay/tests/test_joint_ends.py
+++ b/hawthornspoke/relay/tests/test_joint_ends.py
@@ -158,16 +158,24 @@
     run_scenario(scenario)
 
 
+#: Other endpoints, connections to each of them, and those of these that are closed with
+#: an answer.
+CLOSED_AT_HOST = {"of two others": (2, 1, 1), "one of two of another one": (1, 2, 1)}
+
+
 @pytest.mark.parametrize("prefix", ASKS)
-def test_answer_closed_with_connections_to_other_endpoints_is_not_whole(prefix):
+@pytest.mark.parametrize("name", CLOSED_AT_HOST)
+def test_answer_closed_with_connections_to_other_endpoints_is_not_whole(name, prefix):
     """Guards against half an answer as a whole one after a fault at this host."""
-    others = [ScriptedEndpoint() for _ in range(2)]
+    endpoint_count, connection_count, closed_count = CLOSED_AT_HOST[name]
+    others = [ScriptedEndpoint() for _ in range(endpoint_count)]
 
     def close_at_host(endpoint, writer):
-        # Half of the host's connections; those to the endpoint itself stay.
+        # Not all of the host's connections; those to the endpoint itself stay.
         close_one(endpoint, writer)
         for other in others:
-            close_all(other, writer)
+            for item in list(other.writers)[:closed_count]:
+                item.transport.close()
 
     async def scenario():
         data, head, rest, expected = ASKS[prefix]
@@ -177,8 +185,12 @@
         )
         async with RelayHarness(first, *others, timeout=3.0) as harness:
             for number, other in enumerate(others, 1):
-                connection = await harness.pool.open(harness.addresses[number])
-                harness.pool.return_connection(f"e{number}", connection)
+                opened = [
+                    await harness.pool.open(harness.addresses[number])
+                    for _ in range(connection_count)
+                ]
+                for connection in opened:
+                    harness.pool.return_connection(f"e{number}", connection)
                 harness.fleet.endpoint_by_id[f"e{number}"].own_in_flight = 3
                 other.steps = [rest]
             _, _, body, complete = await harness.ask(prefix)
@@ -188,6 +200,30 @@
     run_scenario(scenario)
 
 
+def test_whole_answer_beside_the_end_of_another_endpoint_is_whole():
+    """Guards against sound answers that are lost as another endpoint ends."""
+    other = ScriptedEndpoint()
+
+    def close_beside_end(endpoint, writer):
+        close_one(endpoint, writer)
+        other.close()
+        close_all(other, writer)
+
+    async def scenario():
+        endpoint = ScriptedEndpoint(
+            cut(event(1), close=close_beside_end), probe_step=echo_probe()
+        )
+        async with RelayHarness(endpoint, other, timeout=3.0) as harness:
+            harness.fleet.endpoint_by_id["e1"].own_in_flight = 3
+            opened = [await harness.pool.open(harness.addresses[1]) for _ in range(2)]
+            for connection in opened:
+                harness.pool.return_connection("e1", connection)
+            _, _, body, complete = await harness.ask("stream")
+            assert (event_ids(body), complete) == ([1], True)
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize("step", [echo_probe, answer_probe])
 def test_whole_answers_that_end_at_the_same_moment_are_whole(step):
     """Guards against sound answers that are lost as several end together."""
