--- a/hawthornspoke/httpio/_client.py
+++ b/hawthornspoke/httpio/_client.py
@@ -495,14 +495,16 @@
     """
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
-    connecting = loop.create_connection(
-        lambda: ClientConnection(**options),
-        host,
-        int(port),
-    )
+    connection = ClientConnection(**options)
+    connecting = loop.create_connection(lambda: connection, host, int(port))
     try:
         async with StallTolerantTimeout(timeout):
-            _, connection = await connecting
+            await connecting
+    except asyncio.CancelledError:
+        # It may be established already, and is closed by this side then.
+        connection.abort()
+        raise
     except (OSError, TimeoutError) as error:
+        connection.abort()
         return CONNECT_FAILED.with_reason(f"{address}: {error or type(error).__name__}")
     return connection
--- a/hawthornspoke/httpio/tests/test_losses.py
+++ b/hawthornspoke/httpio/tests/test_losses.py
@@ -93,6 +93,26 @@
     assert asyncio.run(_losses_after(WHOLE, closes=False)) == 0
 
 
+def test_connection_whose_opening_is_cancelled_is_no_loss():
+    """Guards against connections that this side closes as soon as they are open."""
+
+    async def scenario():
+        server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        pool = ConnectionPool()
+        for steps in range(12):
+            opening = asyncio.ensure_future(pool.open(address))
+            for _ in range(steps):
+                await asyncio.sleep(0)
+            opening.cancel()
+            await asyncio.gather(opening, return_exceptions=True)
+        await asyncio.sleep(0.05)
+        server.close()
+        assert pool.losses.count_by_address(since=monotonic() - 1.0) == {}
+
+    asyncio.run(scenario())
+
+
 def test_losses_are_counted_by_address_within_the_time():
     losses = ConnectionEnds()
     for address, at in (("h1:1", 0.0), ("h1:1", 9.0), ("h2:1", 9.5)):
