--- a/hawthornspoke/relay/_probe_connections.py
+++ b/hawthornspoke/relay/_probe_connections.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import math
 
 from hawthornspoke.base import Failure, boottime_clock, monotonic
@@ -127,6 +128,7 @@
         "_refresh_at",
         "_reopen_at",
         "_last_proof",
+        "_must_open",
         "_lock",
         "_task",
     )
@@ -145,6 +147,7 @@
         self._refresh_at = 0.0
         self._reopen_at = -math.inf
         self._last_proof = None
+        self._must_open = asyncio.Event()
         self._lock = asyncio.Lock()
         self._task = None
 
@@ -199,7 +202,7 @@
                 return None
             if response.endpoint_id not in (None, self._placement.endpoint_id):
                 return False
-            if needs_id and not self._is_identified:
+            if needs_id and not self._last_proof.is_identified:
                 return await self._check_health(connection)
             return True
 
@@ -212,7 +215,10 @@
                     async with self._lock:
                         if self._is_usable():
                             await self._probe(self._connection)
-                await asyncio.sleep(CHECK_INTERVAL)
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(CHECK_INTERVAL):
+                        await self._must_open.wait()
+                self._must_open.clear()
         finally:
             self._end()
 
@@ -259,33 +265,46 @@
 
     async def _probe(self, connection):
         """Send a probe; keep the connection if it can carry another one."""
+        is_last = not self._echoes
+        if is_last:
+            # While no other connection is open, nothing shows that those of the answers
+            # under way are lost together.
+            self._connection = None
+            self._reopen_at = -math.inf
+            self._must_open.set()
+        is_identified = self._is_identified
         sent_at = monotonic()
         response = await self._prober.send_refused(
             connection, address=self._placement.address, service=self._service
         )
         if response is None or not response.is_answer:
-            is_own_close = self._connection is not connection
+            is_own_close = not is_last and self._connection is not connection
             if not connection.is_open and not is_own_close:
                 self._pool.losses.record(self._placement.address, now=monotonic())
             connection.abort()
             return response
-        self._is_identified |= response.endpoint_id == self._placement.endpoint_id
+        is_identified |= response.endpoint_id == self._placement.endpoint_id
         self._last_proof = _Proof(
             opened_at=connection.opened_at,
             sent_at=sent_at,
-            is_identified=self._is_identified,
+            is_identified=is_identified,
         )
         self._echoes = response.leaves_reusable
-        if not self._echoes:
+        if self._connection is not connection:
             connection.abort()
+        elif not self._echoes:
+            connection.abort()
+            self._reopen_at = -math.inf
+            self._must_open.set()
         elif connection.release(idle_since=self._pool.earliest_arrival()):
+            self._is_identified = is_identified
             self._keep(connection)
         return response
 
     async def _check_health(self, connection):
         """Return whether the endpoint says its id, None if it doesn't answer."""
         can_answer = self._prober.has_health_path(self._service)
-        if not can_answer or not self._is_usable():
+        if not can_answer or not (connection.is_open and connection.reusable):
             return None
         response = await self._prober.send_health_check(
             connection,
--- a/hawthornspoke/relay/tests/test_joint_ends.py
+++ b/hawthornspoke/relay/tests/test_joint_ends.py
@@ -143,6 +143,33 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("delay", [0.035, 0.045, 0.06])
+def test_answer_closed_soon_after_a_proof_without_an_echo_is_not_whole(delay):
+    """Guards against a time without a connection beside the answers under way."""
+
+    async def scenario():
+        whole = cut(event(1), close=close_one)
+        first = ScriptedEndpoint(
+            whole,
+            whole,
+            cut(event(1), close=close_all, seconds=ANSWER_TIME + delay),
+            probe_step=answer_probe(),
+        )
+        second = ScriptedEndpoint(events([2, 3]))
+        async with RelayHarness(first, second, timeout=3.0) as harness:
+            harness.fleet.endpoint_by_id["e1"].own_in_flight = 5
+            await harness.ask("stream", request_id="r0")
+            before = asyncio.create_task(harness.ask("stream", request_id="r1"))
+            while len(first.requests) < 2:
+                await asyncio.sleep(0.001)
+            _, _, body, complete = await harness.ask("stream", request_id="r2")
+            assert (event_ids(body), complete) == ([1, 2, 3], True)
+            _, _, body, complete = await before
+            assert (event_ids(body), complete) == ([1], True)
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize("prefix", ASKS)
 @pytest.mark.parametrize("seconds", [0.0, 0.1, 0.3])
 def test_answer_of_an_endpoint_that_closes_and_ends_is_not_whole(prefix, seconds):
