--- a/tests/soak/simulation.py
+++ b/tests/soak/simulation.py
@@ -20,6 +20,9 @@
 MODEL, LLM, PLAIN, ORIGIN = "m1", "llm", "plain", "origin"
 STEP_SECONDS = 0.02
 
+#: Turns of the event loop from the arrival of a connection until it is passed on.
+ACCEPT_TURNS = 5
+
 #: Value of SO_LINGER with which a close sends RST.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -462,34 +465,50 @@
 
     Parameters
     ----------
-    writer, upstream_writer : StreamWriter
-        To the side that connected, and to the proxy's target.
+    writer : StreamWriter
+        To the side that connected.
+
+    Attributes
+    ----------
+    upstream_writer : StreamWriter or None
+        To the proxy's target; None until it is connected.
+    has_ended : bool
     """
 
-    __slots__ = ("_writers",)
+    __slots__ = ("writer", "upstream_writer", "has_ended")
 
-    def __init__(self, *, writer, upstream_writer):
-        self._writers = writer, upstream_writer
+    def __init__(self, *, writer):
+        self.writer = writer
+        self.upstream_writer = None
+        self.has_ended = False
 
     @property
     def upstream_port(self):
-        """Port from which the proxy is connected to its target."""
-        return self._writers[1].get_extra_info("sockname")[1]
+        """Port from which the proxy is connected to its target, None if it isn't."""
+        if self.upstream_writer is None:
+            return None
+        return self.upstream_writer.get_extra_info("sockname")[1]
 
     def close(self):
         """End it with FIN on both sides; data that was not yet sent is lost."""
-        for writer in self._writers:
+        self.has_ended = True
+        for writer in self._writers():
             writer.transport.abort()
 
     def reset(self):
         """End it with RST on both sides."""
-        for writer in self._writers:
+        self.has_ended = True
+        for writer in self._writers():
             if not writer.transport.is_closing():
                 writer.get_extra_info("socket").setsockopt(
                     socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
                 )
             writer.transport.abort()
 
+    def _writers(self):
+        writers = self.writer, self.upstream_writer
+        return [writer for writer in writers if writer is not None]
+
 
 class Proxy:
     """TCP proxy with fault injection.
@@ -510,19 +529,30 @@
         self.fault = None
         self.connections = set()
         self._server = None
+        self._end_of_new = None
 
     async def start(self):
         self._server = await asyncio.start_server(self._accept, self.ip, self.port)
 
     def close_all(self):
         """End all open connections with FIN."""
-        for connection in list(self.connections):
-            connection.close()
+        self._end_all(ProxiedConnection.close)
 
     def reset_all(self):
         """End all open connections with RST."""
+        self._end_all(ProxiedConnection.reset)
+
+    def _end_all(self, end):
         for connection in list(self.connections):
-            connection.reset()
+            end(connection)
+        self._end_new(end, turns=ACCEPT_TURNS)
+
+    def _end_new(self, end, *, turns):
+        """End the connections that the other side has opened by now."""
+        self._end_of_new = end if turns else None
+        if turns:
+            loop = asyncio.get_running_loop()
+            loop.call_soon(lambda: self._end_new(end, turns=turns - 1))
 
     def close(self):
         self._server.close()
@@ -532,15 +562,24 @@
         if self.fault == "refuse":
             writer.transport.abort()
             return
+        connection = ProxiedConnection(writer=writer)
+        if self._end_of_new is not None:
+            self._end_of_new(connection)
+            return
+        self.connections.add(connection)
         try:
             upstream_reader, upstream_writer = await asyncio.open_connection(
                 *self.target
             )
         except OSError:
+            self.connections.discard(connection)
             writer.transport.abort()
             return
-        connection = ProxiedConnection(writer=writer, upstream_writer=upstream_writer)
-        self.connections.add(connection)
+        connection.upstream_writer = upstream_writer
+        if connection.has_ended:
+            self.connections.discard(connection)
+            upstream_writer.transport.abort()
+            return
         forward_task = asyncio.create_task(
             self._forward(reader, upstream_writer, ("silent",))
         )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 import pytest
 
@@ -71,7 +72,7 @@
         proxy = Proxy(ip=ip, port=9203, target_ip=ip, target_port=9202)
         await proxy.start()
         reader, writer = await asyncio.open_connection(ip, 9203)
-        while not proxy.connections:
+        while not any(item.upstream_port for item in proxy.connections):
             await asyncio.sleep(0.01)
         getattr(proxy, method)()
         assert (await read_end(reader), await upstream_ends.get()) == (ending, ending)
@@ -82,6 +83,37 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("method", ["close_all", "reset_all"])
+@pytest.mark.parametrize("turns", range(6))
+def test_link_ends_connections_that_are_being_opened(method, turns):
+    """Guards against a connection that outlasts the end of all others of its link."""
+
+    async def read_end(reader, writer):
+        with contextlib.suppress(OSError):
+            await reader.read()
+        writer.transport.abort()
+
+    async def run():
+        ip = f"{NET}.1.1"
+        upstream = await asyncio.start_server(read_end, ip, 0)
+        _, port = upstream.sockets[0].getsockname()
+        proxy = Proxy(ip=ip, port=9205, target_ip=ip, target_port=port)
+        await proxy.start()
+        with socket.create_connection((ip, 9205)) as client:
+            client.settimeout(1.0)
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            getattr(proxy, method)()
+            await asyncio.sleep(0.1)
+            with contextlib.suppress(ConnectionResetError):
+                assert client.recv(1) == b""
+        assert not proxy.connections
+        proxy.close()
+        upstream.close()
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("seed", [1, 2])
 def test_restarts_in_series_leave_retries_within_their_limit(seed):
     """Guards against hosts that may send a full share of retries at each start."""
