--- a/hawthornspoke/relay/tests/test_joint_ends_review.py
+++ b/hawthornspoke/relay/tests/test_joint_ends_review.py
@@ -1,14 +1,25 @@
 """Answers without framing whose ends are hard to verify."""
 
 import asyncio
+import contextlib
+import socket
 
 import pytest
 
 from hawthornspoke.base import discard_unsent_bytes, monotonic
 from hawthornspoke.placing import EndpointsListed
-from hawthornspoke.relay.tests.relay_harness import RelayHarness, ScriptedEndpoint
+from hawthornspoke.relay.tests.relay_harness import (
+    RelayHarness,
+    ScriptedEndpoint,
+    stream_head,
+)
 from hawthornspoke.relay.tests.test_forward import event_ids, run_scenario
-from hawthornspoke.relay.tests.test_joint_ends import close_one, cut, echo_probe
+from hawthornspoke.relay.tests.test_joint_ends import (
+    close_all,
+    close_one,
+    cut,
+    echo_probe,
+)
 from hawthornspoke.relay.tests.test_unframed_answers import (
     answer_probe,
     event,
@@ -141,3 +152,89 @@
             assert (event_ids(body), complete) == ([1], True)
 
     run_scenario(scenario)
+
+
+def _long_stream(count, *, close):
+    """Return a step that sends a stream of events of 1 kB, and closes connections."""
+
+    async def step(endpoint, head, writer):
+        raw = stream_head(head)
+        # All is handed to the operating system before the close.
+        writer.transport.set_write_buffer_limits(0)
+        writer.write(raw.replace(b"Transfer-Encoding: chunked\r\n", b""))
+        for number in range(1, count + 1):
+            writer.write(b"id: %d\ndata: %s\n\n" % (number, b"x" * 980))
+            if number % 50 == 0:
+                await asyncio.sleep(0.002)
+        await writer.drain()
+        await asyncio.sleep(0.1)
+        close(endpoint, writer)
+        raise ConnectionError
+
+    return step
+
+
+async def _ask_slowly(harness, *, while_unread=lambda: None):
+    """Return whether a stream looks whole to a caller who reads nothing for 1.6 s.
+
+    Parameters
+    ----------
+    harness : RelayHarness
+    while_unread : callable
+        Called after the half of that time.
+    """
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    caller.connect(("127.0.0.1", harness.server.bound_port))
+    caller.sendall(
+        b"POST /stream/x HTTP/1.1\r\nHost: svc.example\r\nX-Deadline-Ms: 8000\r\n"
+        b"X-Request-Id: r1\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi"
+    )
+    caller.setblocking(False)
+    await asyncio.sleep(0.8)
+    while_unread()
+    await asyncio.sleep(0.8)
+    data, loop = b"", asyncio.get_running_loop()
+    with contextlib.closing(caller), contextlib.suppress(ConnectionError):
+        while part := await loop.sock_recv(caller, 65536):
+            data += part
+    return data.endswith(b"0\r\n\r\n")
+
+
+def test_answer_to_a_slow_caller_is_whole_if_other_connections_end_later():
+    """Guards against a sound answer that is verified only when its caller reads it."""
+
+    async def scenario():
+        endpoint = ScriptedEndpoint(
+            *[slow_answer(0.05)] * 3,
+            _long_stream(300, close=close_one),
+            probe_step=echo_probe(),
+        )
+        async with RelayHarness(endpoint, timeout=8.0) as harness:
+            await keep_connections(harness, 3)
+            assert await _ask_slowly(
+                harness, while_unread=lambda: close_all(endpoint, None)
+            )
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("count", [300, 1200, 2000])
+def test_answer_closed_with_others_is_not_whole_to_a_slow_caller(count):
+    """Guards against an end that is read long after those of other connections.
+
+    The end of 1200 events and more arrives while their connection isn't read, or still
+    waits in the endpoint's send buffer.
+    """
+
+    async def scenario():
+        endpoint = ScriptedEndpoint(
+            *[slow_answer(0.05)] * 3,
+            _long_stream(count, close=close_all),
+            probe_step=echo_probe(),
+        )
+        async with RelayHarness(endpoint, timeout=8.0) as harness:
+            await keep_connections(harness, 3)
+            assert not await _ask_slowly(harness)
+
+    run_scenario(scenario)
