--- a/hawthornspoke/relay/tests/test_joint_ends_review.py
+++ b/hawthornspoke/relay/tests/test_joint_ends_review.py
@@ -238,3 +238,23 @@
             assert not await _ask_slowly(harness)
 
     run_scenario(scenario)
+
+
+def test_answer_closed_with_a_request_that_waits_is_not_whole():
+    """Guards against half an answer as a whole one beside a new connection."""
+
+    async def wait(endpoint, head, writer):
+        await writer.wait_closed()
+        raise ConnectionError
+
+    async def scenario():
+        # The answer is too short for a connection beside it.
+        endpoint = ScriptedEndpoint(wait, cut(event(1), close=close_all, seconds=0.0))
+        async with RelayHarness(endpoint, timeout=3.0) as harness:
+            waiting = asyncio.create_task(harness.ask("once", request_id="r2"))
+            await asyncio.sleep(0.1)
+            _, _, body, complete = await harness.ask("stream")
+            assert (event_ids(body), complete) == ([1], False)
+            await waiting
+
+    run_scenario(scenario)
