--- a/hawthornspoke/httpio/_client.py
+++ b/hawthornspoke/httpio/_client.py
@@ -123,6 +123,7 @@
         self._wanted_bytes = 0
         self._is_aborted = False
         self._is_broken = False
+        self._is_ended_by_peer = False
 
     @property
     def is_open(self):
@@ -165,6 +166,7 @@
 
         Only EOF completes such a response: after a reset, bytes may be missing.
         """
+        self._is_ended_by_peer = True
         exchange = self.exchange
         if exchange is None or self._is_broken:
             return False
@@ -379,7 +381,9 @@
 
     def _lost_state(self, *, is_reset):
         """Return the state of a connection that ends, None if its end was due."""
-        if self._is_aborted:
+        # The event loop closes a connection whose opening is cancelled.
+        is_own_close = not (is_reset or self._is_ended_by_peer)
+        if self._is_aborted or is_own_close:
             return None
         exchange = self.exchange
         if is_reset and self.requests == 0:
--- a/hawthornspoke/httpio/tests/test_losses.py
+++ b/hawthornspoke/httpio/tests/test_losses.py
@@ -86,6 +86,25 @@
     assert asyncio.run(_losses_after(WHOLE, closes=False)) == 0
 
 
+def test_connection_that_is_given_up_while_it_opens_is_no_loss():
+    """Guards against callers who leave early and make sound answers look cut."""
+
+    async def scenario():
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            pool = ConnectionPool()
+            for steps in range(12):
+                address = f"127.0.0.1:{listener.getsockname()[1]}"
+                opening = asyncio.create_task(pool.open(address))
+                for _ in range(steps):
+                    await asyncio.sleep(0)
+                opening.cancel()
+                await asyncio.gather(opening, return_exceptions=True)
+            await asyncio.sleep(0.05)
+            assert not pool.losses.count_by_address(since=monotonic() - 1.0)
+
+    asyncio.run(scenario())
+
+
 def test_losses_are_counted_by_address_within_the_time():
     losses = ConnectionLosses()
     for address, at in (("h1:1", 0.0), ("h1:1", 9.0), ("h2:1", 9.5)):
