--- a/hawthornspoke/httpio/_client.py
+++ b/hawthornspoke/httpio/_client.py
@@ -127,6 +127,7 @@
         self._wanted_bytes = 0
         self._is_aborted = False
         self._is_broken = False
+        self._is_ended_by_peer = False
 
     @property
     def is_open(self):
@@ -169,6 +170,7 @@
 
         Only EOF completes such a response: after a reset, bytes may be missing.
         """
+        self._is_ended_by_peer = True
         exchange = self.exchange
         if exchange is None or self._is_broken:
             return False
@@ -385,7 +387,9 @@
 
     def _lost_state(self, *, is_reset):
         """Return the state of a connection that ends, None if it isn't lost."""
-        if self._is_aborted:
+        # The event loop closes a connection whose opening is cancelled.
+        is_own_close = not (is_reset or self._is_ended_by_peer)
+        if self._is_aborted or is_own_close:
             return None
         exchange = self.exchange
         if is_reset and self.requests == 0:
@@ -495,16 +499,14 @@
     """
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
-    connection = ClientConnection(**options)
-    connecting = loop.create_connection(lambda: connection, host, int(port))
+    connecting = loop.create_connection(
+        lambda: ClientConnection(**options),
+        host,
+        int(port),
+    )
     try:
         async with StallTolerantTimeout(timeout):
-            await connecting
-    except asyncio.CancelledError:
-        # It may be established already, and is closed by this side then.
-        connection.abort()
-        raise
+            _, connection = await connecting
     except (OSError, TimeoutError) as error:
-        connection.abort()
         return CONNECT_FAILED.with_reason(f"{address}: {error or type(error).__name__}")
     return connection
--- a/hawthornspoke/relay/tests/test_joint_ends_review.py
+++ b/hawthornspoke/relay/tests/test_joint_ends_review.py
@@ -159,6 +159,8 @@
 
     async def step(endpoint, head, writer):
         raw = stream_head(head)
+        # All is handed to the operating system before the close.
+        writer.transport.set_write_buffer_limits(0)
         writer.write(raw.replace(b"Transfer-Encoding: chunked\r\n", b""))
         for number in range(1, count + 1):
             writer.write(b"id: %d\ndata: %s\n\n" % (number, b"x" * 980))
@@ -217,11 +219,12 @@
     run_scenario(scenario)
 
 
-@pytest.mark.parametrize("count", [300, 3000])
+@pytest.mark.parametrize("count", [300, 1200, 2000])
 def test_answer_closed_with_others_is_not_whole_to_a_slow_caller(count):
     """Guards against an end that is read long after those of other connections.
 
-    Most of 3000 events arrive while the connection to the endpoint isn't read.
+    The end of 1200 events and more arrives while their connection isn't read, or still
+    waits in the endpoint's send buffer.
     """
 
     async def scenario():
@@ -235,3 +238,23 @@
             assert not await _ask_slowly(harness)
 
     run_scenario(scenario)
+
+
+def test_answer_closed_with_a_request_that_waits_is_not_whole():
+    """Guards against half an answer as a whole one beside a new connection."""
+
+    async def wait(endpoint, head, writer):
+        await writer.wait_closed()
+        raise ConnectionError
+
+    async def scenario():
+        # The answer is too short for a connection beside it.
+        endpoint = ScriptedEndpoint(wait, cut(event(1), close=close_all, seconds=0.0))
+        async with RelayHarness(endpoint, timeout=3.0) as harness:
+            waiting = asyncio.create_task(harness.ask("once", request_id="r2"))
+            await asyncio.sleep(0.1)
+            _, _, body, complete = await harness.ask("stream")
+            assert (event_ids(body), complete) == ([1], False)
+            await waiting
+
+    run_scenario(scenario)
