--- a/hawthornspoke/httpio/__init__.py
+++ b/hawthornspoke/httpio/__init__.py
@@ -20,6 +20,7 @@
 from hawthornspoke.httpio._fetch import fetch
 from hawthornspoke.httpio._losses import ConnectionLosses
 from hawthornspoke.httpio._message import (
+    HEAD_METHOD,
     HOP_BY_HOP,
     Message,
     Request,
@@ -38,6 +39,7 @@
 __all__ = [
     "CONNECTION_BROKEN",
     "CONNECT_FAILED",
+    "HEAD_METHOD",
     "HOP_BY_HOP",
     "MAX_UNREAD_BYTES",
     "NOT_HTTP",
--- a/hawthornspoke/httpio/_client.py
+++ b/hawthornspoke/httpio/_client.py
@@ -118,6 +118,7 @@
         self._is_trailer = False
         self._excess = None
         self._has_framing = False
+        self._is_bodiless = False
         self._idle_timeout = DEFAULT_IDLE_TIMEOUT
         self._is_paused = False
         self._wanted_bytes = 0
@@ -201,7 +202,15 @@
             if self.is_open:
                 self.transport.resume_reading()
 
-    def send(self, data, *, expected_id, account=None, max_unread_bytes=None):
+    def send(
+        self,
+        data,
+        *,
+        expected_id,
+        account=None,
+        max_unread_bytes=None,
+        is_bodiless=False,
+    ):
         """Send a request.
 
         Parameters
@@ -213,6 +222,8 @@
             Of the caller for whom the request is sent.
         max_unread_bytes : int or None, default=None
             None for the limit of the connection.
+        is_bodiless : bool, default=False
+            Whether the response ends with its head, as that to a HEAD request.
 
         Returns
         -------
@@ -232,6 +243,7 @@
             is_first=self.requests == 1,
         )
         self._head = None
+        self._is_bodiless = is_bodiless
         self._discarding = False
         self._discarded_bytes = 0
         self._excess = None
@@ -346,15 +358,20 @@
             return
         self._head = head
         self._feed.record_progress()
-        self._has_framing = has_framing(head)
+        self._has_framing = self._is_bodiless or has_framing(head)
         self._update_keep_alive(head)
         self.exchange.receive_head(head, is_framed=self._has_framing)
-        if self.exchange.account is not None:
+        if self._is_bodiless:
+            self.exchange.end()
+        elif self.exchange.account is not None:
             self._reserve_body(parse_digits(head.get("content-length", "")) or 0)
 
     def on_body(self, body):
         if self._discarding:
             self._discard(body)
+        elif self._is_bodiless:
+            # More of it may follow in the place of the next response.
+            self.reusable = False
         elif not self._has_failed and not self.exchange.complete:
             self._feed.record_progress()
             if self._matcher.contains_head(body):
--- a/hawthornspoke/httpio/_fetch.py
+++ b/hawthornspoke/httpio/_fetch.py
@@ -9,7 +9,7 @@
     ClientConnection,
 )
 from hawthornspoke.httpio._exchange import MAX_UNREAD_BYTES
-from hawthornspoke.httpio._message import encode_request
+from hawthornspoke.httpio._message import HEAD_METHOD, encode_request
 
 
 async def fetch(
@@ -121,7 +121,10 @@
                     f"{method} {target}: deadline passed before sending"
                 )
             exchange = connection.send(
-                data, expected_id=None, max_unread_bytes=max_body_bytes
+                data,
+                expected_id=None,
+                max_unread_bytes=max_body_bytes,
+                is_bodiless=method == HEAD_METHOD,
             )
             answer = await exchange.read_whole()
             complete = not isinstance(answer, Failure)
--- a/hawthornspoke/httpio/_message.py
+++ b/hawthornspoke/httpio/_message.py
@@ -18,6 +18,9 @@
     )
 )
 
+#: Method of requests whose responses have no body.
+HEAD_METHOD = "HEAD"
+
 REASON_BY_STATUS = {
     100: "Continue",
     200: "OK",
@@ -198,6 +201,6 @@
     bytes
     """
     fields = [pair for pair in headers if pair[0].lower() not in HOP_BY_HOP]
-    if body or method not in ("GET", "HEAD", "DELETE"):
+    if body or method not in ("GET", HEAD_METHOD, "DELETE"):
         fields.append(("Content-Length", str(len(body))))
     return encode_head(f"{method} {target} HTTP/1.1", fields) + body
--- a/hawthornspoke/httpio/_reply.py
+++ b/hawthornspoke/httpio/_reply.py
@@ -12,6 +12,8 @@
     connection : ServerConnection
     keep_alive : bool
         Whether the connection stays open after the response.
+    is_bodiless : bool, default=False
+        Whether the response ends with its head, as that to a HEAD request.
 
     Attributes
     ----------
@@ -28,11 +30,13 @@
         "is_whole",
         "keep_alive",
         "declared_end",
+        "_is_bodiless",
         "_connection",
     )
 
-    def __init__(self, *, connection, keep_alive):
+    def __init__(self, *, connection, keep_alive, is_bodiless=False):
         self._connection = connection
+        self._is_bodiless = is_bodiless
         self.keep_alive = keep_alive
         self.status = None
         self.started = False
@@ -41,13 +45,24 @@
         self.declared_end = None
 
     def send(self, status, headers=(), body=b""):
-        """Send a complete response."""
+        """Send a complete response; only its head in answer to a HEAD request."""
         fields = list(headers) + [("Content-Length", str(len(body)))]
-        head = self._head(status, fields)
-        self.started = self.finished = True
-        self.is_whole = self._connection.is_open
-        self.status = status
-        self._connection.write(head + body)
+        self._send_whole(status, fields, b"" if self._is_bodiless else body)
+
+    def send_head(self, status, headers, *, length):
+        """Send the complete response to a HEAD request.
+
+        Parameters
+        ----------
+        status : int
+        headers : list of (str, str)
+        length : int or None
+            Of the body in the response to a GET request, None if it isn't known.
+        """
+        fields = list(headers)
+        if length is not None:
+            fields.append(("Content-Length", str(length)))
+        self._send_whole(status, fields, b"")
 
     async def send_parts(self, status, headers, parts):
         """Send a complete response as the caller reads it.
@@ -122,6 +137,13 @@
         self.finished = True
         self._connection.abort(CloseReason.HANDLER)
 
+    def _send_whole(self, status, fields, body):
+        head = self._head(status, fields)
+        self.started = self.finished = True
+        self.is_whole = self._connection.is_open
+        self.status = status
+        self._connection.write(head + body)
+
     def _head(self, status, fields):
         if self._connection.server.draining:
             self.keep_alive = False
--- a/hawthornspoke/httpio/_server_connection.py
+++ b/hawthornspoke/httpio/_server_connection.py
@@ -16,7 +16,7 @@
 from hawthornspoke.fields import parse_digits
 from hawthornspoke.httpio._ends import CloseReason, RequestEnd
 from hawthornspoke.httpio._framing import BoundedFeed
-from hawthornspoke.httpio._message import Request, encode_head, status_line
+from hawthornspoke.httpio._message import HEAD_METHOD, Request, encode_head, status_line
 from hawthornspoke.httpio._reply import Reply
 from hawthornspoke.memory_budget import ANSWER, BODY, PENDING, SENT, WRITTEN
 
@@ -533,7 +533,11 @@
             self._parser = None
         is_last = self._has_pipelined or self._drops_pipelined or self._is_discarding
         keep_alive = self._keep_alive and not is_last
-        reply = Reply(connection=self, keep_alive=keep_alive)
+        reply = Reply(
+            connection=self,
+            keep_alive=keep_alive,
+            is_bodiless=request.method == HEAD_METHOD,
+        )
         loop = asyncio.get_running_loop()
         self.task = loop.create_task(self.server.handler(request, reply))
         self.task.add_done_callback(lambda task: self._end_task(task, request, reply))
--- a/hawthornspoke/relay/_handler.py
+++ b/hawthornspoke/relay/_handler.py
@@ -6,7 +6,8 @@
 
 from hawthornspoke.base import monotonic
 from hawthornspoke.catalog import choose_service
-from hawthornspoke.httpio import CallerGone, EndCause, RequestEnd
+from hawthornspoke.fields import parse_digits
+from hawthornspoke.httpio import HEAD_METHOD, CallerGone, EndCause, RequestEnd
 from hawthornspoke.quarantine import RequestTraits, features_of, parse_prompt_parts
 from hawthornspoke.relay._admission import CALLER_LEFT, UNCONFIRMED_RETRY_AFTER
 from hawthornspoke.relay._caller_retries import CallerRetryDetector
@@ -262,7 +263,10 @@
         context.first_byte_at = monotonic()
         headers = self._forwarder.response_headers(response)
         context.reply.declared_end = RequestEnd.ANSWERED
-        if response.parts:
+        if context.request.method == HEAD_METHOD:
+            length = parse_digits(response.get("content-length", ""))
+            context.reply.send_head(response.status, headers, length=length)
+        elif response.parts:
             await context.reply.send_parts(response.status, headers, response.parts)
         else:
             context.reply.send(response.status, headers, response.body)
--- a/hawthornspoke/relay/_reading.py
+++ b/hawthornspoke/relay/_reading.py
@@ -5,6 +5,7 @@
 
 from hawthornspoke.base import Failure
 from hawthornspoke.catalog import STREAM
+from hawthornspoke.httpio import HEAD_METHOD
 from hawthornspoke.relay._events import EventSplitter
 
 SUCCESS_STATUSES = range(200, 300)
@@ -199,6 +200,7 @@
     def _is_stream(self):
         return (
             self._context.route.kind == STREAM
+            and self._context.request.method != HEAD_METHOD
             and self.head is not None
             and self.head.status in SUCCESS_STATUSES
         )
--- a/hawthornspoke/relay/_sending.py
+++ b/hawthornspoke/relay/_sending.py
@@ -2,6 +2,7 @@
 
 from hawthornspoke.base import Failure, monotonic
 from hawthornspoke.catalog import STREAM
+from hawthornspoke.httpio import HEAD_METHOD
 from hawthornspoke.placing import EndpointReadmitted
 from hawthornspoke.relay._end_verification import EndVerifier
 from hawthornspoke.relay._signals import log_readmission
@@ -160,6 +161,7 @@
             expected_id=context.request_id,
             prompt_tokens=context.prompt_tokens,
             answer_tokens=context.answer_tokens,
+            is_bodiless=context.request.method == HEAD_METHOD,
         )
         if failure is not None:
             context.may_have_run = may_have_run_before
--- a/hawthornspoke/relay/_try.py
+++ b/hawthornspoke/relay/_try.py
@@ -182,7 +182,9 @@
         self.connection = connection
         return None
 
-    def send(self, data, *, expected_id, prompt_tokens=0, answer_tokens=0):
+    def send(
+        self, data, *, expected_id, prompt_tokens=0, answer_tokens=0, is_bodiless=False
+    ):
         """Send the request.
 
         Parameters
@@ -191,6 +193,8 @@
         expected_id : str
             Request id that the response has to echo.
         prompt_tokens, answer_tokens : int, default=0
+        is_bodiless : bool, default=False
+            Whether the response ends with its head, as that to a HEAD request.
 
         Returns
         -------
@@ -205,7 +209,10 @@
         self.sent_at = monotonic()
         self._withdrawal_deadline = self._withdrawal_time()
         self.exchange = self.connection.send(
-            data, expected_id=expected_id, account=self._account
+            data,
+            expected_id=expected_id,
+            account=self._account,
+            is_bodiless=is_bodiless,
         )
         self._tokens = prompt_tokens + answer_tokens
         self._notify_fleet(
--- a/hawthornspoke/relay/tests/test_request_lives.py
+++ b/hawthornspoke/relay/tests/test_request_lives.py
@@ -83,7 +83,7 @@
     def is_socket_closed(self):
         return not self.is_open
 
-    def send(self, data, *, expected_id, account):
+    def send(self, data, *, expected_id, account, is_bodiless):
         self.life.sent.append(self)
         self._events_before = self._events_of_others()
         self.exchange = Exchange(expected_id=expected_id)
@@ -210,7 +210,9 @@
             history["kind"] != STREAM or history["is_resumable"]
         )
         self.context = RequestContext(
-            request=SimpleNamespace(get=lambda name, default=None: default),
+            request=SimpleNamespace(
+                method="POST", get=lambda name, default=None: default
+            ),
             reply=self.reply,
             request_id="r1",
         )
--- a/hawthornspoke/relay/tests/test_withdrawn_attempts.py
+++ b/hawthornspoke/relay/tests/test_withdrawn_attempts.py
@@ -25,7 +25,7 @@
         """Return False."""
         return False
 
-    def send(self, data, *, expected_id, account):
+    def send(self, data, *, expected_id, account, is_bodiless):
         """Return the exchange."""
         return self.exchange
 
