--- a/hawthornspoke/httpio/_client.py
+++ b/hawthornspoke/httpio/_client.py
@@ -30,7 +30,7 @@
     ResponseMatcher,
     contains_status_line,
 )
-from hawthornspoke.httpio._message import Response, has_framing
+from hawthornspoke.httpio._message import Response, has_framing, has_unknown_coding
 from hawthornspoke.httpio._options import set_socket_options
 from hawthornspoke.memory_budget import SENDING
 
@@ -356,6 +356,11 @@
         if kind is not None:
             self._start_discarding(kind, head)
             return
+        is_coded = head.get("transfer-encoding") is not None and not self._is_bodiless
+        if is_coded and has_unknown_coding(self._headers):
+            self.reusable = False
+            self.exchange.end(NOT_HTTP.with_reason("an unknown transfer coding"))
+            return
         self._head = head
         self._feed.record_progress()
         self._has_framing = self._is_bodiless or has_framing(head)
--- a/hawthornspoke/httpio/_message.py
+++ b/hawthornspoke/httpio/_message.py
@@ -21,6 +21,9 @@
 #: Method of requests whose responses have no body.
 HEAD_METHOD = "HEAD"
 
+#: Transfer codings of bodies that can be read; an empty list element means nothing.
+KNOWN_CODINGS = ("chunked", "identity", "")
+
 REASON_BY_STATUS = {
     100: "Continue",
     200: "OK",
@@ -37,6 +40,7 @@
     429: "Too Many Requests",
     431: "Request Header Fields Too Large",
     500: "Internal Server Error",
+    501: "Not Implemented",
     502: "Bad Gateway",
     503: "Service Unavailable",
     504: "Gateway Timeout",
@@ -186,6 +190,25 @@
     )
 
 
+def has_unknown_coding(headers):
+    """Return whether a body is in a transfer coding that isn't decoded here.
+
+    Parameters
+    ----------
+    headers : iterable of (str, str)
+
+    Returns
+    -------
+    bool
+    """
+    return any(
+        coding.strip().lower() not in KNOWN_CODINGS
+        for name, value in headers
+        if name.lower() == "transfer-encoding"
+        for coding in value.split(",")
+    )
+
+
 def encode_request(*, method, target, headers, body=b""):
     """Encode a request.
 
--- a/hawthornspoke/httpio/_server_connection.py
+++ b/hawthornspoke/httpio/_server_connection.py
@@ -16,7 +16,13 @@
 from hawthornspoke.fields import parse_digits
 from hawthornspoke.httpio._ends import CloseReason, RequestEnd
 from hawthornspoke.httpio._framing import BoundedFeed
-from hawthornspoke.httpio._message import HEAD_METHOD, Request, encode_head, status_line
+from hawthornspoke.httpio._message import (
+    HEAD_METHOD,
+    Request,
+    encode_head,
+    has_unknown_coding,
+    status_line,
+)
 from hawthornspoke.httpio._reply import Reply
 from hawthornspoke.memory_budget import ANSWER, BODY, PENDING, SENT, WRITTEN
 
@@ -356,6 +362,8 @@
         has_both = "content-length" in names and "transfer-encoding" in names
         if has_both or names.count("host") != 1 or names.count("content-length") > 1:
             self._error_status = 400
+        elif "transfer-encoding" in names and has_unknown_coding(self._headers):
+            self._error_status = self._error_status or 501
         self._keep_alive = self._parser.should_keep_alive()
         if self.account is not None and "content-length" in names:
             self._reserve_body(self._announced_size())
