--- a/hawthornspoke/web/_server.py
+++ b/hawthornspoke/web/_server.py
@@ -27,6 +27,10 @@
 POOL_GROWTH = 16
 
 
+class _BodyCut(Exception):
+    """The caller closed its connection inside the body of a request."""
+
+
 class _Gateway(Gateway_10):
     """Adds the client socket to the WSGI environ, to detect disconnects."""
 
@@ -123,6 +127,8 @@
             body = self._read_body(environ, length)
         except MaxSizeExceeded:
             return None, _body_too_large(self.max_body)
+        except _BodyCut:
+            return None, _body_cut()
         request = Request(
             method=environ["REQUEST_METHOD"],
             path=environ.get("PATH_INFO", "/"),
@@ -136,7 +142,10 @@
     def _read_body(self, environ, length):
         stream = environ["wsgi.input"]
         if length:
-            return stream.read(length)
+            body = stream.read(length)
+            if len(body) < length:
+                raise _BodyCut
+            return body
         if environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked":
             return self._read_chunked(stream)
         return b""
@@ -173,6 +182,11 @@
     return json_response({"error": {**error, "outcome": "not_run"}}, status=413)
 
 
+def _body_cut():
+    error = {"code": "bad_request", "message": "the body is incomplete"}
+    return json_response({"error": {**error, "outcome": "not_run"}}, status=400)
+
+
 def _parse_headers(environ):
     headers = {
         name[5:].replace("_", "-").lower(): value
--- /dev/null
+++ b/hawthornspoke/web/tests/test_framing.py
@@ -0,0 +1,73 @@
+"""Messages whose framing is broken, cut short or in conflict."""
+
+import contextlib
+import socket
+
+import pytest
+
+from hawthornspoke.web import HttpServer, Response
+
+POST = b"POST / HTTP/1.1\r\nHost: x\r\n"
+
+
+@contextlib.contextmanager
+def running_server(handle):
+    """Run a server; provides its port."""
+    with socket.create_server(("127.0.0.1", 0)) as probe:
+        port = probe.getsockname()[1]
+    server = HttpServer(address="127.0.0.1", port=port, handler=handle, threads=2)
+    server.open()
+    try:
+        yield port
+    finally:
+        server.close()
+
+
+def converse(port, *parts, closes=True):
+    """Send the parts of a caller's data; return all that the server sends.
+
+    Parameters
+    ----------
+    port : int
+    *parts : bytes
+    closes : bool, default=True
+        Whether the caller closes its side of the connection after them.
+    """
+    with socket.create_connection(("127.0.0.1", port), timeout=5.0) as caller:
+        for part in parts:
+            caller.sendall(part)
+        if closes:
+            caller.shutdown(socket.SHUT_WR)
+        received = b""
+        while data := caller.recv(65536):
+            received += data
+        return received
+
+
+def recording_handler(requests):
+    """Return a handler that records the bodies of requests."""
+
+    def handle(request):
+        requests.append(request.body)
+        return Response(body=b"done")
+
+    return handle
+
+
+@pytest.mark.parametrize(
+    "request_data",
+    [
+        POST + b"Content-Length: 10\r\n\r\nhello",
+        POST + b"Content-Length: 10\r\n\r\n",
+        POST + b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+        POST + b"Transfer-Encoding: chunked\r\n\r\n9\r\nhello",
+    ],
+    ids=["length", "length without body", "chunks", "chunk"],
+)
+def test_request_whose_body_is_cut_is_not_handled(request_data):
+    """Guards against a part of a request that is taken for the whole of it."""
+    requests = []
+    with running_server(recording_handler(requests)) as port:
+        received = converse(port, request_data)
+    assert not received.startswith(b"HTTP/1.1 200 ")
+    assert requests == []
