--- a/hawthornspoke/web/_server.py
+++ b/hawthornspoke/web/_server.py
@@ -4,13 +4,20 @@
 from http import HTTPStatus
 
 from cheroot.errors import MaxSizeExceeded
-from cheroot.server import SizeCheckWrapper
+from cheroot.server import (
+    HeaderReader,
+    HTTPConnection,
+    HTTPRequest,
+    SizeCheckWrapper,
+)
 from cheroot.wsgi import Gateway_10, Server
 from loguru import logger
 
 from hawthornspoke.web._types import Request, json_response
 
 CONNECTION_KEY = "hawthornspoke.connection"
+CONTENT_LENGTH = b"Content-Length"
+TRANSFER_ENCODING = b"Transfer-Encoding"
 SHUTDOWN_TIMEOUT_SECONDS = 1.0
 
 #: Maximum size of a request's head in bytes.
@@ -31,6 +38,43 @@
     """The caller closed its connection inside the body of a request."""
 
 
+class _FieldsOnce(dict):
+    """Header fields that refuse a second length."""
+
+    def __setitem__(self, name, value):
+        if name == CONTENT_LENGTH and name in self:
+            raise ValueError("Several Content-Length fields.")
+        super().__setitem__(name, value)
+
+
+class _HeaderReader(HeaderReader):
+    """Refuses heads by which the body may end at different places.
+
+    cheroot takes the last of several lengths, and the length of a body in chunks for
+    its size.
+    """
+
+    def __call__(self, rfile, hdict=None):
+        fields = super().__call__(rfile, _FieldsOnce())
+        length = fields.get(CONTENT_LENGTH)
+        if length is not None:
+            if TRANSFER_ENCODING in fields:
+                raise ValueError("Both Content-Length and Transfer-Encoding.")
+            if not length.isdigit():
+                raise ValueError("Malformed Content-Length Header.")
+        hdict = {} if hdict is None else hdict
+        hdict.update(fields)
+        return hdict
+
+
+class _Request(HTTPRequest):
+    header_reader = _HeaderReader()
+
+
+class _Connection(HTTPConnection):
+    RequestHandlerClass = _Request
+
+
 class _Gateway(Gateway_10):
     """Adds the client socket to the WSGI environ, to detect disconnects."""
 
@@ -82,6 +126,7 @@
             shutdown_timeout=SHUTDOWN_TIMEOUT_SECONDS,
         )
         server.gateway = _Gateway
+        server.ConnectionClass = _Connection
         server.error_log = _log_error
         server.timeout = 30
         server.max_request_header_size = MAX_HEAD_BYTES
--- a/hawthornspoke/web/tests/test_framing.py
+++ b/hawthornspoke/web/tests/test_framing.py
@@ -71,3 +71,25 @@
         received = converse(port, request_data)
     assert not received.startswith(b"HTTP/1.1 200 ")
     assert requests == []
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+        b"Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
+        b"Content-Length: 5\r\nContent-Length: 2\r\n",
+        b"Content-Length: 5, 2\r\n",
+        b"Content-Length: -5\r\n",
+        b"Content-Length: +5\r\n",
+        b"Content-Length: 0_5\r\n",
+    ],
+)
+def test_request_with_framing_in_conflict_is_not_handled(fields):
+    """Guards against a body that ends elsewhere than its caller says."""
+    requests = []
+    with running_server(recording_handler(requests)) as port:
+        received = converse(port, POST + fields + b"\r\n5\r\nhello\r\n0\r\n\r\n")
+    assert received.startswith(b"HTTP/1.1 400 ")
+    assert received.count(b"HTTP/1.1 ") == 1
+    assert requests == []
