--- a/hawthornspoke/web/_server.py
+++ b/hawthornspoke/web/_server.py
@@ -20,6 +20,9 @@
 TRANSFER_ENCODING = b"Transfer-Encoding"
 SHUTDOWN_TIMEOUT_SECONDS = 1.0
 
+#: Statuses of responses that never have a body.
+BODILESS_STATUSES = (204, 304)
+
 #: Maximum size of a request's head in bytes.
 MAX_HEAD_BYTES = 65536
 
@@ -160,9 +163,13 @@
         if isinstance(response.body, bytes):
             headers.append(("Content-Length", str(len(response.body))))
         start_response(_status_line(response.status), headers)
-        if isinstance(response.body, bytes):
-            return [response.body]
-        return response.body
+        body = response.body
+        if isinstance(body, bytes):
+            body = [body]
+        if environ["REQUEST_METHOD"] == "HEAD" or response.status in BODILESS_STATUSES:
+            # Read all the same: the end of a request may hang on the end of its body.
+            return (b"" for _ in body)
+        return body
 
     def _read_request(self, environ):
         length = int(environ.get("CONTENT_LENGTH") or 0)
--- a/hawthornspoke/web/tests/test_framing.py
+++ b/hawthornspoke/web/tests/test_framing.py
@@ -93,3 +93,40 @@
     assert received.startswith(b"HTTP/1.1 400 ")
     assert received.count(b"HTTP/1.1 ") == 1
     assert requests == []
+
+
+@pytest.mark.parametrize(
+    ("method", "status", "body"),
+    [
+        (b"HEAD", 200, lambda: b"body"),
+        (b"HEAD", 200, lambda: iter([b"bo", b"dy"])),
+        (b"GET", 204, lambda: iter([b"body"])),
+        (b"GET", 304, lambda: b"body"),
+        (b"GET", 304, lambda: iter([b"body"])),
+    ],
+    ids=["HEAD", "HEAD of a stream", "204", "304", "304 as a stream"],
+)
+def test_response_without_body_ends_with_its_head(method, status, body):
+    """Guards against a body that callers take for the next response."""
+    request_data = method + b" / HTTP/1.1\r\nHost: x\r\n\r\n"
+
+    def handle(request):
+        return Response(status=status, body=body())
+
+    with running_server(handle) as port:
+        received = converse(port, request_data)
+    assert received.startswith(b"HTTP/1.1 %d " % status)
+    assert received.partition(b"\r\n\r\n")[2] == b""
+
+
+def test_stream_in_answer_to_head_is_read_to_its_end():
+    """Guards against requests that never end, as nobody reads their bodies."""
+    ends = []
+
+    def stream():
+        yield b"body"
+        ends.append("read")
+
+    with running_server(lambda request: Response(body=stream())) as port:
+        converse(port, b"HEAD / HTTP/1.1\r\nHost: x\r\n\r\n")
+    assert ends == ["read"]
