--- a/hawthornspoke/web/_server.py
+++ b/hawthornspoke/web/_server.py
@@ -1,5 +1,6 @@
 """HTTP server that passes each request to one handler, based on cheroot."""
 
+import contextlib
 import threading
 from http import HTTPStatus
 
@@ -13,6 +14,7 @@
 from cheroot.wsgi import Gateway_10, Server
 from loguru import logger
 
+from hawthornspoke.base import discard_unsent_bytes
 from hawthornspoke.web._types import Request, json_response
 
 CONNECTION_KEY = "hawthornspoke.connection"
@@ -75,12 +77,43 @@
 
 
 class _Connection(HTTPConnection):
+    """Connection that is reset after a response that only its end would complete.
+
+    Attributes
+    ----------
+    is_incomplete : bool
+        Whether such a response ends early.
+    """
+
     RequestHandlerClass = _Request
+    is_incomplete = False
+
+    def close(self):
+        """Close the connection."""
+        if not self.is_incomplete:
+            super().close()
+            return
+        # A shutdown would end the response in the usual way before the reset.
+        discard_unsent_bytes(self.socket)
+        self.rfile.close()
+        with contextlib.suppress(OSError):
+            # Bytes that the caller can't receive any more.
+            self.wfile.close()
+        self.socket.close()
 
 
 class _Gateway(Gateway_10):
     """Adds the client socket to the WSGI environ, to detect disconnects."""
 
+    def respond(self):
+        """Send the response; mark one that fails and has no framing as incomplete."""
+        try:
+            super().respond()
+        except Exception:
+            if self.req.sent_headers and not self.req.chunked_write:
+                self.req.conn.is_incomplete = True
+            raise
+
     def get_environ(self):
         environ = super().get_environ()
         environ[CONNECTION_KEY] = self.req.conn.socket
--- a/hawthornspoke/web/tests/test_framing.py
+++ b/hawthornspoke/web/tests/test_framing.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+import threading
 
 import pytest
 
@@ -130,3 +131,28 @@
     with running_server(lambda request: Response(body=stream())) as port:
         converse(port, b"HEAD / HTTP/1.1\r\nHost: x\r\n\r\n")
     assert ends == ["read"]
+
+
+@pytest.mark.parametrize("is_cut", [True, False], ids=["cut", "whole"])
+def test_cut_stream_without_chunks_does_not_look_whole(is_cut):
+    """Guards against a part of a stream that a caller without chunks takes as whole."""
+    may_go_on = threading.Event()
+
+    def stream():
+        yield b"first"
+        may_go_on.wait(5.0)
+        if is_cut:
+            raise ConnectionAbortedError("answer is incomplete")
+
+    with running_server(lambda request: Response(body=stream())) as port:
+        with socket.create_connection(("127.0.0.1", port), timeout=5.0) as caller:
+            caller.sendall(b"GET / HTTP/1.0\r\nHost: x\r\n\r\n")
+            received = b""
+            while not received.endswith(b"first"):
+                received += caller.recv(65536)
+            may_go_on.set()
+            if is_cut:
+                with pytest.raises(ConnectionResetError):
+                    pytest.fail(f"the end: {caller.recv(65536)}")
+            else:
+                assert caller.recv(65536) == b""
