--- a/hawthornspoke/store/_bounded_response.py
+++ b/hawthornspoke/store/_bounded_response.py
@@ -3,6 +3,8 @@
 import http.client
 import io
 
+from hawthornspoke.fields import parse_digits
+
 #: Maximum bytes of a head, and between two parts of a body: chunk sizes, chunk
 #: extensions and trailers.
 MAX_FRAMING_BYTES = 65536
@@ -16,13 +18,18 @@
     """A server closed the connection inside the head of its response."""
 
 
+class UnreadableFraming(OSError):
+    """The head of a response doesn't tell in a readable way where its body ends."""
+
+
 class BoundedResponse(http.client.HTTPResponse):
     """Response that fails with ``ResponseTooLarge`` beyond a limit.
 
     The read timeout of a socket doesn't end a response whose bytes keep arriving. It
     also fails with ``HeadCut`` if its head has no end: the standard library takes the
     fields until then for all of them, and without those that frame the body, what has
-    arrived of the response for the whole of it.
+    arrived of the response for the whole of it. It does so without a readable length or
+    with an unknown transfer coding as well; these are ``UnreadableFraming`` here.
 
     Attributes
     ----------
@@ -45,6 +52,15 @@
         super().begin()
         if reader is not None:
             reader.is_in_head = False
+        self._check_framing()
+
+    def _check_framing(self):
+        codings = self.headers.get_all("Transfer-Encoding", ())
+        if codings and [coding.strip().lower() for coding in codings] != ["chunked"]:
+            raise UnreadableFraming(f"transfer coding {', '.join(codings)!r}")
+        for field in self.headers.get_all("Content-Length", ()):
+            if any(parse_digits(part.strip()) is None for part in field.split(",")):
+                raise UnreadableFraming(f"length {field!r}")
 
 
 class _BoundedReader(io.BufferedReader):
