--- a/hawthornspoke/entry/_claims_runner.py
+++ b/hawthornspoke/entry/_claims_runner.py
@@ -124,12 +124,9 @@
         -------
         tuple of (int, dict, bytes) or Failure
         """
-        if row.get("body_object"):
-            body = self.clients.objects.get(row["body_object"])
-            if is_failure(body):
-                return body
-        else:
-            body = fields.bytes_of_base64(row.get("body", ""))
+        body = self._read_stored_body(row)
+        if is_failure(body):
+            return body
         try:
             status = fields.whole_number(row, "status", low=100, high=999)
             headers = fields.parse_object(row.get("headers", ""))
@@ -139,6 +136,20 @@
             return UNAVAILABLE.with_reason("unusable stored response: headers")
         return status, headers, body
 
+    def _read_stored_body(self, row):
+        """Return the body of a stored response, or a Failure unless it is whole."""
+        name = row.get("body_object")
+        if name:
+            body = self.clients.objects.get(name)
+            if not is_failure(body) and name != ANSWERS_PREFIX + digest_of(body):
+                return UNAVAILABLE.with_reason(f"{name}: the body has another digest")
+            return body
+        text = row.get("body")
+        body = fields.bytes_of_base64(text)
+        if text != "" and body == fields.UNREADABLE_BYTES:
+            return UNAVAILABLE.with_reason("unusable stored response: body")
+        return body
+
     def _execute(self, outcome, claim, row_key, deadline):
         timeout = max(0.01, min(CLAIM_TIMEOUT, deadline - monotonic()))
         if isinstance(outcome, WriteClaim):
