--- a/hawthornspoke/agent/_engines.py
+++ b/hawthornspoke/agent/_engines.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import select
 import socket
 import threading
 from urllib.parse import urlsplit
@@ -9,7 +10,7 @@
 import urllib3
 
 from hawthornspoke import fields
-from hawthornspoke.base import Failure, Registry
+from hawthornspoke.base import Failure, Registry, is_closed_by_peer
 from hawthornspoke.protocol import Event, EventKind
 from hawthornspoke.store import BoundedResponse
 
@@ -30,6 +31,10 @@
 ENGINE_SILENT = Failure(code="engine_silent")
 
 CONNECT_TIMEOUT = 0.5
+
+#: Seconds after the end of an answer without framing within which an engine that has
+#: ended, or is ending, closes its other connections as well.
+SETTLE_TIME = 0.05
 STATE_TIMEOUT = 2.0
 ORDER_TIMEOUT = 600.0
 READ_BYTES = 64 * 1024
@@ -153,12 +158,48 @@
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise IncompleteResponse(str(error))
 
+    def connect(self):
+        """Open a connection to the engine that carries no request.
+
+        Returns
+        -------
+        socket.socket
+
+        Raises
+        ------
+        OSError
+        """
+        parts = urlsplit(self.url)
+        port = parts.port or (443 if parts.scheme == "https" else 80)
+        return socket.create_connection((parts.hostname, port), timeout=CONNECT_TIMEOUT)
+
+    def read_body(self, response):
+        """Read the body of an answer that has no end mark of its own.
+
+        Yields
+        ------
+        bytes
+
+        Raises
+        ------
+        IncompleteResponse
+        """
+        if response.chunked or response.length_remaining is not None:
+            yield from _iter_body(response)
+            return
+        with _EndWitness(client=self) as witness:
+            for part in _iter_body(response):
+                witness.renew()
+                yield part
+            if not witness.is_open_after(SETTLE_TIME):
+                raise IncompleteResponse(
+                    "the answer has no length, and the engine closed other connections"
+                )
+
     def has_ended(self):
         """Return whether no process listens at the engine's address."""
-        parts = urlsplit(self.url)
         try:
-            address = (parts.hostname, parts.port or 80)
-            socket.create_connection(address, timeout=CONNECT_TIMEOUT).close()
+            self.connect().close()
         except ConnectionRefusedError:
             return True
         except OSError:
@@ -196,6 +237,50 @@
         )
 
 
+class _EndWitness:
+    """A second connection to an engine, beside an answer without framing.
+
+    Such an answer ends with its connection, as it also does if the engine's process
+    ends; but that closes all connections of the engine.
+
+    Parameters
+    ----------
+    client : _EngineClient
+    """
+
+    __slots__ = ("_client", "_connection")
+
+    def __init__(self, *, client):
+        self._client = client
+        self._connection = None
+
+    def __enter__(self):
+        self.renew()
+        return self
+
+    def __exit__(self, *exc):
+        if self._connection is not None:
+            self._connection.close()
+
+    def renew(self):
+        """Connect again if the engine has closed the connection, as it was idle."""
+        if self._connection is not None:
+            if not is_closed_by_peer(self._connection):
+                return
+            self._connection.close()
+            self._connection = None
+        with contextlib.suppress(OSError):
+            self._connection = self._client.connect()
+
+    def is_open_after(self, seconds):
+        """Wait; return whether the connection is still open."""
+        if self._connection is None:
+            return False
+        poller = select.poll()
+        poller.register(self._connection, select.POLLIN)
+        return not poller.poll(seconds * 1000)
+
+
 def _read_state(response):
     """Read a short response.
 
@@ -334,7 +419,7 @@
         if payload.get("stream") is True:
             yield from self._events(response)
         else:
-            for part in _iter_body(response):
+            for part in self._client.read_body(response):
                 yield Event(kind=EventKind.TOKENS, data=part, count=0)
         response.release_conn()
 
@@ -527,7 +612,7 @@
             return
         run.attach(response)
         yield _head_event(response, "")
-        for part in _iter_body(response):
+        for part in self._client.read_body(response):
             yield Event(kind=EventKind.TOKENS, data=part, count=0)
         response.release_conn()
 
