--- a/hawthornspoke/agent/_engines.py
+++ b/hawthornspoke/agent/_engines.py
@@ -233,6 +233,8 @@
             retries=False,
             redirect=False,
             preload_content=False,
+            # A caller gets the body as it is, and the field that names its coding.
+            decode_content=False,
             timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT, read=timeout),
         )
 
@@ -290,7 +292,7 @@
         If it is too long or ends early; ``ResponseTimeout`` if it doesn't go on.
     """
     try:
-        data = response.read(MAX_STATE_BYTES + 1)
+        data = response.read(MAX_STATE_BYTES + 1, decode_content=True)
     except urllib3.exceptions.ReadTimeoutError as error:
         response.close()
         raise ResponseTimeout(str(error))
--- a/hawthornspoke/agent/tests/test_unframed_answers.py
+++ b/hawthornspoke/agent/tests/test_unframed_answers.py
@@ -42,13 +42,14 @@
 
 
 @contextlib.contextmanager
-def engine_of_one_answer(end):
+def engine_of_one_answer(end, *, data=HEAD + b"part"):
     """Run an engine that sends a head and a part; provides its URL.
 
     Parameters
     ----------
     end : callable
         Called with the listener and the connection of the answer, to end it.
+    data : bytes
     """
     listener = socket.create_server(("127.0.0.1", 0))
     port = listener.getsockname()[1]
@@ -57,7 +58,7 @@
     def serve():
         connection, _ = listener.accept()
         read_request(connection)
-        connection.sendall(HEAD + b"part")
+        connection.sendall(data)
         may_end.wait(5.0)
         end(listener, connection)
 
