--- a/hawthornspoke/agent/_engine_actor.py
+++ b/hawthornspoke/agent/_engine_actor.py
@@ -5,6 +5,7 @@
 import pykka
 from loguru import logger
 
+from hawthornspoke import fields
 from hawthornspoke.agent._engines import FENCED, IncompleteResponse
 from hawthornspoke.base import Failure, is_failure, monotonic
 from hawthornspoke.deployment import EngineStateUpdated, OrderEnded, OrderLoad
@@ -96,16 +97,17 @@
             return EngineSilent()
         if state is None:
             return EngineStateUpdated(instance="")
-        if state.get("instance") != self.instance:
-            self.instance = state.get("instance", "")
-            self.fence = int(state.get("fence", 0)) + 1
+        try:
+            updated = _decode_state(state)
+            fence = _count(state, "fence")
+        except fields.FieldError as error:
+            logger.warning("the engine's state is unusable: {}", error)
+            return EngineStateUpdated(instance="")
+        if updated.instance != self.instance:
+            self.instance = updated.instance
+            self.fence = fence + 1
             self.staged_by_digest = {}
-        return EngineStateUpdated(
-            instance=self.instance,
-            loaded=frozenset(state.get("loaded", ())),
-            memory=int(state.get("memory", 0)),
-            used=int(state.get("used", 0)),
-        )
+        return updated
 
     def _order(self, message):
         if isinstance(message, OrderLoad):
@@ -145,6 +147,19 @@
             self.control.tell(message)
 
 
+def _decode_state(state):
+    return EngineStateUpdated(
+        instance=fields.text(state, "instance", ""),
+        loaded=frozenset(fields.texts(state, "loaded", ())),
+        memory=_count(state, "memory"),
+        used=_count(state, "used"),
+    )
+
+
+def _count(state, name):
+    return fields.whole_number(state, name, 0, high=fields.MAX_EXACT_INT)
+
+
 def run_request(*, run, engine, exits, control):
     """Run a request that the gate has started, and queue its events.
 
--- a/hawthornspoke/agent/_engines.py
+++ b/hawthornspoke/agent/_engines.py
@@ -212,7 +212,7 @@
             response = self._request("GET", "/state", timeout=STATE_TIMEOUT)
             if response.status != 200:
                 return None
-            return fields.parse_json(_read_state(response))
+            return fields.parse_object(_read_state(response))
         except urllib3.exceptions.NewConnectionError:
             # A subclass of ConnectTimeoutError, though no time has passed.
             return None
