--- a/hawthornspoke/base/_sockets.py
+++ b/hawthornspoke/base/_sockets.py
@@ -25,6 +25,11 @@
 )
 
 
+#: Events of a closed or broken connection. Not all systems know the first, which also
+#: comes while unread data is available.
+CLOSED_EVENTS = getattr(select, "POLLRDHUP", 0) | select.POLLHUP | select.POLLERR
+
+
 class SocketState(enum.Enum):
     """What a look at a connection has found."""
 
@@ -71,13 +76,18 @@
     Returns
     -------
     bool
-        False also while unread data is available.
+        False also while unread data is available, where the operating system tells of
+        a close only by a read.
     """
     try:
         poller = select.poll()
-        poller.register(connection, select.POLLIN)
-        if not poller.poll(0):
+        poller.register(connection, select.POLLIN | CLOSED_EVENTS)
+        ready = poller.poll(0)
+        if not ready:
             return False
+        # A read would take the error of a reset from the one that it is meant for.
+        if ready[0][1] & CLOSED_EVENTS:
+            return True
     except OSError as error:
         return error.errno not in INCONCLUSIVE_ERRNOS
     except ValueError:
--- a/hawthornspoke/base/tests/test_sockets.py
+++ b/hawthornspoke/base/tests/test_sockets.py
@@ -100,3 +100,24 @@
     monkeypatch.setattr(select, "poll", NoPoll)
     local, _ = pair
     assert not is_closed_by_peer(local)
+
+
+def test_closed_connection_with_unread_data(pair):
+    """Guards against a caller that has left after the start of a second request."""
+    local, peer = pair
+    peer.sendall(b"hi")
+    peer.close()
+    wait_for_delivery()
+    assert is_closed_by_peer(local)
+    assert local.recv(10) == b"hi"
+
+
+def test_error_of_a_reset_is_left_to_the_next_read(pair):
+    """Guards against a reset that a later read takes for a regular close."""
+    local, peer = pair
+    peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    peer.close()
+    wait_for_delivery()
+    assert is_closed_by_peer(local)
+    with pytest.raises(ConnectionResetError):
+        local.recv(10)
