--- a/hawthornspoke/httpio/_client.py
+++ b/hawthornspoke/httpio/_client.py
@@ -30,7 +30,7 @@
     ResponseMatcher,
     contains_status_line,
 )
-from hawthornspoke.httpio._message import Response, has_framing
+from hawthornspoke.httpio._message import Response, has_framing, has_unknown_coding
 from hawthornspoke.httpio._options import set_socket_options
 from hawthornspoke.memory_budget import SENDING
 
@@ -122,6 +122,7 @@
         self._is_trailer = False
         self._excess = None
         self._has_framing = False
+        self._is_bodiless = False
         self._idle_timeout = DEFAULT_IDLE_TIMEOUT
         self._is_paused = False
         self._wanted_bytes = 0
@@ -210,7 +211,15 @@
             if self.is_open:
                 self.transport.resume_reading()
 
-    def send(self, data, *, expected_id, account=None, max_unread_bytes=None):
+    def send(
+        self,
+        data,
+        *,
+        expected_id,
+        account=None,
+        max_unread_bytes=None,
+        is_bodiless=False,
+    ):
         """Send a request.
 
         Parameters
@@ -222,6 +231,8 @@
             Of the caller for whom the request is sent.
         max_unread_bytes : int or None, default=None
             None for the limit of the connection.
+        is_bodiless : bool, default=False
+            Whether the response ends with its head, as that to a HEAD request.
 
         Returns
         -------
@@ -241,6 +252,7 @@
             is_first=self.requests == 1,
         )
         self._head = None
+        self._is_bodiless = is_bodiless
         self._discarding = False
         self._discarded_bytes = 0
         self._excess = None
@@ -353,17 +365,27 @@
         if kind is not None:
             self._start_discarding(kind, head)
             return
+        is_coded = head.get("transfer-encoding") is not None and not self._is_bodiless
+        if is_coded and has_unknown_coding(self._headers):
+            self.reusable = False
+            self.exchange.end(NOT_HTTP.with_reason("an unknown transfer coding"))
+            return
         self._head = head
         self._feed.record_progress()
-        self._has_framing = has_framing(head)
+        self._has_framing = self._is_bodiless or has_framing(head)
         self._update_keep_alive(head)
         self.exchange.receive_head(head, is_framed=self._has_framing)
-        if self.exchange.account is not None:
+        if self._is_bodiless:
+            self.exchange.end()
+        elif self.exchange.account is not None:
             self._reserve_body(parse_digits(head.get("content-length", "")) or 0)
 
     def on_body(self, body):
         if self._discarding:
             self._discard(body)
+        elif self._is_bodiless:
+            # More of it may follow in the place of the next response.
+            self.reusable = False
         elif not self._has_failed and not self.exchange.complete:
             self._feed.record_progress()
             if self._matcher.contains_head(body):
--- a/hawthornspoke/web/_server.py
+++ b/hawthornspoke/web/_server.py
@@ -1,18 +1,30 @@
 """HTTP server that passes each request to one handler, based on cheroot."""
 
+import contextlib
 import threading
 from http import HTTPStatus
 
 from cheroot.errors import MaxSizeExceeded
-from cheroot.server import SizeCheckWrapper
+from cheroot.server import (
+    HeaderReader,
+    HTTPConnection,
+    HTTPRequest,
+    SizeCheckWrapper,
+)
 from cheroot.wsgi import Gateway_10, Server
 from loguru import logger
 
+from hawthornspoke.base import discard_unsent_bytes
 from hawthornspoke.web._types import Request, json_response
 
 CONNECTION_KEY = "hawthornspoke.connection"
+CONTENT_LENGTH = b"Content-Length"
+TRANSFER_ENCODING = b"Transfer-Encoding"
 SHUTDOWN_TIMEOUT_SECONDS = 1.0
 
+#: Statuses of responses that never have a body.
+BODILESS_STATUSES = (204, 304)
+
 #: Maximum size of a request's head in bytes.
 MAX_HEAD_BYTES = 65536
 
@@ -27,9 +39,81 @@
 POOL_GROWTH = 16
 
 
+class _BodyCut(Exception):
+    """The caller closed its connection inside the body of a request."""
+
+
+class _FieldsOnce(dict):
+    """Header fields that refuse a second length."""
+
+    def __setitem__(self, name, value):
+        if name == CONTENT_LENGTH and name in self:
+            raise ValueError("Several Content-Length fields.")
+        super().__setitem__(name, value)
+
+
+class _HeaderReader(HeaderReader):
+    """Refuses heads by which the body may end at different places.
+
+    cheroot takes the last of several lengths, and the length of a body in chunks for
+    its size.
+    """
+
+    def __call__(self, rfile, hdict=None):
+        fields = super().__call__(rfile, _FieldsOnce())
+        length = fields.get(CONTENT_LENGTH)
+        if length is not None:
+            if TRANSFER_ENCODING in fields:
+                raise ValueError("Both Content-Length and Transfer-Encoding.")
+            if not length.isdigit():
+                raise ValueError("Malformed Content-Length Header.")
+        hdict = {} if hdict is None else hdict
+        hdict.update(fields)
+        return hdict
+
+
+class _Request(HTTPRequest):
+    header_reader = _HeaderReader()
+
+
+class _Connection(HTTPConnection):
+    """Connection that is reset after a response that only its end would complete.
+
+    Attributes
+    ----------
+    is_incomplete : bool
+        Whether such a response ends early.
+    """
+
+    RequestHandlerClass = _Request
+    is_incomplete = False
+
+    def close(self):
+        """Close the connection."""
+        if not self.is_incomplete:
+            super().close()
+            return
+        # A shutdown would end the response in the usual way before the reset.
+        discard_unsent_bytes(self.socket)
+        self.rfile.close()
+        with contextlib.suppress(OSError):
+            # Bytes that the caller can't receive any more.
+            self.wfile.close()
+        self.socket.close()
+
+
 class _Gateway(Gateway_10):
     """Adds the client socket to the WSGI environ, to detect disconnects."""
 
+    def respond(self):
+        """Send the response; mark one that fails and has no framing as incomplete."""
+        try:
+            super().respond()
+        except Exception:
+            if self.req.sent_headers and not self.req.chunked_write:
+                self.req.conn.is_incomplete = True
+            raise
+
     def get_environ(self):
         environ = super().get_environ()
         environ[CONNECTION_KEY] = self.req.conn.socket
@@ -78,6 +162,7 @@
             shutdown_timeout=SHUTDOWN_TIMEOUT_SECONDS,
         )
         server.gateway = _Gateway
+        server.ConnectionClass = _Connection
         server.error_log = _log_error
         server.timeout = 30
         server.max_request_header_size = MAX_HEAD_BYTES
@@ -111,9 +196,13 @@
         if isinstance(response.body, bytes):
             headers.append(("Content-Length", str(len(response.body))))
         start_response(_status_line(response.status), headers)
-        if isinstance(response.body, bytes):
-            return [response.body]
-        return response.body
+        body = response.body
+        if isinstance(body, bytes):
+            body = [body]
+        if environ["REQUEST_METHOD"] == "HEAD" or response.status in BODILESS_STATUSES:
+            # Read all the same: the end of a request may hang on the end of its body.
+            return (b"" for _ in body)
+        return body
 
     def _read_request(self, environ):
         length = int(environ.get("CONTENT_LENGTH") or 0)
@@ -123,6 +212,8 @@
             body = self._read_body(environ, length)
         except MaxSizeExceeded:
             return None, _body_too_large(self.max_body)
+        except _BodyCut:
+            return None, _body_cut()
         request = Request(
             method=environ["REQUEST_METHOD"],
             path=environ.get("PATH_INFO", "/"),
@@ -136,7 +227,10 @@
     def _read_body(self, environ, length):
         stream = environ["wsgi.input"]
         if length:
-            return stream.read(length)
+            body = stream.read(length)
+            if len(body) < length:
+                raise _BodyCut
+            return body
         if environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked":
             return self._read_chunked(stream)
         return b""
@@ -173,6 +267,11 @@
     return json_response({"error": {**error, "outcome": "not_run"}}, status=413)
 
 
+def _body_cut():
+    error = {"code": "bad_request", "message": "the body is incomplete"}
+    return json_response({"error": {**error, "outcome": "not_run"}}, status=400)
+
+
 def _parse_headers(environ):
     headers = {
         name[5:].replace("_", "-").lower(): value
