--- a/hawthornspoke/base/_timeout.py
+++ b/hawthornspoke/base/_timeout.py
@@ -16,20 +16,32 @@
     reads an answer that arrived long before. With the timeout of asyncio the answer is
     lost, and the peer counts as failed although only this process was.
 
+    A process that gets too little processor time stalls again while it reads what
+    arrived during the first stall. No stall counts as time in which a peer could have
+    answered, but the wait ends even if stalls never do.
+
     Parameters
     ----------
     seconds : float
     catch_up : float, default=CATCH_UP_TIME
-        After a stall the wait ends so many seconds after the stall or later. A peer
-        that may have stalled together with this process needs as long as it usually
-        takes for an answer.
+        After a stall the wait ends once the event loop has run for so many seconds, or
+        later. A peer that may have stalled together with this process needs as long as
+        it usually takes for an answer.
     """
 
-    __slots__ = ("_seconds", "_catch_up", "_deadline", "_scope", "_timer")
+    __slots__ = (
+        "_seconds",
+        "_catch_up",
+        "_deadline",
+        "_is_extended",
+        "_scope",
+        "_timer",
+    )
 
     def __init__(self, seconds, *, catch_up=CATCH_UP_TIME):
         self._seconds = seconds
         self._catch_up = catch_up
+        self._is_extended = False
         self._deadline = self._scope = self._timer = None
 
     async def __aenter__(self):
@@ -38,33 +50,30 @@
         self._scope = asyncio.timeout(None)
         await self._scope.__aenter__()
         # A stall may end just before the deadline, too late to read an answer.
-        check_at = max(loop.time(), self._deadline - self._catch_up)
-        self._timer = loop.call_at(check_at, self._check, check_at)
+        self._check_at(max(loop.time(), self._deadline - self._catch_up))
         return self
 
     async def __aexit__(self, *exc_info):
         self._timer.cancel()
         return await self._scope.__aexit__(*exc_info)
 
-    def _check(self, due_at):
-        self._postpone_after_stall(due_at)
+    def _check_at(self, due_at):
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_at(self._deadline, self._on_deadline)
+        self._timer = loop.call_at(due_at, self._check, due_at)
 
-    def _on_deadline(self):
-        loop = asyncio.get_running_loop()
-        if self._postpone_after_stall(self._deadline):
-            self._timer = loop.call_at(self._deadline, self._expire)
-        else:
-            self._expire()
-
-    def _postpone_after_stall(self, due_at):
-        """Move the deadline if a timer that was due is late; return whether it is."""
+    def _check(self, due_at):
         now = asyncio.get_running_loop().time()
         is_late = now >= due_at + LATE_TIMER_DELAY
+        if due_at >= self._deadline and (self._is_extended or not is_late):
+            self._scope.reschedule(now)
+            return
         if is_late:
-            self._deadline = max(self._deadline, now + self._catch_up)
-        return is_late
+            self._postpone(due_at, now)
+        self._check_at(min(self._deadline, now + LATE_TIMER_DELAY))
 
-    def _expire(self):
-        self._scope.reschedule(asyncio.get_running_loop().time())
+    def _postpone(self, due_at, now):
+        """Move the deadline by a stall, and once to a whole catch-up time after it."""
+        self._deadline += now - due_at
+        if not self._is_extended and self._deadline < now + self._catch_up:
+            self._is_extended = True
+            self._deadline = now + self._catch_up
