--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -386,6 +386,21 @@
             self.wait_for(lambda name=name: self.is_ready(name), seconds)
         self.wait_for(self.membership_converged, seconds)
 
+    def is_live_key_known(self, key):
+        """Return whether all running entry hosts know an endpoint that serves a key."""
+        states = [
+            self.dump(host["host"])
+            for host in self.hosts
+            if host["role"] == "entry" and self.is_running(host["host"])
+        ]
+        return all(
+            state is not None
+            and any(
+                key in view["live"] for view in state["membership"]["by_id"].values()
+            )
+            for state in states
+        )
+
     def membership_converged(self):
         """Return whether each running entry host knows enough of the running agents."""
         return all(
--- a/tests/test_promise_weights.py
+++ b/tests/test_promise_weights.py
@@ -175,6 +175,8 @@
     fleet.write_declaration("30-adapter.toml", adapter)
     fleet.apply("--wait", "20")
     fleet.wait_ready()
+    # Agents are ready before their heartbeats have reached the entry hosts.
+    fleet.wait_for(lambda: fleet.is_live_key_known("redacteur:grades"))
     response = fleet.send_completion(model="redacteur:grades", max_tokens=3)
     assert response.status == 200, response.data
     digest = response.headers["X-Weights-Digest"]
