--- a/tests/soak/cuts.py
+++ b/tests/soak/cuts.py
@@ -181,7 +181,7 @@
         super().__init__(seed=seed, seconds=seconds, folder=folder, size=size)
         turn = seed // len(CUTS)
         self.unframed_share = UNFRAMED_SHARES[turn % len(UNFRAMED_SHARES)]
-        self.echoes_probes = turn // 2 % 2 == 0
+        self.echoes_probes = (turn + 1) % 6 < 3
         self.configuration.health_services = {LLM} if seed % 2 else {LLM, PLAIN}
         self.cut_count = 0
         self.calm_at = None
