--- a/hawthornspoke/httpio/_client.py
+++ b/hawthornspoke/httpio/_client.py
@@ -77,6 +77,8 @@
     on_lost : callable or None, default=None
         Called with the LostState if the peer ends the connection and nothing was due to
         end it.
+    on_unframed_end : callable or None, default=None
+        Called when a response without framing ends with the connection.
 
     Attributes
     ----------
@@ -93,6 +95,7 @@
         on_oversized=None,
         on_unmatched=None,
         on_lost=None,
+        on_unframed_end=None,
     ):
         self.id_header = id_header
         self.receive_buffer = receive_buffer
@@ -100,6 +103,7 @@
         self.on_oversized = on_oversized
         self.on_unmatched = on_unmatched
         self.on_lost = on_lost
+        self.on_unframed_end = on_unframed_end
         self.transport = None
         self.exchange = None
         self.opened_at = None
@@ -151,7 +155,8 @@
         """Fail the exchange in progress."""
         self.transport = None
         self.reusable = False
-        lost_state = self._lost_state()
+        is_reset = self._is_broken or exc is not None
+        lost_state = self._lost_state(is_reset=is_reset)
         exchange, self.exchange = self.exchange, None
         if lost_state is not None and self.on_lost is not None:
             self.on_lost(lost_state)
@@ -170,6 +175,8 @@
         if exchange.head is not None and not self._has_framing:
             exchange.ended_with_connection = True
             exchange.end()
+            if self.on_unframed_end is not None:
+                self.on_unframed_end()
         return False
 
     def pause_writing(self):
@@ -376,20 +383,22 @@
         self._is_broken = self._is_broken or state is SocketState.BROKEN
         return state
 
-    def _lost_state(self):
-        """Return the state of a connection that ends, None if its end was due."""
+    def _lost_state(self, *, is_reset):
+        """Return the state of a connection that ends, None if it isn't lost."""
         if self._is_aborted:
             return None
         exchange = self.exchange
+        if is_reset and self.requests == 0:
+            # Endpoints reset new connections beyond their limit.
+            return None
         if exchange is None:
             is_due = boottime_clock() >= self.idle_deadline
             return None if is_due else LostState.IDLE
-        if exchange.has_ended:
+        # An endpoint that breaks off an answer, or has too many connections, resets.
+        if exchange.has_ended or is_reset:
             return None
-        if exchange.head is not None:
-            return LostState.ANSWERED_IN_PART
-        # Endpoints reset new connections beyond their limit.
-        return None if self.requests == 1 else LostState.WAITING
+        is_waiting = exchange.head is None
+        return LostState.WAITING if is_waiting else LostState.ANSWERED_IN_PART
 
     @property
     def _has_failed(self):
@@ -486,14 +495,16 @@
     """
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
-    connecting = loop.create_connection(
-        lambda: ClientConnection(**options),
-        host,
-        int(port),
-    )
+    connection = ClientConnection(**options)
+    connecting = loop.create_connection(lambda: connection, host, int(port))
     try:
         async with StallTolerantTimeout(timeout):
-            _, connection = await connecting
+            await connecting
+    except asyncio.CancelledError:
+        # It may be established already, and is closed by this side then.
+        connection.abort()
+        raise
     except (OSError, TimeoutError) as error:
+        connection.abort()
         return CONNECT_FAILED.with_reason(f"{address}: {error or type(error).__name__}")
     return connection
