--- a/hawthornspoke/httpio/_exchange.py
+++ b/hawthornspoke/httpio/_exchange.py
@@ -42,6 +42,8 @@
         the connection: at its end, or earlier if the endpoint crashed.
     ended_at : float or None
         When the response was complete or failed, on the monotonic clock.
+    on_end : callable or None
+        Called when the response is complete or has failed; may be set later.
     """
 
     __slots__ = (
@@ -53,6 +55,7 @@
         "is_framed",
         "ended_with_connection",
         "ended_at",
+        "on_end",
         "failure",
         "_parts",
         "_buffered_bytes",
@@ -72,6 +75,7 @@
         self.is_framed = True
         self.ended_with_connection = False
         self.ended_at = None
+        self.on_end = None
         self.failure = None
         # Parts as received: a single buffer that grows to megabytes is copied again and
         # again within the allocator's heap, which then takes a multiple of its size.
@@ -237,6 +241,8 @@
         else:
             self.failure = failure
         self._wake()
+        if self.on_end is not None:
+            self.on_end()
 
     def _is_within_limit(self):
         size = self.unread_bytes
--- a/hawthornspoke/relay/_try.py
+++ b/hawthornspoke/relay/_try.py
@@ -240,6 +240,10 @@
         self._on_head(self)
         if self._is_refusal(head):
             return self._handle_refusal(head)
+        # A slow caller may read the end long after it has arrived.
+        self.exchange.on_end = self._verify_early
+        if self.exchange.has_ended:
+            self._verify_early()
         return head
 
     def _is_refusal(self, head):
@@ -295,8 +299,7 @@
         if not self.exchange.ended_with_connection:
             return True
         # This call may be cancelled and repeated; the search for a proof goes on.
-        if self._verification is None:
-            self._verification = asyncio.ensure_future(self._verify_end(self))
+        self._begin_verification()
         try:
             return await asyncio.shield(self._verification)
         except asyncio.CancelledError:
@@ -305,6 +308,14 @@
                 raise
             return False
 
+    def _verify_early(self):
+        if self.exchange.ended_with_connection and not self._ended:
+            self._begin_verification()
+
+    def _begin_verification(self):
+        if self._verification is None:
+            self._verification = asyncio.ensure_future(self._verify_end(self))
+
     def cut_short(self):
         """End the attempt after an answer that the endpoint left incomplete."""
         self._is_cut_short = True
--- a/hawthornspoke/relay/tests/test_memory.py
+++ b/hawthornspoke/relay/tests/test_memory.py
@@ -66,14 +66,14 @@
     return step
 
 
-def slow_caller(harness, prefix):
+def slow_caller(harness, prefix, *, deadline_ms=8000):
     """Send a request from a caller that reads nothing and has a small buffer."""
     caller = socket.socket()
     caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
     caller.connect(("127.0.0.1", harness.server.bound_port))
     caller.sendall(
         f"POST /{prefix}/x HTTP/1.1\r\nHost: svc.example\r\nX-Request-Id: r1\r\n"
-        "X-Deadline-Ms: 8000\r\nContent-Length: 0\r\n\r\n".encode()
+        f"X-Deadline-Ms: {deadline_ms}\r\nContent-Length: 0\r\n\r\n".encode()
     )
     return caller
 
