--- a/hawthornspoke/httpio/_client.py
+++ b/hawthornspoke/httpio/_client.py
@@ -124,6 +124,9 @@
         self._has_framing = False
         self._idle_timeout = DEFAULT_IDLE_TIMEOUT
         self._is_paused = False
+        # From then on the peer may have closed the connection: what it had sent still
+        # waits at its own system after reading goes on.
+        self._first_paused_at = None
         self._wanted_bytes = 0
         self._is_aborted = False
         self._is_broken = False
@@ -174,7 +177,7 @@
             return False
         if exchange.head is not None and not self._has_framing:
             exchange.ended_with_connection = True
-            exchange.end()
+            exchange.end(since=self._first_paused_at)
             if self.on_unframed_end is not None:
                 self.on_unframed_end()
         return False
@@ -242,6 +245,7 @@
         self._discarding = False
         self._discarded_bytes = 0
         self._excess = None
+        self._first_paused_at = None
         self.transport.write(data)
         return self.exchange
 
@@ -460,6 +464,7 @@
         if self._is_paused or not self.is_open:
             return
         if self._wanted_bytes or exchange.account.must_pause():
+            self._first_paused_at = self._first_paused_at or monotonic()
             self._is_paused = True
             self.transport.pause_reading()
             exchange.account.pause(self, wanted=self._wanted_bytes)
--- a/hawthornspoke/httpio/_exchange.py
+++ b/hawthornspoke/httpio/_exchange.py
@@ -42,6 +42,8 @@
         the connection: at its end, or earlier if the endpoint crashed.
     ended_at : float or None
         When the response was complete or failed, on the monotonic clock.
+    ended_after : float or None
+        Earliest time of its end, which is found later if reading was paused.
     on_end : callable or None
         Called when the response is complete or has failed; may be set later.
     """
@@ -55,6 +57,7 @@
         "is_framed",
         "ended_with_connection",
         "ended_at",
+        "ended_after",
         "on_end",
         "failure",
         "_parts",
@@ -75,6 +78,7 @@
         self.is_framed = True
         self.ended_with_connection = False
         self.ended_at = None
+        self.ended_after = None
         self.on_end = None
         self.failure = None
         # Parts as received: a single buffer that grows to megabytes is copied again and
@@ -228,14 +232,21 @@
         self.account = account
         self._count()
 
-    def end(self, failure=None):
+    def end(self, failure=None, *, since=None):
         """Mark the response as complete, or as failed if a failure is given.
 
         No effect if the exchange has already ended.
+
+        Parameters
+        ----------
+        failure : Failure or None, default=None
+        since : float or None, default=None
+            Earliest time of the end; None for now.
         """
         if self.has_ended:
             return
         self.ended_at = monotonic()
+        self.ended_after = self.ended_at if since is None else since
         if failure is None:
             self.complete = True
         else:
--- a/hawthornspoke/httpio/_losses.py
+++ b/hawthornspoke/httpio/_losses.py
@@ -4,8 +4,9 @@
 import enum
 import math
 
-#: Seconds for which an end is remembered.
-RETENTION = 5.0
+#: Seconds for which an end is remembered. That of a connection that isn't read, as a
+#: caller reads nothing, is found late.
+RETENTION = 60.0
 
 #: Maximum number of ends that are remembered.
 MAX_ENDS = 4096
@@ -55,6 +56,22 @@
             self._ends.popleft()
         self._ends.append(_ConnectionEnd(address=address, at=now))
 
+    def covers(self, since, *, now):
+        """Return whether all ends since a time are remembered.
+
+        Parameters
+        ----------
+        since, now : float
+            On the clock of ``record``.
+
+        Returns
+        -------
+        bool
+        """
+        is_full = len(self._ends) == MAX_ENDS
+        oldest = self._ends[0].at if is_full else now - RETENTION
+        return since > max(oldest, now - RETENTION)
+
     def count_by_address(self, *, since, until=math.inf):
         """Return the number of ends in a time by the address of their peer.
 
--- a/hawthornspoke/relay/_end_verification.py
+++ b/hawthornspoke/relay/_end_verification.py
@@ -90,7 +90,7 @@
         """
         return self._probe_connections.hold(placement, service=service)
 
-    async def verify(self, placement, *, service, sent_at, ended_at):
+    async def verify(self, placement, *, service, sent_at, ended_at, ended_after=None):
         """Look for a proof until there is one, or none can come in time.
 
         Parameters
@@ -100,12 +100,16 @@
         service : str
         sent_at, ended_at : float
             When its request was sent and its answer ended, on the monotonic clock.
+        ended_after : float or None, default=None
+            Earliest time of the end, if its connection wasn't read before.
 
         Returns
         -------
         (bool, str)
             Whether the answer is whole, and the proof or why there is none.
         """
+        if ended_after is None:
+            ended_after = ended_at
         # An answer that ended with its head has no lease of its own.
         lease = self._probe_connections.hold_existing(placement)
         search = _ProofSearch(
@@ -116,37 +120,44 @@
             placement=placement,
             service=service,
             sent_at=sent_at,
+            ended_after=ended_after,
             ended_at=ended_at,
         )
         try:
-            return await self._verify(search, placement, ended_at)
+            return await self._verify(search, placement, ended_after, ended_at)
         finally:
             if lease is not None:
                 lease.release()
 
-    async def _verify(self, search, placement, ended_at):
+    async def _verify(self, search, placement, ended_after, ended_at):
         # A probe may serve all answers that end within this time.
         probe_at = ended_at + JOINT_TIME + SIMULTANEOUS_TIME
         await asyncio.sleep(max(0.0, probe_at - monotonic()))
-        if self._is_joint_end(placement, ended_at):
+        if self._is_joint_end(placement, ended_after, ended_at):
             return False, JOINT_END
         try:
             async with StallTolerantTimeout(VERIFY_TIME):
                 is_whole, reason = await search.run()
         except TimeoutError:
             return False, TIMEOUT
+        if not is_whole:
+            return False, reason
         is_kept = reason != ENDPOINT_ID
-        if is_whole and self._is_joint_end(placement, ended_at, is_kept=is_kept):
+        began_at = ended_after - JOINT_TIME
+        if not is_kept and not self._pool.losses.covers(began_at, now=monotonic()):
+            return False, TIMEOUT
+        if self._is_joint_end(placement, ended_after, ended_at, is_kept=is_kept):
             return False, JOINT_END
-        return is_whole, reason
+        return True, reason
 
-    def _is_joint_end(self, placement, ended_at, *, is_kept=True):
+    def _is_joint_end(self, placement, ended_after, ended_at, *, is_kept=True):
         """Return whether other connections ended by the same event as an answer.
 
         Parameters
         ----------
         placement : Placement
-        ended_at : float
+        ended_after, ended_at : float
+            Earliest and latest time of the end.
         is_kept : bool, default=True
             Whether a connection to the endpoint stays open. If none does, less is
             enough.
@@ -156,7 +167,7 @@
         bool
         """
         pool = self._pool
-        began_at = ended_at - JOINT_TIME
+        began_at = ended_after - JOINT_TIME
         if placement.address in pool.losses.count_by_address(since=began_at):
             return True
         lost = pool.losses.count_by_address(since=began_at, until=ended_at + JOINT_TIME)
@@ -166,7 +177,7 @@
         if any(pool.has_open(peer, opened_before=began_at) for peer in lost):
             return True
         ended = pool.unframed_ends.count_by_address(
-            since=ended_at - SIMULTANEOUS_TIME, until=ended_at + SIMULTANEOUS_TIME
+            since=ended_after - SIMULTANEOUS_TIME, until=ended_at + SIMULTANEOUS_TIME
         )
         count_here = ended.pop(placement.address, 0)
         if lost and len(lost | ended) >= MIN_PEERS_LOST:
@@ -192,12 +203,23 @@
         "_placement",
         "_service",
         "_sent_at",
+        "_ended_after",
         "_ended_at",
         "_no_kept_probe",
     )
 
     def __init__(
-        self, *, pool, fleet, prober, probe, placement, service, sent_at, ended_at
+        self,
+        *,
+        pool,
+        fleet,
+        prober,
+        probe,
+        placement,
+        service,
+        sent_at,
+        ended_after,
+        ended_at,
     ):
         self._pool = pool
         self._fleet = fleet
@@ -206,6 +228,7 @@
         self._placement = placement
         self._service = service
         self._sent_at = sent_at
+        self._ended_after = ended_after
         self._ended_at = ended_at
         self._no_kept_probe = asyncio.Event()
 
@@ -256,7 +279,7 @@
             return None
         runs = await self._probe.prove(
             sent_at=self._sent_at,
-            ended_at=self._ended_at,
+            ended_at=self._ended_after,
             probe_after=probe_after,
         )
         if runs is None:
--- a/hawthornspoke/relay/_sending.py
+++ b/hawthornspoke/relay/_sending.py
@@ -187,9 +187,10 @@
             service=context.service,
             sent_at=attempt.sent_at,
             ended_at=exchange.ended_at,
+            ended_after=exchange.ended_after,
         )
         lost_by_address = self._pool.losses.count_by_address(
-            since=exchange.ended_at - LOSS_LOG_TIME
+            since=exchange.ended_after - LOSS_LOG_TIME
         )
         lost_here = lost_by_address.pop(placement.address, 0)
         self._metrics.count("unframed_ends_total", reason=reason)
--- a/hawthornspoke/relay/tests/test_late_ends.py
+++ b/hawthornspoke/relay/tests/test_late_ends.py
@@ -72,7 +72,7 @@
 
 
 #: Events of an answer by whether the host stops reading it, as the caller reads none.
-COUNTS = {False: 60}
+COUNTS = {False: 60, True: 400}
 
 
 @pytest.mark.parametrize("seconds", [0.1, 1.0, 6.0])
