--- a/hawthornspoke/relay/_probe_connections.py
+++ b/hawthornspoke/relay/_probe_connections.py
@@ -15,6 +15,9 @@
 CHECK_INTERVAL = 0.05
 REOPEN_INTERVAL = 0.3
 
+#: Seconds for which a connection that carries no other probe stays open after one.
+SPENT_TIME = 0.1
+
 
 class ProbeConnections:
     """One connection to each endpoint that is sending an answer without framing.
@@ -88,14 +91,24 @@
 
 
 class _Proof:
-    """An answered probe: of which connection, and when it was sent."""
+    """An answered probe: over which connection, and when it was sent."""
 
-    __slots__ = ("opened_at", "sent_at", "is_identified")
+    __slots__ = ("connection", "opened_at", "sent_at", "is_identified")
 
-    def __init__(self, *, opened_at, sent_at, is_identified):
-        self.opened_at, self.sent_at = opened_at, sent_at
+    def __init__(self, *, connection, sent_at, is_identified):
+        self.connection = connection
+        self.opened_at, self.sent_at = connection.opened_at, sent_at
         self.is_identified = is_identified
 
+    def covers(self, *, sent_at, ended_at, probe_after):
+        """Return whether it shows the same for an answer as a probe of its own."""
+        if self.opened_at >= ended_at or self.sent_at <= ended_at:
+            return False
+        if not self.is_identified and self.opened_at >= sent_at:
+            return False
+        # What ends connections one after the other would have ended this one by now.
+        return self.sent_at >= probe_after or self.connection.is_open
+
 
 class EndpointProbe:
     """A connection to one start of an endpoint, over which it can be probed.
@@ -185,12 +198,10 @@
     async def _prove(self, *, sent_at, ended_at, probe_after):
         async with self._lock:
             proof = self._last_proof
-            if proof is not None and proof.sent_at >= probe_after:
-                # Of another answer that ended at the same time.
-                if proof.opened_at < ended_at and (
-                    proof.is_identified or proof.opened_at < sent_at
-                ):
-                    return True
+            if proof is not None and proof.covers(
+                sent_at=sent_at, ended_at=ended_at, probe_after=probe_after
+            ):
+                return True
             connection = self._connection
             if not self._is_usable() or connection.opened_at >= ended_at:
                 return None
@@ -285,15 +296,18 @@
             return response
         is_identified |= response.endpoint_id == self._placement.endpoint_id
         self._last_proof = _Proof(
-            opened_at=connection.opened_at,
+            connection=connection,
             sent_at=sent_at,
             is_identified=is_identified,
         )
         self._echoes = response.leaves_reusable
+        if is_last or not self._echoes:
+            # Answers that ended before the probe may still need it to be open.
+            asyncio.get_running_loop().call_later(SPENT_TIME, connection.abort)
         if self._connection is not connection:
-            connection.abort()
+            if not is_last:
+                connection.abort()
         elif not self._echoes:
-            connection.abort()
             self._reopen_at = -math.inf
             self._must_open.set()
         elif connection.release(idle_since=self._pool.earliest_arrival()):
@@ -304,7 +318,8 @@
     async def _check_health(self, connection):
         """Return whether the endpoint says its id, None if it doesn't answer."""
         can_answer = self._prober.has_health_path(self._service)
-        if not can_answer or not (connection.is_open and connection.reusable):
+        is_usable = connection.is_open and connection.reusable and self._echoes
+        if not can_answer or not is_usable:
             return None
         response = await self._prober.send_health_check(
             connection,
--- a/hawthornspoke/relay/tests/test_joint_ends.py
+++ b/hawthornspoke/relay/tests/test_joint_ends.py
@@ -170,6 +170,29 @@
     run_scenario(scenario)
 
 
+def test_whole_answers_that_end_in_a_row_without_an_echo_share_a_proof():
+    """Guards against a connection that one proof uses up before the next answers."""
+
+    async def scenario():
+        whole = [
+            cut(event(1), close=close_one, seconds=ANSWER_TIME + 0.008 * number)
+            for number in range(4)
+        ]
+        endpoint = ScriptedEndpoint(whole[0], *whole, probe_step=answer_probe())
+        async with RelayHarness(endpoint, timeout=3.0) as harness:
+            await harness.ask("stream", request_id="r0")
+            results = await asyncio.gather(
+                *(harness.ask("stream", request_id=f"r{n}") for n in range(1, 5))
+            )
+            assert [(event_ids(item[2]), item[3]) for item in results] == [
+                ([1], True)
+            ] * 4
+            count = harness.metrics.counter_value
+            assert count("unframed_ends_total", reason="probe_connection") == 5
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize("prefix", ASKS)
 @pytest.mark.parametrize("seconds", [0.0, 0.1, 0.3])
 def test_answer_of_an_endpoint_that_closes_and_ends_is_not_whole(prefix, seconds):
