--- a/hawthornspoke/httpio/tests/test_losses.py
+++ b/hawthornspoke/httpio/tests/test_losses.py
@@ -54,6 +54,8 @@
     if await exchange.wait_for_end() is None:
         pool.return_connection("e", connection)
     await asyncio.sleep(0.1)
+    while closes and connection.is_open:
+        await asyncio.sleep(0.01)
     counts = pool.losses.count_by_address(since=monotonic() - 1.0)
     pool.close()
     closing.set()
