--- a/hawthornspoke/relay/tests/test_end_verification.py
+++ b/hawthornspoke/relay/tests/test_end_verification.py
@@ -96,7 +96,7 @@
 
     async def scenario():
         endpoint = ScriptedEndpoint(
-            *[slow_answer(0.05)] * 2, unframed(event(1)), probe_step=refuse
+            *[slow_answer(0.3)] * 2, unframed(event(1)), probe_step=refuse
         )
         async with RelayHarness(endpoint, timeout=2.0, health_path=None) as harness:
             await keep_connections(harness)
