--- a/hawthornspoke/httpio/_exchange.py
+++ b/hawthornspoke/httpio/_exchange.py
@@ -252,8 +252,9 @@
         else:
             self.failure = failure
         self._wake()
-        if self.on_end is not None:
-            self.on_end()
+        on_end, self.on_end = self.on_end, None
+        if on_end is not None:
+            on_end()
 
     def _is_within_limit(self):
         size = self.unread_bytes
--- a/hawthornspoke/relay/_try.py
+++ b/hawthornspoke/relay/_try.py
@@ -428,6 +428,8 @@
 
     def _discard_exchange(self):
         if self.exchange is not None:
+            # A reference cycle would hold what was received until it is collected.
+            self.exchange.on_end = None
             self.exchange.discard()
 
     def _release(self):
