--- a/hawthornspoke/relay/_end_verification.py
+++ b/hawthornspoke/relay/_end_verification.py
@@ -205,7 +205,7 @@
         "_sent_at",
         "_ended_after",
         "_ended_at",
-        "_no_kept_probe",
+        "_kept_searched",
     )
 
     def __init__(
@@ -230,7 +230,8 @@
         self._sent_at = sent_at
         self._ended_after = ended_after
         self._ended_at = ended_at
-        self._no_kept_probe = asyncio.Event()
+        # Set while no kept connection is left to be probed.
+        self._kept_searched = asyncio.Event()
 
     async def run(self):
         """Return whether there is a proof, and which, or why there is none."""
@@ -261,9 +262,9 @@
                 opened_before=self._sent_at,
             )
             if connection is None:
-                self._no_kept_probe.set()
+                self._kept_searched.set()
                 await asyncio.sleep(KEPT_CHECK_INTERVAL)
-                self._no_kept_probe.clear()
+                self._kept_searched.clear()
             elif await self._probe_kept_connection(connection):
                 return True, KEPT_CONNECTION
         return False, REPLACED
@@ -300,7 +301,7 @@
         """
         with contextlib.suppress(TimeoutError):
             async with StallTolerantTimeout(NEW_CONNECTION_DELAY):
-                await self._no_kept_probe.wait()
+                await self._kept_searched.wait()
         while True:
             sent_at = monotonic()
             result = None
@@ -310,7 +311,7 @@
                 result = await self._probe_new_connection(is_refused=True)
             if result == (False, REFUSED):
                 # An endpoint that leaves may accept no connections and still answer.
-                await self._no_kept_probe.wait()
+                await self._kept_searched.wait()
             if result is not None:
                 has_settled = sent_at >= self._ended_at + SETTLE_TIME
                 if has_settled or not result[0]:
