--- a/hawthornspoke/relay/_end_verification.py
+++ b/hawthornspoke/relay/_end_verification.py
@@ -176,13 +176,12 @@
         # A process that ends loses all its connections, a fault of a link may not.
         if any(pool.has_open(peer, opened_before=began_at) for peer in lost):
             return True
+        if is_kept:
+            return False
         ended = pool.unframed_ends.count_by_address(
             since=ended_after - SIMULTANEOUS_TIME, until=ended_at + SIMULTANEOUS_TIME
         )
-        count_here = ended.pop(placement.address, 0)
-        if lost and len(lost | ended) >= MIN_PEERS_LOST:
-            return True
-        return count_here > 1 and not is_kept
+        return ended[placement.address] > 1
 
 
 class _ProofSearch:
