--- a/hawthornspoke/relay/_probe_connections.py
+++ b/hawthornspoke/relay/_probe_connections.py
@@ -270,6 +270,10 @@
             connection = await self._pool.open(placement.address)
             if isinstance(connection, Failure):
                 return
+        if self._connection is not None:
+            # Opened meanwhile by a probe that needs another connection.
+            connection.abort()
+            return
         self._is_identified = False
         self._keep(connection)
 
@@ -282,13 +286,12 @@
     async def _probe(self, connection):
         """Send a probe; keep the connection if it can carry another one."""
         is_last = not self._echoes
+        is_identified = self._is_identified
         if is_last:
             # While no other connection is open, nothing shows that those of the answers
             # under way are lost together.
-            self._connection = None
             self._reopen_at = -math.inf
-            self._must_open.set()
-        is_identified = self._is_identified
+            await self._open()
         sent_at = monotonic()
         response = await self._prober.send_refused(
             connection, address=self._placement.address, service=self._service
@@ -307,19 +310,25 @@
         )
         self._echoes = response.leaves_reusable
         if is_last or not self._echoes:
-            # Answers that ended before the probe may still need it to be open.
-            asyncio.get_running_loop().call_later(SPENT_TIME, connection.abort)
-        if self._connection is not connection:
-            if not is_last:
-                connection.abort()
-        elif not self._echoes:
-            self._reopen_at = -math.inf
-            self._must_open.set()
+            self._spend(connection)
+        elif self._connection is not connection:
+            connection.abort()
         elif connection.release(idle_since=self._pool.earliest_arrival()):
             self._is_identified = is_identified
             self._keep(connection)
         return response
 
+    def _spend(self, connection):
+        """Keep a connection open that carries no other probe, and open another one."""
+        if connection.release(idle_since=self._pool.earliest_arrival()):
+            connection.idle_deadline = math.inf
+        # Answers that ended before the probe may still need it to be open.
+        asyncio.get_running_loop().call_later(SPENT_TIME, connection.abort)
+        if self._connection is connection:
+            self._connection = None
+            self._reopen_at = -math.inf
+            self._must_open.set()
+
     async def _check_health(self, connection):
         """Return whether the endpoint says its id, None if it doesn't answer."""
         can_answer = self._prober.has_health_path(self._service)
--- a/hawthornspoke/relay/tests/test_joint_ends.py
+++ b/hawthornspoke/relay/tests/test_joint_ends.py
@@ -194,6 +194,29 @@
     run_scenario(scenario)
 
 
+def test_whole_answers_that_end_after_the_first_refusal_without_an_echo_are_whole():
+    """Guards against a time without a connection after one that is used up."""
+
+    async def scenario():
+        # The first one shows that no refusal will echo the id of a probe.
+        whole = [
+            cut(event(1), close=close_one, seconds=ANSWER_TIME + delay)
+            for delay in (0.0, 0.11, 0.11)
+        ]
+        endpoint = ScriptedEndpoint(*whole, probe_step=answer_probe())
+        async with RelayHarness(endpoint, timeout=3.0) as harness:
+            results = await asyncio.gather(
+                *(harness.ask("stream", request_id=f"r{n}") for n in range(3))
+            )
+            assert [(event_ids(item[2]), item[3]) for item in results] == [
+                ([1], True)
+            ] * 3
+            count = harness.metrics.counter_value
+            assert count("unframed_ends_total", reason="probe_connection") == 3
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize("prefix", ASKS)
 @pytest.mark.parametrize("seconds", [0.0, 0.1, 0.3])
 def test_answer_of_an_endpoint_that_closes_and_ends_is_not_whole(prefix, seconds):
