--- a/hawthornspoke/relay/tests/test_end_verification.py
+++ b/hawthornspoke/relay/tests/test_end_verification.py
@@ -46,12 +46,12 @@
     run_scenario(scenario)
 
 
-def refusal(head, *, echoes_id):
+def refusal(head, *, echoes_id, status=421):
     """Return the refusal of a request for another endpoint that names no sender."""
     fields = ["X-Not-Run: 1", "Keep-Alive: timeout=10"]
     if echoes_id:
         fields.append(f"X-Request-Id: {field(head, 'X-Request-Id')}")
-    return late_answer(421, b"", fields=fields).replace(b"X-Seal: s\r\n", b"")
+    return late_answer(status, b"", fields=fields).replace(b"X-Seal: s\r\n", b"")
 
 
 @pytest.mark.parametrize("echoes_id", [False, True])
@@ -91,8 +91,7 @@
     """Guards against sound streams that are cut as their endpoint has no 421."""
 
     async def refuse(endpoint, head, writer):
-        data = refusal(head, echoes_id=True)
-        writer.write(data.replace(b"421", b"%d" % status))
+        writer.write(refusal(head, echoes_id=True, status=status))
 
     async def scenario():
         endpoint = ScriptedEndpoint(
