--- a/hawthornspoke/relay/_probe_connections.py
+++ b/hawthornspoke/relay/_probe_connections.py
@@ -100,9 +100,11 @@
         self.opened_at, self.sent_at = connection.opened_at, sent_at
         self.is_identified = is_identified
 
-    def covers(self, *, sent_at, ended_at, probe_after):
+    def covers(self, *, sent_at, ended_at, probe_after, is_watched):
         """Return whether it shows the same for an answer as a probe of its own."""
-        if self.opened_at >= ended_at or self.sent_at <= ended_at:
+        if self.sent_at <= ended_at:
+            return False
+        if self.opened_at >= ended_at and not is_watched:
             return False
         if not self.is_identified and self.opened_at >= sent_at:
             return False
@@ -141,6 +143,7 @@
         "_refresh_at",
         "_reopen_at",
         "_last_proof",
+        "_spent",
         "_must_open",
         "_lock",
         "_task",
@@ -160,6 +163,8 @@
         self._refresh_at = 0.0
         self._reopen_at = -math.inf
         self._last_proof = None
+        # Connections that carry no other probe and are still open.
+        self._spent = []
         self._must_open = asyncio.Event()
         self._lock = asyncio.Lock()
         self._task = None
@@ -204,11 +209,20 @@
         async with self._lock:
             proof = self._last_proof
             if proof is not None and proof.covers(
-                sent_at=sent_at, ended_at=ended_at, probe_after=probe_after
+                sent_at=sent_at,
+                ended_at=ended_at,
+                probe_after=probe_after,
+                is_watched=self._is_watched(ended_at),
             ):
                 return True
             connection = self._connection
-            if not self._is_usable() or connection.opened_at >= ended_at:
+            if not self._is_usable():
+                return None
+            # An answer may end while the probe is under way that uses up the connection
+            # beside it. This one still shows whether others are lost, and the next one
+            # that the endpoint runs.
+            is_later = connection.opened_at >= ended_at
+            if is_later and not self._is_watched(ended_at):
                 return None
             # The process at the other end of a connection that was opened before the
             # request was sent is the one that answered it. Any other has to say its id.
@@ -218,10 +232,29 @@
                 return None
             if response.endpoint_id not in (None, self._placement.endpoint_id):
                 return False
+            if is_later and not self._is_watched(ended_at):
+                return None
             if needs_id and not self._last_proof.is_identified:
                 return await self._check_health(connection)
             return True
 
+    def _is_watched(self, ended_at):
+        """Return whether a connection is open that can show an end of others at a time.
+
+        Parameters
+        ----------
+        ended_at : float
+            Time on the monotonic clock before which it was opened.
+
+        Returns
+        -------
+        bool
+        """
+        return any(
+            connection.opened_at < ended_at and not connection.is_socket_closed()
+            for connection in self._spent
+        )
+
     async def _run(self):
         try:
             while self._users or self._has_time():
@@ -323,12 +356,17 @@
         if connection.release(idle_since=self._pool.earliest_arrival()):
             connection.idle_deadline = math.inf
         # Answers that ended before the probe may still need it to be open.
-        asyncio.get_running_loop().call_later(SPENT_TIME, connection.abort)
+        self._spent.append(connection)
+        asyncio.get_running_loop().call_later(SPENT_TIME, self._close_spent, connection)
         if self._connection is connection:
             self._connection = None
             self._reopen_at = -math.inf
             self._must_open.set()
 
+    def _close_spent(self, connection):
+        self._spent.remove(connection)
+        connection.abort()
+
     async def _check_health(self, connection):
         """Return whether the endpoint says its id, None if it doesn't answer."""
         can_answer = self._prober.has_health_path(self._service)
--- a/hawthornspoke/relay/tests/test_joint_ends.py
+++ b/hawthornspoke/relay/tests/test_joint_ends.py
@@ -217,6 +217,90 @@
     run_scenario(scenario)
 
 
+def refuse_first_slowly(seconds, on_probe):
+    """Return a step that takes some time to answer the first probe."""
+
+    async def step(endpoint, head, writer):
+        if len(endpoint.probes) == 1:
+            on_probe.set()
+            await asyncio.sleep(seconds)
+        return await answer_probe()(endpoint, head, writer)
+
+    return step
+
+
+def cut_after(event_, data, *, close, seconds):
+    """Return a step that sends a part of an answer until some time after an event."""
+
+    async def step(endpoint, request_head, writer):
+        raw = stream_head(request_head)
+        writer.write(raw.replace(b"Transfer-Encoding: chunked\r\n", b"") + data)
+        await writer.drain()
+        await event_.wait()
+        await asyncio.sleep(seconds)
+        close(endpoint, writer)
+        raise ConnectionError
+
+    return step
+
+
+def test_whole_answers_that_end_while_the_first_refusal_is_awaited_are_whole():
+    """Guards against answers that one proof leaves without a connection."""
+
+    async def scenario():
+        on_probe = asyncio.Event()
+        late = cut_after(on_probe, event(1), close=close_one, seconds=0.01)
+        endpoint = ScriptedEndpoint(
+            cut(event(1), close=close_one),
+            late,
+            late,
+            probe_step=refuse_first_slowly(0.02, on_probe),
+        )
+        async with RelayHarness(endpoint, timeout=3.0) as harness:
+            results = await asyncio.gather(
+                *(harness.ask("stream", request_id=f"r{n}") for n in range(3))
+            )
+            assert [(event_ids(item[2]), item[3]) for item in results] == [
+                ([1], True)
+            ] * 3
+            count = harness.metrics.counter_value
+            assert count("unframed_ends_total", reason="probe_connection") == 3
+
+    run_scenario(scenario)
+
+
+def test_answers_closed_while_the_first_refusal_is_awaited_are_not_whole():
+    """Guards against a proof over a connection that is opened after a joint end."""
+
+    async def scenario():
+        on_probe = asyncio.Event()
+
+        async def refuse(endpoint, head, writer):
+            # The other one is closed before the refusal, and this one after it.
+            await refuse_first_slowly(0.02, on_probe)(endpoint, head, writer)
+            if len(endpoint.probes) == 1:
+                await writer.drain()
+                writer.transport.close()
+                raise ConnectionError
+
+        late = cut_after(on_probe, event(1), close=close_one, seconds=0.01)
+        first = ScriptedEndpoint(
+            cut(event(1), close=close_one), late, probe_step=refuse
+        )
+        # The answer before may end within the same moment.
+        second = ScriptedEndpoint(events([2, 3]), events([2, 3]))
+        async with RelayHarness(first, second, timeout=3.0) as harness:
+            harness.fleet.endpoint_by_id["e1"].own_in_flight = 5
+            before = asyncio.create_task(harness.ask("stream", request_id="r0"))
+            while len(first.requests) < 1:
+                await asyncio.sleep(0.001)
+            _, _, body, complete = await harness.ask("stream", request_id="r1")
+            assert (event_ids(body), complete) == ([1, 2, 3], True)
+            await before
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize("prefix", ASKS)
 @pytest.mark.parametrize("seconds", [0.0, 0.1, 0.3])
 def test_answer_of_an_endpoint_that_closes_and_ends_is_not_whole(prefix, seconds):
