--- a/hawthornspoke/httpio/_client.py
+++ b/hawthornspoke/httpio/_client.py
@@ -132,6 +132,7 @@
         self._is_aborted = False
         self._is_broken = False
         self._is_ended_by_peer = False
+        self._is_ended_while_idle = False
 
     @property
     def is_open(self):
@@ -174,7 +175,7 @@
 
         Only EOF completes such a response: after a reset, bytes may be missing.
         """
-        self._is_ended_by_peer = True
+        self._record_end_by_peer()
         exchange = self.exchange
         if exchange is None or self._is_broken:
             return False
@@ -313,7 +314,8 @@
     def abort(self):
         """Close the connection immediately; the endpoint then cancels the request."""
         self.reusable = False
-        self._is_aborted = True
+        # One that is only closed because its peer has ended it is lost.
+        self._is_aborted = self._is_aborted or not self._is_ended_while_idle
         if self.transport is not None:
             self.transport.abort()
 
@@ -409,8 +411,14 @@
         """Look at the socket; remember an error, which is not reported again."""
         state = socket_state(self.transport.get_extra_info("socket"))
         self._is_broken = self._is_broken or state is SocketState.BROKEN
+        if state in (SocketState.CLOSED, SocketState.BROKEN):
+            self._record_end_by_peer()
         return state
 
+    def _record_end_by_peer(self):
+        self._is_ended_by_peer = True
+        self._is_ended_while_idle |= self.exchange is None
+
     def _lost_state(self, *, is_reset):
         """Return the state of a connection that ends, None if it isn't lost."""
         # The event loop closes a connection whose opening is cancelled.
--- /dev/null
+++ b/hawthornspoke/relay/tests/test_probe_connections.py
@@ -0,0 +1,129 @@
+"""Connections beside answers without framing, at moments that are hard to keep them."""
+
+import asyncio
+import math
+import socket
+from types import SimpleNamespace
+
+from hawthornspoke.base import monotonic
+from hawthornspoke.httpio import ConnectionPool
+from hawthornspoke.relay._end_probes import EndpointProber
+from hawthornspoke.relay._end_verification import JOINT_END, EndVerifier
+from hawthornspoke.relay._probe_connections import ProbeConnections
+from hawthornspoke.relay.tests.relay_harness import (
+    RelayHarness,
+    ScriptedEndpoint,
+    answer_probe,
+)
+from hawthornspoke.relay.tests.test_forward import run_scenario
+
+
+class HookedPool(ConnectionPool):
+    """Connection pool whose operations can be delayed or preceded by an action.
+
+    Attributes
+    ----------
+    open_delay : float
+        Seconds by which each new connection is delayed.
+    before_kept : callable
+        Called before a kept connection is looked for.
+    """
+
+    __slots__ = ("open_delay", "before_kept")
+
+    def __init__(self, *, id_header):
+        super().__init__(id_header=id_header)
+        self.open_delay = 0.0
+        self.before_kept = lambda: None
+
+    async def open(self, address, **options):
+        await asyncio.sleep(self.open_delay)
+        return await super().open(address, **options)
+
+    def acquire_kept(self, key, **options):
+        self.before_kept()
+        return super().acquire_kept(key, **options)
+
+
+class Setting:
+    """An endpoint, and the probe connections to it."""
+
+    def __init__(self, harness):
+        self.harness = harness
+        self.address = harness.addresses[0]
+        self.pool = HookedPool(id_header=harness.header_names.request_id)
+        self.connections = ProbeConnections(
+            pool=self.pool,
+            prober=EndpointProber(
+                fleet=harness.fleet,
+                header_names=harness.header_names,
+                metrics=harness.metrics,
+            ),
+            metrics=harness.metrics,
+        )
+        self.placement = SimpleNamespace(
+            endpoint_id="e0",
+            address=self.address,
+            incarnation=harness.fleet.endpoint_by_id["e0"].incarnation,
+        )
+
+    def hold(self):
+        """Return a ProbeLease."""
+        return self.connections.hold(self.placement, service="s")
+
+    async def prove(self, lease):
+        """Return the proof for an answer that has just ended."""
+        now = monotonic()
+        return await lease.probe.prove(sent_at=now, ended_at=now, probe_after=now)
+
+    async def wait_until_open(self):
+        """Wait until a connection is open."""
+        while not self.is_open():
+            await asyncio.sleep(0.005)
+
+    def is_open(self):
+        """Return whether any connection to the endpoint is open."""
+        return self.pool.has_open(self.address, opened_before=math.inf)
+
+
+def test_close_that_a_probe_finds_first_is_a_joint_end():
+    """Guards against half an answer as a whole one, as its host found a close itself.
+
+    Such an answer ended with its head, so that no connection was held beside it.
+    """
+
+    async def scenario():
+        endpoint = ScriptedEndpoint(probe_step=answer_probe())
+        async with RelayHarness(endpoint) as harness:
+            setting = Setting(harness)
+            pool, placement = setting.pool, setting.placement
+            opened = [await pool.open(setting.address) for _ in range(2)]
+            for connection in opened:
+                pool.return_connection(
+                    "e0", connection, incarnation=placement.incarnation
+                )
+                connection.idle_deadline = math.inf
+            while len(endpoint.writers) < 2:
+                await asyncio.sleep(0.005)
+            kept = list(endpoint.writers)
+
+            def close_kept():
+                # The event loop doesn't run before the probe.
+                while kept:
+                    sock = kept.pop().get_extra_info("socket")
+                    sock.shutdown(socket.SHUT_WR)
+
+            pool.before_kept = close_kept
+            verifier = EndVerifier(
+                pool=pool,
+                fleet=harness.fleet,
+                header_names=harness.header_names,
+                metrics=harness.metrics,
+            )
+            now = monotonic()
+            result = await verifier.verify(
+                placement, service="s", sent_at=now, ended_at=now
+            )
+            assert result == (False, JOINT_END)
+
+    run_scenario(scenario)
