--- a/hawthornspoke/relay/_probe_connections.py
+++ b/hawthornspoke/relay/_probe_connections.py
@@ -303,8 +303,8 @@
             connection = await self._pool.open(placement.address)
             if isinstance(connection, Failure):
                 return
-        if self._connection is not None:
-            # Opened meanwhile by a probe that needs another connection.
+        if self._connection is not None or self._task.done():
+            # Another one was opened meanwhile, or the last user has left.
             connection.abort()
             return
         self._is_identified = False
--- a/hawthornspoke/relay/tests/test_probe_connections.py
+++ b/hawthornspoke/relay/tests/test_probe_connections.py
@@ -86,6 +86,17 @@
         return self.pool.has_open(self.address, opened_before=math.inf)
 
 
+async def hold_without_echo(setting):
+    """Return a ProbeLease after a refusal that shows that the endpoint echoes no id."""
+    lease = setting.hold()
+    await setting.wait_until_open()
+    assert await setting.prove(lease)
+    # The connection that the refusal has used up is closed meanwhile.
+    await asyncio.sleep(0.2)
+    assert setting.is_open()
+    return lease
+
+
 def test_close_that_a_probe_finds_first_is_a_joint_end():
     """Guards against half an answer as a whole one, as its host found a close itself.
 
@@ -127,3 +138,24 @@
             assert result == (False, JOINT_END)
 
     run_scenario(scenario)
+
+
+def test_connection_opened_after_the_last_answer_is_closed():
+    """Guards against a connection that stays open until its endpoint closes it.
+
+    That close would count as a loss beside other answers of the endpoint.
+    """
+
+    async def scenario():
+        async with RelayHarness(ScriptedEndpoint(probe_step=answer_probe())) as harness:
+            setting = Setting(harness)
+            lease = await hold_without_echo(setting)
+            setting.pool.open_delay = 0.3
+            proof = asyncio.create_task(setting.prove(lease))
+            await asyncio.sleep(0.01)
+            lease.release()
+            await proof
+            await asyncio.sleep(0.5)
+            assert not setting.is_open()
+
+    run_scenario(scenario)
