--- a/hawthornspoke/httpio/_server_connection.py
+++ b/hawthornspoke/httpio/_server_connection.py
@@ -179,9 +179,7 @@
                 part = memoryview(parts.popleft())
                 for start in range(0, len(part), PIECE_BYTES):
                     await self.drained()
-                    piece = part[start : start + PIECE_BYTES]
-                    self._unwritten_bytes -= len(piece)
-                    self.write(piece)
+                    self._write_piece(part[start : start + PIECE_BYTES])
                 # A part takes its memory until all of it is written.
                 self._count_unwritten()
         finally:
@@ -189,6 +187,11 @@
             self._unreceived_at_close = None
             self._count_unwritten()
 
+    def _write_piece(self, piece):
+        # A piece that outlives this call would keep its whole part in memory.
+        self._unwritten_bytes -= len(piece)
+        self.write(piece)
+
     def _count_unwritten(self):
         if self.account is not None:
             self.account.hold(ANSWER, self._unwritten_bytes)
--- a/hawthornspoke/httpio/tests/test_unread_responses.py
+++ b/hawthornspoke/httpio/tests/test_unread_responses.py
@@ -113,6 +113,33 @@
     asyncio.run(scenario())
 
 
+def test_part_that_was_written_is_not_kept():
+    """Guards against parts that callers cost beyond what is counted for them."""
+    written = [bytearray(PIECE_BYTES) for _ in range(SIZE // PIECE_BYTES)]
+
+    async def handle(request, reply):
+        await reply.send_parts(200, (), collections.deque(written))
+
+    def is_kept(part):
+        try:
+            part.append(0)
+        except BufferError:
+            return True
+        return False
+
+    async def scenario():
+        guard = make_guard()
+        server = await start_server(handle=handle, memory=guard)
+        caller = await send_request(server)
+        (holder,) = guard.budget.holders
+        unwritten = -(-holder.bytes_by_use[ANSWER] // PIECE_BYTES)
+        assert sum(map(is_kept, written[:-unwritten])) == 0
+        caller.close()
+        server.close()
+
+    asyncio.run(scenario())
+
+
 def test_requests_on_one_connection_get_their_answers_one_after_the_other():
     """Guards against an answer that begins before the one before it has ended."""
 
