--- a/hawthornspoke/memory_budget/_budget.py
+++ b/hawthornspoke/memory_budget/_budget.py
@@ -22,6 +22,9 @@
 #: Uses of what callers have to receive: it becomes less as they read, or are cut.
 OUTGOING = frozenset((WRITTEN, SENT, ANSWER))
 
+#: Uses of bytes that the operating system holds, outside of the process's own memory.
+OUTSIDE = frozenset((KERNEL, SENT))
+
 #: Levels of pressure, by the bytes held, in ascending order.
 LEVELS = NORMAL, PAUSING, REFUSING, CUTTING = (
     "normal",
@@ -139,6 +142,13 @@
     limit : int
         Bytes that all connections may hold together.
 
+    Attributes
+    ----------
+    held : int
+        Bytes that all connections hold.
+    own_bytes, peak_own_bytes : int
+        Bytes of them in the process's own memory, and the most since the peak was set.
+
     Examples
     --------
     >>> budget = MemoryBudget(limit=1000)
@@ -154,6 +164,8 @@
     __slots__ = (
         "limit",
         "held",
+        "own_bytes",
+        "peak_own_bytes",
         "holders",
         "paused",
         "_reserved",
@@ -176,6 +188,7 @@
         self.limit = limit
         check_params(self, self.PARAMS)
         self.held = 0
+        self.own_bytes = self.peak_own_bytes = 0
         self.holders = set()
         self.paused = {}
         self._reserved = set()
@@ -216,6 +229,9 @@
         holder.bytes_by_use[use] = size
         holder.held += change
         self.held += change
+        if use not in OUTSIDE:
+            self.own_bytes += change
+            self.peak_own_bytes = max(self.peak_own_bytes, self.own_bytes)
         if use == KERNEL:
             self._kernel_bytes += change
         if use in OUTGOING:
--- a/hawthornspoke/memory_budget/_guard.py
+++ b/hawthornspoke/memory_budget/_guard.py
@@ -17,7 +17,8 @@
 )
 from hawthornspoke.memory_budget._limit import resident_bytes
 
-#: Bytes by which what is held has to fall until free memory is given back.
+#: Bytes by which what the process holds itself has to fall until free memory is given
+#: back.
 RELEASE_STEP = 8_000_000
 
 #: Seconds between two checks for slow callers.
@@ -52,7 +53,7 @@
         """Set the number of bytes held for one use."""
         before = self._budget.held
         self._budget.hold(self._holder, use, size)
-        self._resume_others(before)
+        self._reuse_released(before)
 
     def record_write(self, size):
         """Record bytes that were written to the caller.
@@ -140,14 +141,14 @@
         self._paused = None
         before = self._budget.held
         self._budget.resume(self._holder)
-        self._resume_others(before)
+        self._reuse_released(before)
 
     def release_request(self):
         """Release all that is held for a request that has ended."""
         self._paused = None
         before = self._budget.held
         self._budget.release_request(self._holder)
-        self._resume_others(before)
+        self._reuse_released(before)
 
     def release(self):
         """Release all that is held for a connection that has ended."""
@@ -155,7 +156,7 @@
         self._guard.unmeasured.discard(self)
         before = self._budget.held
         self._budget.release(self._holder)
-        self._resume_others(before)
+        self._reuse_released(before)
 
     def open_secondary(self):
         """Return an account for another response to the same request.
@@ -166,9 +167,15 @@
         owner.account = MemoryAccount(guard=self._guard, owner=owner)
         return owner.account
 
-    def _resume_others(self, before):
-        if self._budget.paused and self._budget.held < before:
+    def _reuse_released(self, before):
+        if self._budget.held >= before:
+            return
+        if self._budget.paused:
             self._guard.schedule_resume()
+        # What callers have to receive moves to the operating system without becoming
+        # less, and would take memory twice until the next check.
+        if self._guard.keeps_freed_memory() and self._budget.level != NORMAL:
+            self._guard.schedule_release()
 
 
 class _SecondaryOwner:
@@ -215,7 +222,7 @@
         "_log",
         "_level",
         "_handle",
-        "_peak_held",
+        "_release_handle",
     )
 
     #: Receive buffer of connections to endpoints, in bytes.
@@ -231,7 +238,7 @@
         self._log = log
         self._level = NORMAL
         self._handle = None
-        self._peak_held = 0
+        self._release_handle = None
         metrics.set_gauge("memory_limit_bytes", budget.limit)
 
     def open_account(self, owner):
@@ -243,6 +250,16 @@
         if self._handle is None:
             self._handle = asyncio.get_running_loop().call_soon(self._resume)
 
+    def keeps_freed_memory(self):
+        """Return whether the allocator may keep much of what was freed."""
+        return self.budget.peak_own_bytes - self.budget.own_bytes >= RELEASE_STEP
+
+    def schedule_release(self):
+        """Give back free memory once the current callback has returned."""
+        if self._release_handle is None:
+            loop = asyncio.get_running_loop()
+            self._release_handle = loop.call_soon(self._release_kept)
+
     def record_refusal(self):
         """Count a refused request."""
         self.metrics.count("memory_refusals_total")
@@ -268,7 +285,8 @@
             self.metrics.count("memory_cuts_total")
             self._log.change("memory_cut", held=holder.held, total=self.budget.held)
             holder.owner.cut()
-        self._release_kept()
+        if self.keeps_freed_memory():
+            self._release_kept()
         self._resume()
         self.metrics.set_gauge("memory_held_bytes", self.budget.held)
         self.metrics.set_gauge("memory_resident_bytes", resident_bytes())
@@ -279,11 +297,9 @@
 
     def _release_kept(self):
         """Give back memory to the system after much of what was held is freed."""
-        held = self.budget.held
-        self._peak_held = max(self._peak_held, held)
-        if self._peak_held - held >= RELEASE_STEP:
-            self._peak_held = held
-            release_kept_memory()
+        self._release_handle = None
+        self.budget.peak_own_bytes = self.budget.own_bytes
+        release_kept_memory()
 
     def _resume(self):
         self._handle = None
