--- a/hawthornspoke/mirror/_neighbours.py
+++ b/hawthornspoke/mirror/_neighbours.py
@@ -63,6 +63,11 @@
 #: the platform that arrived meanwhile.
 TAKEOVER_WINDOW = 0.3
 
+#: Seconds for which a query that may have arrived during a stall of this process is
+#: held at least. Neighbours repeat their queries without a pause, and those that arrive
+#: soon after a stall look the same.
+MIN_HOLD_AFTER_STALL = 0.2
+
 #: Minimum bytes of a row to be compressed. A configuration of 100 KB becomes 10 to
 #: 15 KB; rows of endpoints have about 200 bytes and would gain nothing.
 COMPRESSION_THRESHOLD = 2048
@@ -415,6 +420,8 @@
             after = make_revision(after_era, ask.after)
         # The second one is moved to the end of each stall of this process.
         asked_at = takeover_since = boottime_clock()
+        hold_until = self._hold_until(ask, asked_at)
+        may_be_late = hold_until < asked_at + ask.wait_ms / 1000
         table_update = None
         while self._watch.is_current() or self._may_take_over(takeover_since):
             if self._watch.is_current():
@@ -427,13 +434,14 @@
                 )
             now = boottime_clock()
             # After a stall, an answer of the platform may be about to be read.
-            is_pending = takeover_since > asked_at and not self._watch.is_current()
-            is_over = now >= asked_at + ask.wait_ms / 1000 and not is_pending
+            is_after_stall = may_be_late or takeover_since > asked_at
+            is_pending = is_after_stall and not self._watch.is_current()
+            is_over = now >= hold_until and not is_pending
             if is_over or (table_update is not None and table_update.rows):
                 break
             if not link.is_open:
                 return
-            latest = await self._wait_for_changes(asked_at + ask.wait_ms / 1000)
+            latest = await self._wait_for_changes(hold_until)
             if boottime_clock() >= latest + LATE_TIMER_DELAY:
                 takeover_since = boottime_clock()
         answer = TableNews(current=False)
@@ -457,6 +465,17 @@
             answer.failed_age_ms = int(failed_age * 1000)
         link.send(Frame(call=-frame.call, table_news=answer))
 
+    def _hold_until(self, ask, asked_at):
+        """Return until when a query may wait for changes.
+
+        The neighbour counts from its query on. It would give up if a query that has
+        waited during a stall of this process were held for the whole time.
+        """
+        wait = ask.wait_ms / 1000
+        arrived_after = min(asked_at, self._watch.earliest_arrival())
+        earliest = min(asked_at + wait, asked_at + MIN_HOLD_AFTER_STALL)
+        return max(arrived_after + wait, earliest)
+
     def _earlier_eras(self, ask):
         """Return the rows that this host knows from before the newest era."""
         now, era = boottime_clock(), self.eras.era
--- a/hawthornspoke/mirror/_watch.py
+++ b/hawthornspoke/mirror/_watch.py
@@ -203,6 +203,8 @@
     failed_at : float
         Time of the last failure since the platform answered, or of the start of the
         last attempt while failing, in seconds of ``boottime_clock``.
+    earliest_arrival : callable
+        See the parameter.
     """
 
     __slots__ = (
@@ -213,6 +215,7 @@
         "on_restored",
         "is_failing",
         "failed_at",
+        "earliest_arrival",
         "_change_event",
         "_store",
         "_neighbours",
@@ -226,7 +229,6 @@
         "_outage_tracker_by_table",
         "_started_at",
         "_held_until_by_table",
-        "_earliest_arrival",
     )
 
     def __init__(
@@ -261,7 +263,7 @@
         self._outage_tracker_by_table = {}
         self._started_at = boottime_clock()
         self._held_until_by_table = {}
-        self._earliest_arrival = earliest_arrival or boottime_clock
+        self.earliest_arrival = earliest_arrival or boottime_clock
 
     def is_current(self):
         """Return whether this host reads the platform and gets answers in time.
@@ -530,7 +532,7 @@
             arrived_after = asked_at
         else:
             answer = await self._store.follow(table.name, after=revision, wait=wait)
-            answered_at, arrived_after = boottime_clock(), self._earliest_arrival()
+            answered_at, arrived_after = boottime_clock(), self.earliest_arrival()
             if not is_failure(answer) and self._lacks_changes(table, answer):
                 # Read again at once. This host has its turn to read a platform that
                 # was unreachable; the next host would get no better answer.
--- a/hawthornspoke/mirror/tests/test_evacuations.py
+++ b/hawthornspoke/mirror/tests/test_evacuations.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from hawthornspoke.base import boottime_clock
 from hawthornspoke.catalog import Evacuation
 from hawthornspoke.metrics import Metrics
 from hawthornspoke.mirror import EVACUATION, Neighbours
@@ -81,6 +82,8 @@
 class CurrentWatch:
     """Watch of the host that reads the platform."""
 
+    earliest_arrival = staticmethod(boottime_clock)
+
     def __init__(self, mirror):
         self.mirror = mirror
         self.confirmed_at = 0.0
--- a/hawthornspoke/mirror/tests/test_stalls.py
+++ b/hawthornspoke/mirror/tests/test_stalls.py
@@ -1,13 +1,16 @@
 """A host and the reader that it asks, which both stand still for a moment."""
 
 import asyncio
+import contextlib
 import socket
 import time
 
 import pytest
 
 from hawthornspoke.base import StallDetector, Ticks, boottime_clock
+from hawthornspoke.base._stall import CATCH_UP_TIME
 from hawthornspoke.mirror import TableUpdate
+from hawthornspoke.mirror._neighbours import ANSWER_TIMEOUT, MIN_HOLD_AFTER_STALL
 from hawthornspoke.mirror._watch import NEIGHBOUR_WAIT
 from hawthornspoke.mirror.tests.test_watch import (
     READER,
@@ -16,6 +19,8 @@
     run_scenario,
     wait_until,
 )
+from hawthornspoke.peering import connect
+from hawthornspoke.protocol import Frame, TableAsk
 
 
 @pytest.mark.parametrize("stall", [0.7, 1.2, 3.0])
@@ -36,6 +41,83 @@
     run_scenario(scenario)
 
 
+@contextlib.asynccontextmanager
+async def running_reader():
+    """Run a host that reads the platform and detects its stalls; yield it."""
+    detector = StallDetector(on_resume=lambda seconds: None)
+    with socket.socket() as probe:
+        probe.bind((READER, 0))
+        port = probe.getsockname()[1]
+    reader = WatchingHost(
+        READER, port, FakeStore(), earliest_arrival=detector.earliest_arrival
+    )
+    heartbeats = asyncio.create_task(detector.run(Ticks()))
+    await reader.start((READER,))
+    try:
+        await wait_until(lambda: reader.seen)
+        yield reader
+    finally:
+        heartbeats.cancel()
+        reader.stop()
+
+
+async def connect_to(reader):
+    """Return a connection of a neighbour."""
+    return await connect(
+        READER,
+        reader.port,
+        on_frame=lambda link, frame: None,
+        on_closed=lambda link: None,
+        timeout=1.0,
+    )
+
+
+def query():
+    """Return a query that waits for changes as those of neighbours do."""
+    ask = TableAsk(table="t", after=1, wait_ms=int(NEIGHBOUR_WAIT * 1000), era=0)
+    return Frame(table_ask=ask)
+
+
+@pytest.mark.parametrize("stall", [1.2, 3.0])
+def test_query_that_waited_in_a_stall_is_answered_in_time(stall):
+    """Guards against neighbours that give up a reader which has stalled.
+
+    A reader that stalls as a query arrives reads it afterwards. When it held the query
+    for the whole wait from then on, the neighbour had given up before.
+    """
+
+    async def run():
+        async with running_reader() as reader:
+            link = await connect_to(reader)
+            asking = asyncio.create_task(link.ask(query(), timeout=9.0))
+            await asyncio.sleep(0)
+            time.sleep(stall)
+            resumed_at = boottime_clock()
+            answer = await asking
+            assert answer.table_news.current
+            assert boottime_clock() < resumed_at + ANSWER_TIMEOUT - 0.1
+
+    asyncio.run(run())
+
+
+def test_queries_soon_after_a_stall_are_not_repeated_without_a_pause():
+    """Guards against thousands of queries while a stall is just over."""
+
+    async def run():
+        async with running_reader() as reader:
+            link = await connect_to(reader)
+            await asyncio.sleep(0.2)
+            time.sleep(1.2)
+            ends_at = boottime_clock() + CATCH_UP_TIME
+            answers = 0
+            while boottime_clock() < ends_at:
+                await link.ask(query(), timeout=9.0)
+                answers += 1
+            assert answers <= CATCH_UP_TIME / MIN_HOLD_AFTER_STALL + 1
+
+    asyncio.run(run())
+
+
 class EarlyStore(FakeStore):
     """Ends each query at once, without changes, while the process stands still."""
 
