--- a/hawthornspoke/mirror/_declaration_recorder.py
+++ b/hawthornspoke/mirror/_declaration_recorder.py
@@ -82,7 +82,7 @@
         ``await write(table, key, data, expected=)`` returns RowWritten, TableUpdate of
         the row if its revision isn't the expected one, or a Failure.
     clock : PlatformClock
-        Relates the platform's clock to this host's; gets the time of each answer.
+        Relates the platform's clock to this host's; gets each answer.
     on_declaration_times : callable
         Called with a model and a tuple of pairs of a version and a lower bound on its
         declaration time, in seconds of ``boottime_clock``.
@@ -219,6 +219,7 @@
             if _is_already_recorded(stored.declaration_times, own):
                 return None
             declaration_times = add_declaration_time(stored.declaration_times, own)
+            asked_at = boottime_clock()
             answer = await self._store.write(
                 RECORD_TABLE,
                 model,
@@ -227,6 +228,7 @@
             )
             if is_failure(answer):
                 return answer
+            self._bound_newer_revisions(answer, asked_at)
             if isinstance(answer, RowWritten):
                 if era_of(answer.revision) != era_of(own.revision):
                     # Restored meanwhile: the expected revision may have been that of
@@ -241,6 +243,16 @@
             stored = self._remember_row(model, answer)
         return None
 
+    def _bound_newer_revisions(self, answer, asked_at):
+        """Use the answer to a write as a lower bound on the time of newer revisions.
+
+        An answer of another era is left to the next read, which begins that era.
+        """
+        if era_of(answer.revision) == self._clock.era:
+            self._clock.add_answer(
+                asked_at=asked_at, made_at=None, revision=answer.revision
+            )
+
     def _remember_row(self, model, table_update):
         """Store the row of a model as contained in an answer, and return it."""
         stored = _StoredRow()
--- a/hawthornspoke/mirror/tests/test_declaration_recorder.py
+++ b/hawthornspoke/mirror/tests/test_declaration_recorder.py
@@ -5,7 +5,7 @@
 
 from hypothesis import example, given, settings, strategies as st
 
-from hawthornspoke.base import Failure, is_failure
+from hawthornspoke.base import Failure, boottime_clock, is_failure
 from hawthornspoke.catalog import DeclaredWeights
 from hawthornspoke.mirror import (
     DeclarationRecorder,
@@ -318,3 +318,20 @@
     run_recorder(store, declared_at=ASKED_AT, clock=clock, from_platform=True)
     # The fake store answers with a conflict, so there may be more than one attempt.
     assert store.written
+
+
+def test_write_bounds_the_time_of_the_next_version():
+    """Guards against a version that dates from before the previous one was recorded.
+
+    A version that is declared soon after another one was dated by the last read, and
+    old weights were refused too early.
+    """
+    for answer in (
+        RowWritten(revision=REVISION),
+        TableUpdate(rows=[row(TWO)], revision=REVISION, made_at=MADE_AT),
+    ):
+        started_at = boottime_clock()
+        clock = clock_with_answer(19, made_at=20.5)
+        run_recorder(FakeStore(answer), declared_at=ASKED_AT, clock=clock)
+        assert clock.write_time_bound(REVISION) == ASKED_AT
+        assert started_at <= clock.write_time_bound(REVISION + 1) <= boottime_clock()
