--- a/hawthornspoke/mirror/_response_timeout.py
+++ b/hawthornspoke/mirror/_response_timeout.py
@@ -51,8 +51,13 @@
         result = await send(timeout=timeout)
         is_held = not is_failure(result) and not result.update.rows
         now = boottime_clock()
-        elapsed = now - asked_at - (wait if is_held else 0.0)
-        self.record(elapsed, failed=is_failure(result), timeout=timeout, now=now)
+        held = wait if is_held else 0.0
+        self.record(
+            now - asked_at - held,
+            failed=is_failure(result),
+            timeout=timeout - held,
+            now=now,
+        )
         return result
 
     def seconds(self, now):
@@ -69,13 +74,13 @@
         failed : bool
             Whether there was no response.
         timeout : float
-            Seconds that the call was given.
+            Seconds that the call was given, without that time. A call lasts longer if
+            this process has stalled, and may then get a response later than this.
         now : float
         """
-        if failed:
-            is_late = elapsed >= timeout
-        else:
-            is_late = elapsed > QUICK_RESPONSE_TIME and now < self._slow_until
+        is_late = elapsed >= timeout
+        if not failed:
+            is_late |= elapsed > QUICK_RESPONSE_TIME and now < self._slow_until
             if elapsed <= QUICK_RESPONSE_TIME:
                 self._slow_until = float("-inf")
         if is_late:
