--- a/hawthornspoke/httpio/_client.py
+++ b/hawthornspoke/httpio/_client.py
@@ -139,6 +139,11 @@
         """Whether the transport is open, as far as the event loop knows."""
         return self.transport is not None and not self.transport.is_closing()
 
+    @property
+    def reuse_time(self):
+        """Seconds for which the connection may be reused once it is idle."""
+        return self._idle_timeout * IDLE_TIMEOUT_FRACTION
+
     def is_socket_closed(self):
         """Check the socket itself for a close that the event loop hasn't seen yet."""
         if not self.is_open:
@@ -308,7 +313,7 @@
         if not self.reusable or not self.is_open:
             self.abort()
             return False
-        self.idle_deadline = idle_since + self._idle_timeout * IDLE_TIMEOUT_FRACTION
+        self.idle_deadline = idle_since + self.reuse_time
         return True
 
     def abort(self):
--- a/hawthornspoke/relay/_probe_connections.py
+++ b/hawthornspoke/relay/_probe_connections.py
@@ -140,6 +140,7 @@
         "_connection",
         "_is_identified",
         "_echoes",
+        "_reuse_time",
         "_refresh_at",
         "_reopen_at",
         "_last_proof",
@@ -160,6 +161,8 @@
         self._connection = None
         self._is_identified = False
         self._echoes = True
+        # Of a new connection, as a response on an earlier one announced.
+        self._reuse_time = None
         self._refresh_at = 0.0
         self._reopen_at = -math.inf
         self._last_proof = None
@@ -260,7 +263,7 @@
             while self._users or self._has_time():
                 if not self._is_usable():
                     await self._open()
-                elif boottime_clock() >= self._refresh_at and self._echoes:
+                elif boottime_clock() >= self._refresh_at:
                     async with self._lock:
                         if self._is_usable():
                             await self._probe(self._connection)
@@ -313,6 +316,8 @@
     def _keep(self, connection):
         self._connection = connection
         self._refresh_at = connection.idle_deadline
+        if not connection.requests and self._reuse_time is not None:
+            self._refresh_at = boottime_clock() + self._reuse_time
         # Whenever its peer ends it, it is lost.
         connection.idle_deadline = math.inf
 
@@ -342,6 +347,7 @@
             is_identified=is_identified,
         )
         self._echoes = response.leaves_reusable
+        self._reuse_time = connection.reuse_time
         if is_last or not self._echoes:
             self._spend(connection)
         elif self._connection is not connection:
--- a/hawthornspoke/relay/tests/test_probe_connections.py
+++ b/hawthornspoke/relay/tests/test_probe_connections.py
@@ -17,6 +17,8 @@
 )
 from hawthornspoke.relay.tests.test_forward import run_scenario
 
+KEEP_ALIVE_TIME = 1.0
+
 
 class HookedPool(ConnectionPool):
     """Connection pool whose operations can be delayed or preceded by an action.
@@ -159,3 +161,37 @@
             assert not setting.is_open()
 
     run_scenario(scenario)
+
+
+def test_connection_to_an_endpoint_without_an_echo_is_replaced_before_its_timeout():
+    """Guards against the end of an idle time that counts as a loss."""
+
+    async def refuse(endpoint, head, writer):
+        head = (
+            f"HTTP/1.1 421 X\r\nX-Endpoint-Id: {endpoint.endpoint_id}\r\n"
+            f"Keep-Alive: timeout={KEEP_ALIVE_TIME:.0f}\r\nContent-Length: 0\r\n\r\n"
+        )
+        writer.write(head.encode())
+
+    class ClosingEndpoint(ScriptedEndpoint):
+        async def _serve(self, reader, writer):
+            closing = asyncio.get_running_loop().call_later(
+                KEEP_ALIVE_TIME, writer.transport.close
+            )
+            try:
+                await super()._serve(reader, writer)
+            finally:
+                closing.cancel()
+
+    async def scenario():
+        endpoint = ClosingEndpoint(probe_step=refuse)
+        async with RelayHarness(endpoint) as harness:
+            setting = Setting(harness)
+            lease = setting.hold()
+            await asyncio.sleep(2.5 * KEEP_ALIVE_TIME)
+            assert setting.pool.losses.count_by_address(since=0.0) == {}
+            count = harness.metrics.counter_value
+            assert count("end_probe_connections_total") <= 6
+            lease.release()
+
+    run_scenario(scenario)
