--- a/hawthornspoke/relay/_probe_connections.py
+++ b/hawthornspoke/relay/_probe_connections.py
@@ -138,6 +138,7 @@
         "_on_ended",
         "_users",
         "_connection",
+        "_probed",
         "_is_identified",
         "_echoes",
         "_reuse_time",
@@ -159,6 +160,8 @@
         self._on_ended = on_ended
         self._users = 0
         self._connection = None
+        # While a probe is under way, its connection; None once it is given up.
+        self._probed = None
         self._is_identified = False
         self._echoes = True
         # Of a new connection, as a response on an earlier one announced.
@@ -183,9 +186,7 @@
         self._users -= 1
         if not self._users and self._lock.locked():
             # Nobody waits any more for the probe that is under way.
-            connection, self._connection = self._connection, None
-            if connection is not None:
-                connection.abort()
+            self._give_up(self._probed or self._connection)
 
     async def prove(self, *, sent_at, ended_at, probe_after):
         """Find out whether the endpoint of an answer runs after its end.
@@ -275,11 +276,19 @@
             self._end()
 
     def _end(self):
-        connection, self._connection = self._connection, None
-        if connection is not None:
-            connection.abort()
+        self._give_up(self._probed)
+        self._give_up(self._connection)
         self._on_ended()
 
+    def _give_up(self, connection):
+        if connection is None:
+            return
+        if self._probed is connection:
+            self._probed = None
+        if self._connection is connection:
+            self._connection = None
+        connection.abort()
+
     def _has_time(self):
         return self._is_usable() and boottime_clock() < self._refresh_at
 
@@ -331,11 +340,13 @@
             self._reopen_at = -math.inf
             await self._open()
         sent_at = monotonic()
+        self._probed = connection
         response = await self._prober.send_refused(
             connection, address=self._placement.address, service=self._service
         )
+        is_own_close = self._probed is not connection
+        self._probed = None
         if response is None or not response.is_answer:
-            is_own_close = not is_last and self._connection is not connection
             if not connection.is_open and not is_own_close:
                 self._pool.losses.record(self._placement.address, now=monotonic())
             connection.abort()
--- a/hawthornspoke/relay/tests/test_probe_connections.py
+++ b/hawthornspoke/relay/tests/test_probe_connections.py
@@ -195,3 +195,35 @@
             lease.release()
 
     run_scenario(scenario)
+
+
+def test_caller_who_leaves_ends_the_probe_and_not_the_next_connection():
+    """Guards against a probe that hangs while the next answer needs a proof."""
+    is_silent = False
+
+    async def step(endpoint, head, writer):
+        if is_silent:
+            await asyncio.sleep(0.3)
+        await answer_probe()(endpoint, head, writer)
+
+    async def scenario():
+        nonlocal is_silent
+        async with RelayHarness(ScriptedEndpoint(probe_step=step)) as harness:
+            setting = Setting(harness)
+            lease = await hold_without_echo(setting)
+            opened = setting.pool.opened
+            is_silent = True
+            proof = asyncio.create_task(setting.prove(lease))
+            while setting.pool.opened == opened:
+                await asyncio.sleep(0.001)
+            await asyncio.sleep(0.02)
+            lease.release()
+            is_silent = False
+            lease = setting.hold()
+            began_at = monotonic()
+            assert await setting.prove(lease)
+            assert monotonic() - began_at < 0.2
+            await proof
+            lease.release()
+
+    run_scenario(scenario)
