--- a/hawthornspoke/relay/_probe_connections.py
+++ b/hawthornspoke/relay/_probe_connections.py
@@ -359,7 +359,7 @@
         )
         self._echoes = response.leaves_reusable
         self._reuse_time = connection.reuse_time
-        if is_last or not self._echoes:
+        if is_last or not self._echoes or not connection.reusable:
             self._spend(connection)
         elif self._connection is not connection:
             connection.abort()
@@ -369,7 +369,10 @@
         return response
 
     def _spend(self, connection):
-        """Keep a connection open that carries no other probe, and open another one."""
+        """Open another connection in place of one that carries no other probe.
+
+        It stays open for a while if its endpoint hasn't announced its close.
+        """
         if connection.release(idle_since=self._pool.earliest_arrival()):
             connection.idle_deadline = math.inf
         # Answers that ended before the probe may still need it to be open.
--- a/hawthornspoke/relay/tests/test_probe_connections.py
+++ b/hawthornspoke/relay/tests/test_probe_connections.py
@@ -14,6 +14,7 @@
     RelayHarness,
     ScriptedEndpoint,
     answer_probe,
+    field,
 )
 from hawthornspoke.relay.tests.test_forward import run_scenario
 
@@ -227,3 +228,27 @@
             lease.release()
 
     run_scenario(scenario)
+
+
+def test_connection_whose_close_is_announced_is_replaced_at_once():
+    """Guards against a time without a connection after an announced close."""
+
+    async def announce_close(endpoint, head, writer):
+        request_id = field(head, "X-Request-Id")
+        writer.write(
+            f"HTTP/1.1 421 X\r\nX-Endpoint-Id: {endpoint.endpoint_id}\r\n"
+            f"X-Request-Id: {request_id}\r\nX-Not-Run: 1\r\n"
+            "Connection: close\r\nContent-Length: 0\r\n\r\n".encode()
+        )
+
+    async def scenario():
+        async with RelayHarness(ScriptedEndpoint(probe_step=announce_close)) as harness:
+            setting = Setting(harness)
+            lease = setting.hold()
+            await setting.wait_until_open()
+            assert await setting.prove(lease)
+            await asyncio.sleep(0.1)
+            assert setting.is_open()
+            lease.release()
+
+    run_scenario(scenario)
