--- a/hawthornspoke/base/_timeout.py
+++ b/hawthornspoke/base/_timeout.py
@@ -8,6 +8,10 @@
 #: Seconds after a stall in which the event loop reads what arrived meanwhile.
 CATCH_UP_TIME = 0.2
 
+#: Iterations of the event loop in which it reads what arrived during a stall that ends
+#: after the deadline.
+READ_ITERATIONS = 10
+
 
 class StallTolerantTimeout:
     """Asynchronous context manager like ``asyncio.timeout``, also after a stall.
@@ -65,12 +69,19 @@
         now = asyncio.get_running_loop().time()
         is_late = now >= due_at + LATE_TIMER_DELAY
         if due_at >= self._deadline and (self._is_extended or not is_late):
-            self._scope.reschedule(now)
+            self._expire_after(READ_ITERATIONS if is_late else 0)
             return
         if is_late:
             self._postpone(due_at, now)
         self._check_at(min(self._deadline, now + LATE_TIMER_DELAY))
 
+    def _expire_after(self, iterations):
+        loop = asyncio.get_running_loop()
+        if iterations:
+            self._timer = loop.call_soon(self._expire_after, iterations - 1)
+        else:
+            self._scope.reschedule(loop.time())
+
     def _postpone(self, due_at, now):
         """Move the deadline by a stall, and once to a whole catch-up time after it."""
         self._deadline += now - due_at
--- a/hawthornspoke/base/tests/test_timeout.py
+++ b/hawthornspoke/base/tests/test_timeout.py
@@ -1,6 +1,7 @@
 """Timeouts of a process that stalls itself."""
 
 import asyncio
+import selectors
 import time
 
 import pytest
@@ -74,3 +75,43 @@
 
     with pytest.raises(TimeoutError):
         asyncio.run(run())
+
+
+class SimulatedLoop(asyncio.SelectorEventLoop):
+    """Event loop whose time passes only while it waits, or as a stall."""
+
+    def __init__(self):
+        self.now = 0.0
+        loop = self
+
+        class Selector(selectors.DefaultSelector):
+            def select(self, timeout=None):
+                loop.now += timeout or 0.0
+                return super().select(0)
+
+        super().__init__(Selector())
+
+    def time(self):
+        return self.now
+
+
+@pytest.mark.parametrize("third_stall", [0.1, 0.3])
+@pytest.mark.parametrize("pause", [0.16, 0.19])
+def test_answer_that_arrived_during_a_third_stall_is_read(pause, third_stall):
+    """Guards against a stall at the deadline that earlier stalls have moved.
+
+    Answers that arrived meanwhile take some iterations of the event loop to be read.
+    """
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        async with StallTolerantTimeout(0.3):
+            await asyncio.sleep(0.02)
+            for stall in (0.4, 0.1):
+                loop.now += stall
+                await asyncio.sleep(pause)
+            loop.now += third_stall
+            await read_answer()
+
+    with asyncio.Runner(loop_factory=SimulatedLoop) as runner:
+        runner.run(run())
