--- a/hawthornspoke/mirror/_watch.py
+++ b/hawthornspoke/mirror/_watch.py
@@ -229,6 +229,8 @@
         "_outage_tracker_by_table",
         "_started_at",
         "_held_until_by_table",
+        "_answered_query_at",
+        "_answer_event",
     )
 
     def __init__(
@@ -264,6 +266,9 @@
         self._started_at = boottime_clock()
         self._held_until_by_table = {}
         self.earliest_arrival = earliest_arrival or boottime_clock
+        # When the newest query was sent that the platform has answered.
+        self._answered_query_at = float("-inf")
+        self._answer_event = asyncio.Event()
 
     def is_current(self):
         """Return whether this host reads the platform and gets answers in time.
@@ -528,7 +533,7 @@
                 min(self.current_until, asked_at + wait + overdue_after)
             )
         if whole:
-            answer, answered_at = await self._read_whole(table)
+            answer, asked_at, answered_at = await self._read_whole(table)
             arrived_after = asked_at
         else:
             answer = await self._store.follow(table.name, after=revision, wait=wait)
@@ -536,12 +541,13 @@
             if not is_failure(answer) and self._lacks_changes(table, answer):
                 # Read again at once. This host has its turn to read a platform that
                 # was unreachable; the next host would get no better answer.
-                asked_at, wait = boottime_clock(), 0.0
-                answer, answered_at = await self._read_whole(table)
+                answer, asked_at, answered_at = await self._read_whole(table)
+                wait = 0.0
         if is_failure(answer) and answer not in (HISTORY_GONE, OUTDATED_ERA):
             self._outage(table).record_failure(asked_at)
         if is_failure(answer) or self._lacks_changes(table, answer):
             return answer
+        self._record_answered_query(asked_at)
         self.is_failing = False
         self.failed_at = float("-inf")
         answer.confirmed_at = _earliest_read(answer, asked_at, wait, arrived_after)
@@ -567,19 +573,59 @@
         return min(max(wait, shortest), longest)
 
     async def _read_whole(self, table):
-        """Read a whole table; return the answer and when it was received.
+        """Read a whole table; return the answer, and when it was sent for and received.
 
         In the first answer of an era the store may lack what neighbours know, so these
         are asked before it is applied.
         """
-        answer = await self._store.read(table.name)
+        asked_at = boottime_clock()
+        if self.is_failing:
+            answer, asked_at = await self._read_during_outage(table, asked_at)
+        else:
+            answer = await self._store.read(table.name)
         answered_at = boottime_clock()
         if is_failure(answer):
-            return answer, answered_at
+            return answer, asked_at, answered_at
         if era_of(answer.revision) != self.mirror.era(table.name):
             rows = await self._neighbours.ask_earlier_eras(table.name)
             self.mirror.merge(table.name, rows)
-        return answer, answered_at
+        return answer, asked_at, answered_at
+
+    async def _read_during_outage(self, table, asked_at):
+        """Read a whole table from a store that may be away.
+
+        The query or its answer may be lost in the outage, and the timeout of a whole
+        table is long. If the store answers a later query first, the overdue read is
+        sent once more; the first one stays, since its answer may just be slow.
+
+        Returns
+        -------
+        answer : TableUpdate or Failure
+        asked_at : float
+            When its query was sent, in seconds of ``boottime_clock``.
+        """
+        first = asyncio.ensure_future(self._store.read(table.name))
+        second = asyncio.ensure_future(self._repeat_overdue_read(table, asked_at))
+        try:
+            await asyncio.wait([first, second], return_when=asyncio.FIRST_COMPLETED)
+            if not first.done() and not is_failure(second.result()[0]):
+                return second.result()
+            return await first, asked_at
+        finally:
+            first.cancel()
+            second.cancel()
+
+    async def _repeat_overdue_read(self, table, asked_at):
+        await asyncio.sleep(LARGE_ANSWER_OVERDUE_AFTER)
+        while self._answered_query_at <= asked_at:
+            await self._answer_event.wait()
+        asked_at = boottime_clock()
+        return await self._store.read(table.name), asked_at
+
+    def _record_answered_query(self, asked_at):
+        self._answered_query_at = max(self._answered_query_at, asked_at)
+        self._answer_event.set()
+        self._answer_event = asyncio.Event()
 
     def _set_write_times(self, table, answer, asked_at, answered_at):
         """Set lower bounds on the write times of the rows of an answer."""
