--- a/hawthornspoke/permits/_allocator.py
+++ b/hawthornspoke/permits/_allocator.py
@@ -27,12 +27,13 @@
 class _EndpointPermits:
     """Permits of an endpoint; its ``rate`` is None if the limit has ended."""
 
-    __slots__ = ("rate", "incarnation", "next_at", "stale_deadline")
+    __slots__ = ("rate", "incarnation", "next_at", "heard_at", "stale_deadline")
 
     def __init__(self, *, rate, incarnation, next_at):
         self.rate = rate
         self.incarnation = incarnation
         self.next_at = next_at
+        self.heard_at = next_at
         self.stale_deadline = next_at
 
 
@@ -86,6 +87,8 @@
         list of RateLimitUpdated
         """
         self._sweep(now)
+        if self._is_outdated(message):
+            return []
         known = self._current(message)
         permits = self._record(message, first_at=now, now=now)
         if known is not None and known.rate == message.rate:
@@ -191,6 +194,13 @@
             return None
         return known
 
+    def _is_outdated(self, report):
+        """Return whether a repeated report is older than the last claim or report."""
+        known = self._permits_by_endpoint.get(report.endpoint_id)
+        if known is None or report.learned_at is None:
+            return False
+        return report.learned_at < known.heard_at
+
     def _record(self, message, *, first_at, now):
         permits = self._current(message)
         if permits is None:
@@ -199,6 +209,7 @@
             )
         if message.incarnation.is_known:
             permits.incarnation = message.incarnation
+        permits.heard_at = now
         permits.stale_deadline = now + LIMIT_LIFETIME
         return permits
 
--- a/hawthornspoke/permits/_messages.py
+++ b/hawthornspoke/permits/_messages.py
@@ -17,18 +17,22 @@
         limit any more.
     incarnation : Incarnation
         Incarnation (process run) of the endpoint that responded.
+    learned_at : float or None
+        Time of the response, on the clock of the machine, if the report is repeated;
+        None if it has just been received.
     """
 
     endpoint_id: str
     rate: float | None
     incarnation: Incarnation = UNKNOWN_START
+    learned_at: float | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class RateLimitUpdated:
     """The rate limit of an endpoint changed; all entry hosts should know of it.
 
-    The parameters are those of ``RateLimitReported``.
+    The parameters are those of ``RateLimitReported``, but for the time.
     """
 
     endpoint_id: str
--- a/hawthornspoke/permits/_wire.py
+++ b/hawthornspoke/permits/_wire.py
@@ -7,6 +7,7 @@
     PermitClaimed,
     PermitsDenied,
     PermitsGranted,
+    RateLimitReported,
     RateLimitUpdated,
 )
 from hawthornspoke.protocol import EndpointRateLimit, PermitClaim, PermitGrant
@@ -35,6 +36,49 @@
     )
 
 
+def encode_report(message, *, now):
+    """Encode a report; the time at which it was learned is sent as its age.
+
+    Parameters
+    ----------
+    message : RateLimitReported
+    now : float
+
+    Returns
+    -------
+    EndpointRateLimit
+    """
+    limit = encode_rate_limit(message)
+    if message.learned_at is not None:
+        # Rounded up: what the allocator has learned meanwhile must count as newer.
+        limit.age_ms = math.ceil(min(now - message.learned_at, MAX_DELAY) * 1000)
+    return limit
+
+
+def decode_reports(received, *, now):
+    """Decode received reports, skipping invalid ones.
+
+    Parameters
+    ----------
+    received : list of EndpointRateLimit or None
+    now : float
+
+    Returns
+    -------
+    list of RateLimitReported
+    """
+    return [
+        RateLimitReported(
+            endpoint_id=item.endpoint_id,
+            rate=item.rate,
+            incarnation=Incarnation.from_value(item.started_ms),
+            learned_at=None if item.age_ms is None else now - _seconds(item.age_ms),
+        )
+        for item in received or ()
+        if _is_valid(item)
+    ]
+
+
 def decode_rate_limits(received):
     """Decode received limits, skipping invalid ones.
 
@@ -53,8 +97,7 @@
             incarnation=Incarnation.from_value(item.started_ms),
         )
         for item in received or ()
-        if _is_endpoint_id(item.endpoint_id)
-        and (item.rate is None or _is_rate(item.rate))
+        if _is_valid(item)
     ]
 
 
@@ -147,6 +190,11 @@
     )
 
 
+def _is_valid(limit):
+    is_rate = limit.rate is None or _is_rate(limit.rate)
+    return _is_endpoint_id(limit.endpoint_id) and is_rate
+
+
 def _is_endpoint_id(value):
     return bool(value) and len(value) <= MAX_ID_LENGTH
 
--- a/hawthornspoke/permits/tests/test_allocator.py
+++ b/hawthornspoke/permits/tests/test_allocator.py
@@ -127,6 +127,27 @@
     ]
 
 
+def test_repeated_end_does_not_end_a_limit_that_was_reported_or_claimed_later():
+    """Guards against an old end that reaches an allocator after a newer limit."""
+    machine = PermitAllocator()
+    report(machine, 2.0, now=10.0)
+    assert report(machine, None, now=11.0, learned_at=9.5) == []
+    assert machine.rate_of("e") == 2.0
+    claim(machine, now=12.0)
+    assert report(machine, None, now=13.0, learned_at=11.5) == []
+    assert machine.rate_of("e") == 2.0
+    ended = RateLimitUpdated(endpoint_id="e", rate=None)
+    assert report(machine, None, now=14.0, learned_at=12.5) == [ended]
+
+
+def test_repeated_end_of_a_former_incarnation_leaves_the_limit_of_the_next():
+    machine = PermitAllocator()
+    first, second = Incarnation(started_ms=1), Incarnation(started_ms=2)
+    report(machine, 2.0, now=10.0, incarnation=second)
+    assert report(machine, None, now=11.0, learned_at=9.0, incarnation=first) == []
+    assert machine.rate_of("e") == 2.0
+
+
 def test_claim_within_a_limit_that_has_ended_is_told_so():
     """Guards against a host that was disconnected when a limit ended."""
     machine = PermitAllocator()
--- a/hawthornspoke/permits/tests/test_wire.py
+++ b/hawthornspoke/permits/tests/test_wire.py
@@ -8,13 +8,16 @@
     PermitClaimed,
     PermitsDenied,
     PermitsGranted,
+    RateLimitReported,
     RateLimitUpdated,
     decode_claim,
     decode_grant,
     decode_rate_limits,
+    decode_reports,
     encode_claim,
     encode_grant,
     encode_rate_limit,
+    encode_report,
 )
 from hawthornspoke.protocol import EndpointRateLimit, PermitClaim, PermitGrant
 from hawthornspoke.protocol.tests.structs import structs
@@ -30,6 +33,34 @@
     assert decode_rate_limits([encode_rate_limit(update)]) == [update]
 
 
+def test_repeated_report_moves_to_the_clock_of_the_receiver():
+    report = RateLimitReported(endpoint_id="e", rate=None, learned_at=7.5)
+    limit = encode_report(report, now=10.0)
+    (received,) = decode_reports([limit], now=100.0)
+    assert received.learned_at == 97.5
+    assert received.rate is None
+
+
+@pytest.mark.parametrize("rate", [1.5, None])
+def test_report_that_is_not_repeated_has_no_age(rate):
+    report = RateLimitReported(endpoint_id="e", rate=rate)
+    assert decode_reports([encode_report(report, now=10.0)], now=100.0) == [report]
+
+
+def test_report_is_never_decoded_as_newer_than_it_is():
+    """Guards against an end that counts as newer than a limit learned after it."""
+    report = RateLimitReported(endpoint_id="e", rate=None, learned_at=9.99951)
+    (received,) = decode_reports([encode_report(report, now=10.0)], now=10.0)
+    assert received.learned_at <= report.learned_at
+
+
+@pytest.mark.parametrize("age_ms", [-(2**31), -1, 2**31 - 1])
+def test_age_out_of_range_is_limited(age_ms):
+    limit = EndpointRateLimit(endpoint_id="e", age_ms=age_ms)
+    (received,) = decode_reports([limit], now=100.0)
+    assert 40.0 <= received.learned_at <= 100.0
+
+
 def test_claim_is_decoded_as_it_was_sent():
     assert decode_claim(encode_claim(CLAIM)) == CLAIM
 
@@ -73,6 +104,7 @@
 def test_invalid_limit_is_skipped(limit):
     """Guards against a limit that would stop an endpoint's requests for good."""
     assert decode_rate_limits([limit]) == []
+    assert decode_reports([limit], now=0.0) == []
     assert decode_claim(PermitClaim(limit=limit)) is None
 
 
--- a/hawthornspoke/protocol/_gen/ttypes.py
+++ b/hawthornspoke/protocol/_gen/ttypes.py
@@ -4145,6 +4145,7 @@
      - endpoint_id
      - started_ms
      - rate
+     - age_ms
 
     """
 
@@ -4152,13 +4153,15 @@
         'endpoint_id',
         'started_ms',
         'rate',
+        'age_ms',
     )
 
 
-    def __init__(self, endpoint_id=None, started_ms=None, rate=None,):
+    def __init__(self, endpoint_id=None, started_ms=None, rate=None, age_ms=None,):
         self.endpoint_id = endpoint_id
         self.started_ms = started_ms
         self.rate = rate
+        self.age_ms = age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4184,6 +4187,11 @@
                     self.rate = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4206,6 +4214,10 @@
             oprot.writeFieldBegin('rate', TType.DOUBLE, 3)
             oprot.writeDouble(self.rate)
             oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 4)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5489,6 +5501,7 @@
     (1, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 1
     (2, TType.I64, 'started_ms', None, None, ),  # 2
     (3, TType.DOUBLE, 'rate', None, None, ),  # 3
+    (4, TType.I32, 'age_ms', None, None, ),  # 4
 )
 all_structs.append(PermitClaim)
 PermitClaim.thrift_spec = (
--- a/hawthornspoke/relay/_rate_limits.py
+++ b/hawthornspoke/relay/_rate_limits.py
@@ -12,13 +12,14 @@
 
 from hawthornspoke.base import is_failure, monotonic, rendezvous_order
 from hawthornspoke.permits import (
+    LIMIT_LIFETIME,
     PermitAllocator,
     PermitsGranted,
     RateLimitReported,
     decode_grant,
     decode_rate_limits,
     encode_claim,
-    encode_rate_limit,
+    encode_report,
 )
 from hawthornspoke.protocol import Frame
 from hawthornspoke.relay._permit_waits import PermitWaits
@@ -52,6 +53,7 @@
         "_log",
         "_metrics",
         "_link_by_address",
+        "_end_by_endpoint",
         "_local_allocator",
         "_tasks",
         "_waits",
@@ -63,12 +65,17 @@
         self._log = log
         self._metrics = metrics
         self._link_by_address = {}
+        # Reports that limits have ended, as learned from responses to this host.
+        self._end_by_endpoint = {}
         self._local_allocator = PermitAllocator(takeover_delay=0.0)
         self._tasks = set()
         self._waits = PermitWaits()
 
     def add_agent(self, address, link):
-        """Add a connected agent.
+        """Add a connected agent, and repeat the ends of limits that it now divides.
+
+        It may have been away when they were reported, so that hosts which are connected
+        to it would keep to a limit that has ended.
 
         Parameters
         ----------
@@ -77,6 +84,15 @@
         link : PeerConnection
         """
         self._link_by_address[address] = link
+        now = monotonic()
+        self._forget_old_ends(now)
+        repeated = [
+            encode_report(report, now=now)
+            for endpoint_id, report in self._end_by_endpoint.items()
+            if self._allocator_address(endpoint_id) == address
+        ]
+        if repeated:
+            link.send(Frame(rate_limits=repeated))
 
     def remove_agent(self, address):
         """Remove an agent whose connection was closed."""
@@ -90,15 +106,22 @@
         changed : SignalChanged
             Changes of other signals are ignored.
         """
-        link = self._allocator(changed.endpoint_id)
-        if changed.signal != RATE_LIMIT or link is None:
+        if changed.signal != RATE_LIMIT:
             return
+        now = monotonic()
         report = RateLimitReported(
             endpoint_id=changed.endpoint_id,
             rate=changed.value,
             incarnation=changed.incarnation,
         )
-        link.send(Frame(rate_limits=[encode_rate_limit(report)]))
+        self._forget_old_ends(now)
+        self._end_by_endpoint.pop(changed.endpoint_id, None)
+        if changed.value is None:
+            end = replace(report, learned_at=now)
+            self._end_by_endpoint[changed.endpoint_id] = end
+        link = self._allocator(changed.endpoint_id)
+        if link is not None:
+            link.send(Frame(rate_limits=[encode_report(report, now=now)]))
 
     def receive(self, address, frame):
         """Record the limits that other entry hosts have learned.
@@ -112,9 +135,12 @@
         for update in decode_rate_limits(frame.rate_limits):
             # Another agent divided the limit only while this one was away, and hasn't
             # received its end.
-            if self._allocator_address(update.endpoint_id) == address:
-                for changed in self._fleet.step(update, now=monotonic()):
-                    log_signal_change(self._log, changed, source="entry_host")
+            if self._allocator_address(update.endpoint_id) != address:
+                continue
+            if update.rate is not None:
+                self._end_by_endpoint.pop(update.endpoint_id, None)
+            for changed in self._fleet.step(update, now=monotonic()):
+                log_signal_change(self._log, changed, source="entry_host")
 
     def send_claims(self):
         """Claim the permits that recent selections would have needed."""
@@ -151,6 +177,7 @@
         """Return the state as plain data; the limits are in that of the Fleet."""
         return {
             "requests_waiting": len(self._waits),
+            "ended_limits": len(self._end_by_endpoint),
             "local_permits": self._local_allocator.dump(now=now),
         }
 
@@ -201,6 +228,12 @@
             self._local_allocator.step(report, now=now)
         return self._local_allocator.step(local_claim, now=now)[0]
 
+    def _forget_old_ends(self, now):
+        oldest = now - LIMIT_LIFETIME
+        for endpoint_id, report in list(self._end_by_endpoint.items()):
+            if report.learned_at < oldest:
+                del self._end_by_endpoint[endpoint_id]
+
     def _allocator(self, endpoint_id):
         return self._link_by_address.get(self._allocator_address(endpoint_id))
 
--- a/hawthornspoke/spread/_rate_limits.py
+++ b/hawthornspoke/spread/_rate_limits.py
@@ -6,9 +6,8 @@
     PermitAllocator,
     PermitsDenied,
     PermitsGranted,
-    RateLimitReported,
     decode_claim,
-    decode_rate_limits,
+    decode_reports,
     encode_grant,
     encode_rate_limit,
 )
@@ -49,13 +48,11 @@
         link : PeerConnection
         frame : Frame
         """
-        for item in decode_rate_limits(frame.rate_limits):
-            report = RateLimitReported(
-                endpoint_id=item.endpoint_id,
-                rate=item.rate,
-                incarnation=item.incarnation,
-            )
-            self._share(self.allocator.step(report, now=monotonic()), without=link)
+        now = monotonic()
+        for report in decode_reports(frame.rate_limits, now=now):
+            # A repeated report may cross the limit that its sender got on connecting.
+            without = link if report.learned_at is None else None
+            self._share(self.allocator.step(report, now=now), without=without)
 
     def answer(self, link, frame):
         """Answer an entry host's claim of permits.
--- a/idl/hawthornspoke.thrift
+++ b/idl/hawthornspoke.thrift
@@ -363,6 +363,8 @@
   2: optional i64 started_ms,
   // Requests per second from all entry hosts together; absent if it names none any more.
   3: optional double rate,
+  // Since an entry host learned it from a response, if that is repeated; absent at first.
+  4: optional i32 age_ms,
 }
 
 // From an entry host: asks for permits to send requests to an endpoint with a limit.
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -658,6 +658,20 @@
         also=("claim.rate / max(1, self._entry_hosts())", "claim.rate"),
         test="platform/adapter/tests/test_rate_limits.py -k agents_are_down",
     ),
+    Mutation(
+        name="rate limit: an end is not repeated to an agent that was away",
+        file="relay/_rate_limits.py",
+        old="        if repeated:\n",
+        new="        if False:\n",
+        test="hawthornspoke/relay/tests/test_shared_rate_limits.py -k connected",
+    ),
+    Mutation(
+        name="rate limit: a repeated end counts as new",
+        file="permits/_allocator.py",
+        old="        if self._is_outdated(message):\n",
+        new="        if False:\n",
+        test="hawthornspoke/relay/tests/test_shared_rate_limits.py -k newer_limit",
+    ),
     Mutation(
         name="rate limit: permits are not checked before the send",
         file="placing/_fleet.py",
