--- a/hawthornspoke/memory_budget/_budget.py
+++ b/hawthornspoke/memory_budget/_budget.py
@@ -5,9 +5,9 @@
 #: What bytes are held for: a request's body, data received after a request, a request
 #: that its endpoint hasn't received yet, a response that wasn't passed on yet, a
 #: response that the caller hasn't read yet, data that the operating system holds for a
-#: connection that isn't read, data that it holds for a caller, and a whole response
-#: that wasn't written yet.
-BODY, PENDING, SENDING, UNREAD, WRITTEN, KERNEL, SENT, ANSWER = range(8)
+#: connection that isn't read, data that it holds for a caller, a whole response that
+#: wasn't written yet, and what a request takes whatever it carries.
+BODY, PENDING, SENDING, UNREAD, WRITTEN, KERNEL, SENT, ANSWER, REQUEST = range(9)
 USES = (
     "body",
     "pending",
@@ -17,6 +17,7 @@
     "kernel",
     "sent",
     "answer",
+    "request",
 )
 
 #: Uses of what callers have to receive: it becomes less as they read, or are cut.
@@ -84,6 +85,10 @@
 #: Bytes of a response that may arrive before the budget is asked about it.
 FIRST_BYTES = READ_BUFFER_BYTES + KERNEL_BYTES
 
+#: Bytes that a request takes by itself from its admission to its end: its task and its
+#: state, and the connections to its caller and to its endpoint.
+REQUEST_BYTES = 25_000
+
 #: A caller is slow if it has bytes to receive and receives fewer of them per second
 #: than SLOW_RATE over SLOW_TIME seconds; over URGENT_SLOW_TIME above the limit.
 SLOW_RATE = 32768
@@ -262,7 +267,7 @@
         self.paused.pop(holder, None)
         holder.is_passed_on = False
         self._unsent.discard(holder)
-        for use in (BODY, SENDING, UNREAD, KERNEL, ANSWER):
+        for use in (BODY, SENDING, UNREAD, KERNEL, ANSWER, REQUEST):
             self.hold(holder, use, 0)
 
     def release(self, holder):
@@ -299,13 +304,15 @@
         bool
         """
         expected = (len(self._unsent) + 1) * FIRST_BYTES
-        if self.held - holder.bytes_by_use[BODY] + expected > self._cut_mark:
+        others = self.held - holder.bytes_by_use[BODY] - holder.bytes_by_use[REQUEST]
+        if others + REQUEST_BYTES + expected > self._cut_mark:
             waiting = (
                 item.bytes_by_use[UNREAD] for item, size in self.paused.items() if size
             )
             if expected + self._kernel_bytes + sum(waiting) > self._min_begun_mark:
                 return False
         self._unsent.add(holder)
+        self.hold(holder, REQUEST, REQUEST_BYTES)
         return True
 
     def expect_response(self, holder):
--- a/hawthornspoke/memory_budget/tests/test_budget.py
+++ b/hawthornspoke/memory_budget/tests/test_budget.py
@@ -12,6 +12,7 @@
     MemoryBudget,
     buffer_limit,
 )
+from hawthornspoke.memory_budget._budget import REQUEST_BYTES
 
 MB = 1_000_000
 
@@ -74,7 +75,7 @@
     admitted = [
         holder for _ in range(2000) if budget.admits_request(holder := Holder())
     ]
-    assert 700 < len(admitted) < 800
+    assert 600 < len(admitted) < 615
     for holder in admitted:
         budget.expect_response(holder)
     assert 76 * MB < budget.held <= 80 * MB
@@ -89,6 +90,20 @@
     assert budget.admits_request(Holder())
 
 
+def test_requests_count_by_themselves_until_they_end():
+    """Guards against many requests that hold no bytes and exceed the memory."""
+    budget = MemoryBudget(limit=100 * MB)
+    holders = [Holder() for _ in range(400)]
+    for holder in holders:
+        assert budget.admits_request(holder) and budget.admits_request(holder)
+        budget.expect_response(holder)
+        budget.hold(holder, KERNEL, 0)
+    assert budget.held == 400 * REQUEST_BYTES
+    for holder in holders:
+        budget.release_request(holder)
+    assert (budget.held, budget.holders) == (0, set())
+
+
 def test_slow_callers_leave_room_for_requests_and_for_small_answers():
     """Guards against refusing ordinary callers while slow ones hold the rest."""
     budget = MemoryBudget(limit=10 * MB)
