--- a/hawthornspoke/relay/_probe_connections.py
+++ b/hawthornspoke/relay/_probe_connections.py
@@ -9,7 +9,12 @@
 import contextlib
 import math
 
-from hawthornspoke.base import Failure, boottime_clock, monotonic
+from hawthornspoke.base import (
+    Failure,
+    StallTolerantTimeout,
+    boottime_clock,
+    monotonic,
+)
 
 #: Seconds between two checks of a connection, and between two attempts to open one.
 CHECK_INTERVAL = 0.05
@@ -169,8 +174,8 @@
         self._refresh_at = 0.0
         self._reopen_at = -math.inf
         self._last_proof = None
-        # Connections that carry no other probe and are still open.
-        self._spent = []
+        # Tasks that close connections which carry no other probe.
+        self._spent = {}
         self._must_open = asyncio.Event()
         self._lock = asyncio.Lock()
         self._task = None
@@ -376,16 +381,22 @@
         if connection.release(idle_since=self._pool.earliest_arrival()):
             connection.idle_deadline = math.inf
         # Answers that ended before the probe may still need it to be open.
-        self._spent.append(connection)
-        asyncio.get_running_loop().call_later(SPENT_TIME, self._close_spent, connection)
+        closing = self._close_spent(connection)
+        self._spent[connection] = asyncio.get_running_loop().create_task(closing)
         if self._connection is connection:
             self._connection = None
             self._reopen_at = -math.inf
             self._must_open.set()
 
-    def _close_spent(self, connection):
-        self._spent.remove(connection)
-        connection.abort()
+    async def _close_spent(self, connection):
+        """Close a connection once answers that need it to be open had time for it."""
+        try:
+            with contextlib.suppress(TimeoutError):
+                async with StallTolerantTimeout(SPENT_TIME):
+                    await asyncio.get_running_loop().create_future()
+        finally:
+            del self._spent[connection]
+            connection.abort()
 
     async def _check_health(self, connection):
         """Return whether the endpoint says its id, None if it doesn't answer."""
--- a/hawthornspoke/relay/tests/test_joint_ends.py
+++ b/hawthornspoke/relay/tests/test_joint_ends.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+import time
 
 import pytest
 
@@ -244,11 +245,18 @@
     return step
 
 
-def test_whole_answers_that_end_while_the_first_refusal_is_awaited_are_whole():
+@pytest.mark.parametrize("stall", [0.0, 0.15])
+def test_whole_answers_that_end_while_the_first_refusal_is_awaited_are_whole(stall):
     """Guards against answers that one proof leaves without a connection."""
 
+    async def stall_after(event_):
+        await event_.wait()
+        await asyncio.sleep(0.03)
+        time.sleep(stall)
+
     async def scenario():
         on_probe = asyncio.Event()
+        stalling = asyncio.create_task(stall_after(on_probe))
         late = cut_after(on_probe, event(1), close=close_one, seconds=0.01)
         endpoint = ScriptedEndpoint(
             cut(event(1), close=close_one),
@@ -263,6 +271,7 @@
             assert [(event_ids(item[2]), item[3]) for item in results] == [
                 ([1], True)
             ] * 3
+            await stalling
             count = harness.metrics.counter_value
             assert count("unframed_ends_total", reason="probe_connection") == 3
 
