--- a/hawthornspoke/httpio/_client.py
+++ b/hawthornspoke/httpio/_client.py
@@ -75,8 +75,8 @@
         Called with the kind of a response that may not belong to the request, or that
         hides the response to it.
     on_lost : callable or None, default=None
-        Called with the LostState if the peer ends the connection and nothing was due to
-        end it.
+        Called with the LostState and ``opened_at`` if the peer ends the connection and
+        nothing was due to end it.
     on_unframed_end : callable or None, default=None
         Called when a response without framing ends with the connection.
 
@@ -170,7 +170,7 @@
         lost_state = self._lost_state(is_reset=is_reset)
         exchange, self.exchange = self.exchange, None
         if lost_state is not None and self.on_lost is not None:
-            self.on_lost(lost_state)
+            self.on_lost(lost_state, self.opened_at)
         if exchange is not None:
             reason = "reset" if self._is_broken else str(exc or "closed")
             exchange.end(CONNECTION_BROKEN.with_reason(reason))
--- a/hawthornspoke/httpio/_losses.py
+++ b/hawthornspoke/httpio/_losses.py
@@ -28,10 +28,10 @@
 class _ConnectionEnd:
     """The end of one connection."""
 
-    __slots__ = ("address", "at")
+    __slots__ = ("address", "at", "opened_at")
 
-    def __init__(self, *, address, at):
-        self.address, self.at = address, at
+    def __init__(self, *, address, at, opened_at):
+        self.address, self.at, self.opened_at = address, at, opened_at
 
 
 class ConnectionEnds:
@@ -42,7 +42,7 @@
     def __init__(self):
         self._ends = collections.deque(maxlen=MAX_ENDS)
 
-    def record(self, address, *, now):
+    def record(self, address, *, now, opened_at=-math.inf):
         """Record the end of a connection.
 
         Parameters
@@ -51,10 +51,12 @@
             ``IP:PORT`` of its other end.
         now : float
             Seconds of any clock that doesn't go back.
+        opened_at : float, default=-math.inf
+            When the connection was opened, on the same clock.
         """
         while self._ends and self._ends[0].at < now - RETENTION:
             self._ends.popleft()
-        self._ends.append(_ConnectionEnd(address=address, at=now))
+        self._ends.append(_ConnectionEnd(address=address, at=now, opened_at=opened_at))
 
     def covers(self, since, *, now):
         """Return whether all ends since a time are remembered.
@@ -72,7 +74,7 @@
         oldest = self._ends[0].at if is_full else now - RETENTION
         return since > max(oldest, now - RETENTION)
 
-    def count_by_address(self, *, since, until=math.inf):
+    def count_by_address(self, *, since, until=math.inf, min_age=0.0):
         """Return the number of ends in a time by the address of their peer.
 
         Parameters
@@ -80,11 +82,15 @@
         since : float
             Within ``RETENTION``, on the clock of ``record``.
         until : float, default=math.inf
+        min_age : float, default=0.0
+            Minimum seconds for which the connections were open.
 
         Returns
         -------
         collections.Counter of str to int
         """
         return collections.Counter(
-            end.address for end in self._ends if since <= end.at <= until
+            end.address
+            for end in self._ends
+            if since <= end.at <= until and end.at - end.opened_at >= min_age
         )
--- a/hawthornspoke/httpio/_pool.py
+++ b/hawthornspoke/httpio/_pool.py
@@ -142,7 +142,9 @@
             max_unread_bytes=self.max_unread_bytes,
             on_oversized=self._count_oversized,
             on_unmatched=self._count_unmatched,
-            on_lost=lambda state: self._record_loss(address, state),
+            on_lost=lambda state, opened_at: self._record_loss(
+                address, state, opened_at
+            ),
             on_unframed_end=lambda: self.unframed_ends.record(address, now=monotonic()),
         )
         if not isinstance(connection, Failure):
@@ -276,8 +278,8 @@
         if failure == TOO_LARGE:
             self._count_oversized(REFUSAL)
 
-    def _record_loss(self, address, state):
-        self.losses.record(address, now=monotonic())
+    def _record_loss(self, address, state, opened_at):
+        self.losses.record(address, now=monotonic(), opened_at=opened_at)
         if self.metrics is not None:
             self.metrics.count("connections_lost_total", state=state)
 
--- a/hawthornspoke/relay/_agents.py
+++ b/hawthornspoke/relay/_agents.py
@@ -344,8 +344,11 @@
                     timeout=CONNECT_TIMEOUT,
                 )
                 if not isinstance(link, Failure):
+                    opened_at = monotonic()
                     await self._serve_link(address, link, closed)
-                    self._losses.record(f"{ip}:{self.port}", now=monotonic())
+                    self._losses.record(
+                        f"{ip}:{self.port}", now=monotonic(), opened_at=opened_at
+                    )
                 await asyncio.sleep(random.uniform(*RECONNECT_PAUSE))
         finally:
             self._remove(address)
--- a/hawthornspoke/relay/_end_verification.py
+++ b/hawthornspoke/relay/_end_verification.py
@@ -37,6 +37,10 @@
 #: than the end of a process.
 MIN_PEERS_LOST = 2
 
+#: Age in seconds from which the loss of a connection to another peer counts. A proxy
+#: whose process is gone accepts connections and closes them at once.
+MIN_LOST_AGE = 0.025
+
 #: Seconds after which a process that closed its connections in order to end is gone.
 SETTLE_TIME = 0.4
 
@@ -170,7 +174,9 @@
         began_at = ended_after - JOINT_TIME
         if placement.address in pool.losses.count_by_address(since=began_at):
             return True
-        lost = pool.losses.count_by_address(since=began_at, until=ended_at + JOINT_TIME)
+        lost = pool.losses.count_by_address(
+            since=began_at, until=ended_at + JOINT_TIME, min_age=MIN_LOST_AGE
+        )
         if len(lost) >= (MIN_PEERS_LOST if is_kept else 1):
             return True
         # A process that ends loses all its connections, a fault of a link may not.
--- a/hawthornspoke/relay/tests/test_joint_ends.py
+++ b/hawthornspoke/relay/tests/test_joint_ends.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from hawthornspoke.base import discard_unsent_bytes
+from hawthornspoke.base import discard_unsent_bytes, monotonic
 from hawthornspoke.relay.tests.relay_harness import (
     RelayHarness,
     ScriptedEndpoint,
@@ -368,6 +368,27 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize(("age", "is_whole"), [(0.002, True), (0.1, False)])
+def test_only_connections_that_were_open_for_some_time_are_lost_together(age, is_whole):
+    """Guards against sound answers lost as peers accept connections and close them."""
+
+    async def scenario():
+        def close_beside_losses(endpoint, writer):
+            close_one(endpoint, writer)
+            now = monotonic()
+            for address in ("127.0.0.1:1", "127.0.0.1:2"):
+                harness.pool.losses.record(address, now=now, opened_at=now - age)
+
+        endpoint = ScriptedEndpoint(
+            cut(event(1), close=close_beside_losses), probe_step=echo_probe()
+        )
+        async with RelayHarness(endpoint, timeout=3.0) as harness:
+            _, _, body, complete = await harness.ask("stream")
+            assert (event_ids(body), complete) == ([1], is_whole)
+
+    run_scenario(scenario)
+
+
 def test_whole_answer_beside_the_end_of_another_endpoint_is_whole():
     """Guards against sound answers that are lost as another endpoint ends."""
     other = ScriptedEndpoint()
