--- a/hawthornspoke/agent/_engines.py
+++ b/hawthornspoke/agent/_engines.py
@@ -97,6 +97,14 @@
             raise _PrecheckFailed(failure)
         super().send(data)
 
+    def getresponse(self):
+        """Return the response, with the socket that it is read from."""
+        sock = self.sock
+        response = super().getresponse()
+        # A response without framing takes the socket from its connection.
+        response.socket = sock
+        return response
+
 
 class _CheckedPool(urllib3.HTTPConnectionPool):
     ConnectionCls = _CheckedConnection
@@ -187,7 +195,9 @@
         if response.chunked or response.length_remaining is not None:
             yield from _iter_body(response)
             return
-        with _EndWitness(client=self) as witness:
+        # An https connection has another class.
+        answer_socket = getattr(response, "socket", None)
+        with _EndWitness(client=self, answer_socket=answer_socket) as witness:
             for part in _iter_body(response):
                 witness.renew()
                 yield part
@@ -248,16 +258,19 @@
     Parameters
     ----------
     client : _EngineClient
+    answer_socket : socket.socket or None
+        Of the answer; None if it isn't known.
     """
 
-    __slots__ = ("_client", "_connection")
+    __slots__ = ("_client", "_answer_socket", "_connection")
 
-    def __init__(self, *, client):
+    def __init__(self, *, client, answer_socket):
         self._client = client
+        self._answer_socket = answer_socket
         self._connection = None
 
     def __enter__(self):
-        self.renew()
+        self._connect()
         return self
 
     def __exit__(self, *exc):
@@ -271,6 +284,12 @@
                 return
             self._connection.close()
             self._connection = None
+        # Parts of an answer may be read after its engine has ended and started again.
+        sock = self._answer_socket
+        if sock is None or not is_closed_by_peer(sock):
+            self._connect()
+
+    def _connect(self):
         with contextlib.suppress(OSError):
             self._connection = self._client.connect()
 
--- a/hawthornspoke/agent/tests/test_unframed_answers.py
+++ b/hawthornspoke/agent/tests/test_unframed_answers.py
@@ -166,3 +166,25 @@
     monkeypatch.setattr(socket, "create_connection", create_connection)
     assert ENGINES.get("plain")(url=url).has_ended()
     assert addresses == [("engine", port)]
+
+
+@pytest.mark.parametrize("kind", ["model", "plain"])
+def test_answer_whose_last_part_is_read_after_a_restart_is_not_whole(kind):
+    """Guards against a connection to the next start that stands for the last one."""
+    may_read = threading.Event()
+
+    def send_and_restart(listener, connection):
+        connection.sendall(b"more")
+        restart(listener, connection)
+        may_read.set()
+
+    with engine_of_one_answer(send_and_restart) as (url, may_end):
+
+        def on_part():
+            may_end.set()
+            may_read.wait(5.0)
+
+        with pytest.raises(IncompleteResponse):
+            pytest.fail(f"{read_answer(kind, url, on_part)}")
+    while RESTARTED:
+        RESTARTED.pop().close()
