--- a/hawthornspoke/mirror/_watch.py
+++ b/hawthornspoke/mirror/_watch.py
@@ -513,10 +513,12 @@
         return answer
 
     async def _query_store(self, table, progress):
-        # After a failure the first query does not wait for changes, so that its answer
-        # shows immediately that the platform is reachable again.
+        # After a failure, or a stall in which neighbours ceased to use this host, the
+        # first query does not wait for changes, so that its answer shows immediately
+        # that the platform is reachable.
         revision, whole = progress.revision, progress.revision is None
-        is_immediate = whole or progress.failed or self.is_failing
+        is_overdue = table.confirms_configuration and self._is_overdue()
+        is_immediate = whole or progress.failed or self.is_failing or is_overdue
         asked_at = boottime_clock()
         wait = 0.0 if is_immediate else self._choose_wait(table, asked_at)
         self._held_until_by_table[table.name] = asked_at + wait
@@ -558,6 +560,10 @@
             )
         return answer
 
+    def _is_overdue(self):
+        """Return whether this host read the platform and gets no answers in time."""
+        return self.current_until > float("-inf") and not self.is_current()
+
     def _choose_wait(self, table, asked_at):
         """Return for how many seconds the platform may hold a query for a table."""
         shortest, longest = (table.wait * share for share in WAIT_SPREAD)
--- a/hawthornspoke/mirror/tests/test_stalls.py
+++ b/hawthornspoke/mirror/tests/test_stalls.py
@@ -11,7 +11,7 @@
 from hawthornspoke.base._stall import CATCH_UP_TIME
 from hawthornspoke.mirror import TableUpdate
 from hawthornspoke.mirror._neighbours import ANSWER_TIMEOUT, MIN_HOLD_AFTER_STALL
-from hawthornspoke.mirror._watch import NEIGHBOUR_WAIT
+from hawthornspoke.mirror._watch import BURST_GAP, NEIGHBOUR_WAIT
 from hawthornspoke.mirror.tests.test_watch import (
     READER,
     FakeStore,
@@ -100,6 +100,35 @@
     asyncio.run(run())
 
 
+def test_reader_that_stalled_between_two_queries_is_soon_current():
+    """Guards against neighbours that leave a reader which stalled after a change.
+
+    Its next query waited for changes, and until the answer it counted as a host that
+    does not read the platform.
+    """
+
+    async def run():
+        async with running_reader() as reader:
+            follow, waits = reader.store.follow, []
+
+            async def stall_after_change(table, *, after, wait):
+                waits.append(wait)
+                answer = await follow(table, after=after, wait=wait)
+                if answer.rows:
+                    waits.clear()
+                    asyncio.get_running_loop().call_soon(time.sleep, 3.0)
+                return answer
+
+            reader.store.follow = stall_after_change
+            await asyncio.sleep(BURST_GAP)
+            reader.store.put(b"2")
+            await wait_until(lambda: reader.seen[-1] == b"2" and waits, seconds=6.0)
+            assert waits[0] == 0.0
+            await wait_until(reader.watch.is_current)
+
+    asyncio.run(run())
+
+
 def test_queries_soon_after_a_stall_are_not_repeated_without_a_pause():
     """Guards against thousands of queries while a stall is just over."""
 
