--- a/hawthornspoke/relay/_end_verification.py
+++ b/hawthornspoke/relay/_end_verification.py
@@ -286,6 +286,8 @@
         runs = await self._probe.prove(
             sent_at=self._sent_at,
             ended_at=self._ended_after,
+            # The end of an answer is seen some time after the event that caused it.
+            opened_before=self._ended_after - JOINT_TIME,
             probe_after=probe_after,
         )
         if runs is None:
--- a/hawthornspoke/relay/_probe_connections.py
+++ b/hawthornspoke/relay/_probe_connections.py
@@ -105,11 +105,11 @@
         self.opened_at, self.sent_at = connection.opened_at, sent_at
         self.is_identified = is_identified
 
-    def covers(self, *, sent_at, ended_at, probe_after, is_watched):
+    def covers(self, *, sent_at, ended_at, opened_before, probe_after, is_watched):
         """Return whether it shows the same for an answer as a probe of its own."""
         if self.sent_at <= ended_at:
             return False
-        if self.opened_at >= ended_at and not is_watched:
+        if self.opened_at >= opened_before and not is_watched:
             return False
         if not self.is_identified and self.opened_at >= sent_at:
             return False
@@ -193,13 +193,16 @@
             # Nobody waits any more for the probe that is under way.
             self._give_up(self._probed or self._connection)
 
-    async def prove(self, *, sent_at, ended_at, probe_after):
+    async def prove(self, *, sent_at, ended_at, opened_before, probe_after):
         """Find out whether the endpoint of an answer runs after its end.
 
         Parameters
         ----------
         sent_at, ended_at : float
             When the request was sent and its answer ended, on the monotonic clock.
+        opened_before : float
+            Before which a connection was opened that would have been lost with that of
+            the answer, on the same clock.
         probe_after : float
             When the probe may be sent at the earliest, on the same clock.
 
@@ -209,19 +212,25 @@
             False if another endpoint answers, None if nothing is shown.
         """
         proof = asyncio.ensure_future(
-            self._prove(sent_at=sent_at, ended_at=ended_at, probe_after=probe_after)
+            self._prove(
+                sent_at=sent_at,
+                ended_at=ended_at,
+                opened_before=opened_before,
+                probe_after=probe_after,
+            )
         )
         # Others may wait for the same connection if this call is cancelled.
         return await asyncio.shield(proof)
 
-    async def _prove(self, *, sent_at, ended_at, probe_after):
+    async def _prove(self, *, sent_at, ended_at, opened_before, probe_after):
         async with self._lock:
             proof = self._last_proof
             if proof is not None and proof.covers(
                 sent_at=sent_at,
                 ended_at=ended_at,
+                opened_before=opened_before,
                 probe_after=probe_after,
-                is_watched=self._is_watched(ended_at),
+                is_watched=self._is_watched(opened_before),
             ):
                 return True
             connection = self._connection
@@ -230,8 +239,8 @@
             # An answer may end while the probe is under way that uses up the connection
             # beside it. This one still shows whether others are lost, and the next one
             # that the endpoint runs.
-            is_later = connection.opened_at >= ended_at
-            if is_later and not self._is_watched(ended_at):
+            is_later = connection.opened_at >= opened_before
+            if is_later and not self._is_watched(opened_before):
                 return None
             # The process at the other end of a connection that was opened before the
             # request was sent is the one that answered it. Any other has to say its id.
@@ -241,26 +250,26 @@
                 return None
             if response.endpoint_id not in (None, self._placement.endpoint_id):
                 return False
-            if is_later and not self._is_watched(ended_at):
+            if is_later and not self._is_watched(opened_before):
                 return None
             if needs_id and not self._last_proof.is_identified:
                 return await self._check_health(connection)
             return True
 
-    def _is_watched(self, ended_at):
-        """Return whether a connection is open that can show an end of others at a time.
+    def _is_watched(self, opened_before):
+        """Return whether a used-up connection is open that can show an end of others.
 
         Parameters
         ----------
-        ended_at : float
-            Time on the monotonic clock before which it was opened.
+        opened_before : float
+            Time on the monotonic clock.
 
         Returns
         -------
         bool
         """
         return any(
-            connection.opened_at < ended_at and not connection.is_socket_closed()
+            connection.opened_at < opened_before and not connection.is_socket_closed()
             for connection in self._spent
         )
 
--- a/hawthornspoke/relay/tests/test_joint_ends.py
+++ b/hawthornspoke/relay/tests/test_joint_ends.py
@@ -325,6 +325,27 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("prefix", ASKS)
+@pytest.mark.parametrize("step", [echo_probe, answer_probe])
+def test_answer_closed_as_the_connection_beside_it_is_opened_is_not_whole(prefix, step):
+    """Guards against a proof over a connection that a close came too early for.
+
+    The connection of the answer was closed with all others, but its end is seen later.
+    """
+
+    def close_one_and_end(endpoint, writer):
+        close_one(endpoint, writer)
+        asyncio.get_running_loop().call_later(0.2, endpoint.close)
+
+    async def scenario():
+        result = await ask_beside_another_endpoint(
+            prefix, close_one_and_end, probe_step=step(), seconds=0.005
+        )
+        assert result == (200, ASKS[prefix][3], True)
+
+    run_scenario(scenario)
+
+
 #: Other endpoints, connections to each of them, and those of these that are closed with
 #: an answer.
 CLOSED_AT_HOST = {"of two others": (2, 1, 1), "one of two of another one": (1, 2, 1)}
--- a/hawthornspoke/relay/tests/test_probe_connections.py
+++ b/hawthornspoke/relay/tests/test_probe_connections.py
@@ -77,7 +77,9 @@
     async def prove(self, lease):
         """Return the proof for an answer that has just ended."""
         now = monotonic()
-        return await lease.probe.prove(sent_at=now, ended_at=now, probe_after=now)
+        return await lease.probe.prove(
+            sent_at=now, ended_at=now, opened_before=now, probe_after=now
+        )
 
     async def wait_until_open(self):
         """Wait until a connection is open."""
--- a/hawthornspoke/relay/tests/test_unframed_answers.py
+++ b/hawthornspoke/relay/tests/test_unframed_answers.py
@@ -23,7 +23,13 @@
 
 
 def unframed(
-    data, *, head=stream_head, reset=False, endpoint_ends=False, stops_listening=False
+    data,
+    *,
+    head=stream_head,
+    seconds=0.02,
+    reset=False,
+    endpoint_ends=False,
+    stops_listening=False,
 ):
     """Return a step that sends an answer and closes the connection.
 
@@ -33,6 +39,8 @@
         Body.
     head : callable, default=stream_head
         Returns the response head, whose framing is removed.
+    seconds : float, default=0.02
+        From the answer to the close.
     reset : bool, default=False
         Whether the connection is reset in place of closed.
     endpoint_ends : bool, default=False
@@ -45,7 +53,7 @@
         raw = head(request_head)
         writer.write(raw.replace(b"Transfer-Encoding: chunked\r\n", b"") + data)
         await writer.drain()
-        await asyncio.sleep(0.02)
+        await asyncio.sleep(seconds)
         if endpoint_ends:
             endpoint.crash(but=writer)
         if stops_listening:
@@ -379,9 +387,10 @@
     """Guards against sound answers that are lost as an endpoint has no health path."""
 
     async def scenario():
-        whole = unframed(b"hello", head=plain_head)
+        # A connection beside a shorter answer is opened too late for a proof.
+        whole = unframed(b"hello", head=plain_head, seconds=0.06)
         if prefix == "stream":
-            whole = unframed(event(1))
+            whole = unframed(event(1), seconds=0.06)
         first = [slow_answer(0.05)] * 2 if is_kept else []
         endpoint = ScriptedEndpoint(*first, whole)
         async with RelayHarness(endpoint, timeout=2.0, health_path=None) as harness:
