--- a/hawthornspoke/relay/_probe_connections.py
+++ b/hawthornspoke/relay/_probe_connections.py
@@ -236,9 +236,9 @@
             connection = self._connection
             if not self._is_usable():
                 return None
-            # An answer may end while the probe is under way that uses up the connection
-            # beside it. This one still shows whether others are lost, and the next one
-            # that the endpoint runs.
+            # An answer may end during the probe that uses up the connection beside it.
+            # While that one is open, no others were lost with the answer; the next one
+            # shows that the endpoint runs.
             is_later = connection.opened_at >= opened_before
             if is_later and not self._is_watched(opened_before):
                 return None
