--- a/hawthornspoke/base/_sockets.py
+++ b/hawthornspoke/base/_sockets.py
@@ -38,6 +38,11 @@
     CLOSED = "closed"
     BROKEN = "broken"
 
+    @property
+    def has_ended(self):
+        """Whether the peer has closed the connection, or it broke."""
+        return self in (SocketState.CLOSED, SocketState.BROKEN)
+
 
 def socket_state(connection):
     """Look at a connection without consuming its data.
@@ -92,7 +97,7 @@
         return error.errno not in INCONCLUSIVE_ERRNOS
     except ValueError:
         return True
-    return socket_state(connection) in (SocketState.CLOSED, SocketState.BROKEN)
+    return socket_state(connection).has_ended
 
 
 def has_unread_bytes(connection):
--- a/hawthornspoke/httpio/_client.py
+++ b/hawthornspoke/httpio/_client.py
@@ -148,15 +148,13 @@
         """Check the socket itself for a close that the event loop hasn't seen yet."""
         if not self.is_open:
             return True
-        return self._look() in (SocketState.CLOSED, SocketState.BROKEN)
+        return self._look().has_ended
 
     def connection_made(self, transport):
         """Store the transport and set the socket options."""
         self.transport = transport
         self.opened_at = monotonic()
-        self.idle_deadline = (
-            boottime_clock() + DEFAULT_IDLE_TIMEOUT * IDLE_TIMEOUT_FRACTION
-        )
+        self.idle_deadline = boottime_clock() + self.reuse_time
         sock = transport.get_extra_info("socket")
         set_socket_options(sock)
         if self.receive_buffer is not None:
@@ -416,7 +414,7 @@
         """Look at the socket; remember an error, which is not reported again."""
         state = socket_state(self.transport.get_extra_info("socket"))
         self._is_broken = self._is_broken or state is SocketState.BROKEN
-        if state in (SocketState.CLOSED, SocketState.BROKEN):
+        if state.has_ended:
             self._record_end_by_peer()
         return state
 
--- a/hawthornspoke/permits/_wire.py
+++ b/hawthornspoke/permits/_wire.py
@@ -68,14 +68,12 @@
     list of RateLimitReported
     """
     return [
-        RateLimitReported(
-            endpoint_id=item.endpoint_id,
-            rate=item.rate,
-            incarnation=Incarnation.from_value(item.started_ms),
+        _decode_limit(
+            RateLimitReported,
+            item,
             learned_at=None if item.age_ms is None else now - _seconds(item.age_ms),
         )
-        for item in received or ()
-        if _is_valid(item)
+        for item in _valid_limits(received)
     ]
 
 
@@ -90,15 +88,7 @@
     -------
     list of RateLimitUpdated
     """
-    return [
-        RateLimitUpdated(
-            endpoint_id=item.endpoint_id,
-            rate=item.rate,
-            incarnation=Incarnation.from_value(item.started_ms),
-        )
-        for item in received or ()
-        if _is_valid(item)
-    ]
+    return [_decode_limit(RateLimitUpdated, item) for item in _valid_limits(received)]
 
 
 def encode_claim(message):
@@ -190,9 +180,22 @@
     )
 
 
-def _is_valid(limit):
-    is_rate = limit.rate is None or _is_rate(limit.rate)
-    return _is_endpoint_id(limit.endpoint_id) and is_rate
+def _decode_limit(message_class, limit, **options):
+    return message_class(
+        endpoint_id=limit.endpoint_id,
+        rate=limit.rate,
+        incarnation=Incarnation.from_value(limit.started_ms),
+        **options,
+    )
+
+
+def _valid_limits(received):
+    return [
+        limit
+        for limit in received or ()
+        if _is_endpoint_id(limit.endpoint_id)
+        and (limit.rate is None or _is_rate(limit.rate))
+    ]
 
 
 def _is_endpoint_id(value):
--- a/hawthornspoke/relay/_end_probes.py
+++ b/hawthornspoke/relay/_end_probes.py
@@ -5,6 +5,7 @@
 
 from hawthornspoke.base import Failure, StallTolerantTimeout
 from hawthornspoke.httpio import encode_request
+from hawthornspoke.relay._try import MISDIRECTED
 
 #: Timeout in seconds of one probe. A full endpoint may let it wait for a slot, and
 #: other connections can be used meanwhile.
@@ -14,9 +15,6 @@
 #: if all its slots are in use.
 NO_ENDPOINT = "none"
 
-#: Response status to a request for another endpoint.
-MISDIRECTED = 421
-
 
 class ProbeResponse:
     """What the response to a probe shows.
--- a/hawthornspoke/relay/tests/test_joint_ends.py
+++ b/hawthornspoke/relay/tests/test_joint_ends.py
@@ -172,6 +172,15 @@
     run_scenario(scenario)
 
 
+async def assert_all_whole(harness, request_ids):
+    """Send requests at once; fail unless each caller gets a whole stream."""
+    results = await asyncio.gather(
+        *(harness.ask("stream", request_id=request_id) for request_id in request_ids)
+    )
+    whole = [(event_ids(body), complete) for _, _, body, complete in results]
+    assert whole == [([1], True)] * len(request_ids)
+
+
 def test_whole_answers_that_end_in_a_row_without_an_echo_share_a_proof():
     """Guards against a connection that one proof uses up before the next answers."""
 
@@ -183,12 +192,7 @@
         endpoint = ScriptedEndpoint(whole[0], *whole, probe_step=answer_probe())
         async with RelayHarness(endpoint, timeout=3.0) as harness:
             await harness.ask("stream", request_id="r0")
-            results = await asyncio.gather(
-                *(harness.ask("stream", request_id=f"r{n}") for n in range(1, 5))
-            )
-            assert [(event_ids(item[2]), item[3]) for item in results] == [
-                ([1], True)
-            ] * 4
+            await assert_all_whole(harness, ["r1", "r2", "r3", "r4"])
             count = harness.metrics.counter_value
             assert count("unframed_ends_total", reason="probe_connection") == 5
 
@@ -206,12 +210,7 @@
         ]
         endpoint = ScriptedEndpoint(*whole, probe_step=answer_probe())
         async with RelayHarness(endpoint, timeout=3.0) as harness:
-            results = await asyncio.gather(
-                *(harness.ask("stream", request_id=f"r{n}") for n in range(3))
-            )
-            assert [(event_ids(item[2]), item[3]) for item in results] == [
-                ([1], True)
-            ] * 3
+            await assert_all_whole(harness, ["r0", "r1", "r2"])
             count = harness.metrics.counter_value
             assert count("unframed_ends_total", reason="probe_connection") == 3
 
@@ -265,12 +264,7 @@
             probe_step=refuse_first_slowly(0.02, on_probe),
         )
         async with RelayHarness(endpoint, timeout=3.0) as harness:
-            results = await asyncio.gather(
-                *(harness.ask("stream", request_id=f"r{n}") for n in range(3))
-            )
-            assert [(event_ids(item[2]), item[3]) for item in results] == [
-                ([1], True)
-            ] * 3
+            await assert_all_whole(harness, ["r0", "r1", "r2"])
             await stalling
             count = harness.metrics.counter_value
             assert count("unframed_ends_total", reason="probe_connection") == 3
